--- /dev/null
+++ b/src/common/assert.cc
@@ -0,0 +1,33 @@
+#include "src/common/assert.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <utility>
+
+namespace jasminelug {
+namespace {
+
+AssertionHook& Hook() {
+  static AssertionHook hook;
+  return hook;
+}
+
+}  // namespace
+
+AssertionHook SetAssertionHook(AssertionHook hook) {
+  return std::exchange(Hook(), std::move(hook));
+}
+
+namespace internal {
+
+void FailAssertion(const AssertionFailure& failure) {
+  std::fprintf(stderr, "assertion failed: %s (%s:%d)\n", failure.m_name,
+               failure.m_file, failure.m_line);
+  if (const AssertionHook hook = Hook()) {
+    hook(failure);
+  }
+  std::abort();
+}
+
+}  // namespace internal
+}  // namespace jasminelug
