--- a/test/test_main.cc
+++ b/test/test_main.cc
@@ -2,10 +2,10 @@
 
 #include <cppunit/TestResult.h>
 #include <cppunit/TestResultCollector.h>
+#include <cppunit/TestRunner.h>
 #include <cppunit/TextOutputter.h>
 #include <cppunit/TextTestProgressListener.h>
 #include <cppunit/extensions/TestFactoryRegistry.h>
-#include <cppunit/TestRunner.h>
 
 #include <iostream>
 
