--- /dev/null
+++ b/jasminelug/core.h
@@ -0,0 +1,19 @@
+#ifndef JASMINELUG_CORE_H_
+#define JASMINELUG_CORE_H_
+
+// The decisions, without I/O: events in, actions out, on the caller's clock.
+
+#include "src/core/action.h"
+#include "src/core/caller_request.h"
+#include "src/core/configuration.h"
+#include "src/core/context.h"
+#include "src/core/database_answer.h"
+#include "src/core/event.h"
+#include "src/core/ids.h"
+#include "src/core/log_position.h"
+#include "src/core/peer_message.h"
+#include "src/core/platform_call.h"
+#include "src/core/time.h"
+#include "src/core/timeline_event.h"
+
+#endif  // JASMINELUG_CORE_H_
--- /dev/null
+++ b/src/core/event.h
@@ -0,0 +1,128 @@
+#ifndef SRC_CORE_EVENT_H_
+#define SRC_CORE_EVENT_H_
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "src/core/caller_request.h"
+#include "src/core/database_answer.h"
+#include "src/core/ids.h"
+#include "src/core/peer_message.h"
+#include "src/core/platform_call.h"
+
+namespace jasminelug::core {
+
+// Events tell the engine what happened. Each is a plain value.
+
+struct RequestReceived {
+  RequestHandle m_request;
+  CallerRequest m_body;
+
+  friend bool operator==(const RequestReceived&,
+                         const RequestReceived&) = default;
+};
+
+// The caller's connection or stream is gone: nobody waits for the answer.
+struct CallerGone {
+  RequestHandle m_request;
+
+  friend bool operator==(const CallerGone&, const CallerGone&) = default;
+};
+
+struct ConnectionOpened {
+  ConnectionId m_connection;
+
+  friend bool operator==(const ConnectionOpened&,
+                         const ConnectionOpened&) = default;
+};
+
+// A connection is over, or could not be opened. The outcome of what ran on it
+// has been reported before.
+struct ConnectionClosed {
+  ConnectionId m_connection;
+  // The member's address actively refused the connection.
+  bool m_refused = false;
+
+  friend bool operator==(const ConnectionClosed&,
+                         const ConnectionClosed&) = default;
+};
+
+struct StatementFinished {
+  ConnectionId m_connection;
+  StatementOutcome m_outcome;
+
+  friend bool operator==(const StatementFinished&,
+                         const StatementFinished&) = default;
+};
+
+struct ControlAnswered {
+  CallId m_call;
+  ControlAnswer m_answer;
+
+  friend bool operator==(const ControlAnswered&,
+                         const ControlAnswered&) = default;
+};
+
+struct PlatformAnswered {
+  CallId m_call;
+  PlatformAnswer m_answer;
+
+  friend bool operator==(const PlatformAnswered&,
+                         const PlatformAnswered&) = default;
+};
+
+struct PeerMessageReceived {
+  PeerSender m_from;
+  PeerMessage m_message;
+
+  friend bool operator==(const PeerMessageReceived&,
+                         const PeerMessageReceived&) = default;
+};
+
+// A message could not be handed to a peer.
+struct PeerUnreachable {
+  InstanceId m_peer;
+  // The peer's address actively refused: no process listens there.
+  bool m_refused = false;
+
+  friend bool operator==(const PeerUnreachable&,
+                         const PeerUnreachable&) = default;
+};
+
+// Time has passed. Sent at least every kTickInterval.
+struct Tick {
+  friend bool operator==(const Tick&, const Tick&) = default;
+};
+
+// The process was asked to stop after what runs has finished.
+struct ShutdownRequested {
+  friend bool operator==(const ShutdownRequested&,
+                         const ShutdownRequested&) = default;
+};
+
+// An operator asks for a planned change of a database's primary.
+struct SwitchoverRequested {
+  DatabaseName m_database;
+  MemberId m_successor;
+
+  friend bool operator==(const SwitchoverRequested&,
+                         const SwitchoverRequested&) = default;
+};
+
+using Event = std::variant<RequestReceived,
+                           CallerGone,
+                           ConnectionOpened,
+                           ConnectionClosed,
+                           StatementFinished,
+                           ControlAnswered,
+                           PlatformAnswered,
+                           PeerMessageReceived,
+                           PeerUnreachable,
+                           Tick,
+                           ShutdownRequested,
+                           SwitchoverRequested>;
+
+}  // namespace jasminelug::core
+
+#endif  // SRC_CORE_EVENT_H_
