--- a/src/core/time.h
+++ b/src/core/time.h
@@ -15,7 +15,6 @@
   using period = Duration::period;
   using duration = Duration;
   using time_point = std::chrono::time_point<MonotonicClock, Duration>;
-  static constexpr bool is_steady = true;
 };
 
 // A point on the instance's monotonic clock.
