--- a/src/core/database_answer.h
+++ b/src/core/database_answer.h
@@ -127,6 +127,8 @@
 struct ControlFailed {
   // The member's address actively refused the connection.
   bool m_refused = false;
+  // False where no connection was free to ask on: nothing is known.
+  bool m_asked = true;
 
   friend bool operator==(const ControlFailed&, const ControlFailed&) = default;
 };
--- /dev/null
+++ b/src/core/election.cc
@@ -0,0 +1,48 @@
+#include "src/core/election.h"
+
+#include <algorithm>
+
+namespace jasminelug::core {
+
+void Election::OnGrant(const MemberId& member, const GrantAnswer& answer) {
+  if (answer.m_granted) {
+    m_grants.insert_or_assign(member, answer.m_received);
+  } else {
+    ++m_refusals;
+  }
+}
+
+void Election::OnFailure(const MemberId& /*member*/) {
+  ++m_failures;
+}
+
+// A member may lead if it is the furthest of some majority that granted. The
+// furthest of all always is; one that is not avoided goes before it.
+std::optional<Member> Election::Choose(const GroupView& view) const {
+  std::optional<MemberId> chosen;
+  bool is_chosen_avoided = true;
+  for (const auto& [member, position] : m_grants) {
+    if (CountUpTo(position) < view.majority()) {
+      continue;
+    }
+    const bool is_avoided = m_avoided.contains(member);
+    const bool is_further = !chosen || position > m_grants.at(*chosen);
+    const bool is_better =
+        is_avoided == is_chosen_avoided ? is_further : is_chosen_avoided;
+    if (!chosen || is_better) {
+      chosen = member;
+      is_chosen_avoided = is_avoided;
+    }
+  }
+  const MemberView* found = chosen ? view.Find(*chosen) : nullptr;
+  return found == nullptr ? std::nullopt
+                          : std::optional<Member>(found->m_member);
+}
+
+size_t Election::CountUpTo(const LogPosition& position) const {
+  return static_cast<size_t>(std::count_if(
+      m_grants.begin(), m_grants.end(),
+      [&position](const auto& grant) { return grant.second <= position; }));
+}
+
+}  // namespace jasminelug::core
