Add results, rings, JSON-lines logs and the settings reader to common

Every package above needs them: Result with IsOk/GetValue/GetError, BoundedRing over boost::lockfree::spsc_queue with a wake hook, a log4cplus layout that writes JSON lines with free typed fields, and ObjectReader, which reads typed fields of a JSON document with or without comments.

The reader collects all errors with their field path and refuses unknown fields and names that stand twice; its messages never hold what was read, as that may be a secret. Ruled out: nlohmann's own from_json conversions, which stop at the first error and pass unknown fields; log4cplus's MDC for free fields, which holds strings only.

--- a/jasminelug/common.h
+++ b/jasminelug/common.h
@@ -4,5 +4,14 @@
 // What every package shares: assertions, results, rings, logs, settings.
 
 #include "src/common/assert.h"
+#include "src/common/bounded_ring.h"
+#include "src/common/field_error.h"
+#include "src/common/json_document.h"
+#include "src/common/json_lines_layout.h"
+#include "src/common/json_log_event.h"
+#include "src/common/log_field.h"
+#include "src/common/logging.h"
+#include "src/common/object_reader.h"
+#include "src/common/result.h"
 
 #endif  // JASMINELUG_COMMON_H_
--- /dev/null
+++ b/src/common/json_lines_layout.h
@@ -0,0 +1,28 @@
+#ifndef SRC_COMMON_JSON_LINES_LAYOUT_H_
+#define SRC_COMMON_JSON_LINES_LAYOUT_H_
+
+#include <log4cplus/layout.h>
+
+#include <string>
+
+namespace jasminelug {
+
+// Writes each event as one line of JSON with the fields time (UTC, in
+// microseconds), level, logger, instance and message, then the free fields of a
+// JsonLogEvent. Bytes that are not UTF-8 are replaced.
+class JsonLinesLayout : public log4cplus::Layout {
+ public:
+  // `instance` names this process in every line.
+  explicit JsonLinesLayout(std::string instance);
+
+  void formatAndAppend(
+      log4cplus::tostream& output,
+      const log4cplus::spi::InternalLoggingEvent& event) override;
+
+ private:
+  const std::string m_instance;
+};
+
+}  // namespace jasminelug
+
+#endif  // SRC_COMMON_JSON_LINES_LAYOUT_H_
--- /dev/null
+++ b/src/common/log_field.h
@@ -0,0 +1,26 @@
+#ifndef SRC_COMMON_LOG_FIELD_H_
+#define SRC_COMMON_LOG_FIELD_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace jasminelug {
+
+// A named value that a log line carries beside its message. The names "time",
+// "level", "logger", "instance" and "message" are taken.
+struct LogField {
+  using Value = std::variant<bool, std::int64_t, double, std::string>;
+
+  bool operator==(const LogField&) const = default;
+
+  std::string m_name;
+  Value m_value;
+};
+
+using LogFields = std::vector<LogField>;
+
+}  // namespace jasminelug
+
+#endif  // SRC_COMMON_LOG_FIELD_H_
