--- a/src/core/event.h
+++ b/src/core/event.h
@@ -1,6 +1,7 @@
 #ifndef SRC_CORE_EVENT_H_
 #define SRC_CORE_EVENT_H_
 
+#include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
@@ -85,6 +86,9 @@
   InstanceId m_peer;
   // The peer's address actively refused: no process listens there.
   bool m_refused = false;
+  // Number of the heartbeat that could not be handed over; 0 for other
+  // messages. Bounds the age of the refusal, however late it is reported.
+  uint64_t m_number = 0;
 
   friend bool operator==(const PeerUnreachable&,
                          const PeerUnreachable&) = default;
--- /dev/null
+++ b/src/core/instance_record.h
@@ -0,0 +1,37 @@
+#ifndef SRC_CORE_INSTANCE_RECORD_H_
+#define SRC_CORE_INSTANCE_RECORD_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "src/core/ids.h"
+#include "src/core/peer_message.h"
+#include "src/core/time.h"
+
+namespace jasminelug::core {
+
+// What an instance's lease object (ObjectKind::kInstance) says. The object's
+// name is the instance's id.
+struct InstanceRecord {
+  InstanceId m_id;
+  // Where the instance listens for its peers.
+  Address m_address;
+  // Where the instance listens for callers.
+  Address m_caller_address;
+  ZoneName m_zone;
+  Incarnation m_incarnation;
+  // How long each renewal lasts, in whole milliseconds.
+  Duration m_lease{};
+  // Who may vouch for the lease while the platform does not answer.
+  std::vector<PeerSender> m_cell;
+  // Counts the renewals of this incarnation.
+  uint64_t m_renewal = 0;
+  bool m_draining = false;
+
+  friend bool operator==(const InstanceRecord&,
+                         const InstanceRecord&) = default;
+};
+
+}  // namespace jasminelug::core
+
+#endif  // SRC_CORE_INSTANCE_RECORD_H_
--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -28,6 +28,9 @@
   uint64_t m_number = 0;
   // Number of the heartbeat that this one answers; 0 if it answers none.
   uint64_t m_answers = 0;
+  // Where the sender listens, so that peers can answer an instance that could
+  // not register with the platform; may be empty.
+  Address m_address;
   ZoneName m_zone;
   // The configuration's revision that this instance has installed.
   Revision m_revision;
