--- /dev/null
+++ b/src/databases/internal/row_reader.h
@@ -0,0 +1,36 @@
+#ifndef SRC_DATABASES_INTERNAL_ROW_READER_H_
+#define SRC_DATABASES_INTERNAL_ROW_READER_H_
+
+#include <cstdint>
+#include <string_view>
+
+#include "src/databases/group_report.h"
+#include "src/databases/result.h"
+
+namespace jasminelug::databases::internal {
+
+// Reads the columns of a one-row result by name, remembering whether any was
+// missing or malformed.
+class RowReader {
+ public:
+  explicit RowReader(const StatementResult& result);
+
+  // Returns false once any column could not be read, or without a row.
+  bool IsGood() const { return m_good; }
+
+  bool IsNull(std::string_view column);
+  std::uint64_t Number(std::string_view column);
+  bool Bool(std::string_view column);
+  Role RoleOf(std::string_view column);
+
+ private:
+  const Value* Find(std::string_view column);
+  std::string_view Text(std::string_view column);
+
+  const StatementResult& m_result;
+  bool m_good;
+};
+
+}  // namespace jasminelug::databases::internal
+
+#endif  // SRC_DATABASES_INTERNAL_ROW_READER_H_
