--- /dev/null
+++ b/src/core/read_planner.cc
@@ -0,0 +1,154 @@
+#include "src/core/read_planner.h"
+
+#include <algorithm>
+#include <random>
+
+namespace jasminelug::core {
+namespace {
+
+// A read waits at most so long for a replica before it goes to the primary.
+constexpr Duration kMostCatchUpWait = 15ms;
+
+// Entries kept of the log's growth, and the least distance between two.
+constexpr size_t kMostGrowth = 256;
+constexpr Duration kGrowthInterval = 1ms;
+
+// Weight of a new observation of lag is one in this many.
+constexpr int kLagSmoothing = 8;
+
+// Data age is reported at the member's own clock and counted on here.
+Duration AgeAt(const MemberView& member, Time time) {
+  return member.m_status->m_data_age + (time - member.m_status_asked);
+}
+
+}  // namespace
+
+ReadPlan ReadPlanner::Plan(const GroupView& view,
+                           const ReadNeeds& needs,
+                           Context& context) {
+  if (needs.m_must_be_current) {
+    return ReadPlan{};
+  }
+  const DatabaseName& database = view.database().m_name;
+  std::uniform_real_distribution<double> uniform(0.0, 1.0);
+  const double ramp_point = uniform(context.Random());
+  const MemberView* best = nullptr;
+  Duration best_wait{};
+  double best_cost = 0.0;
+  for (const MemberView& member : view.members()) {
+    const MemberId& id = member.m_member.m_id;
+    if (view.Primary() != nullptr && view.Primary()->m_id == id) {
+      continue;
+    }
+    const double fraction =
+        m_hooks->m_work_fraction(member.m_member.m_zone, context);
+    if (member.m_failed || fraction <= ramp_point) {
+      continue;
+    }
+    if (needs.m_max_age &&
+        !IsYoungEnough(member, *needs.m_max_age, context.Now())) {
+      continue;
+    }
+    const auto wait =
+        CatchUpTime(member, needs.m_position.m_index, context.Now());
+    if (!wait || *wait > kMostCatchUpWait) {
+      continue;
+    }
+    double cost = static_cast<double>(m_hooks->m_load(database, id));
+    cost += m_hooks->m_has_connection(database, id) ? 0.0 : 4.0;
+    cost += member.m_member.m_zone == m_own_zone ? 0.0 : 0.5;
+    cost += static_cast<double>(wait->count()) /
+            static_cast<double>(kMostCatchUpWait.count());
+    if (best == nullptr || cost < best_cost) {
+      best = &member;
+      best_wait = *wait;
+      best_cost = cost;
+    }
+  }
+  if (best == nullptr) {
+    return ReadPlan{};
+  }
+  return ReadPlan{best->m_member.m_id, best_wait};
+}
+
+// Positions of different terms are ordered by term, which is right for the
+// positions of acknowledged writes: every later term's log holds them.
+bool ReadPlanner::IsMet(const ReadNeeds& needs,
+                        const MemberView& member,
+                        const LogPosition& position,
+                        Time sent,
+                        Time now) {
+  if (position < needs.m_position) {
+    return false;
+  }
+  if (!needs.m_max_age) {
+    return true;
+  }
+  // What the member showed is as old as at `sent` at the most, and aged on its
+  // way here.
+  return member.m_status && member.m_status_asked <= sent &&
+         AgeAt(member, sent) + (now - sent) <= *needs.m_max_age;
+}
+
+void ReadPlanner::OnWritten(uint64_t index, Time now) {
+  if (!m_growth.empty() && (index <= m_growth.back().m_index ||
+                            now - m_growth.back().m_time < kGrowthInterval)) {
+    return;
+  }
+  if (m_growth.size() >= kMostGrowth) {
+    m_growth.erase(m_growth.begin(), m_growth.begin() + kMostGrowth / 2);
+  }
+  m_growth.push_back(Growth{index, now});
+}
+
+void ReadPlanner::OnApplied(const MemberId& member, uint64_t index, Time now) {
+  // The oldest growth that is not applied yet bounds the lag from below, the
+  // youngest that is applied bounds it from above.
+  const auto unapplied = std::find_if(
+      m_growth.begin(), m_growth.end(),
+      [index](const Growth& growth) { return growth.m_index > index; });
+  Duration observed{};
+  if (unapplied != m_growth.end()) {
+    observed = now - unapplied->m_time;
+  } else if (m_growth.empty()) {
+    return;
+  }
+  Duration& lag = m_lag[member];
+  if (observed > lag) {
+    lag = observed;
+  } else {
+    lag += (observed - lag) / kLagSmoothing;
+  }
+}
+
+std::optional<Duration> ReadPlanner::CatchUpTime(const MemberView& member,
+                                                 uint64_t index,
+                                                 Time now) const {
+  if (index <= member.m_applied_index) {
+    return Duration::zero();
+  }
+  const auto lag = m_lag.find(member.m_member.m_id);
+  const std::optional<Time> written = TimeOf(index);
+  if (lag == m_lag.end() || !written) {
+    return std::nullopt;
+  }
+  return std::max(Duration::zero(), *written + lag->second - now);
+}
+
+std::optional<Time> ReadPlanner::TimeOf(uint64_t index) const {
+  const auto found = std::find_if(
+      m_growth.begin(), m_growth.end(),
+      [index](const Growth& growth) { return growth.m_index >= index; });
+  if (found == m_growth.end()) {
+    return std::nullopt;
+  }
+  return found->m_time;
+}
+
+bool ReadPlanner::IsYoungEnough(const MemberView& member,
+                                Duration max_age,
+                                Time now) {
+  return member.m_status && AgeAt(member, now) <= max_age;
+}
+
+}  // namespace jasminelug::core
--- /dev/null
+++ b/src/core/request_lanes.h
@@ -0,0 +1,57 @@
+#ifndef SRC_CORE_REQUEST_LANES_H_
+#define SRC_CORE_REQUEST_LANES_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "src/core/active_request.h"
+#include "src/core/fair_queue.h"
+#include "src/core/ids.h"
+
+namespace jasminelug::core {
+
+// The requests that wait for connections to one database: one fair queue for
+// the primary, whoever that is, and one for each replica.
+class RequestLanes {
+ public:
+  // Adds a request to the lane of its replica, or to the primary's.
+  void Push(const ActiveRequest& request) {
+    LaneOf(request).Push(request.m_allowance.m_customer, request.m_deadline,
+                         request.m_handle);
+  }
+
+  void Remove(const ActiveRequest& request) {
+    LaneOf(request).Remove(request.m_handle);
+  }
+
+  FairQueue& Primary() { return m_primary; }
+  std::map<MemberId, FairQueue>& Replicas() { return m_replicas; }
+
+  size_t SizeOf(const MemberId& replica) const {
+    const auto found = m_replicas.find(replica);
+    return found == m_replicas.end() ? 0 : found->second.size();
+  }
+
+  size_t SizeOf(const CustomerName& customer) const {
+    size_t size = m_primary.SizeOf(customer);
+    for (const auto& [member, lane] : m_replicas) {
+      size += lane.SizeOf(customer);
+    }
+    return size;
+  }
+
+ private:
+  FairQueue& LaneOf(const ActiveRequest& request) {
+    return request.m_replica ? m_replicas[*request.m_replica] : m_primary;
+  }
+
+  FairQueue m_primary;
+  std::map<MemberId, FairQueue> m_replicas;
+};
+
+}  // namespace jasminelug::core
+
+#endif  // SRC_CORE_REQUEST_LANES_H_
--- /dev/null
+++ b/src/core/request_router.cc
@@ -0,0 +1,521 @@
+#include "src/core/request_router.h"
+
+#include <algorithm>
+
+#include "src/common/assert.h"
+
+namespace jasminelug::core {
+namespace {
+
+// Requests of one customer that wait for one database at this instance.
+constexpr size_t kMostQueuedPerCustomer = 1000;
+
+// New work still goes to a zone's members, and queued work to a leaving
+// database, for so long after this instance learned that they leave.
+constexpr Duration kLeavingGrace = 2s;
+
+// A connection whose statement's caller has been answered is closed if the
+// statement has not ended after so long.
+constexpr Duration kGiveUpAfter = 2s;
+
+bool IsSilentOnConnection(const StatementOutcome& outcome) {
+  return std::holds_alternative<StatementLost>(outcome);
+}
+
+}  // namespace
+
+RequestRouter::RequestRouter(InstanceId self,
+                             ZoneName zone,
+                             RouterBaselines baselines,
+                             Hooks hooks,
+                             ShareManager* shares,
+                             GroupMonitor* groups,
+                             ConnectionPool* pool)
+    : m_self(std::move(self)),
+      m_zone(std::move(zone)),
+      m_baselines(baselines),
+      m_hooks(std::move(hooks)),
+      m_shares(shares),
+      m_groups(groups),
+      m_pool(pool),
+      m_transactions(m_self) {
+  m_planner_hooks.m_work_fraction = m_hooks.m_work_fraction;
+  m_planner_hooks.m_load = [this](const DatabaseName& database,
+                                  const MemberId& member) {
+    return m_lanes[database].SizeOf(member);
+  };
+  m_planner_hooks.m_has_connection = [this](const DatabaseName& database,
+                                            const MemberId& member) {
+    return m_pool->HasConnection(database, member);
+  };
+}
+
+RequestRouter::~RequestRouter() = default;
+
+void RequestRouter::OnCallerGone(RequestHandle handle, Context& context) {
+  ActiveRequest* request = Find(handle);
+  if (request == nullptr) {
+    return;
+  }
+  request->m_is_abandoned = true;
+  const bool has_started = request->m_stage == RequestStage::kRunning ||
+                           request->m_stage == RequestStage::kConfirming;
+  if (!has_started) {
+    Finish(request, context);
+  }
+}
+
+void RequestRouter::OnConfiguration(const Configuration& configuration,
+                                    Context& context) {
+  std::map<ZoneName, Time> zones_out;
+  for (const auto& [name, zone] : configuration.m_zones) {
+    if (zone.m_out) {
+      const auto known = m_zones_out.find(name);
+      zones_out.emplace(
+          name, known == m_zones_out.end() ? context.Now() : known->second);
+    }
+  }
+  m_zones_out = std::move(zones_out);
+  std::map<DatabaseName, Time> leaving;
+  for (const auto& [name, database] : configuration.m_databases) {
+    if (database.m_leaving) {
+      const auto known = m_leaving.find(name);
+      leaving.emplace(name,
+                      known == m_leaving.end() ? context.Now() : known->second);
+    }
+  }
+  m_leaving = std::move(leaving);
+}
+
+void RequestRouter::OnPrimaryChanged(const DatabaseName& database,
+                                     Context& context) {
+  Pump(database, context);
+}
+
+void RequestRouter::OnTick(Context& context) {
+  while (!m_deadlines.empty() && m_deadlines.begin()->first <= context.Now()) {
+    Expire(Find(m_deadlines.begin()->second), context);
+  }
+  ServeCreditWaiters(context);
+  ResumeDelayed(context);
+  GiveUpStatements(context);
+  for (const TransactionId& id : m_transactions.Overdue(context.Now())) {
+    EndTransaction(m_transactions.Find(id), "it was idle or open for too long",
+                   context);
+  }
+  m_transactions.Forget(context.Now());
+  std::vector<DatabaseName> databases;
+  for (const auto& [database, lanes] : m_lanes) {
+    databases.push_back(database);
+  }
+  for (const DatabaseName& database : databases) {
+    RefuseLeaving(database, context);
+    Pump(database, context);
+  }
+}
+
+void RequestRouter::Route(ActiveRequest* request, Context& context) {
+  request->m_replica.reset();
+  Group* group = m_groups->Find(request->m_body.m_database);
+  if (group == nullptr) {
+    Refuse(request, RefusalCode::kUnknownDatabase,
+           "the database is no longer configured", context);
+    return;
+  }
+  if (request->IsSingleRead() && !m_baselines.m_primary_reads_only) {
+    ReadNeeds needs = NeedsOf(*request);
+    // A read that failed at a replica does not try another one.
+    needs.m_must_be_current |= request->m_attempts > 0;
+    const ReadPlan plan = PlannerOf(request->m_body.m_database)
+                              .Plan(group->view(), needs, context);
+    request->m_replica = plan.m_replica;
+    if (plan.m_wait > Duration::zero()) {
+      Delay(request, plan.m_wait, context);
+      return;
+    }
+  }
+  if (m_baselines.m_no_gap_queue && !request->m_replica &&
+      !MayUsePrimary(*group, context)) {
+    Refuse(request, RefusalCode::kUnavailable, "no primary is known", context);
+    return;
+  }
+  Enqueue(request, context);
+}
+
+void RequestRouter::Enqueue(ActiveRequest* request, Context& context) {
+  const DatabaseName database = request->m_body.m_database;
+  RequestLanes& lanes = m_lanes[database];
+  if (lanes.SizeOf(request->m_allowance.m_customer) >= kMostQueuedPerCustomer) {
+    Refuse(request, RefusalCode::kOverloaded,
+           "too many requests of this customer wait for the database", context);
+    return;
+  }
+  request->m_stage = RequestStage::kQueued;
+  lanes.Push(*request);
+  Pump(database, context);
+}
+
+void RequestRouter::Delay(ActiveRequest* request,
+                          Duration delay,
+                          Context& context) {
+  request->m_stage = RequestStage::kDelayed;
+  request->m_resume = context.Now() + delay;
+  m_delayed.emplace(request->m_resume, request->m_handle);
+}
+
+void RequestRouter::ResumeDelayed(Context& context) {
+  while (!m_delayed.empty() && m_delayed.begin()->first <= context.Now()) {
+    ActiveRequest* request = Find(m_delayed.begin()->second);
+    m_delayed.erase(m_delayed.begin());
+    if (request->m_replica) {
+      // The replica was chosen with the wait; the answer shows whether the
+      // estimate was right.
+      Enqueue(request, context);
+    } else {
+      Route(request, context);
+    }
+  }
+}
+
+ReadNeeds RequestRouter::NeedsOf(const ActiveRequest& request) const {
+  ReadNeeds needs;
+  needs.m_position =
+      request.m_token.MarkOf(request.m_body.m_database).m_position;
+  needs.m_must_be_current =
+      request.m_profile.m_consistency == Consistency::kStrong ||
+      request.IsTokenUncertain();
+  if (request.m_profile.m_consistency == Consistency::kStale) {
+    Duration age = request.m_profile.m_max_staleness;
+    if (request.m_body.m_max_staleness) {
+      age = std::min(age, *request.m_body.m_max_staleness);
+    }
+    needs.m_max_age = age;
+  }
+  return needs;
+}
+
+bool RequestRouter::MayUsePrimary(const Group& group,
+                                  const Context& context) const {
+  if (!group.IsPrimaryUsable()) {
+    return false;
+  }
+  const auto out = m_zones_out.find(group.view().Primary()->m_zone);
+  return out == m_zones_out.end() ||
+         context.Now() - out->second < kLeavingGrace;
+}
+
+void RequestRouter::Pump(const DatabaseName& database, Context& context) {
+  Group* group = m_groups->Find(database);
+  if (group == nullptr || !m_lanes.contains(database)) {
+    return;
+  }
+  PumpPrimary(group, context);
+  PumpReplicas(group, context);
+}
+
+void RequestRouter::PumpPrimary(Group* group, Context& context) {
+  const DatabaseName database = group->view().database().m_name;
+  FairQueue& lane = m_lanes[database].Primary();
+  while (!lane.empty() && MayUsePrimary(*group, context)) {
+    const std::optional<ConnectionId> connection =
+        m_pool->Take(database, *group->view().Primary(), context);
+    if (!connection) {
+      return;
+    }
+    const std::optional<RequestHandle> next = lane.Pop();
+    Run(Find(*next), *connection, context);
+  }
+}
+
+void RequestRouter::PumpReplicas(Group* group, Context& context) {
+  const DatabaseName database = group->view().database().m_name;
+  for (auto& [id, lane] : m_lanes[database].Replicas()) {
+    const MemberView* member = group->view().Find(id);
+    const bool is_unfit = member == nullptr || member->m_failed ||
+                          m_zones_out.contains(member->m_member.m_zone) ||
+                          (group->view().Primary() != nullptr &&
+                           group->view().Primary()->m_id == id);
+    std::vector<RequestHandle> unfit;
+    while (!lane.empty()) {
+      if (is_unfit) {
+        unfit.push_back(*lane.Pop());
+        continue;
+      }
+      const std::optional<ConnectionId> connection =
+          m_pool->Take(database, member->m_member, context);
+      if (!connection) {
+        break;
+      }
+      Run(Find(*lane.Pop()), *connection, context);
+    }
+    // To the primary, so that no two unfit replicas hand a read to and fro.
+    for (const RequestHandle handle : unfit) {
+      ActiveRequest* request = Find(handle);
+      request->m_replica.reset();
+      m_lanes[database].Push(*request);
+    }
+  }
+  PumpPrimary(group, context);
+}
+
+void RequestRouter::RefuseLeaving(const DatabaseName& database,
+                                  Context& context) {
+  const auto leaving = m_leaving.find(database);
+  if (leaving == m_leaving.end() ||
+      context.Now() - leaving->second < kLeavingGrace) {
+    return;
+  }
+  std::vector<RequestHandle> queued;
+  for (const auto& [handle, request] : m_requests) {
+    const bool is_new_work =
+        request->m_stage == RequestStage::kQueued ||
+        request->m_stage == RequestStage::kDelayed ||
+        request->m_stage == RequestStage::kWaitingForCredit;
+    if (is_new_work && request->m_body.m_database == database &&
+        !request->IsInTransaction()) {
+      queued.push_back(handle);
+    }
+  }
+  for (const RequestHandle handle : queued) {
+    Refuse(Find(handle), RefusalCode::kDatabaseLeaving,
+           "the database is leaving", context);
+  }
+}
+
+void RequestRouter::Run(ActiveRequest* request,
+                        ConnectionId connection,
+                        Context& context) {
+  request->m_stage = RequestStage::kRunning;
+  request->m_connection = connection;
+  request->m_sent = context.Now();
+  request->m_member = m_pool->MemberOf(connection)->m_id;
+  ++request->m_attempts;
+  const RunStatement step = StepOf(*request);
+  const bool is_free =
+      m_running
+          .emplace(connection, Running{request->m_handle, Afterwards::kRelease,
+                                       request->m_body.m_database, Time::max()})
+          .second;
+  JASMINELUG_ASSERT(is_free, A_CONNECTION_RUNS_ONE_STATEMENT);
+  context.Emit(step);
+}
+
+void RequestRouter::RunInTransaction(ActiveRequest* request, Context& context) {
+  Transaction* transaction = m_transactions.Find(request->m_body.m_transaction);
+  JASMINELUG_ASSERT(transaction->m_allowance == request->m_allowance,
+                    A_TRANSACTION_SERVES_ITS_OWN_CUSTOMER);
+  if (transaction->m_state != TransactionState::kIdle) {
+    const bool is_aborted = transaction->m_state == TransactionState::kAborted;
+    Refuse(request,
+           is_aborted ? RefusalCode::kTransactionAborted
+                      : RefusalCode::kInvalidRequest,
+           is_aborted
+               ? "the transaction was rolled back: " + transaction->m_reason
+               : "the transaction still runs another statement",
+           context);
+    return;
+  }
+  transaction->m_state = TransactionState::kRunning;
+  transaction->m_last_used = context.Now();
+  request->m_body.m_database = transaction->m_database;
+  request->m_body.m_read_only = transaction->m_read_only;
+  Run(request, transaction->m_connection, context);
+}
+
+RunStatement RequestRouter::StepOf(const ActiveRequest& request) const {
+  RunStatement step;
+  step.m_connection = request.m_connection;
+  step.m_customer = request.m_allowance.m_customer;
+  step.m_read_only = request.m_body.m_read_only;
+  if (request.m_purpose == RequestPurpose::kConfirmEarlier) {
+    step.m_statement.m_sql = "SELECT 1";
+    step.m_read_only = true;
+    return step;
+  }
+  const bool is_write = !request.m_body.m_read_only;
+  if (request.m_purpose == RequestPurpose::kFenceCommit) {
+    step.m_request_id = request.m_body.m_request_id;
+    return step;
+  }
+  switch (request.m_body.m_operation) {
+    case Operation::kStatement:
+      step.m_statement = request.m_body.m_statement;
+      if (request.IsInTransaction()) {
+        step.m_step = TransactionStep::kInTransaction;
+      } else if (is_write) {
+        step.m_request_id = request.m_body.m_request_id;
+      }
+      break;
+    case Operation::kBegin:
+      step.m_step = TransactionStep::kBegin;
+      break;
+    case Operation::kCommit:
+      step.m_step = TransactionStep::kCommit;
+      if (is_write) {
+        step.m_request_id = request.m_body.m_request_id;
+      }
+      break;
+    case Operation::kRollback:
+      step.m_step = TransactionStep::kRollback;
+      break;
+  }
+  return step;
+}
+
+void RequestRouter::OnStatementFinished(const StatementFinished& event,
+                                        Context& context) {
+  const auto found = m_running.find(event.m_connection);
+  if (found == m_running.end()) {
+    return;
+  }
+  const Running running = found->second;
+  m_running.erase(found);
+  std::optional<MemberId> member;
+  if (const Member* known = m_pool->MemberOf(event.m_connection)) {
+    member = known->m_id;
+  }
+  Group* group = m_groups->Find(running.m_database);
+  const auto* done = std::get_if<StatementDone>(&event.m_outcome);
+  if (done != nullptr && member && group != nullptr) {
+    ReadPlanner& planner = PlannerOf(running.m_database);
+    if (done->m_role == MemberRole::kPrimary) {
+      planner.OnWritten(done->m_position.m_index, context.Now());
+    } else {
+      planner.OnApplied(*member, done->m_position.m_index, context.Now());
+    }
+    group->OnAnswer(*member, done->m_position, done->m_role, context);
+  }
+  const auto* rejected = std::get_if<StatementRejected>(&event.m_outcome);
+  if (rejected != nullptr && member && group != nullptr &&
+      rejected->m_kind == RejectionKind::kNotPrimary) {
+    group->OnNotPrimary(*member, context);
+  }
+  ActiveRequest* request =
+      running.m_request ? Find(*running.m_request) : nullptr;
+  if (request == nullptr) {
+    EndConnectionUse(running, event.m_connection, event.m_outcome, context);
+    return;
+  }
+  if (done != nullptr) {
+    OnDone(request, *done, context);
+  } else if (rejected != nullptr) {
+    OnRejected(request, *rejected, context);
+  } else {
+    OnLost(request, std::get<StatementLost>(event.m_outcome), context);
+  }
+}
+
+void RequestRouter::EndConnectionUse(const Running& running,
+                                     ConnectionId connection,
+                                     const StatementOutcome& outcome,
+                                     Context& context) {
+  if (IsSilentOnConnection(outcome)) {
+    return;
+  }
+  if (running.m_afterwards == Afterwards::kRelease) {
+    m_pool->Release(connection, context);
+    return;
+  }
+  RunStatement rollback;
+  rollback.m_connection = connection;
+  rollback.m_step = TransactionStep::kRollback;
+  m_running.emplace(connection,
+                    Running{std::nullopt, Afterwards::kRelease,
+                            running.m_database, context.Now() + kGiveUpAfter});
+  context.Emit(std::move(rollback));
+}
+
+// A connection that ends takes its transaction and its statement with it.
+void RequestRouter::OnConnectionLost(ConnectionId connection,
+                                     Context& context) {
+  if (const auto found = m_running.find(connection); found != m_running.end()) {
+    const Running running = found->second;
+    m_running.erase(found);
+    if (running.m_request) {
+      OnLost(Find(*running.m_request), StatementLost{}, context);
+    }
+  }
+  Transaction* transaction = m_transactions.FindByConnection(connection);
+  if (transaction != nullptr) {
+    m_transactions.Abort(transaction, "its connection was lost", context);
+  }
+}
+
+void RequestRouter::EndTransaction(Transaction* transaction,
+                                   std::string reason,
+                                   Context& context) {
+  const ConnectionId connection = transaction->m_connection;
+  const DatabaseName database = transaction->m_database;
+  m_transactions.Abort(transaction, std::move(reason), context);
+  EndConnectionUse(
+      Running{std::nullopt, Afterwards::kRollback, database, Time::max()},
+      connection, StatementDone{}, context);
+}
+
+void RequestRouter::AbortTransactions(Context& context) {
+  std::vector<TransactionId> open;
+  for (const TransactionId& id : m_transactions.Overdue(Time::max())) {
+    open.push_back(id);
+  }
+  for (const TransactionId& id : open) {
+    EndTransaction(m_transactions.Find(id), "the instance is shutting down",
+                   context);
+  }
+}
+
+void RequestRouter::GiveUpStatements(Context& context) {
+  std::vector<ConnectionId> silent;
+  for (const auto& [connection, running] : m_running) {
+    if (running.m_give_up <= context.Now()) {
+      silent.push_back(connection);
+    }
+  }
+  for (const ConnectionId connection : silent) {
+    m_running.erase(connection);
+    m_pool->Discard(connection, context);
+  }
+}
+
+ActiveRequest* RequestRouter::Find(RequestHandle handle) {
+  const auto found = m_requests.find(handle);
+  return found == m_requests.end() ? nullptr : found->second.get();
+}
+
+ReadPlanner& RequestRouter::PlannerOf(const DatabaseName& database) {
+  return m_planners.try_emplace(database, m_zone, &m_planner_hooks)
+      .first->second;
+}
+
+void RequestRouter::Expire(ActiveRequest* request, Context& context) {
+  const bool has_started = request->m_stage == RequestStage::kRunning ||
+                           request->m_stage == RequestStage::kConfirming;
+  if (request->m_stage == RequestStage::kRunning) {
+    // The statement goes on without its request.
+    Running& running = m_running.at(request->m_connection);
+    running.m_request.reset();
+    running.m_give_up = context.Now() + kGiveUpAfter;
+    if (request->IsInTransaction() ||
+        request->m_body.m_operation == Operation::kBegin) {
+      Transaction* transaction =
+          m_transactions.Find(request->m_body.m_transaction);
+      if (transaction != nullptr) {
+        m_transactions.Abort(transaction, "a statement passed its deadline",
+                             context);
+      }
+      running.m_afterwards = Afterwards::kRollback;
+    }
+  }
+  request->m_may_have_run |= has_started;
+  if (request->m_stage == RequestStage::kWaitingForCredit) {
+    Refuse(request, RefusalCode::kRateExceeded,
+           "the customer's rate gave no credit before the deadline", context);
+  } else if (request->m_may_have_run && !request->IsSingleRead()) {
+    Refuse(request, RefusalCode::kOutcomeUnknown,
+           "the deadline passed before the outcome was known", context);
+  } else {
+    Refuse(request, RefusalCode::kDeadlineExceeded,
+           "the deadline passed before the request was served", context);
+  }
+}
+
+}  // namespace jasminelug::core
--- /dev/null
+++ b/src/core/request_router.h
@@ -0,0 +1,211 @@
+#ifndef SRC_CORE_REQUEST_ROUTER_H_
+#define SRC_CORE_REQUEST_ROUTER_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "src/core/active_request.h"
+#include "src/core/configuration.h"
+#include "src/core/connection_pool.h"
+#include "src/core/context.h"
+#include "src/core/event.h"
+#include "src/core/group_monitor.h"
+#include "src/core/ids.h"
+#include "src/core/key_authority.h"
+#include "src/core/read_planner.h"
+#include "src/core/request_lanes.h"
+#include "src/core/retry_policy.h"
+#include "src/core/share_manager.h"
+#include "src/core/transaction_table.h"
+
+namespace jasminelug::core {
+
+// The customer that requests without a key run for, under a profile that is
+// open to all.
+inline constexpr const char* kOpenCustomer = "open";
+
+// Baselines for measurements. All off in a daemon.
+struct RouterBaselines {
+  // Every read goes to the primary.
+  bool m_primary_reads_only = false;
+  // A write that finds no usable primary is refused at once.
+  bool m_no_gap_queue = false;
+};
+
+// Takes each request from its receipt to its one answer.
+//
+// A request is admitted (key, profile, database, credit), waits in a fair
+// queue for a connection to a member that fits it, runs, and, where its answer
+// rests on the primary's term, waits for a majority of the group.
+class RequestRouter {
+ public:
+  struct Hooks {
+    std::function<KeyAuthority::Decision(const Secret&, const Context&)>
+        m_authorize;
+    std::function<std::optional<RefusalCode>(const Context&)> m_check_service;
+    std::function<double(const ZoneName&, const Context&)> m_work_fraction;
+    std::function<ConfigurationPtr()> m_configuration;
+  };
+
+  RequestRouter(InstanceId self,
+                ZoneName zone,
+                RouterBaselines baselines,
+                Hooks hooks,
+                ShareManager* shares,
+                GroupMonitor* groups,
+                ConnectionPool* pool);
+  ~RequestRouter();
+
+  RequestRouter(const RequestRouter&) = delete;
+  RequestRouter& operator=(const RequestRouter&) = delete;
+
+  void OnRequest(const RequestReceived& event, Context& context);
+  void OnCallerGone(RequestHandle request, Context& context);
+  void OnStatementFinished(const StatementFinished& event, Context& context);
+  void OnConnectionLost(ConnectionId connection, Context& context);
+  void OnConfiguration(const Configuration& configuration, Context& context);
+  void OnSettled(const DatabaseName& database,
+                 const SettledConfirmation& settled,
+                 Context& context);
+  void OnPrimaryChanged(const DatabaseName& database, Context& context);
+
+  // Credit of an allowance has come; requests are tried with the next tick.
+  void OnCredit(const AllowanceKey& allowance);
+
+  // Starts what waits for connections to `database`.
+  void Pump(const DatabaseName& database, Context& context);
+
+  void OnTick(Context& context);
+
+  // Requests that are not answered, and transactions that are open.
+  size_t ActiveCount() const { return m_requests.size(); }
+  size_t OpenTransactions() const { return m_transactions.OpenCount(); }
+
+  // Rolls back what callers left open, at the end of a shutdown.
+  void AbortTransactions(Context& context);
+
+ private:
+  // What a connection that a request no longer waits for is due for.
+  enum class Afterwards { kRelease, kRollback };
+
+  struct Running {
+    // Unset once the request has been answered.
+    std::optional<RequestHandle> m_request;
+    Afterwards m_afterwards = Afterwards::kRelease;
+    DatabaseName m_database;
+    // When an unanswered statement's connection is given up.
+    Time m_give_up;
+  };
+
+  using Confirming =
+      std::map<std::pair<DatabaseName, ConfirmationId>, RequestHandle>;
+
+  // Admission.
+  std::optional<Refusal> Admit(ActiveRequest* request, Context& context);
+  std::optional<Refusal> AdmitToTransaction(ActiveRequest* request,
+                                            Context& context);
+  std::optional<Refusal> Identify(ActiveRequest* request, Context& context);
+  std::optional<Refusal> CheckDatabase(const ActiveRequest& request,
+                                       const Configuration& configuration);
+  void TakeCredit(ActiveRequest* request, Context& context);
+  void ServeCreditWaiters(Context& context);
+
+  // Routing.
+  void Route(ActiveRequest* request, Context& context);
+  void Enqueue(ActiveRequest* request, Context& context);
+  void Delay(ActiveRequest* request, Duration delay, Context& context);
+  void ResumeDelayed(Context& context);
+  ReadNeeds NeedsOf(const ActiveRequest& request) const;
+  bool MayUsePrimary(const Group& group, const Context& context) const;
+  void PumpPrimary(Group* group, Context& context);
+  void PumpReplicas(Group* group, Context& context);
+  void RefuseLeaving(const DatabaseName& database, Context& context);
+
+  // Running.
+  void Run(ActiveRequest* request, ConnectionId connection, Context& context);
+  void RunInTransaction(ActiveRequest* request, Context& context);
+  RunStatement StepOf(const ActiveRequest& request) const;
+  void EndConnectionUse(const Running& running,
+                        ConnectionId connection,
+                        const StatementOutcome& outcome,
+                        Context& context);
+
+  // Outcomes.
+  void OnDone(ActiveRequest* request,
+              const StatementDone& done,
+              Context& context);
+  void OnReadDone(ActiveRequest* request,
+                  const StatementDone& done,
+                  Context& context);
+  void OnTransactionStepDone(ActiveRequest* request,
+                             const StatementDone& done,
+                             Context& context);
+  void OnBegun(ActiveRequest* request, Context& context);
+  void OnRejected(ActiveRequest* request,
+                  const StatementRejected& rejected,
+                  Context& context);
+  void OnRejectedInTransaction(ActiveRequest* request,
+                               const StatementRejected& rejected,
+                               Context& context);
+  void OnLost(ActiveRequest* request,
+              const StatementLost& lost,
+              Context& context);
+  void ConfirmWrite(ActiveRequest* request, Context& context);
+  void ConfirmRead(ActiveRequest* request, Time since, Context& context);
+  void OnConfirmed(ActiveRequest* request, Context& context);
+  void Retry(ActiveRequest* request, Context& context);
+
+  // Answers.
+  void AnswerServed(ActiveRequest* request, Context& context);
+  void Refuse(ActiveRequest* request,
+              RefusalCode code,
+              std::string message,
+              Context& context);
+  void RefuseWith(ActiveRequest* request, Refusal refusal, Context& context);
+  void Finish(ActiveRequest* request, Context& context);
+  void Expire(ActiveRequest* request, Context& context);
+  std::string TokenAfterUnknown(const ActiveRequest& request) const;
+
+  void EndTransaction(Transaction* transaction,
+                      std::string reason,
+                      Context& context);
+  void GiveUpStatements(Context& context);
+  ActiveRequest* Find(RequestHandle handle);
+  ReadPlanner& PlannerOf(const DatabaseName& database);
+
+  InstanceId m_self;
+  ZoneName m_zone;
+  RouterBaselines m_baselines;
+  Hooks m_hooks;
+  ShareManager* m_shares;
+  GroupMonitor* m_groups;
+  ConnectionPool* m_pool;
+  ReadPlanner::Hooks m_planner_hooks;
+
+  std::unordered_map<RequestHandle, std::unique_ptr<ActiveRequest>> m_requests;
+  std::set<std::pair<Time, RequestHandle>> m_deadlines;
+  std::set<std::pair<Time, RequestHandle>> m_delayed;
+  std::map<AllowanceKey, std::deque<RequestHandle>> m_credit_waiters;
+  std::unordered_map<DatabaseName, RequestLanes> m_lanes;
+  std::unordered_map<DatabaseName, ReadPlanner> m_planners;
+  std::unordered_map<ConnectionId, Running> m_running;
+  Confirming m_confirming;
+  TransactionTable m_transactions;
+  RetryPolicy m_retries;
+  // Since when zones are out and databases leave, as installed here.
+  std::map<ZoneName, Time> m_zones_out;
+  std::map<DatabaseName, Time> m_leaving;
+};
+
+}  // namespace jasminelug::core
+
+#endif  // SRC_CORE_REQUEST_ROUTER_H_
