--- /dev/null
+++ b/test/soak/fake_group.h
@@ -0,0 +1,173 @@
+#ifndef TEST_SOAK_FAKE_GROUP_H_
+#define TEST_SOAK_FAKE_GROUP_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/core/action.h"
+#include "src/core/configuration.h"
+#include "src/core/database_answer.h"
+#include "src/core/log_position.h"
+#include "test/soak/history.h"
+#include "test/soak/world.h"
+
+namespace jasminelug::soak {
+
+// One change of a key in a fake database.
+struct Change {
+  std::string m_key;
+  std::string m_value;
+  // Names the caller's request that made it.
+  std::string m_tag;
+};
+
+// One entry of a member's log: the start of a term, or a transaction.
+struct LogEntry {
+  core::Term m_term;
+  bool m_is_term_start = false;
+  std::string m_request_id;
+  std::vector<Change> m_changes;
+  Time m_written;
+};
+
+// What a statement did that the checkers care about.
+struct Execution {
+  core::DatabaseName m_database;
+  core::MemberId m_member;
+  std::string m_zone;
+  core::RunStatement m_statement;
+  uint64_t m_connection = 0;
+  Time m_time;
+};
+
+class FakeGroup;
+
+// One member: its log, its replica state, its connections.
+class FakeMember {
+ public:
+  FakeMember(core::Member member, bool is_primary);
+
+  const core::Member& member() const { return m_member; }
+  NodeName Node() const { return "member " + m_member.m_address.str(); }
+
+  // Highest position that the member holds.
+  core::LogPosition Received() const;
+  core::TermLineage Lineage() const;
+  bool TakesWrites() const;
+
+  core::Member m_member;
+  bool m_is_up = true;
+  bool m_is_paused = false;
+  core::Term m_granted;
+  core::InstanceId m_granted_to;
+  core::MemberRole m_role = core::MemberRole::kReplica;
+  core::Term m_primary_term;
+  std::vector<LogEntry> m_log;
+  size_t m_applied = 0;
+  std::map<std::string, Change> m_rows;
+  std::set<std::string> m_request_ids;
+  // Whom it follows, and what it knew of that log at what time.
+  core::Term m_follow_term;
+  std::string m_follow_address;
+  std::deque<std::pair<size_t, Time>> m_samples;
+  Time m_caught_up;
+  bool m_is_pulling = false;
+};
+
+// A database group whose members replicate by pulling from their primary.
+class FakeGroup {
+ public:
+  struct Hooks {
+    std::function<void(const Execution&)> m_on_execution;
+    // A connection ended from the member's side.
+    std::function<void(uint64_t connection)> m_on_reset;
+    // A member became primary.
+    std::function<void(core::Term, const FakeMember&)> m_on_promotion;
+  };
+
+  FakeGroup(World* world,
+            History* history,
+            core::Database database,
+            Duration lag,
+            Hooks hooks);
+
+  const core::Database& database() const { return m_database; }
+  std::vector<std::unique_ptr<FakeMember>>& members() { return m_members; }
+  FakeMember* Find(const std::string& address);
+
+  // The primary of the highest term; nullptr if it is down.
+  FakeMember* Leader();
+
+  // Connections are numbered by the run. Returns false where the budget is
+  // used up or the member is down.
+  bool Connect(uint64_t connection, const std::string& address);
+  void Disconnect(uint64_t connection);
+  bool IsConnected(uint64_t connection) const {
+    return m_connections.contains(connection);
+  }
+  size_t OpenCount() const { return m_connections.size(); }
+
+  // Runs a statement on a connection now.
+  core::StatementOutcome Run(uint64_t connection,
+                             const core::RunStatement& statement);
+  core::ControlAnswer Control(FakeMember* member,
+                              const core::ControlRequest& request);
+
+  void Kill(FakeMember* member);
+  void Restart(FakeMember* member);
+  void SetLag(Duration lag) { m_lag = lag; }
+
+ private:
+  struct Connection {
+    FakeMember* m_member = nullptr;
+    bool m_in_transaction = false;
+    bool m_read_only = false;
+    std::string m_owner;
+    std::vector<Change> m_buffer;
+  };
+
+  core::StatementOutcome RunStep(Connection* connection,
+                                 const core::RunStatement& statement);
+  core::StatementOutcome Commit(FakeMember* member,
+                                const std::string& request_id,
+                                std::vector<Change> changes,
+                                core::StatementDone done);
+  core::StatementDone ReadRows(const Connection& connection,
+                               const core::RunStatement& statement) const;
+  core::StatementDone DoneAt(const FakeMember& member) const;
+  void Apply(FakeMember* member, size_t index);
+  void Rebuild(FakeMember* member);
+  void SchedulePull(FakeMember* member, Duration delay);
+  void Pull(FakeMember* member);
+  void Deliver(FakeMember* member,
+               core::Term term,
+               size_t common,
+               std::vector<LogEntry> entries,
+               Time sampled);
+  void NotifyFollowers(const FakeMember& primary);
+  core::ControlAnswer Grant(FakeMember* member,
+                            const core::GrantWanted& wanted);
+  core::ControlAnswer Promote(FakeMember* member, core::Term term);
+  core::ControlAnswer Follow(FakeMember* member,
+                             const core::FollowWanted& wanted);
+
+  World* m_world;
+  History* m_history;
+  core::Database m_database;
+  Duration m_lag;
+  Hooks m_hooks;
+  std::vector<std::unique_ptr<FakeMember>> m_members;
+  std::map<uint64_t, Connection> m_connections;
+};
+
+}  // namespace jasminelug::soak
+
+#endif  // TEST_SOAK_FAKE_GROUP_H_
--- /dev/null
+++ b/test/soak/world.h
@@ -0,0 +1,107 @@
+#ifndef TEST_SOAK_WORLD_H_
+#define TEST_SOAK_WORLD_H_
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/core/time.h"
+
+namespace jasminelug::soak {
+
+using core::Duration;
+using core::Time;
+
+// Names a process of the run: an instance, a database member, the platform.
+using NodeName = std::string;
+
+// The virtual clock, the random numbers and the network of one run. The same
+// seed gives the same run.
+class World {
+ public:
+  using Task = std::function<void()>;
+
+  explicit World(uint64_t seed) : m_random(seed) {}
+
+  World(const World&) = delete;
+  World& operator=(const World&) = delete;
+
+  Time Now() const { return m_now; }
+  uint64_t Steps() const { return m_steps; }
+
+  // Runs `task` after `delay`; tasks of one time run in the order of calls.
+  void After(Duration delay, Task task) {
+    m_tasks.push(Scheduled{m_now + delay, ++m_last_number, std::move(task)});
+  }
+
+  // Runs the next task; returns false if there is none before `end`.
+  bool Step(Time end);
+
+  // Returns a number in [0, limit).
+  uint64_t Below(uint64_t limit) {
+    return std::uniform_int_distribution<uint64_t>(0, limit - 1)(m_random);
+  }
+
+  // Returns a duration in [least, most].
+  Duration Between(Duration least, Duration most) {
+    return Duration(std::uniform_int_distribution<Duration::rep>(
+        least.count(), most.count())(m_random));
+  }
+
+  bool Chance(double probability) {
+    return std::uniform_real_distribution<double>(0.0, 1.0)(m_random) <
+           probability;
+  }
+
+  uint64_t NextSeed() { return m_random(); }
+
+  // Cuts or mends the way from one node to another, in this direction only.
+  void Cut(const NodeName& from, const NodeName& to) {
+    m_cuts.emplace(from, to);
+  }
+  void Mend(const NodeName& from, const NodeName& to) {
+    m_cuts.erase({from, to});
+  }
+  void CutBoth(const NodeName& one, const NodeName& other) {
+    Cut(one, other);
+    Cut(other, one);
+  }
+  void MendAll() { m_cuts.clear(); }
+  bool IsCut(const NodeName& from, const NodeName& to) const {
+    return m_cuts.contains({from, to});
+  }
+
+  // Time that a message takes between two nodes of these zones.
+  Duration Latency(const std::string& from_zone, const std::string& to_zone);
+
+  void SetZoneLatency(Duration latency) { m_zone_latency = latency; }
+
+ private:
+  struct Scheduled {
+    Time m_time;
+    uint64_t m_number;
+    Task m_task;
+
+    bool operator<(const Scheduled& other) const {
+      return std::pair(m_time, m_number) >
+             std::pair(other.m_time, other.m_number);
+    }
+  };
+
+  Time m_now;
+  uint64_t m_steps = 0;
+  uint64_t m_last_number = 0;
+  std::priority_queue<Scheduled> m_tasks;
+  std::mt19937_64 m_random;
+  std::set<std::pair<NodeName, NodeName>> m_cuts;
+  Duration m_zone_latency = std::chrono::milliseconds(1);
+};
+
+}  // namespace jasminelug::soak
+
+#endif  // TEST_SOAK_WORLD_H_
