core: configuration, keys, freshness, membership and service state

KeyAuthority asks Freshness, which counts every proof from this instance's own send times. Ruled out: one watch of 1 s, for a confirmation would get 2 s old, which is the whole bound; a watch waits 500 ms instead. Ruled out: publishing a configuration for each revision, as lease renewals would copy it each time; only configuration objects do.

--- a/src/core/configuration_store.h
+++ b/src/core/configuration_store.h
@@ -18,6 +18,10 @@
 // back, is how old a confirmation gets, so it stays well below
 // kKeyFreshnessBound.
 inline constexpr Duration kWatchWait = 500ms;
+// The platform counts as lost when no call that was made since was answered:
+// above twice kWatchWait, and so far below kKeyFreshnessBound that a heartbeat
+// tells the peers in time.
+inline constexpr Duration kPlatformLostAfter = 1250ms;
 
 // Keeps the newest configuration: lists the platform's objects, then watches
 // them, and takes what it missed from peers. Installs only what is newer.
@@ -29,8 +33,12 @@
     // An instance's lease, a table of shares or a group's state has changed or
     // was deleted.
     std::function<void(const Object&, Context&)> m_on_object;
+    // Every change up to the revision is installed.
+    std::function<void(Revision, Context&)> m_on_advanced;
     // All that the platform had accepted at `sent` is installed.
     std::function<void(Time sent, Context&)> m_on_confirmed;
+    // Contact with the platform began or was lost.
+    std::function<void(bool reachable, Context&)> m_on_contact;
   };
 
   ConfigurationStore() = default;
@@ -78,13 +86,15 @@
   struct PendingCall {
     Time m_sent;
     Time m_overdue;
-    // The revision that a watch started from; 0 for a list.
-    Revision m_since;
+    bool m_is_list = false;
+    // The revision that was installed when the call was made.
+    Revision m_installed;
   };
 
   void CallAgain(Context& context);
   void SendList(Context& context);
   void SendWatch(Duration wait, Context& context);
+  void AddCall(CallId call, bool is_list, Duration wait, Context& context);
   void DropOverdueCalls(Context& context);
   void OnBatch(const PendingCall& call,
                const ObjectBatch& batch,
@@ -92,7 +102,7 @@
   void OnFailure(Context& context);
   void NoteContact(Time sent, Context& context);
   void NoteLost(Context& context);
-  bool Install(Revision since, const ObjectBatch& batch, Context& context);
+  void Install(Revision since, const ObjectBatch& batch, Context& context);
   void Publish(const ObjectTable::Changes& changes, Context& context);
 
   Hooks m_hooks;
@@ -100,9 +110,11 @@
   ConfigurationPtr m_current;
   std::map<CallId, PendingCall> m_calls;
   bool m_must_list = true;
+  Time m_started;
   Time m_next_call;
   Time m_last_sent;
   Duration m_retry_delay{};
+  // When the last call was made that the platform answered.
   std::optional<Time> m_last_contact;
   bool m_reachable = false;
   Time m_next_relay;
--- a/src/core/control_plane.h
+++ b/src/core/control_plane.h
@@ -19,11 +19,15 @@
  public:
   struct Hooks {
     std::function<void(const ConfigurationPtr&, Context&)> m_on_installed;
-    // Objects of the kinds kShare and kGroup.
+    // Objects of the kinds kInstance, kShare and kGroup.
     std::function<void(const Object&, Context&)> m_on_object;
+    // Contact with the platform began or was lost.
+    std::function<void(bool reachable, Context&)> m_on_contact;
     std::function<void(const OwnLease&, Context&)> m_on_lease;
+    // A newer process runs under this id: stop the process.
     std::function<void(Context&)> m_on_fenced;
     std::function<void(Context&)> m_on_deregistered;
+    // Returns whether a table of shares still names the instance.
     std::function<bool(const InstanceId&)> m_holds_shares;
   };
 
@@ -61,13 +65,14 @@
  private:
   ConfigurationStore::Hooks StoreHooks();
   Membership::Hooks MembershipHooks();
+  void UpdateService(Context& context);
   Heartbeat Describe(const Context& context) const;
   void OnInstalled(const ConfigurationPtr& configuration, Context& context);
   void OnObject(const Object& object, Context& context);
-  void OnConfirmed(Time sent, Context& context);
 
   Hooks m_hooks;
-  MembershipOptions m_options;
+  ZoneName m_own_zone;
+  Address m_own_address;
   ConfigurationStore m_store;
   Freshness m_freshness;
   KeyAuthority m_keys;
--- /dev/null
+++ b/src/core/freshness.cc
@@ -0,0 +1,122 @@
+#include "src/core/freshness.h"
+
+#include <algorithm>
+
+namespace jasminelug::core {
+
+void Freshness::OnPlatformConfirmed(Time sent) {
+  Confirm(sent);
+}
+
+void Freshness::OnInstalled(Revision revision) {
+  m_installed = std::max(m_installed, revision);
+  for (const auto& [peer, evidence] : m_peers) {
+    TakeConfirmation(evidence);
+  }
+}
+
+void Freshness::OnPeerAnswer(const PeerSender& peer,
+                             Time sent,
+                             const Heartbeat& answer) {
+  Evidence& evidence = m_peers[peer.m_instance];
+  if (evidence.m_at && sent <= *evidence.m_at) {
+    return;
+  }
+  const bool same_process = evidence.m_incarnation == peer.m_incarnation;
+  if (!same_process) {
+    NoteSilence(&evidence, sent);
+  }
+  evidence.m_at = sent;
+  evidence.m_answered = true;
+  evidence.m_reaches_platform = answer.m_platform_reachable;
+  evidence.m_revision = answer.m_revision;
+  evidence.m_incarnation = peer.m_incarnation;
+  evidence.m_confirmed.reset();
+  if (answer.m_platform_age) {
+    // The peer answered after `sent`, and its clock may run slower than ours.
+    evidence.m_confirmed = sent - OnEveryClock(*answer.m_platform_age);
+  }
+  TakeConfirmation(evidence);
+}
+
+void Freshness::OnPeerRefused(const InstanceId& peer, Time sent) {
+  const auto found = m_peers.find(peer);
+  if (found == m_peers.end()) {
+    return;
+  }
+  Evidence& evidence = found->second;
+  if (evidence.m_at && sent <= *evidence.m_at) {
+    return;
+  }
+  NoteSilence(&evidence, sent);
+  evidence.m_at = sent;
+  evidence.m_answered = false;
+}
+
+void Freshness::OnPeerKnown(const InstanceId& peer) {
+  m_peers.try_emplace(peer);
+}
+
+void Freshness::OnPeerGone(const InstanceId& peer) {
+  m_peers.erase(peer);
+}
+
+std::optional<Duration> Freshness::Age(const Context& context) const {
+  if (!m_confirmed) {
+    return std::nullopt;
+  }
+  return context.Now() - *m_confirmed;
+}
+
+bool Freshness::IsFresh(const Context& context) const {
+  const std::optional<Duration> age = Age(context);
+  if (!age) {
+    return false;
+  }
+  return *age <= kKeyFreshnessBound || IsPlatformDownForAll(context.Now());
+}
+
+void Freshness::NoteSilence(Evidence* evidence, Time sent) {
+  if (evidence->m_at && sent - *evidence->m_at > kKeyFreshnessBound) {
+    evidence->m_unproved_until = sent;
+  }
+}
+
+// What was accepted before the peer's confirmation is within its revision, so
+// it is installed here once this instance has that revision too.
+void Freshness::TakeConfirmation(const Evidence& evidence) {
+  if (evidence.m_confirmed && evidence.m_revision <= m_installed) {
+    Confirm(*evidence.m_confirmed);
+  }
+}
+
+bool Freshness::IsPlatformDownForAll(Time now) const {
+  bool any_answered = false;
+  for (const auto& [peer, evidence] : m_peers) {
+    if (!ProvesOutage(evidence, now)) {
+      return false;
+    }
+    any_answered |= evidence.m_answered;
+  }
+  return any_answered;
+}
+
+bool Freshness::ProvesOutage(const Evidence& evidence, Time now) const {
+  const bool recent =
+      evidence.m_at && now - *evidence.m_at <= kKeyFreshnessBound;
+  const bool unproved =
+      evidence.m_unproved_until && *m_confirmed < *evidence.m_unproved_until;
+  if (!recent || unproved) {
+    return false;
+  }
+  if (!evidence.m_answered) {
+    return true;
+  }
+  return !evidence.m_reaches_platform && evidence.m_revision <= m_installed;
+}
+
+void Freshness::Confirm(Time at) {
+  m_confirmed = std::max(m_confirmed.value_or(at), at);
+}
+
+}  // namespace jasminelug::core
--- a/src/core/freshness.h
+++ b/src/core/freshness.h
@@ -22,12 +22,11 @@
   // The platform itself confirmed, in answer to a call made at `sent`.
   void OnPlatformConfirmed(Time sent);
 
-  // A peer answered the heartbeat that was sent to it at `sent`. `installed`
-  // is the revision that this instance has installed.
-  void OnPeerAnswer(const PeerSender& peer,
-                    Time sent,
-                    const Heartbeat& answer,
-                    Revision installed);
+  // This instance has installed every change up to `revision`.
+  void OnInstalled(Revision revision);
+
+  // A peer answered the heartbeat that was sent to it at `sent`.
+  void OnPeerAnswer(const PeerSender& peer, Time sent, const Heartbeat& answer);
 
   // The peer's address refused the heartbeat that was sent at `sent`.
   void OnPeerRefused(const InstanceId& peer, Time sent);
@@ -44,33 +43,39 @@
   // Returns the age of the last confirmation, for a heartbeat.
   std::optional<Duration> Age(const Context& context) const;
 
-  // Returns whether no withdrawal that an instance could have learned of is
-  // older than kKeyFreshnessBound and not installed here.
-  bool IsFresh(Revision installed, const Context& context) const;
+  // Returns whether keys may be honoured: no withdrawal that an instance could
+  // have learned of is older than kKeyFreshnessBound and not installed here.
+  bool IsFresh(const Context& context) const;
 
  private:
   // What one peer has proved.
   struct Evidence {
     // When the heartbeat was sent that brought the latest evidence.
     std::optional<Time> m_at;
+    // The latest evidence is an answer, not a refused connection.
     bool m_answered = false;
-    // The peer reached the platform, or knows more than this instance did.
+    // The peer reached the platform itself when it answered.
     bool m_reaches_platform = false;
+    // What the peer had installed when it answered.
     Revision m_revision;
+    // At this time the peer had all that was accepted.
+    std::optional<Time> m_confirmed;
+    // Who answered last.
     Incarnation m_incarnation;
-    // End of a silence after which the process that was silent did not answer:
-    // what it knew is lost unless a later confirmation covers it.
+    // End of a silence from which another process came back than fell silent,
+    // or none: what the silent one had learned is lost, so nothing is proved
+    // until a confirmation is later than this.
     std::optional<Time> m_unproved_until;
   };
 
-  static bool EndsSilence(const Evidence& evidence, Time sent);
-  bool IsPlatformDownForAll(Revision installed, Time now) const;
-  bool ProvesOutage(const Evidence& evidence,
-                    Revision installed,
-                    Time now) const;
+  void NoteSilence(Evidence* evidence, Time sent);
+  void TakeConfirmation(const Evidence& evidence);
+  bool IsPlatformDownForAll(Time now) const;
+  bool ProvesOutage(const Evidence& evidence, Time now) const;
   void Confirm(Time at);
 
   std::optional<Time> m_confirmed;
+  Revision m_installed;
   std::map<InstanceId, Evidence> m_peers;
 };
 
--- a/src/core/instance_reaper.h
+++ b/src/core/instance_reaper.h
@@ -5,10 +5,12 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 
 #include "src/core/context.h"
 #include "src/core/ids.h"
 #include "src/core/instance_record.h"
+#include "src/core/lease_keeper.h"
 #include "src/core/peer_table.h"
 #include "src/core/platform_call.h"
 #include "src/core/time.h"
@@ -43,7 +45,7 @@
   void OnTick(Context& context);
 
   // Returns whether `call` was made here; its answer needs no handling.
-  bool OnPlatformAnswered(CallId call, const PlatformAnswer& answer);
+  bool OnPlatformAnswered(CallId call);
 
  private:
   struct Watched {
@@ -60,9 +62,8 @@
   const PeerTable& m_peers;
   HoldsShares m_holds_shares;
   std::map<InstanceId, Watched> m_watched;
-  std::map<CallId, InstanceId> m_calls;
+  std::set<CallId> m_calls;
   std::optional<Time> m_confirmed;
-  uint64_t m_last_write = 0;
 };
 
 }  // namespace jasminelug::core
--- a/src/core/instance_record.h
+++ b/src/core/instance_record.h
@@ -20,7 +20,9 @@
   Address m_caller_address;
   ZoneName m_zone;
   Incarnation m_incarnation;
-  // How long each renewal lasts, in whole milliseconds.
+  // Number of the unbroken series of renewals; see OwnLease::m_series.
+  uint64_t m_series = 1;
+  // How long each renewal lasts.
   Duration m_lease{};
   // Who may vouch for the lease while the platform does not answer.
   std::vector<PeerSender> m_cell;
--- /dev/null
+++ b/src/core/key_authority.cc
@@ -0,0 +1,53 @@
+#include "src/core/key_authority.h"
+
+#include <string>
+
+#include "src/core/key_digest.h"
+
+namespace jasminelug::core {
+namespace {
+
+// Stands in for the grant of an unknown id, so that the same work is done. Its
+// digest is of no key.
+const KeyGrant& NoGrant() {
+  static const KeyGrant grant = [] {
+    KeyGrant none;
+    none.m_salt = std::string(32, '0');
+    none.m_digest = std::string(64, '0');
+    return none;
+  }();
+  return grant;
+}
+
+const KeyGrant& FindGrant(const Configuration& configuration,
+                          const Secret& key) {
+  const std::optional<KeyId> id = KeyIdOf(key);
+  const auto found = configuration.m_keys.find(id.value_or(KeyId()));
+  return found == configuration.m_keys.end() ? NoGrant() : found->second;
+}
+
+}  // namespace
+
+KeyAuthority::Decision KeyAuthority::Authorize(const Secret& key,
+                                               const Context& context) const {
+  if (!m_current) {
+    return RefusalCode::kUnavailable;
+  }
+  if (key.empty()) {
+    return RefusalCode::kKeyMissing;
+  }
+  const KeyGrant& grant = FindGrant(*m_current, key);
+  const std::string digest = DigestKey(grant.m_salt, key);
+  if (!DigestsEqual(digest, grant.m_digest)) {
+    return RefusalCode::kKeyUnknown;
+  }
+  if (grant.m_withdrawn) {
+    return RefusalCode::kKeyWithdrawn;
+  }
+  if (!m_freshness.IsFresh(context)) {
+    return RefusalCode::kKeyUnconfirmed;
+  }
+  return Authorized{grant.m_customer, grant.m_id};
+}
+
+}  // namespace jasminelug::core
--- a/src/core/lease_keeper.h
+++ b/src/core/lease_keeper.h
@@ -9,13 +9,12 @@
 
 #include "src/core/context.h"
 #include "src/core/instance_record.h"
+#include "src/core/own_lease.h"
 #include "src/core/platform_call.h"
 #include "src/core/time.h"
 
 namespace jasminelug::core {
 
-struct OwnLease;
-
 inline constexpr Duration kDefaultLease = 12s;
 // A lease is renewed this many times in its duration.
 inline constexpr int kRenewalsPerLease = 3;
@@ -62,50 +61,58 @@
 
   // Returns the time until which the lease is known to hold; nullopt if no
   // write is known to have taken effect.
-  std::optional<Time> ValidUntil() const { return m_valid_until; }
+  std::optional<Time> ValidUntil() const;
 
  private:
   enum class State { kKeeping, kLeaving, kGone, kFenced };
+  enum class Step { kNone, kPut, kGet, kDelete };
 
   // A write that may have taken effect, or may do so yet.
   struct SentWrite {
-    std::string m_write_id;
+    std::string m_id;
     Time m_sent;
-    std::vector<PeerSender> m_cell;
+    LeaseCell m_cell;
+    bool m_draining = false;
   };
 
   void CallAgain(Context& context);
   void SendPut(Context& context);
   void SendGet(Context& context);
   void SendDelete(Context& context);
+  void Begin(Step step, PlatformRequest request, Context& context);
   void OnObject(const Object& object, Context& context);
   void OnProved(const SentWrite& write, const Object& object, Context& context);
-  void OnForeign(const Object& object, Context& context);
+  void OnUnproved(const Object& object, Context& context);
+  void OnAbsent(Context& context);
   void OnFailure(const PlatformFailure& failure, Context& context);
-  void OnAbsent(const Object& object, Context& context);
-  void Fence(Context& context);
+  void Delay(Context& context);
+  void Fence(Incarnation other, Context& context);
   void Finish(Context& context);
-  void ReportLease(Context& context);
+  void Report(Context& context);
   void NoteLapse(Context& context);
-  const SentWrite* FindWrite(const std::string& write_id) const;
-  std::string NextWriteId();
+  void Record(TimelineKind kind, std::string detail, Context& context) const;
+  const SentWrite* FindWrite(const std::string& id) const;
+  bool IsOwnWrite(const std::string& id) const;
 
   InstanceRecord m_record;
   Hooks m_hooks;
   State m_state = State::kKeeping;
+  // What is proved, and the cells of writes that may take effect yet.
+  OwnLease m_lease;
   // Version that the next write expects; 0: no such object.
   uint64_t m_expected_version = 0;
-  // Version of the last own write that is known to have taken effect.
-  uint64_t m_proved_version = 0;
-  std::vector<PeerSender> m_proved_cell;
-  std::optional<Time> m_valid_until;
-  bool m_lapse_noted = false;
-  // Own writes from the proved one on, oldest first.
+  // Writes whose outcome is unknown, oldest first.
   std::vector<SentWrite> m_writes;
+  // Begins the id of each own write; no other process has it.
+  std::string m_write_prefix;
   uint64_t m_last_write = 0;
-  std::optional<CallId> m_call;
+  // The call under way.
+  Step m_step = Step::kNone;
+  CallId m_call;
   Time m_call_overdue;
+  // The object has to be read before it is written again.
   bool m_must_read = false;
+  bool m_lapse_noted = false;
   Time m_next_call;
   Duration m_retry_delay{};
   Time m_leave_limit;
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -9,6 +9,7 @@
 #include "src/core/ids.h"
 #include "src/core/instance_reaper.h"
 #include "src/core/lease_keeper.h"
+#include "src/core/own_lease.h"
 #include "src/core/peer_info.h"
 #include "src/core/peer_table.h"
 #include "src/core/platform_call.h"
@@ -16,8 +17,6 @@
 
 namespace jasminelug::core {
 
-struct OwnLease;
-
 // Who this instance is.
 struct MembershipOptions {
   InstanceId m_id;
@@ -46,7 +45,10 @@
     std::function<bool(const InstanceId&)> m_holds_shares;
   };
 
-  Membership(MembershipOptions options, Hooks hooks);
+  Membership(const MembershipOptions& options, Hooks hooks);
+
+  Membership(const Membership&) = delete;
+  Membership& operator=(const Membership&) = delete;
 
   void Start(Context& context);
   void OnTick(Context& context);
@@ -82,8 +84,7 @@
   bool IsFenced() const;
 
  private:
-  MembershipOptions m_options;
-  Hooks m_hooks;
+  InstanceId m_own_id;
   PeerTable m_peers;
   LeaseKeeper m_lease;
   InstanceReaper m_reaper;
--- /dev/null
+++ b/src/core/object_table.cc
@@ -0,0 +1,134 @@
+#include "src/core/object_table.h"
+
+#include <algorithm>
+#include <set>
+
+#include "src/common/assert.h"
+
+namespace jasminelug::core {
+namespace {
+
+// Tombstones serve peers that are a little behind; who is further behind gets
+// every object.
+constexpr size_t kMaxTombstones = 4096;
+
+}  // namespace
+
+ObjectTable::Changes ObjectTable::Merge(Revision since,
+                                        const ObjectBatch& batch) {
+  Changes changes;
+  const bool leaves_gap = since > m_revision;
+  if (batch.m_revision <= m_revision || leaves_gap) {
+    return changes;
+  }
+  for (const Object& object : batch.m_objects) {
+    Take(object, &changes);
+  }
+  if (since == Revision()) {
+    DeleteMissing(batch, &changes);
+  }
+  m_revision = batch.m_revision;
+  DropOldTombstones();
+  return changes;
+}
+
+ObjectsRelayed ObjectTable::ChangesSince(Revision since) const {
+  ObjectsRelayed relayed;
+  relayed.m_since = since < m_forgotten ? Revision() : since;
+  relayed.m_batch.m_revision = m_revision;
+  const bool complete = relayed.m_since == Revision();
+  for (const auto& [key, object] : m_objects) {
+    const bool wanted =
+        complete ? !object.m_deleted : object.m_revision > since;
+    if (wanted) {
+      relayed.m_batch.m_objects.push_back(object);
+    }
+  }
+  return relayed;
+}
+
+const Object* ObjectTable::Find(const ObjectKey& key) const {
+  const auto found = m_objects.find(key);
+  const bool there = found != m_objects.end() && !found->second.m_deleted;
+  return there ? &found->second : nullptr;
+}
+
+std::vector<Object> ObjectTable::All() const {
+  std::vector<Object> all;
+  for (const auto& [key, object] : m_objects) {
+    if (!object.m_deleted) {
+      all.push_back(object);
+    }
+  }
+  return all;
+}
+
+bool ObjectTable::IsNewer(const Object& object) const {
+  const auto known = m_objects.find(object.m_key);
+  if (known == m_objects.end()) {
+    return true;
+  }
+  // A version counts the changes of one life of an object; it may begin again
+  // after a deletion. The revision orders all changes.
+  return object.m_revision > known->second.m_revision;
+}
+
+void ObjectTable::Take(const Object& object, Changes* changes) {
+  if (!IsNewer(object)) {
+    return;
+  }
+  Object& known = m_objects[object.m_key];
+  JASMINELUG_ASSERT(
+      known.m_version == 0 || object.m_revision > known.m_revision,
+      CONFIGURATION_NEVER_REVERTS);
+  m_tombstones.erase({known.m_revision, known.m_key});
+  known = object;
+  if (object.m_deleted) {
+    m_tombstones.insert({object.m_revision, object.m_key});
+  }
+  changes->push_back(object);
+}
+
+void ObjectTable::DeleteMissing(const ObjectBatch& batch, Changes* changes) {
+  std::set<ObjectKey> listed;
+  for (const Object& object : batch.m_objects) {
+    listed.insert(object.m_key);
+  }
+  std::vector<Object> missing;
+  for (const auto& [key, object] : m_objects) {
+    const bool could_be_listed = object.m_revision <= batch.m_revision;
+    if (!object.m_deleted && could_be_listed && !listed.contains(key)) {
+      missing.push_back(object);
+    }
+  }
+  for (const Object& object : missing) {
+    Object tombstone;
+    tombstone.m_key = object.m_key;
+    tombstone.m_version = object.m_version + 1;
+    // The deletion is no later than the list; its own revision is unknown.
+    tombstone.m_revision = batch.m_revision;
+    tombstone.m_deleted = true;
+    Take(tombstone, changes);
+  }
+  // Deletions before the list are known only by what it lacks, so a peer that
+  // is behind it gets every object.
+  m_forgotten = std::max(m_forgotten, batch.m_revision);
+}
+
+void ObjectTable::DropOldTombstones() {
+  while (m_tombstones.size() > kMaxTombstones) {
+    m_forgotten = std::max(m_forgotten, m_tombstones.begin()->m_revision);
+    DropOldestTombstone();
+  }
+  while (!m_tombstones.empty() &&
+         m_tombstones.begin()->m_revision <= m_forgotten) {
+    DropOldestTombstone();
+  }
+}
+
+void ObjectTable::DropOldestTombstone() {
+  m_objects.erase(m_tombstones.begin()->m_key);
+  m_tombstones.erase(m_tombstones.begin());
+}
+
+}  // namespace jasminelug::core
--- a/src/core/object_table.h
+++ b/src/core/object_table.h
@@ -2,9 +2,11 @@
 #define SRC_CORE_OBJECT_TABLE_H_
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include "src/core/ids.h"
+#include "src/core/peer_message.h"
 #include "src/core/platform_call.h"
 
 namespace jasminelug::core {
@@ -38,9 +40,18 @@
   void Take(const Object& object, Changes* changes);
   void DeleteMissing(const ObjectBatch& batch, Changes* changes);
   void DropOldTombstones();
+  void DropOldestTombstone();
+
+  // Orders tombstones by age.
+  struct Tombstone {
+    Revision m_revision;
+    ObjectKey m_key;
+
+    friend auto operator<=>(const Tombstone&, const Tombstone&) = default;
+  };
 
   std::map<ObjectKey, Object> m_objects;
-  std::map<Revision, ObjectKey> m_tombstones;
+  std::set<Tombstone> m_tombstones;
   // Deletions up to this revision have been forgotten.
   Revision m_forgotten;
   Revision m_revision;
--- a/src/core/peer_info.h
+++ b/src/core/peer_info.h
@@ -28,7 +28,7 @@
   bool m_registered = false;
   // True while answers keep coming.
   bool m_live = false;
-  // When the peer was last heard; nullopt if never.
+  // When the last message of the peer arrived; nullopt if none did.
   std::optional<Time> m_last_heard;
 
   friend bool operator==(const PeerInfo&, const PeerInfo&) = default;
--- a/src/core/peer_table.h
+++ b/src/core/peer_table.h
@@ -35,7 +35,9 @@
         m_on_answer;
     // The peer's address refused the heartbeat that was sent at `sent`.
     std::function<void(const InstanceId&, Time sent, Context&)> m_on_refused;
+    // The peer is registered, or has sent a message.
     std::function<void(const InstanceId&, Context&)> m_on_known;
+    // The peer's lease object was deleted, or it is silent and has none.
     std::function<void(const InstanceId&, Context&)> m_on_gone;
   };
 
@@ -48,7 +50,7 @@
   void OnTick(Context& context);
 
   // Takes in a lease object of another instance; `record` is null where it was
-  // deleted or does not parse.
+  // deleted.
   void OnRecord(const InstanceId& peer,
                 const InstanceRecord* record,
                 Context& context);
@@ -88,14 +90,19 @@
   struct Peer {
     PeerInfo m_info;
     std::vector<SentHeartbeat> m_unanswered;
-    // True once a loss or a first answer was recorded.
-    bool m_reported = false;
+    // When the last answer to a heartbeat arrived; nullopt if none did.
+    std::optional<Time> m_last_answer;
+    // False while the peer was neither registered nor sent a heartbeat.
+    bool m_known = false;
   };
 
   Peer& Learn(const InstanceId& id, Context& context);
   void SendHeartbeat(const InstanceId& id, Peer* peer, Context& context);
-  void NoteHeard(Peer* peer, Context& context);
-  void NoteLost(Peer* peer, Context& context);
+  void Forget(const InstanceId& id, Context& context);
+  static void SetIncarnation(Incarnation incarnation, Peer* peer);
+  Heartbeat Describe(const Context& context) const;
+  static void NoteAnswered(Peer* peer, Context& context);
+  static void NoteLost(Peer* peer, Context& context);
   static std::optional<Time> TakeSent(uint64_t number, Peer* peer);
 
   InstanceId m_own_id;
--- a/src/core/service_state.h
+++ b/src/core/service_state.h
@@ -20,9 +20,13 @@
  public:
   explicit ServiceState(ZoneName own_zone) : m_own_zone(std::move(own_zone)) {}
 
-  // A configuration was installed; the first makes the instance ready.
+  // A configuration was installed; there is no service before the first.
   void OnInstalled(const ConfigurationPtr& configuration, Context& context);
 
+  // Whether keys can be confirmed now. Where they can't, the balancer should
+  // prefer instances that can; requests that arrive are judged one by one.
+  void OnKeysConfirmed(bool confirmed, Context& context);
+
   // Shutdown was requested: not ready at once. Requests that still arrive are
   // refused with kShuttingDown.
   void OnShutdownRequested(Context& context);
@@ -42,6 +46,7 @@
 
   ZoneName m_own_zone;
   bool m_configured = false;
+  bool m_keys_confirmed = false;
   bool m_draining = false;
   bool m_fenced = false;
   // When this instance learned that its zone was taken out.
