--- /dev/null
+++ b/src/core/allowance_account.cc
@@ -0,0 +1,140 @@
+#include "src/core/allowance_account.h"
+
+#include <algorithm>
+
+#include "src/common/assert.h"
+
+namespace jasminelug::core {
+namespace {
+
+// A lender keeps the use of this time for itself.
+constexpr Duration kKeptUse = 200ms;
+// Credit is asked for ahead when less than the use of this time is left.
+constexpr Duration kLowWater = 50ms;
+// An instance that missed credit within this time lends none.
+constexpr Duration kMissMemory = 100ms;
+
+uint64_t UseOf(uint64_t rate, Duration time) {
+  return rate * static_cast<uint64_t>(time.count()) / 1'000'000;
+}
+
+}  // namespace
+
+void AllowanceAccount::SetShare(const ShareAmount& share, Time now) {
+  if (share != m_share) {
+    m_share = share;
+  }
+  ApplyShare(now);
+}
+
+bool AllowanceAccount::UsesAtMost(const ShareAmount& amount, Time now) {
+  return FitsIn(m_share, amount) && m_exchange.InFlight(now) <= amount.m_burst;
+}
+
+bool AllowanceAccount::Take(Time now) {
+  const uint64_t borrowed = m_exchange.Borrowed(now);
+  const uint64_t from_lots = std::min(borrowed, kCreditCost);
+  if (!m_bucket.Take(kCreditCost - from_lots, now)) {
+    ++m_missed;
+    m_last_miss = now;
+    m_ever_missed = true;
+    return false;
+  }
+  if (from_lots > 0) {
+    m_exchange.TakeBorrowed(from_lots, now);
+  }
+  m_demand.Add(kCreditCost, now);
+  return true;
+}
+
+Duration AllowanceAccount::TimeUntilOwnCredit(Duration limit, Time now) const {
+  const uint64_t ahead = std::max<uint64_t>(m_missed, 1);
+  return m_bucket.TimeUntil(ahead * kCreditCost, limit, now);
+}
+
+bool AllowanceAccount::IsRunningLow(Time now) const {
+  const uint64_t recent = m_demand.Recent();
+  const uint64_t low = kCreditCost + UseOf(recent, kLowWater);
+  return recent > m_bucket.rate() &&
+         m_bucket.Level(now) + m_exchange.Borrowed(now) < low;
+}
+
+void AllowanceAccount::AskIfShort(const std::vector<InstanceId>& peers,
+                                  uint64_t& last_number,
+                                  Context& context) {
+  const Time now = context.Now();
+  const uint64_t missed = std::max(m_missed, m_missed_before);
+  const uint64_t recent = m_demand.Recent();
+  if ((missed == 0 && !IsRunningLow(now)) || !m_exchange.MayAsk(now)) {
+    return;
+  }
+  m_ask_size =
+      missed > 0 ? std::min(m_ask_size * 2, kCreditCost << 10U) : kCreditCost;
+  const uint64_t amount =
+      std::max({m_ask_size, missed * kCreditCost, UseOf(recent, kLowWater)});
+  const uint64_t left_over =
+      m_exchange.Ask(m_key, amount, peers, last_number, context);
+  m_bucket.Add(left_over, now);
+}
+
+bool AllowanceAccount::MayBorrow(const std::vector<InstanceId>& peers,
+                                 Time now) const {
+  return !peers.empty() &&
+         (m_exchange.IsAsking(now) || !m_exchange.AllEmpty(peers, now));
+}
+
+uint64_t AllowanceAccount::Lend(const PeerSender& from,
+                                const CreditWanted& question,
+                                Time now) {
+  if (!m_exchange.TakeQuestion(from, question.m_number)) {
+    return 0;
+  }
+  ApplyShare(now);
+  if (m_ever_missed && now < m_last_miss + kMissMemory) {
+    return 0;
+  }
+  m_demand.Roll(now);
+  const uint64_t kept = UseOf(m_demand.Recent(), kKeptUse);
+  const uint64_t level = m_bucket.Level(now);
+  const uint64_t amount =
+      std::min(question.m_millicredits, level > kept ? level - kept : 0);
+  if (amount == 0 || !m_bucket.Take(amount, now)) {
+    return 0;
+  }
+  m_exchange.Lend(from, question.m_number, amount, now);
+  ApplyShare(now);
+  return amount;
+}
+
+bool AllowanceAccount::TakeAnswer(const PeerSender& from,
+                                  const CreditLent& answer,
+                                  bool accept_late,
+                                  Time now) {
+  return m_exchange.TakeAnswer(from, answer, accept_late, now) > 0;
+}
+
+void AllowanceAccount::OnTick(Time now) {
+  if (m_missed == 0) {
+    m_ask_size = kCreditCost;
+  }
+  m_missed_before = m_missed;
+  m_missed = 0;
+  m_demand.Roll(now);
+  ApplyShare(now);
+}
+
+uint64_t AllowanceAccount::LastingDemand() const {
+  const uint64_t used = m_demand.Lasting();
+  return m_missed_before > 0 ? used + used / 4 : used;
+}
+
+void AllowanceAccount::ApplyShare(Time now) {
+  const uint64_t in_flight = m_exchange.InFlight(now);
+  const uint64_t capacity =
+      m_share.m_burst > in_flight ? m_share.m_burst - in_flight : 0;
+  m_bucket.SetLimits(m_share.m_units, capacity, now);
+  JASMINELUG_ASSERT(m_bucket.Level(now) <= capacity,
+                    LEVEL_AND_CREDIT_IN_FLIGHT_FIT_IN_THE_BURST_SHARE);
+}
+
+}  // namespace jasminelug::core
--- /dev/null
+++ b/src/core/allowance_shares.cc
@@ -0,0 +1,242 @@
+#include "src/core/allowance_shares.h"
+
+#include <algorithm>
+
+namespace jasminelug::core {
+namespace {
+
+constexpr uint64_t kMillicreditsPerStatement = 1000;
+// Each tick works on this part of the tables.
+constexpr size_t kRoundTicks = 8;
+constexpr Duration kWishInterval = 2s;
+
+std::string NameOf(const AllowanceKey& key) {
+  return "rate/" + key.m_customer.str() + "/" + key.m_profile.str();
+}
+
+ShareAmount GoalOf(const Profile& profile) {
+  return {profile.m_rate_per_second * kMillicreditsPerStatement,
+          profile.m_burst * kMillicreditsPerStatement};
+}
+
+}  // namespace
+
+void AllowanceShares::OnConfiguration(const Configuration& configuration,
+                                      const ShareEnvironment& environment,
+                                      Context& context) {
+  for (const auto& [key, entry] : m_entries) {
+    entry->m_removed = true;
+  }
+  for (const auto& [name, customer] : configuration.m_customers) {
+    for (const ProfileName& profile_name : customer.m_profiles) {
+      const auto profile = configuration.m_profiles.find(profile_name);
+      if (profile != configuration.m_profiles.end()) {
+        Install({name, profile_name}, profile->second,
+                configuration.m_revision);
+      }
+    }
+  }
+  for (const auto& [name, profile] : configuration.m_profiles) {
+    if (profile.m_open_to_all) {
+      Install({CustomerName(), name}, profile, configuration.m_revision);
+    }
+  }
+  for (const auto& [key, entry] : m_entries) {
+    entry->m_next_wish = context.Now();
+  }
+  Refresh(environment, context);
+}
+
+void AllowanceShares::OnObject(const Object& object,
+                               const ShareEnvironment& environment,
+                               Context& context) {
+  const auto found = m_by_name.find(object.m_key.m_name);
+  if (found == m_by_name.end()) {
+    return;
+  }
+  Entry& entry = *found->second;
+  entry.m_holder.OnObject(object);
+  NoteTable(entry, environment);
+  Apply(entry, environment, context);
+}
+
+void AllowanceShares::OnTick(const ShareEnvironment& environment,
+                             EndedHolders& ended,
+                             Context& context) {
+  if (m_last_live != environment.m_live ||
+      m_last_releasing != environment.m_releasing) {
+    m_last_live = environment.m_live;
+    m_last_releasing = environment.m_releasing;
+    for (Entry* entry : m_order) {
+      entry->m_next_wish = context.Now();
+    }
+  }
+  for (Entry* entry : m_order) {
+    if (entry->m_account.IsShort()) {
+      entry->m_account.AskIfShort(entry->m_lenders, m_last_number, context);
+      entry->m_account.OnTick(context.Now());
+    }
+  }
+  const size_t count = (m_order.size() + kRoundTicks - 1) / kRoundTicks;
+  for (size_t i = 0; i < count; ++i) {
+    m_next_in_order = (m_next_in_order + 1) % m_order.size();
+    Work(*m_order[m_next_in_order], environment, ended, context);
+  }
+}
+
+void AllowanceShares::Refresh(const ShareEnvironment& environment,
+                              Context& context) {
+  for (Entry* entry : m_order) {
+    Apply(*entry, environment, context);
+  }
+}
+
+AllowanceAccount* AllowanceShares::Find(const AllowanceKey& key) {
+  const auto found = m_entries.find(key);
+  return found == m_entries.end() || found->second->m_removed
+             ? nullptr
+             : &found->second->m_account;
+}
+
+const AllowanceAccount* AllowanceShares::Find(const AllowanceKey& key) const {
+  const auto found = m_entries.find(key);
+  return found == m_entries.end() || found->second->m_removed
+             ? nullptr
+             : &found->second->m_account;
+}
+
+bool AllowanceShares::MayBorrow(const AllowanceKey& key, Time now) const {
+  const auto found = m_entries.find(key);
+  return found != m_entries.end() &&
+         found->second->m_account.MayBorrow(found->second->m_lenders, now);
+}
+
+void AllowanceShares::AskIfShort(const AllowanceKey& key, Context& context) {
+  Entry& entry = *m_entries.find(key)->second;
+  entry.m_account.AskIfShort(entry.m_lenders, m_last_number, context);
+}
+
+bool AllowanceShares::OnPlatformAnswered(CallId call,
+                                         const PlatformAnswer& answer,
+                                         const ShareEnvironment& environment,
+                                         Context& context) {
+  const auto found = m_calls.find(call);
+  if (found == m_calls.end()) {
+    return false;
+  }
+  Entry& entry = *found->second;
+  m_calls.erase(found);
+  if (entry.m_holder.IsWaitingFor(call)) {
+    entry.m_holder.OnPlatformAnswered(answer, context);
+  }
+  NoteTable(entry, environment);
+  Apply(entry, environment, context);
+  return true;
+}
+
+bool AllowanceShares::Names(const InstanceId& instance) const {
+  return std::any_of(m_order.begin(), m_order.end(),
+                     [&instance](const Entry* entry) {
+                       return !entry->m_holder.IsFreeOf(instance);
+                     });
+}
+
+void AllowanceShares::Install(const AllowanceKey& key,
+                              const Profile& profile,
+                              Revision revision) {
+  auto& entry = m_entries[key];
+  if (!entry) {
+    entry = std::make_unique<Entry>(key, NameOf(key));
+    m_by_name[entry->m_name] = entry.get();
+    m_order.push_back(entry.get());
+  }
+  entry->m_removed = false;
+  const ShareAmount goal = GoalOf(profile);
+  if (goal != entry->m_goal) {
+    entry->m_goal = goal;
+    entry->m_goal_revision = revision;
+  }
+}
+
+void AllowanceShares::Apply(Entry& entry,
+                            const ShareEnvironment& environment,
+                            Context& context) {
+  const ShareOptions& options = environment.m_options;
+  const Time now = context.Now();
+  if (options.m_policy == SharePolicy::kFixedEqual) {
+    const uint64_t parts = options.m_fixed_instances;
+    entry.m_account.SetShare(
+        {entry.m_goal.m_units / parts, entry.m_goal.m_burst / parts}, now);
+    return;
+  }
+  const bool usable = environment.m_may_use && !environment.m_releasing;
+  entry.m_account.SetShare(
+      usable ? entry.m_holder.Usable(environment.m_self) : ShareAmount{}, now);
+  if (options.m_faults.m_restart_keeps_bucket && !entry.m_had_share) {
+    entry.m_account.Fill(now);
+    entry.m_had_share = entry.m_account.Level(now) > 0;
+  }
+}
+
+void AllowanceShares::Work(Entry& entry,
+                           const ShareEnvironment& environment,
+                           EndedHolders& ended,
+                           Context& context) {
+  const Time now = context.Now();
+  entry.m_account.OnTick(now);
+  Apply(entry, environment, context);
+  if (environment.m_options.m_policy == SharePolicy::kFixedEqual) {
+    return;
+  }
+  for (const ShareRow& row : entry.m_holder.table().m_rows) {
+    if (row.m_holder.m_instance != environment.m_self.m_instance) {
+      ended.OnRow(row.m_holder, context);
+    }
+  }
+  UpdateWish(entry, environment, context);
+  SharePlan plan;
+  plan.m_self = environment.m_self;
+  plan.m_goal = entry.m_goal;
+  plan.m_goal_revision = entry.m_goal_revision;
+  plan.m_wish = entry.m_wish;
+  plan.m_may_grow = environment.m_may_grow && !entry.m_removed;
+  plan.m_earlier_gone = environment.m_earlier_gone;
+  plan.m_grow_before_confirm =
+      environment.m_options.m_faults.m_grow_before_confirm;
+  plan.m_is_gone = environment.m_is_gone;
+  plan.m_uses_at_most = [&entry, now](const ShareAmount& amount) {
+    return entry.m_account.UsesAtMost(amount, now);
+  };
+  if (const auto call = entry.m_holder.Work(plan, context)) {
+    m_calls[*call] = &entry;
+    Apply(entry, environment, context);
+  }
+}
+
+void AllowanceShares::UpdateWish(Entry& entry,
+                                 const ShareEnvironment& environment,
+                                 Context& context) {
+  if (context.Now() < entry.m_next_wish) {
+    return;
+  }
+  entry.m_next_wish =
+      context.Now() + kWishInterval / 2 + context.RandomUpTo(kWishInterval);
+  entry.m_wish = entry.m_removed
+                     ? ShareWish{}
+                     : WishOfAllowance(entry.m_name, entry.m_goal,
+                                       entry.m_account.LastingDemand(),
+                                       entry.m_wish, environment);
+}
+
+void AllowanceShares::NoteTable(Entry& entry,
+                                const ShareEnvironment& environment) {
+  entry.m_lenders.clear();
+  for (const ShareRow& row : entry.m_holder.table().m_rows) {
+    const InstanceId& instance = row.m_holder.m_instance;
+    if (instance != environment.m_self.m_instance && !row.m_granted.empty()) {
+      entry.m_lenders.push_back(instance);
+    }
+  }
+}
+
+}  // namespace jasminelug::core
--- /dev/null
+++ b/src/core/allowance_shares.h
@@ -0,0 +1,124 @@
+#ifndef SRC_CORE_ALLOWANCE_SHARES_H_
+#define SRC_CORE_ALLOWANCE_SHARES_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "src/core/allowance_account.h"
+#include "src/core/configuration.h"
+#include "src/core/context.h"
+#include "src/core/ended_holders.h"
+#include "src/core/share_environment.h"
+#include "src/core/share_holder.h"
+#include "src/core/share_wish.h"
+
+namespace jasminelug::core {
+
+struct AllowanceKeyHash {
+  size_t operator()(const AllowanceKey& key) const {
+    const size_t customer = std::hash<CustomerName>()(key.m_customer);
+    return customer * 31 + std::hash<ProfileName>()(key.m_profile);
+  }
+};
+
+// This instance's shares of rate and burst, of every customer and profile.
+class AllowanceShares {
+ public:
+  // Numbers of questions start above `first_number`.
+  explicit AllowanceShares(uint64_t first_number)
+      : m_last_number(first_number) {}
+
+  void OnConfiguration(const Configuration& configuration,
+                       const ShareEnvironment& environment,
+                       Context& context);
+
+  // Takes in the table of the resource `object` is for.
+  void OnObject(const Object& object,
+                const ShareEnvironment& environment,
+                Context& context);
+
+  // Works on the tables and the credit; a part of the quiet ones each time.
+  void OnTick(const ShareEnvironment& environment,
+              EndedHolders& ended,
+              Context& context);
+
+  // Sets what may be used after the fence or the tables have changed.
+  void Refresh(const ShareEnvironment& environment, Context& context);
+
+  // Returns the account; nullptr where the configuration has none.
+  AllowanceAccount* Find(const AllowanceKey& key);
+  const AllowanceAccount* Find(const AllowanceKey& key) const;
+
+  // Returns whether the peers may have credit of an allowance.
+  bool MayBorrow(const AllowanceKey& key, Time now) const;
+
+  // Asks peers where credit is short.
+  void AskIfShort(const AllowanceKey& key, Context& context);
+
+  bool OnPlatformAnswered(CallId call,
+                          const PlatformAnswer& answer,
+                          const ShareEnvironment& environment,
+                          Context& context);
+
+  // Returns whether any table lists the instance, or may do so soon.
+  bool Names(const InstanceId& instance) const;
+
+ private:
+  struct Entry {
+    Entry(AllowanceKey key, std::string name)
+        : m_account(std::move(key)),
+          m_name(std::move(name)),
+          m_holder(m_name) {}
+
+    AllowanceAccount m_account;
+    std::string m_name;
+    ShareHolder m_holder;
+    ShareAmount m_goal;
+    // The configuration's revision that the goal is from.
+    Revision m_goal_revision;
+    ShareWish m_wish;
+    Time m_next_wish;
+    bool m_removed = false;
+    bool m_had_share = false;
+    // Peers that hold shares, and so may lend.
+    std::vector<InstanceId> m_lenders;
+  };
+
+  using Entries = std::
+      unordered_map<AllowanceKey, std::unique_ptr<Entry>, AllowanceKeyHash>;
+
+  void Install(const AllowanceKey& key,
+               const Profile& profile,
+               Revision revision);
+  void Apply(Entry& entry,
+             const ShareEnvironment& environment,
+             Context& context);
+  void Work(Entry& entry,
+            const ShareEnvironment& environment,
+            EndedHolders& ended,
+            Context& context);
+  void UpdateWish(Entry& entry,
+                  const ShareEnvironment& environment,
+                  Context& context);
+  void NoteTable(Entry& entry, const ShareEnvironment& environment);
+
+  Entries m_entries;
+  std::unordered_map<std::string, Entry*> m_by_name;
+  // All entries, for the rounds of OnTick.
+  std::vector<Entry*> m_order;
+  size_t m_next_in_order = 0;
+  std::unordered_map<CallId, Entry*> m_calls;
+  uint64_t m_last_number;
+  // Size of the live set and the state at the last tick; a change makes every
+  // wish due.
+  std::vector<InstanceId> m_last_live;
+  bool m_last_releasing = false;
+};
+
+}  // namespace jasminelug::core
+
+#endif  // SRC_CORE_ALLOWANCE_SHARES_H_
--- /dev/null
+++ b/src/core/credit_exchange.h
@@ -0,0 +1,118 @@
+#ifndef SRC_CORE_CREDIT_EXCHANGE_H_
+#define SRC_CORE_CREDIT_EXCHANGE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "src/core/context.h"
+#include "src/core/ids.h"
+#include "src/core/peer_message.h"
+#include "src/core/time.h"
+
+namespace jasminelug::core {
+
+// Lent credit may be used for so long, counted by the borrower from when it
+// sent the question.
+inline constexpr Duration kCreditValidity = 200ms;
+
+// Transfers of credit of one allowance between this instance and its peers.
+//
+// As a lender it tells how much credit may be in flight: lent and perhaps not
+// used yet. As a borrower it holds lent credit until it is used or expires; it
+// accepts an answer once, to an open question, while that is valid. A new
+// question to a peer gives up what is left of the peer's earlier answers, so
+// the lender may count that as no longer in flight.
+class CreditExchange {
+ public:
+  // Notes that `amount` was lent in answer to a question.
+  void Lend(const PeerSender& to, uint64_t number, uint64_t amount, Time now);
+
+  // Returns whether a question is new, and if so ends what was in flight to
+  // the asker from earlier ones.
+  bool TakeQuestion(const PeerSender& from, uint64_t number);
+
+  // Returns the lent credit that may not be used yet.
+  uint64_t InFlight(Time now);
+
+  // Returns whether the most questions at once are open or the next is too
+  // early.
+  bool MayAsk(Time now);
+
+  // Chooses up to kQuestionsAtOnce peers and asks each for `amount`; numbers
+  // are taken from `last_number`. Returns the credit that must leave the
+  // borrowed amount, for the caller to keep as its bucket allows.
+  uint64_t Ask(const AllowanceKey& key,
+               uint64_t amount,
+               const std::vector<InstanceId>& peers,
+               uint64_t& last_number,
+               Context& context);
+
+  // Takes in an answer. Returns the amount that was accepted.
+  uint64_t TakeAnswer(const PeerSender& from,
+                      const CreditLent& answer,
+                      bool accept_late,
+                      Time now);
+
+  // Returns the borrowed credit that may be used now.
+  uint64_t Borrowed(Time now) const;
+
+  // Takes up to `amount` of the borrowed credit and returns how much.
+  uint64_t TakeBorrowed(uint64_t amount, Time now);
+
+  // Returns whether no peer had credit when last asked.
+  bool AllEmpty(const std::vector<InstanceId>& peers, Time now) const;
+
+  // Returns whether a question waits for an answer.
+  bool IsAsking(Time now) const;
+
+ private:
+  struct Loan {
+    PeerSender m_to;
+    uint64_t m_number = 0;
+    uint64_t m_amount = 0;
+    Time m_over;
+  };
+
+  struct Question {
+    uint64_t m_number = 0;
+    Time m_over;
+  };
+
+  struct Lot {
+    InstanceId m_from;
+    uint64_t m_amount = 0;
+    Time m_over;
+  };
+
+  // The last question taken from a peer.
+  struct Taken {
+    Incarnation m_incarnation;
+    uint64_t m_number = 0;
+  };
+
+  // What is known of a peer as a lender.
+  struct Lender {
+    uint64_t m_last_lent = 0;
+    Duration m_pause{};
+    Time m_next_question;
+  };
+
+  std::vector<InstanceId> ChooseLenders(const std::vector<InstanceId>& peers,
+                                        Context& context) const;
+  uint64_t DropLots(const InstanceId& from, Time now);
+  void CloseOverdue(Time now);
+  void NoteAnswer(const InstanceId& from, uint64_t amount, Time now);
+
+  std::vector<Loan> m_loans;
+  std::map<InstanceId, Taken> m_last_taken;
+  std::map<InstanceId, Question> m_questions;
+  std::vector<Lot> m_lots;
+  std::map<InstanceId, Lender> m_lenders;
+  Time m_next_ask;
+};
+
+}  // namespace jasminelug::core
+
+#endif  // SRC_CORE_CREDIT_EXCHANGE_H_
--- /dev/null
+++ b/src/core/reclaimer.cc
@@ -0,0 +1,162 @@
+#include "src/core/reclaimer.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "src/core/credit_exchange.h"
+#include "src/core/vouch_keeper.h"
+
+namespace jasminelug::core {
+namespace {
+
+// Instances start at different times, so that mostly one reclaims.
+constexpr Duration kStartSpread = 1s;
+constexpr Duration kAskInterval = 500ms;
+
+}  // namespace
+
+void Reclaimer::OnTick(Context& context) {
+  const Time now = context.Now();
+  std::erase_if(m_attempts, [this, now](const auto& entry) {
+    const ObservedLease* lease = m_leases.Find(entry.first);
+    return !m_leases.HasLapsed(entry.first, now) ||
+           lease->m_version != entry.second.m_version;
+  });
+  for (const InstanceId& holder : m_leases.Lapsed(now)) {
+    if (!m_names_holder(holder)) {
+      continue;
+    }
+    const auto [attempt, is_new] = m_attempts.try_emplace(holder);
+    if (is_new) {
+      attempt->second.m_version = m_leases.Find(holder)->m_version;
+      attempt->second.m_start = now + context.RandomUpTo(kStartSpread);
+    }
+    Advance(holder, attempt->second, context);
+  }
+}
+
+void Reclaimer::OnDenied(const PeerSender& from, const Denied& answer) {
+  const auto attempt = m_attempts.find(answer.m_holder);
+  if (attempt == m_attempts.end() || !answer.m_granted ||
+      attempt->second.m_number != answer.m_number) {
+    return;
+  }
+  attempt->second.m_denied.insert(from);
+}
+
+void Reclaimer::OnPeerStopped(const InstanceId& peer) {
+  for (auto& [holder, attempt] : m_attempts) {
+    const ObservedLease* lease = m_leases.Find(holder);
+    if (lease == nullptr) {
+      continue;
+    }
+    for (const PeerSender& member : lease->m_record.m_cell) {
+      if (member.m_instance == peer) {
+        attempt.m_denied.insert(member);
+      }
+    }
+  }
+}
+
+void Reclaimer::OnPlatformAnswered(CallId call,
+                                   const PlatformAnswer& answer,
+                                   Context& context) {
+  const auto found = m_calls.find(call);
+  const InstanceId holder = found->second;
+  m_calls.erase(found);
+  const auto attempt = m_attempts.find(holder);
+  if (attempt == m_attempts.end()) {
+    return;
+  }
+  attempt->second.m_delete.reset();
+  attempt->second.m_next_ask = context.Now() + kAskInterval;
+  if (std::holds_alternative<ObjectAnswer>(answer)) {
+    TimelineEvent event;
+    event.m_kind = TimelineKind::kLeaseReclaimed;
+    event.m_peer = holder;
+    context.Record(std::move(event));
+  }
+}
+
+void Reclaimer::Advance(const InstanceId& holder,
+                        Attempt& attempt,
+                        Context& context) {
+  const Time now = context.Now();
+  if (now < attempt.m_start || attempt.m_delete) {
+    return;
+  }
+  const ObservedLease& lease = *m_leases.Find(holder);
+  const LeaseCell& cell = lease.m_record.m_cell;
+  NoteStopped(cell, attempt);
+  const auto denials =
+      std::count_if(cell.begin(), cell.end(), [&attempt](const auto& member) {
+        return attempt.m_denied.contains(member);
+      });
+  const bool majority = static_cast<size_t>(denials) * 2 > cell.size();
+  if (!majority && !cell.empty() && !m_without_denial) {
+    AskCell(holder, lease, attempt, context);
+    return;
+  }
+  if (!attempt.m_majority_since) {
+    attempt.m_majority_since = now;
+  }
+  // Where the fault is put in, nothing that the holder may still use is waited
+  // for.
+  const Duration wait = m_without_denial ? Duration::zero()
+                                         : OnEveryClock(kVouchDuration) +
+                                               OnEveryClock(kCreditValidity);
+  if (now > *attempt.m_majority_since + wait && now >= attempt.m_next_ask) {
+    Delete(holder, attempt, context);
+  }
+}
+
+// A member whose lease is held by a later incarnation has stopped: the later
+// process listens where the earlier one did.
+void Reclaimer::NoteStopped(const LeaseCell& cell, Attempt& attempt) const {
+  for (const PeerSender& member : cell) {
+    const ObservedLease* lease = m_leases.Find(member.m_instance);
+    if (lease != nullptr &&
+        lease->m_record.m_incarnation > member.m_incarnation) {
+      attempt.m_denied.insert(member);
+    }
+  }
+}
+
+void Reclaimer::AskCell(const InstanceId& holder,
+                        const ObservedLease& lease,
+                        Attempt& attempt,
+                        Context& context) {
+  if (context.Now() < attempt.m_next_ask) {
+    return;
+  }
+  attempt.m_next_ask = context.Now() + kAskInterval;
+  if (attempt.m_number == 0) {
+    attempt.m_number = context.Random()() | 1U;
+  }
+  const DenialWanted question{attempt.m_number, holder,
+                              lease.m_record.m_incarnation, attempt.m_version};
+  for (const PeerSender& member : lease.m_record.m_cell) {
+    if (member == m_self) {
+      OnDenied(m_self, m_local_denial(question, context.Now()));
+    } else if (!attempt.m_denied.contains(member)) {
+      context.Send(member.m_instance, question);
+    }
+  }
+}
+
+void Reclaimer::Delete(const InstanceId& holder,
+                       Attempt& attempt,
+                       Context& context) {
+  DeleteObject request;
+  request.m_key = {ObjectKind::kInstance, holder.str()};
+  request.m_expected_version = attempt.m_version;
+  request.m_write_id =
+      "reclaim/" + holder.str() + "/" + std::to_string(context.Random()());
+  attempt.m_delete =
+      context.CallThePlatform(CallOwner::kShares, std::move(request));
+  m_calls[*attempt.m_delete] = holder;
+}
+
+}  // namespace jasminelug::core
--- /dev/null
+++ b/src/core/share_holder.cc
@@ -0,0 +1,217 @@
+#include "src/core/share_holder.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "src/common/assert.h"
+
+namespace jasminelug::core {
+namespace {
+
+constexpr Duration kStartSpread = 100ms;
+constexpr Duration kFirstRetryDelay = 20ms;
+constexpr Duration kLastRetryDelay = 2s;
+// A call without an answer for so long counts as of unknown outcome.
+constexpr Duration kCallLimit = 5s;
+
+// Returns whether two tables differ in more than the demand of one row.
+bool DiffersInShares(ShareTable a,
+                     const ShareTable& b,
+                     const ShareHolderId& holder) {
+  const ShareRow* other = FindRow(b, holder);
+  for (ShareRow& row : a.m_rows) {
+    if (row.m_holder == holder && other != nullptr) {
+      row.m_demand = other->m_demand;
+    }
+  }
+  return a != b;
+}
+
+}  // namespace
+
+void ShareHolder::OnObject(const Object& object) {
+  if (object.m_revision <= m_revision) {
+    return;
+  }
+  m_revision = object.m_revision;
+  m_version = 0;
+  m_table = {};
+  if (!object.m_deleted) {
+    m_version = object.m_version;
+    m_table = DecodeShareTable(object.m_value).value_or(ShareTable{});
+  }
+  // A write made from an older version is part of this one, or has failed for
+  // good.
+  std::erase_if(m_pending, [this](const PendingWrite& write) {
+    return write.m_base < m_revision;
+  });
+}
+
+void ShareHolder::OnPlatformAnswered(const PlatformAnswer& answer,
+                                     Context& context) {
+  m_call.reset();
+  if (const auto* done = std::get_if<ObjectAnswer>(&answer)) {
+    OnObject(done->m_object);
+    m_must_read = false;
+    m_retry_delay = Duration::zero();
+    return;
+  }
+  if (const auto* conflict = std::get_if<VersionConflict>(&answer)) {
+    OnObject(conflict->m_current);
+    m_must_read = false;
+    DelayRetry(context);
+    return;
+  }
+  const auto* failure = std::get_if<PlatformFailure>(&answer);
+  if (failure != nullptr && !failure->m_outcome_unknown && !m_must_read &&
+      !m_pending.empty()) {
+    m_pending.pop_back();
+  } else {
+    m_must_read = true;
+  }
+  DelayRetry(context);
+}
+
+std::optional<CallId> ShareHolder::Work(const SharePlan& plan,
+                                        Context& context) {
+  const Time now = context.Now();
+  if (!m_started) {
+    m_started = true;
+    m_next_try = now + context.RandomUpTo(kStartSpread);
+  }
+  if (m_call && now >= m_call_overdue) {
+    m_call.reset();
+    m_must_read = true;
+  }
+  if (m_call || now < m_next_try) {
+    return std::nullopt;
+  }
+  if (m_must_read) {
+    return SendGet(context);
+  }
+  const ShareTable next = NextTable(plan);
+  if (!IsWorthWriting(next, plan)) {
+    return std::nullopt;
+  }
+  return SendPut(next, context);
+}
+
+ShareAmount ShareHolder::Usable(const ShareHolderId& self) const {
+  const ShareRow* row = FindRow(m_table, self);
+  if (row == nullptr) {
+    return {};
+  }
+  ShareAmount usable = LesserOf(row->m_granted, row->m_confirmed);
+  for (const PendingWrite& write : m_pending) {
+    const ShareRow* later = FindRow(write.m_table, self);
+    usable =
+        later == nullptr
+            ? ShareAmount{}
+            : LesserOf(usable, LesserOf(later->m_granted, later->m_confirmed));
+  }
+  return usable;
+}
+
+bool ShareHolder::IsFreeOf(const InstanceId& instance) const {
+  const auto lists = [&instance](const ShareTable& table) {
+    return std::any_of(table.m_rows.begin(), table.m_rows.end(),
+                       [&instance](const ShareRow& row) {
+                         return row.m_holder.m_instance == instance;
+                       });
+  };
+  return !lists(m_table) && std::none_of(m_pending.begin(), m_pending.end(),
+                                         [&lists](const PendingWrite& write) {
+                                           return lists(write.m_table);
+                                         });
+}
+
+ShareTable ShareHolder::NextTable(const SharePlan& plan) const {
+  ShareTable next = Retarget(m_table, plan.m_goal, plan.m_goal_revision);
+  next = RemoveRows(std::move(next), [&plan](const ShareHolderId& holder) {
+    return IsEarlier(holder, plan.m_self) ? plan.m_earlier_gone
+                                          : plan.m_is_gone(holder);
+  });
+  const ShareRow* own = FindRow(next, plan.m_self);
+  if (own != nullptr && own->m_granted != own->m_confirmed &&
+      FitsIn(own->m_granted, own->m_confirmed) &&
+      plan.m_uses_at_most(own->m_granted)) {
+    next = Confirm(std::move(next), plan.m_self);
+  }
+  next = SettleTotal(std::move(next));
+  ShareWish wish = plan.m_wish;
+  if (!plan.m_may_grow) {
+    own = FindRow(next, plan.m_self);
+    const ShareAmount held = own == nullptr ? ShareAmount{} : own->m_granted;
+    wish.m_wanted = LesserOf(wish.m_wanted, held);
+    wish.m_idle_floor.reset();
+  }
+  const ShareAmount free = FreeOf(next);
+  if (plan.m_grow_before_confirm) {
+    const ShareAmount ungranted = UngrantedOf(next);
+    return Claim(std::move(next), plan.m_self, wish, ungranted);
+  }
+  next = Claim(std::move(next), plan.m_self, wish, free);
+  next = SettleTotal(std::move(next));
+  JASMINELUG_ASSERT(IsSound(next), SHARES_SUM_TO_NO_MORE_THAN_THE_TOTAL);
+  JASMINELUG_ASSERT(
+      FitsIn(next.m_total, GreaterOf(next.m_goal, SumOf(m_table))),
+      NO_CLAIM_RAISES_THE_SUM_ABOVE_THE_GOAL);
+  return next;
+}
+
+bool ShareHolder::IsWorthWriting(const ShareTable& next,
+                                 const SharePlan& plan) const {
+  // Where an earlier write may take effect yet, any write settles that.
+  if (!m_pending.empty()) {
+    return true;
+  }
+  if (next == m_table) {
+    return false;
+  }
+  if (DiffersInShares(next, m_table, plan.m_self)) {
+    return true;
+  }
+  // A report of demand alone is written only when it has changed by much.
+  const ShareRow* before = FindRow(m_table, plan.m_self);
+  const uint64_t old_demand = before == nullptr ? 0 : before->m_demand;
+  const uint64_t new_demand = plan.m_wish.m_demand;
+  const uint64_t change =
+      std::max(old_demand, new_demand) - std::min(old_demand, new_demand);
+  return change > plan.m_wish.m_right.m_units / 2;
+}
+
+CallId ShareHolder::SendPut(const ShareTable& next, Context& context) {
+  m_pending.push_back({m_revision, next});
+  PutObject put;
+  put.m_key = {ObjectKind::kShare, m_name};
+  put.m_expected_version = m_version;
+  put.m_value = EncodeShareTable(next);
+  put.m_write_id = m_name + "/" + std::to_string(context.Random()()) + "/" +
+                   std::to_string(++m_last_write);
+  const CallId call =
+      context.CallThePlatform(CallOwner::kShares, std::move(put));
+  NoteCall(call, context);
+  return call;
+}
+
+CallId ShareHolder::SendGet(Context& context) {
+  const CallId call = context.CallThePlatform(
+      CallOwner::kShares, GetObject{{ObjectKind::kShare, m_name}});
+  NoteCall(call, context);
+  return call;
+}
+
+void ShareHolder::NoteCall(CallId call, Context& context) {
+  m_call = call;
+  m_call_overdue = context.Now() + kCallLimit;
+}
+
+void ShareHolder::DelayRetry(Context& context) {
+  m_retry_delay =
+      std::clamp(m_retry_delay * 2, kFirstRetryDelay, kLastRetryDelay);
+  m_next_try =
+      context.Now() + m_retry_delay / 2 + context.RandomUpTo(m_retry_delay);
+}
+
+}  // namespace jasminelug::core
--- a/src/core/share_manager.cc
+++ b/src/core/share_manager.cc
@@ -1,51 +1,386 @@
 #include "src/core/share_manager.h"
 
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "src/core/allowance_shares.h"
+#include "src/core/connection_shares.h"
+#include "src/core/ended_holders.h"
+#include "src/core/lease_watch.h"
+#include "src/core/reclaimer.h"
+#include "src/core/share_environment.h"
+#include "src/core/vouch_keeper.h"
+
 namespace jasminelug::core {
 
-// Stub, so that others can link: the implementation follows.
-class ShareManager::Impl {};
+class ShareManager::Impl {
+ public:
+  Impl(ShareOptions options, ShareHooks hooks)
+      : m_options(std::move(options)),
+        m_hooks(std::move(hooks)),
+        m_leases(m_options.m_lease_reader),
+        m_vouches(m_options.m_first_number),
+        m_ended(m_leases),
+        m_reclaimer(
+            {m_options.m_self, m_options.m_incarnation},
+            m_leases,
+            [this](const InstanceId& holder) { return NamesHolder(holder); },
+            [this](const DenialWanted& question, Time now) {
+              return m_vouches.OnDenialWanted(question, now);
+            }),
+        m_allowances(m_options.m_first_number),
+        m_connections(m_hooks) {
+    m_reclaimer.SetFault(m_options.m_faults.m_reclaim_without_denial);
+    m_environment.m_options = m_options;
+    m_environment.m_is_gone = [this](const ShareHolderId& holder) {
+      return m_ended.IsEnded(holder);
+    };
+    UpdateSelf();
+  }
+
+  Admission TryTake(const AllowanceKey& key,
+                    Duration patience,
+                    Context& context) {
+    AllowanceAccount* account = m_allowances.Find(key);
+    if (account == nullptr || m_environment.m_releasing) {
+      return Admission::kRefused;
+    }
+    const Time now = context.Now();
+    if (!MayUse(now)) {
+      // Borrowed credit is the lender's to fence.
+      account->SetShare({}, now);
+    }
+    const bool taken = account->Take(now);
+    if (IsEscrow() && (!taken || account->IsRunningLow(now))) {
+      m_allowances.AskIfShort(key, context);
+    }
+    if (taken) {
+      return Admission::kAdmitted;
+    }
+    return MayComeWithin(patience, key, *account, now) ? Admission::kWait
+                                                       : Admission::kRefused;
+  }
+
+  Duration RetryAfter(const AllowanceKey& key, const Context& context) const {
+    const AllowanceAccount* account = m_allowances.Find(key);
+    if (account == nullptr) {
+      return kMostRetryAfter;
+    }
+    return std::max(kLeastRetryAfter, account->TimeUntilOwnCredit(
+                                          kMostRetryAfter, context.Now()));
+  }
+
+  uint32_t ConnectionShare(const DatabaseName& database,
+                           const Context& context) const {
+    return MayUse(context.Now())
+               ? m_connections.ShareOf(database, m_environment)
+               : 0;
+  }
+
+  void OnConfiguration(const ConfigurationPtr& configuration,
+                       Context& context) {
+    UpdateEnvironment(context.Now());
+    m_allowances.OnConfiguration(*configuration, m_environment, context);
+    m_connections.OnConfiguration(*configuration, m_environment, context);
+  }
+
+  void OnObjectChanged(const Object& object, Context& context) {
+    UpdateEnvironment(context.Now());
+    if (object.m_key.m_kind == ObjectKind::kInstance) {
+      m_leases.OnObject(object, context.Now());
+    }
+    if (object.m_key.m_kind == ObjectKind::kShare) {
+      m_allowances.OnObject(object, m_environment, context);
+      m_connections.OnObject(object, m_environment);
+    }
+  }
+
+  void OnPlatformContact(bool reachable, Context& context) {
+    m_leases.OnPlatformContact(reachable, context.Now());
+  }
+
+  void OnPlatformAnswered(CallId call,
+                          const PlatformAnswer& answer,
+                          Context& context) {
+    UpdateEnvironment(context.Now());
+    if (m_ended.IsWaitingFor(call)) {
+      m_ended.OnPlatformAnswered(call, answer);
+    } else if (m_reclaimer.IsWaitingFor(call)) {
+      m_reclaimer.OnPlatformAnswered(call, answer, context);
+    } else if (!m_allowances.OnPlatformAnswered(call, answer, m_environment,
+                                                context)) {
+      m_connections.OnPlatformAnswered(call, answer, m_environment, context);
+    }
+  }
+
+  void OnPeerMessage(const PeerSender& from,
+                     const CreditWanted& message,
+                     Context& context) {
+    AllowanceAccount* account = m_allowances.Find(message.m_allowance);
+    const Time now = context.Now();
+    const bool may_lend = account != nullptr && MayUse(now) &&
+                          !m_environment.m_releasing && IsEscrow();
+    const uint64_t lent = may_lend ? account->Lend(from, message, now) : 0;
+    context.Send(from.m_instance,
+                 CreditLent{message.m_number, message.m_allowance, lent});
+  }
+
+  void OnPeerMessage(const PeerSender& from,
+                     const CreditLent& message,
+                     Context& context) {
+    AllowanceAccount* account = m_allowances.Find(message.m_allowance);
+    if (account == nullptr) {
+      return;
+    }
+    const bool accept_late = m_options.m_faults.m_accept_late_credit;
+    if (account->TakeAnswer(from, message, accept_late, context.Now()) &&
+        m_hooks.m_on_credit) {
+      m_hooks.m_on_credit(message.m_allowance);
+    }
+  }
+
+  void OnPeerMessage(const PeerSender& from,
+                     const VouchWanted& message,
+                     Context& context) {
+    context.Send(from.m_instance,
+                 m_vouches.OnVouchWanted(from, message, context.Now()));
+  }
+
+  void OnPeerMessage(const PeerSender& from, const Vouched& message, Context&) {
+    m_vouches.OnVouched(from, message);
+  }
+
+  void OnPeerMessage(const PeerSender& from,
+                     const DenialWanted& message,
+                     Context& context) {
+    context.Send(from.m_instance,
+                 m_vouches.OnDenialWanted(message, context.Now()));
+  }
+
+  void OnPeerMessage(const PeerSender& from, const Denied& message, Context&) {
+    m_reclaimer.OnDenied(from, message);
+  }
+
+  void OnOwnLease(const OwnLease& lease, Context& context) {
+    const bool new_series = m_vouches.lease().m_version == 0 ||
+                            lease.m_series != m_vouches.lease().m_series;
+    m_vouches.OnOwnLease(lease);
+    if (new_series) {
+      m_series_since = context.Now();
+      UpdateSelf();
+    }
+    UpdateEnvironment(context.Now());
+    RefreshIfFenceChanged(context);
+  }
+
+  void OnPeerUnreachable(const PeerUnreachable& event) {
+    if (event.m_refused) {
+      m_reclaimer.OnPeerStopped(event.m_peer);
+    }
+  }
+
+  void OnTick(Context& context) {
+    m_vouches.OnTick(context);
+    UpdateEnvironment(context.Now());
+    RefreshIfFenceChanged(context);
+    m_reclaimer.OnTick(context);
+    m_allowances.OnTick(m_environment, m_ended, context);
+    m_connections.OnTick(m_environment, m_ended, context);
+  }
+
+  void ReleaseAll(Context& context) {
+    m_environment.m_releasing = true;
+    m_allowances.Refresh(m_environment, context);
+    m_connections.Refresh(m_environment);
+  }
+
+  bool Released() const {
+    return m_environment.m_releasing && !NamesHolder(m_options.m_self);
+  }
+
+  bool NamesHolder(const InstanceId& instance) const {
+    return m_allowances.Names(instance) || m_connections.Names(instance);
+  }
+
+  bool MayUse(Time now) const { return !IsEscrow() || m_vouches.MayUse(now); }
+
+ private:
+  static constexpr Duration kLeastRetryAfter = 10ms;
+  static constexpr Duration kMostRetryAfter = 5s;
+
+  bool IsEscrow() const { return m_options.m_policy == SharePolicy::kEscrow; }
+
+  bool MayComeWithin(Duration patience,
+                     const AllowanceKey& key,
+                     const AllowanceAccount& account,
+                     Time now) const {
+    if (patience <= Duration::zero()) {
+      return false;
+    }
+    const Duration own =
+        account.TimeUntilOwnCredit(patience + Duration(1), now);
+    return own <= patience || (IsEscrow() && m_allowances.MayBorrow(key, now));
+  }
+
+  void UpdateSelf() {
+    m_environment.m_self = {m_options.m_self, m_options.m_incarnation,
+                            m_vouches.lease().m_series};
+  }
+
+  void UpdateEnvironment(Time now) {
+    m_environment.m_may_use = MayUse(now);
+    m_environment.m_may_grow = m_vouches.LeaseHolds(now) &&
+                               m_leases.InContact() &&
+                               !m_environment.m_releasing;
+    m_environment.m_earlier_gone =
+        m_vouches.lease().m_version > 0 &&
+        now > m_series_since + OnEveryClock(kCreditValidity);
+    if (now < m_live_until) {
+      return;
+    }
+    m_live_until = now + kLiveInterval;
+    m_environment.m_live = m_leases.Live(now);
+    if (std::find(m_environment.m_live.begin(), m_environment.m_live.end(),
+                  m_options.m_self) == m_environment.m_live.end()) {
+      m_environment.m_live.push_back(m_options.m_self);
+    }
+    std::sort(m_environment.m_live.begin(), m_environment.m_live.end());
+  }
+
+  void RefreshIfFenceChanged(Context& context) {
+    const bool may_use = m_environment.m_may_use;
+    if (may_use == m_last_may_use) {
+      return;
+    }
+    m_last_may_use = may_use;
+    if (!may_use) {
+      TimelineEvent event;
+      event.m_kind = TimelineKind::kLeaseLapsed;
+      context.Record(std::move(event));
+    }
+    m_allowances.Refresh(m_environment, context);
+    m_connections.Refresh(m_environment);
+  }
+
+  static constexpr Duration kLiveInterval = 100ms;
+
+  ShareOptions m_options;
+  ShareHooks m_hooks;
+  LeaseWatch m_leases;
+  VouchKeeper m_vouches;
+  EndedHolders m_ended;
+  Reclaimer m_reclaimer;
+  ShareEnvironment m_environment;
+  AllowanceShares m_allowances;
+  ConnectionShares m_connections;
+  Time m_series_since;
+  Time m_live_until;
+  bool m_last_may_use = false;
+};
+
+ShareManager::ShareManager(ShareOptions options, ShareHooks hooks)
+    : m_impl(std::make_unique<Impl>(std::move(options), std::move(hooks))) {}
 
-ShareManager::ShareManager(ShareOptions, ShareHooks) {}
 ShareManager::~ShareManager() = default;
-ShareManager::Admission ShareManager::TryTake(const AllowanceKey&,
-                                              Duration,
-                                              Context&) {
-  return Admission::kRefused;
-}
-Duration ShareManager::RetryAfter(const AllowanceKey&, const Context&) const {
-  return 1s;
-}
-uint32_t ShareManager::ConnectionShare(const DatabaseName&,
-                                       const Context&) const {
-  return 0;
-}
-void ShareManager::OnConfiguration(const ConfigurationPtr&, Context&) {}
-void ShareManager::OnObjectChanged(const Object&, Context&) {}
-void ShareManager::OnPlatformContact(bool, Context&) {}
-void ShareManager::OnPlatformAnswered(CallId, const PlatformAnswer&, Context&) {
-}
-void ShareManager::OnPeerMessage(const PeerSender&,
-                                 const CreditWanted&,
-                                 Context&) {}
-void ShareManager::OnPeerMessage(const PeerSender&,
-                                 const CreditLent&,
-                                 Context&) {}
-void ShareManager::OnPeerMessage(const PeerSender&,
-                                 const VouchWanted&,
-                                 Context&) {}
-void ShareManager::OnPeerMessage(const PeerSender&, const Vouched&, Context&) {}
-void ShareManager::OnPeerMessage(const PeerSender&,
-                                 const DenialWanted&,
-                                 Context&) {}
-void ShareManager::OnPeerMessage(const PeerSender&, const Denied&, Context&) {}
-void ShareManager::OnOwnLease(const OwnLease&, Context&) {}
-void ShareManager::OnTick(Context&) {}
-void ShareManager::ReleaseAll(Context&) {}
+
+ShareManager::Admission ShareManager::TryTake(const AllowanceKey& key,
+                                              Duration patience,
+                                              Context& context) {
+  return m_impl->TryTake(key, patience, context);
+}
+
+Duration ShareManager::RetryAfter(const AllowanceKey& key,
+                                  const Context& context) const {
+  return m_impl->RetryAfter(key, context);
+}
+
+uint32_t ShareManager::ConnectionShare(const DatabaseName& database,
+                                       const Context& context) const {
+  return m_impl->ConnectionShare(database, context);
+}
+
+void ShareManager::OnConfiguration(const ConfigurationPtr& configuration,
+                                   Context& context) {
+  m_impl->OnConfiguration(configuration, context);
+}
+
+void ShareManager::OnObjectChanged(const Object& object, Context& context) {
+  m_impl->OnObjectChanged(object, context);
+}
+
+void ShareManager::OnPlatformContact(bool reachable, Context& context) {
+  m_impl->OnPlatformContact(reachable, context);
+}
+
+void ShareManager::OnPlatformAnswered(CallId call,
+                                      const PlatformAnswer& answer,
+                                      Context& context) {
+  m_impl->OnPlatformAnswered(call, answer, context);
+}
+
+void ShareManager::OnPeerMessage(const PeerSender& from,
+                                 const CreditWanted& message,
+                                 Context& context) {
+  m_impl->OnPeerMessage(from, message, context);
+}
+
+void ShareManager::OnPeerMessage(const PeerSender& from,
+                                 const CreditLent& message,
+                                 Context& context) {
+  m_impl->OnPeerMessage(from, message, context);
+}
+
+void ShareManager::OnPeerMessage(const PeerSender& from,
+                                 const VouchWanted& message,
+                                 Context& context) {
+  m_impl->OnPeerMessage(from, message, context);
+}
+
+void ShareManager::OnPeerMessage(const PeerSender& from,
+                                 const Vouched& message,
+                                 Context& context) {
+  m_impl->OnPeerMessage(from, message, context);
+}
+
+void ShareManager::OnPeerMessage(const PeerSender& from,
+                                 const DenialWanted& message,
+                                 Context& context) {
+  m_impl->OnPeerMessage(from, message, context);
+}
+
+void ShareManager::OnPeerMessage(const PeerSender& from,
+                                 const Denied& message,
+                                 Context& context) {
+  m_impl->OnPeerMessage(from, message, context);
+}
+
+void ShareManager::OnOwnLease(const OwnLease& lease, Context& context) {
+  m_impl->OnOwnLease(lease, context);
+}
+
+void ShareManager::OnPeerUnreachable(const PeerUnreachable& event) {
+  m_impl->OnPeerUnreachable(event);
+}
+
+void ShareManager::OnTick(Context& context) {
+  m_impl->OnTick(context);
+}
+
+void ShareManager::ReleaseAll(Context& context) {
+  m_impl->ReleaseAll(context);
+}
+
 bool ShareManager::Released() const {
-  return true;
+  return m_impl->Released();
+}
+
+bool ShareManager::NamesHolder(const InstanceId& instance) const {
+  return m_impl->NamesHolder(instance);
 }
-bool ShareManager::MayUseShares(const Context&) const {
-  return false;
+
+bool ShareManager::MayUseShares(const Context& context) const {
+  return m_impl->MayUse(context.Now());
 }
 
 }  // namespace jasminelug::core
--- a/src/core/share_manager.h
+++ b/src/core/share_manager.h
@@ -6,6 +6,7 @@
 
 #include "src/core/configuration.h"
 #include "src/core/context.h"
+#include "src/core/event.h"
 #include "src/core/ids.h"
 #include "src/core/own_lease.h"
 #include "src/core/peer_message.h"
@@ -83,6 +84,10 @@
   // Takes what membership knows of this instance's own lease.
   void OnOwnLease(const OwnLease& lease, Context& context);
 
+  // A message could not be handed to a peer. A refused connection proves that
+  // no process of the peer runs.
+  void OnPeerUnreachable(const PeerUnreachable& event);
+
   void OnTick(Context& context);
 
   // Gives all shares back, for a graceful shutdown. TryTake refuses and
@@ -93,6 +98,10 @@
   // lease object be deleted.
   bool Released() const;
 
+  // Returns whether a table of shares names the instance, as far as is known
+  // here.
+  bool NamesHolder(const InstanceId& instance) const;
+
   // Returns whether the shares may be used now: the lease holds or a majority
   // of its cell vouches.
   bool MayUseShares(const Context& context) const;
--- a/src/core/share_options.h
+++ b/src/core/share_options.h
@@ -5,6 +5,7 @@
 #include <functional>
 
 #include "src/core/ids.h"
+#include "src/core/lease_watch.h"
 #include "src/core/peer_message.h"
 #include "src/core/time.h"
 
@@ -43,6 +44,13 @@
   uint64_t m_min_burst_share = 2000;
   // Least number of connections for which one more holder is taken.
   uint32_t m_min_connections = 2;
+  // Random; numbers of questions start above it, so that no answer to an
+  // earlier process matches.
+  uint64_t m_first_number = 0;
+  // Reads a lease object.
+  LeaseReader m_lease_reader = [](const Object& object) {
+    return DecodeLeaseRecord(object.m_value);
+  };
   ShareFaults m_faults;
 };
 
--- /dev/null
+++ b/src/core/share_table.cc
@@ -0,0 +1,310 @@
+#include "src/core/share_table.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace jasminelug::core {
+namespace {
+
+using Json = nlohmann::json;
+
+// Which part of an amount a step works on.
+using Part = uint64_t ShareAmount::*;
+
+constexpr Part kParts[] = {&ShareAmount::m_units, &ShareAmount::m_burst};
+
+Json EncodeAmount(const ShareAmount& amount) {
+  return Json::array({amount.m_units, amount.m_burst});
+}
+
+ShareAmount DecodeAmount(const Json& json) {
+  return {json.at(0).get<uint64_t>(), json.at(1).get<uint64_t>()};
+}
+
+Json EncodeRow(const ShareRow& row) {
+  return {{"instance", row.m_holder.m_instance.str()},
+          {"incarnation", row.m_holder.m_incarnation.value()},
+          {"series", row.m_holder.m_series},
+          {"granted", EncodeAmount(row.m_granted)},
+          {"confirmed", EncodeAmount(row.m_confirmed)},
+          {"demand", row.m_demand}};
+}
+
+ShareRow DecodeRow(const Json& json) {
+  ShareRow row;
+  row.m_holder.m_instance = InstanceId(json.at("instance").get<std::string>());
+  row.m_holder.m_incarnation =
+      Incarnation(json.at("incarnation").get<uint64_t>());
+  row.m_holder.m_series = json.at("series").get<uint64_t>();
+  row.m_granted = DecodeAmount(json.at("granted"));
+  row.m_confirmed = DecodeAmount(json.at("confirmed"));
+  row.m_demand = json.at("demand").get<uint64_t>();
+  return row;
+}
+
+ShareRow* FindMutableRow(ShareTable& table, const ShareHolderId& holder) {
+  for (ShareRow& row : table.m_rows) {
+    if (row.m_holder == holder) {
+      return &row;
+    }
+  }
+  return nullptr;
+}
+
+// Returns a * b / c for b <= c, without overflow; rounded down.
+uint64_t Scale(uint64_t a, uint64_t b, uint64_t c) {
+  if (c == 0) {
+    return 0;
+  }
+  const long double scaled = static_cast<long double>(a) *
+                             static_cast<long double>(b) /
+                             static_cast<long double>(c);
+  return std::min(a, static_cast<uint64_t>(scaled));
+}
+
+void LowerGrants(ShareTable& table, Part part, uint64_t limit) {
+  uint64_t granted = 0;
+  for (const ShareRow& row : table.m_rows) {
+    granted += row.m_granted.*part;
+  }
+  if (granted <= limit) {
+    return;
+  }
+  for (ShareRow& row : table.m_rows) {
+    row.m_granted.*part = Scale(row.m_granted.*part, limit, granted);
+  }
+}
+
+// Returns the grant below which `taker` may not lower this row.
+uint64_t KeptBy(const ShareRow& row,
+                Part part,
+                const ShareWish& wish,
+                const ShareAmount& goal) {
+  const uint64_t right = wish.m_right.*part;
+  if (!wish.m_idle_floor) {
+    return right;
+  }
+  // A quarter more than what the row's holder uses stays with it. Burst goes
+  // with the rate.
+  const uint64_t used = row.m_demand + row.m_demand / 4;
+  const uint64_t used_part =
+      part == &ShareAmount::m_units
+          ? used
+          : Scale(goal.m_burst, std::min(used, goal.m_units), goal.m_units);
+  return std::max((*wish.m_idle_floor).*part, std::min(right, used_part));
+}
+
+// Lowers grants of others by up to `lacking` in all, in proportion to what
+// each has above what it keeps.
+void LowerOthers(ShareTable& table,
+                 const ShareHolderId& holder,
+                 Part part,
+                 const ShareWish& wish,
+                 uint64_t lacking) {
+  uint64_t excess = 0;
+  uint64_t coming = 0;
+  for (const ShareRow& row : table.m_rows) {
+    if (row.m_holder == holder) {
+      continue;
+    }
+    const uint64_t granted = row.m_granted.*part;
+    const uint64_t kept = KeptBy(row, part, wish, table.m_goal);
+    excess += granted > kept ? granted - kept : 0;
+    const uint64_t confirmed = row.m_confirmed.*part;
+    coming += confirmed > granted ? confirmed - granted : 0;
+  }
+  if (lacking <= coming || excess == 0) {
+    return;
+  }
+  const uint64_t wanted = std::min(lacking - coming, excess);
+  uint64_t left = wanted;
+  for (ShareRow& row : table.m_rows) {
+    const uint64_t kept = KeptBy(row, part, wish, table.m_goal);
+    if (row.m_holder == holder || row.m_granted.*part <= kept) {
+      continue;
+    }
+    // Rounded up, so that small integer shares move at all.
+    const uint64_t above = row.m_granted.*part - kept;
+    const uint64_t cut =
+        std::min({above, left, Scale(above, wanted, excess) + 1});
+    row.m_granted.*part -= cut;
+    left -= cut;
+  }
+}
+
+void ClaimPart(ShareTable& table,
+               ShareRow& own,
+               Part part,
+               const ShareWish& wish,
+               uint64_t free) {
+  const uint64_t wanted = wish.m_wanted.*part;
+  uint64_t& granted = own.m_granted.*part;
+  uint64_t& confirmed = own.m_confirmed.*part;
+  if (wanted < granted) {
+    granted = wanted;
+    return;
+  }
+  if (granted != confirmed) {
+    return;
+  }
+  granted += std::min(wanted - granted, free);
+  confirmed = granted;
+  const uint64_t due =
+      wish.m_idle_floor ? wanted : std::min(wanted, wish.m_right.*part);
+  if (granted < due) {
+    LowerOthers(table, own.m_holder, part, wish, due - granted);
+  }
+}
+
+}  // namespace
+
+ShareAmount operator+(const ShareAmount& a, const ShareAmount& b) {
+  return {a.m_units + b.m_units, a.m_burst + b.m_burst};
+}
+
+ShareAmount SubtractOrZero(const ShareAmount& a, const ShareAmount& b) {
+  return {a.m_units - std::min(a.m_units, b.m_units),
+          a.m_burst - std::min(a.m_burst, b.m_burst)};
+}
+
+ShareAmount LesserOf(const ShareAmount& a, const ShareAmount& b) {
+  return {std::min(a.m_units, b.m_units), std::min(a.m_burst, b.m_burst)};
+}
+
+ShareAmount GreaterOf(const ShareAmount& a, const ShareAmount& b) {
+  return {std::max(a.m_units, b.m_units), std::max(a.m_burst, b.m_burst)};
+}
+
+bool FitsIn(const ShareAmount& a, const ShareAmount& b) {
+  return a.m_units <= b.m_units && a.m_burst <= b.m_burst;
+}
+
+bool IsEarlier(const ShareHolderId& a, const ShareHolderId& b) {
+  return a.m_instance == b.m_instance && a < b;
+}
+
+std::string EncodeShareTable(const ShareTable& table) {
+  Json rows = Json::array();
+  for (const ShareRow& row : table.m_rows) {
+    rows.push_back(EncodeRow(row));
+  }
+  const Json json = {{"total", EncodeAmount(table.m_total)},
+                     {"goal", EncodeAmount(table.m_goal)},
+                     {"goal_revision", table.m_goal_revision.value()},
+                     {"rows", std::move(rows)}};
+  return json.dump();
+}
+
+std::optional<ShareTable> DecodeShareTable(const std::string& value) {
+  try {
+    const Json json = Json::parse(value);
+    ShareTable table;
+    table.m_total = DecodeAmount(json.at("total"));
+    table.m_goal = DecodeAmount(json.at("goal"));
+    table.m_goal_revision = Revision(json.at("goal_revision").get<uint64_t>());
+    for (const Json& row : json.at("rows")) {
+      table.m_rows.push_back(DecodeRow(row));
+    }
+    return table;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+ShareAmount SumOf(const ShareTable& table) {
+  ShareAmount sum;
+  for (const ShareRow& row : table.m_rows) {
+    sum = sum + GreaterOf(row.m_granted, row.m_confirmed);
+  }
+  return sum;
+}
+
+bool IsSound(const ShareTable& table) {
+  return FitsIn(SumOf(table), table.m_total);
+}
+
+const ShareRow* FindRow(const ShareTable& table, const ShareHolderId& holder) {
+  for (const ShareRow& row : table.m_rows) {
+    if (row.m_holder == holder) {
+      return &row;
+    }
+  }
+  return nullptr;
+}
+
+ShareTable Retarget(ShareTable table,
+                    const ShareAmount& goal,
+                    Revision revision) {
+  if (goal == table.m_goal || revision <= table.m_goal_revision) {
+    return table;
+  }
+  table.m_goal = goal;
+  table.m_goal_revision = revision;
+  for (const Part part : kParts) {
+    LowerGrants(table, part, goal.*part);
+  }
+  return SettleTotal(std::move(table));
+}
+
+ShareTable SettleTotal(ShareTable table) {
+  table.m_total = GreaterOf(table.m_goal, SumOf(table));
+  return table;
+}
+
+ShareTable Claim(ShareTable table,
+                 const ShareHolderId& holder,
+                 const ShareWish& wish,
+                 const ShareAmount& free) {
+  const bool known = FindMutableRow(table, holder) != nullptr;
+  if (!known && wish.m_wanted.empty()) {
+    return table;
+  }
+  if (!known) {
+    table.m_rows.push_back({holder, {}, {}, 0});
+  }
+  ShareRow own = *FindMutableRow(table, holder);
+  for (const Part part : kParts) {
+    ClaimPart(table, own, part, wish, free.*part);
+  }
+  own.m_demand = wish.m_demand;
+  *FindMutableRow(table, holder) = own;
+  return table;
+}
+
+ShareAmount FreeOf(const ShareTable& table) {
+  return SubtractOrZero(LesserOf(table.m_total, table.m_goal), SumOf(table));
+}
+
+ShareAmount UngrantedOf(const ShareTable& table) {
+  ShareAmount granted;
+  for (const ShareRow& row : table.m_rows) {
+    granted = granted + row.m_granted;
+  }
+  return SubtractOrZero(table.m_goal, granted);
+}
+
+ShareTable Confirm(ShareTable table, const ShareHolderId& holder) {
+  ShareRow* row = FindMutableRow(table, holder);
+  if (row == nullptr) {
+    return table;
+  }
+  row->m_confirmed = row->m_granted;
+  if (row->m_granted.empty()) {
+    return RemoveRows(std::move(table), [&holder](const ShareHolderId& id) {
+      return id == holder;
+    });
+  }
+  return table;
+}
+
+ShareTable RemoveRows(
+    ShareTable table,
+    const std::function<bool(const ShareHolderId&)>& is_gone) {
+  std::erase_if(table.m_rows, [&is_gone](const ShareRow& row) {
+    return is_gone(row.m_holder);
+  });
+  return table;
+}
+
+}  // namespace jasminelug::core
