--- a/src/core/engine.cc
+++ b/src/core/engine.cc
@@ -6,7 +6,10 @@
 #include <variant>
 
 #include "src/common/assert.h"
+#include "src/core/configuration_codec.h"
 #include "src/core/group_record.h"
+#include "src/core/instance_record.h"
+#include "src/core/lease_record.h"
 
 namespace jasminelug::core {
 namespace {
@@ -21,6 +24,18 @@
 // with the lease until it is reclaimed.
 constexpr Duration kReleaseLimit = 5s;
 
+// Reads from an instance's object what the shares need of it.
+std::optional<LeaseRecord> ReadLease(const Object& object) {
+  const auto parsed =
+      ParseInstanceRecord(InstanceId(object.m_key.m_name), object.m_value);
+  if (!IsOk(parsed)) {
+    return std::nullopt;
+  }
+  const InstanceRecord& record = GetValue(parsed);
+  return LeaseRecord{record.m_incarnation, record.m_series, record.m_lease,
+                     record.m_cell};
+}
+
 }  // namespace
 
 Engine::Engine(EngineOptions options)
@@ -119,15 +134,11 @@
 
 void Engine::On(const PeerUnreachable& event) {
   m_control->OnPeerUnreachable(event, m_context);
+  m_shares->OnPeerUnreachable(event);
 }
 
 void Engine::On(const Tick& /*event*/) {
   m_control->OnTick(m_context);
-  const bool is_reachable = m_control->Store().IsPlatformReachable(m_context);
-  if (is_reachable != m_platform_reachable) {
-    m_platform_reachable = is_reachable;
-    m_shares->OnPlatformContact(is_reachable, m_context);
-  }
   m_shares->OnTick(m_context);
   m_pool->OnTick(m_context);
   m_groups->OnTick(m_context);
@@ -156,6 +167,9 @@
   hooks.m_on_object = [this](const Object& object, Context&) {
     OnObject(object);
   };
+  hooks.m_on_contact = [this](bool reachable, Context& context) {
+    m_shares->OnPlatformContact(reachable, context);
+  };
   hooks.m_on_lease = [this](const OwnLease& lease, Context& context) {
     m_shares->OnOwnLease(lease, context);
   };
@@ -167,7 +181,7 @@
     context.Emit(StopProcess{});
   };
   hooks.m_holds_shares = [this](const InstanceId& instance) {
-    return m_shares->HoldsShares(instance);
+    return m_shares->NamesHolder(instance);
   };
   m_control =
       std::make_unique<ControlPlane>(m_options.m_membership, std::move(hooks));
@@ -186,8 +200,11 @@
                                        uint32_t share) {
     return m_pool->ShrinkTo(database, share, m_context);
   };
+  ShareOptions options = m_options.m_shares;
+  options.m_first_number = m_context.Random()() >> 1U;
+  options.m_lease_reader = ReadLease;
   m_shares =
-      std::make_unique<ShareManager>(m_options.m_shares, std::move(hooks));
+      std::make_unique<ShareManager>(std::move(options), std::move(hooks));
 }
 
 void Engine::MakePool() {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -98,7 +98,6 @@
   std::unique_ptr<RequestRouter> m_router;
 
   std::optional<Time> m_last_event;
-  bool m_platform_reachable = false;
   std::optional<Time> m_shutdown_since;
   std::optional<Time> m_released_since;
   bool m_is_deregistering = false;
