--- a/src/core/engine.cc
+++ b/src/core/engine.cc
@@ -278,6 +278,7 @@
     return m_control->Ramp().WorkFraction(zone, context);
   };
   hooks.m_configuration = [this] { return m_control->Store().Current(); };
+  hooks.m_on_admitted = m_options.m_on_admitted;
   m_router = std::make_unique<RequestRouter>(
       m_options.m_membership.m_id, m_options.m_membership.m_zone,
       m_options.m_baselines, std::move(hooks), m_shares.get(), m_groups.get(),
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -28,6 +28,8 @@
   uint64_t m_seed = 0;
   ShareOptions m_shares;
   RouterBaselines m_baselines;
+  // For metrics and outside checks; may be empty.
+  AdmissionObserver m_on_admitted;
   // False in baselines that leave promotion to nobody.
   bool m_may_promote = true;
 };
--- a/src/core/request_router.h
+++ b/src/core/request_router.h
@@ -33,6 +33,10 @@
 // open to all.
 inline constexpr const char* kOpenCustomer = "open";
 
+// Told that a request has taken its customer's credit.
+using AdmissionObserver =
+    std::function<void(RequestHandle, const AllowanceKey&)>;
+
 // Baselines for measurements. All off in a daemon.
 struct RouterBaselines {
   // Every read goes to the primary.
@@ -54,6 +58,8 @@
     std::function<std::optional<RefusalCode>(const Context&)> m_check_service;
     std::function<double(const ZoneName&, const Context&)> m_work_fraction;
     std::function<ConfigurationPtr()> m_configuration;
+    // Told of each request that has taken its credit; may be empty.
+    AdmissionObserver m_on_admitted;
   };
 
   RequestRouter(InstanceId self,
@@ -118,6 +124,7 @@
                                        const Configuration& configuration);
   void TakeCredit(ActiveRequest* request, Context& context);
   void ServeCreditWaiters(Context& context);
+  void OnCreditTaken(ActiveRequest* request, Context& context);
 
   // Routing.
   void Route(ActiveRequest* request, Context& context);
@@ -149,7 +156,11 @@
   void OnTransactionStepDone(ActiveRequest* request,
                              const StatementDone& done,
                              Context& context);
-  void OnBegun(ActiveRequest* request, Context& context);
+  void OnBegun(ActiveRequest* request,
+               const StatementDone& done,
+               Context& context);
+  void EndUnconfirmedBegin(ActiveRequest* request, Context& context);
+  void AddTransaction(ActiveRequest* request, Context& context);
   void OnRejected(ActiveRequest* request,
                   const StatementRejected& rejected,
                   Context& context);
--- a/src/core/request_router_admission.cc
+++ b/src/core/request_router_admission.cc
@@ -224,11 +224,7 @@
   const Duration patience = request->m_deadline - context.Now();
   switch (m_shares->TryTake(request->m_allowance, patience, context)) {
     case ShareManager::Admission::kAdmitted:
-      if (request->IsInTransaction()) {
-        RunInTransaction(request, context);
-      } else {
-        Route(request, context);
-      }
+      OnCreditTaken(request, context);
       return;
     case ShareManager::Admission::kWait:
       waiters.push_back(request->m_handle);
@@ -259,15 +255,24 @@
       if (admission == ShareManager::Admission::kRefused) {
         Refuse(request, RefusalCode::kRateExceeded,
                "the customer's rate under this profile is used up", context);
-      } else if (request->IsInTransaction()) {
-        RunInTransaction(request, context);
       } else {
-        Route(request, context);
+        OnCreditTaken(request, context);
       }
     }
   }
 }
 
+void RequestRouter::OnCreditTaken(ActiveRequest* request, Context& context) {
+  if (m_hooks.m_on_admitted) {
+    m_hooks.m_on_admitted(request->m_handle, request->m_allowance);
+  }
+  if (request->IsInTransaction()) {
+    RunInTransaction(request, context);
+  } else {
+    Route(request, context);
+  }
+}
+
 // ServeCreditWaiters() runs with the next tick, outside the share manager.
 void RequestRouter::OnCredit(const AllowanceKey& /*allowance*/) {}
 
--- a/src/core/request_router_outcomes.cc
+++ b/src/core/request_router_outcomes.cc
@@ -22,7 +22,7 @@
     return;
   }
   if (request->m_body.m_operation == Operation::kBegin) {
-    OnBegun(request, context);
+    OnBegun(request, done, context);
   } else if (request->IsInTransaction()) {
     OnTransactionStepDone(request, done, context);
   } else {
@@ -103,7 +103,37 @@
   }
 }
 
-void RequestRouter::OnBegun(ActiveRequest* request, Context& context) {
+// A transaction, too, must see its session's writes: one that began at a
+// primary that is behind them is rolled back and begun anew.
+void RequestRouter::OnBegun(ActiveRequest* request,
+                            const StatementDone& done,
+                            Context& context) {
+  const SessionMark mark = request->m_token.MarkOf(request->m_body.m_database);
+  if (done.m_position < mark.m_position) {
+    EndUnconfirmedBegin(request, context);
+    Retry(request, context);
+    return;
+  }
+  if (request->IsTokenUncertain()) {
+    ConfirmRead(request, request->m_received, context);
+    return;
+  }
+  AddTransaction(request, context);
+}
+
+void RequestRouter::EndUnconfirmedBegin(ActiveRequest* request,
+                                        Context& context) {
+  EndConnectionUse(Running{std::nullopt, Afterwards::kRollback,
+                           request->m_body.m_database, Time::max()},
+                   request->m_connection, StatementDone{}, context);
+}
+
+void RequestRouter::AddTransaction(ActiveRequest* request, Context& context) {
+  if (m_pool->MemberOf(request->m_connection) == nullptr) {
+    // It ended while its primary was being confirmed.
+    Retry(request, context);
+    return;
+  }
   Transaction transaction;
   transaction.m_allowance = request->m_allowance;
   transaction.m_database = request->m_body.m_database;
@@ -231,7 +261,7 @@
   Group* group = m_groups->Find(request->m_body.m_database);
   const Term term = request->m_done->m_position.m_term;
   if (group->view().IsUnchallenged(term, since)) {
-    AnswerServed(request, context);
+    OnConfirmed(request, context);
     return;
   }
   request->m_stage = RequestStage::kConfirming;
@@ -258,6 +288,11 @@
   if (settled.m_result == Confirmation::kLost) {
     request->m_may_have_run = false;
   }
+  if (request->m_body.m_operation == Operation::kBegin) {
+    EndUnconfirmedBegin(request, context);
+    Retry(request, context);
+    return;
+  }
   const bool is_read = request->IsSingleRead();
   const bool is_lost_commit =
       request->m_body.m_operation == Operation::kCommit &&
@@ -294,6 +329,10 @@
            context);
     return;
   }
+  if (request->m_body.m_operation == Operation::kBegin) {
+    AddTransaction(request, context);
+    return;
+  }
   AnswerServed(request, context);
 }
 
@@ -406,6 +445,11 @@
   if (request->m_stage == RequestStage::kDelayed) {
     m_delayed.erase({request->m_resume, request->m_handle});
   }
+  if (request->m_stage == RequestStage::kConfirming &&
+      request->m_body.m_operation == Operation::kBegin &&
+      request->m_confirmation != ConfirmationId()) {
+    EndUnconfirmedBegin(request, context);
+  }
   if (request->m_confirmation != ConfirmationId()) {
     m_confirming.erase({database, request->m_confirmation});
     if (Group* group = m_groups->Find(database)) {
@@ -414,7 +458,6 @@
   }
   const size_t erased = m_requests.erase(request->m_handle);
   JASMINELUG_ASSERT(erased == 1, A_REQUEST_IS_ANSWERED_ONCE);
-  static_cast<void>(context);
 }
 
 std::string RequestRouter::TokenAfterUnknown(
--- a/src/core/share_table.cc
+++ b/src/core/share_table.cc
@@ -133,6 +133,30 @@
   }
 }
 
+// Returns by how much `own` grows from what is free. What lifts it above its
+// right is left to those that are below theirs; without this a holder takes
+// back at once the odd unit that it has just given up for a newcomer.
+uint64_t GrowthOf(const ShareTable& table,
+                  const ShareRow& own,
+                  Part part,
+                  const ShareWish& wish,
+                  uint64_t free) {
+  const uint64_t granted = own.m_granted.*part;
+  const uint64_t wanted = wish.m_wanted.*part;
+  const uint64_t right = std::min(wanted, wish.m_right.*part);
+  const uint64_t due = granted < right ? right - granted : 0;
+  uint64_t lacking = 0;
+  for (const ShareRow& row : table.m_rows) {
+    const uint64_t other = row.m_granted.*part;
+    if (row.m_holder != own.m_holder && other < wish.m_right.*part &&
+        !wish.m_idle_floor) {
+      lacking += wish.m_right.*part - other;
+    }
+  }
+  const uint64_t spare = free > lacking ? free - lacking : 0;
+  return std::min(wanted - granted, std::max(std::min(due, free), spare));
+}
+
 void ClaimPart(ShareTable& table,
                ShareRow& own,
                Part part,
@@ -148,7 +172,7 @@
   if (granted != confirmed) {
     return;
   }
-  granted += std::min(wanted - granted, free);
+  granted += GrowthOf(table, own, part, wish, free);
   confirmed = granted;
   const uint64_t due =
       wish.m_idle_floor ? wanted : std::min(wanted, wish.m_right.*part);
--- a/test/soak/fleet.cc
+++ b/test/soak/fleet.cc
@@ -79,6 +79,14 @@
     options.m_shares.m_fixed_instances =
         static_cast<uint32_t>(m_shape.m_instances);
     options.m_baselines = m_shape.m_baselines;
+    if (m_shape.m_sabotage == Sabotage::kIgnoreShares) {
+      options.m_shares.m_policy = core::SharePolicy::kFixedEqual;
+      options.m_shares.m_fixed_instances = 1;
+    }
+    options.m_on_admitted = [this, i](core::RequestHandle handle,
+                                      const core::AllowanceKey& allowance) {
+      m_hooks.m_on_admitted(*m_instances[i], handle, allowance);
+    };
     m_instances.push_back(
         std::make_unique<InstanceHost>(m_world, m_history, this, i, options));
   }
--- a/test/soak/fleet.h
+++ b/test/soak/fleet.h
@@ -14,6 +14,7 @@
 #include "test/soak/fake_store.h"
 #include "test/soak/history.h"
 #include "test/soak/instance_host.h"
+#include "test/soak/sabotage.h"
 #include "test/soak/world.h"
 
 namespace jasminelug::soak {
@@ -37,6 +38,7 @@
   uint64_t m_burst = 200;
   core::RouterBaselines m_baselines;
   core::SharePolicy m_policy = core::SharePolicy::kEscrow;
+  Sabotage m_sabotage = Sabotage::kNone;
 };
 
 // The sizes of the two users, and a small one for long random runs.
@@ -56,6 +58,10 @@
         void(const core::DatabaseName&, core::Term, const FakeMember&)>
         m_on_promotion;
     std::function<void(const InstanceHost&)> m_on_instance_end;
+    std::function<void(const InstanceHost&,
+                       core::RequestHandle,
+                       const core::AllowanceKey&)>
+        m_on_admitted;
   };
 
   Fleet(World* world, History* history, FleetShape shape, Hooks hooks);
--- a/test/soak/instance_host.cc
+++ b/test/soak/instance_host.cc
@@ -37,6 +37,7 @@
   m_is_stopping = false;
   m_is_ready = false;
   m_inbox.clear();
+  m_seen.clear();
   m_last_revision = core::Revision();
   m_options.m_membership.m_incarnation = core::Incarnation(m_life);
   m_options.m_shares.m_incarnation = core::Incarnation(m_life);
@@ -80,6 +81,10 @@
 
 void InstanceHost::Stop() {
   m_is_stopping = true;
+  if (m_fleet->shape().m_sabotage == Sabotage::kKillOnStop) {
+    Kill();
+    return;
+  }
   Deliver(m_life, core::ShutdownRequested{});
 }
 
@@ -91,6 +96,7 @@
     m_inbox.push_back(std::move(event));
     return;
   }
+  SabotageEvent(&event);
   Perform(m_engine->Handle(event, m_world->Now()));
   if (!IsUp()) {
     return;
@@ -127,8 +133,74 @@
       delay, [this, life, event = std::move(event)] { Deliver(life, event); });
 }
 
+// Breaks what enters the engine, as the shape's sabotage says.
+void InstanceHost::SabotageEvent(core::Event* event) {
+  const Sabotage sabotage = m_fleet->shape().m_sabotage;
+  if (auto* request = std::get_if<core::RequestReceived>(event)) {
+    if (sabotage == Sabotage::kForgetSessions) {
+      request->m_body.m_session.clear();
+      request->m_body.m_sequence.reset();
+    }
+    m_last_key = request->m_body.m_key.Reveal();
+  }
+  if (auto* answered = std::get_if<core::ControlAnswered>(event)) {
+    auto* status = std::get_if<core::MemberStatus>(&answered->m_answer);
+    if (status != nullptr && sabotage == Sabotage::kClaimEverythingHeld) {
+      status->m_received.m_index += 1'000'000;
+    }
+  }
+  if (auto* platform = std::get_if<core::PlatformAnswered>(event)) {
+    if (auto* batch = std::get_if<core::ObjectBatch>(&platform->m_answer)) {
+      HideChanges(batch);
+    }
+  }
+  if (auto* message = std::get_if<core::PeerMessageReceived>(event)) {
+    if (auto* relayed =
+            std::get_if<core::ObjectsRelayed>(&message->m_message)) {
+      HideChanges(&relayed->m_batch);
+    }
+  }
+}
+
+// Hides changes of objects that this process has seen before.
+void InstanceHost::HideChanges(core::ObjectBatch* batch) {
+  const Sabotage sabotage = m_fleet->shape().m_sabotage;
+  std::optional<core::ObjectKind> hidden;
+  if (sabotage == Sabotage::kHideKeyChanges) {
+    hidden = core::ObjectKind::kKey;
+  } else if (sabotage == Sabotage::kHideZoneChanges) {
+    hidden = core::ObjectKind::kZone;
+  } else if (sabotage == Sabotage::kHideDatabaseChanges) {
+    hidden = core::ObjectKind::kDatabase;
+  }
+  for (core::Object& object : batch->m_objects) {
+    const auto [seen, is_new] = m_seen.try_emplace(object.m_key, object);
+    const bool is_hidden = hidden == object.m_key.m_kind;
+    if (!is_new && is_hidden) {
+      object.m_value = seen->second.m_value;
+    }
+  }
+  if (sabotage == Sabotage::kHideAllChanges && !m_seen.empty()) {
+    constexpr uint64_t kOldRevision = 20;
+    batch->m_revision =
+        std::min(batch->m_revision, core::Revision(kOldRevision));
+    batch->m_objects.clear();
+  }
+}
+
 void InstanceHost::Do(const core::AnswerRequest& action) {
-  m_fleet->hooks().m_on_answer(*this, action.m_request, action.m_answer);
+  core::CallerAnswer answer = action.m_answer;
+  const Sabotage sabotage = m_fleet->shape().m_sabotage;
+  auto* served = std::get_if<core::Served>(&answer);
+  if (sabotage == Sabotage::kTruncateAnswers && served != nullptr &&
+      !served->m_rows.empty()) {
+    served->m_rows.pop_back();
+  }
+  auto* refusal = std::get_if<core::Refusal>(&answer);
+  if (sabotage == Sabotage::kClaimNotRun && refusal != nullptr) {
+    refusal->m_effect = core::Effect::kNotRun;
+  }
+  m_fleet->hooks().m_on_answer(*this, action.m_request, answer);
 }
 
 void InstanceHost::Do(const core::OpenConnection& action) {
@@ -199,7 +271,8 @@
       });
       return;
     }
-    const core::StatementOutcome outcome = group->Run(number, action);
+    const core::StatementOutcome outcome =
+        group->Run(number, SabotageStatement(action));
     m_world->After(way, [=, this] {
       const bool returns = !m_world->IsCut(member->Node(), Node()) &&
                            m_links.contains(number) && life == m_life;
@@ -211,6 +284,33 @@
   });
 }
 
+// Breaks what reaches the database, as the shape's sabotage says.
+core::RunStatement InstanceHost::SabotageStatement(
+    core::RunStatement statement) {
+  auto& parameters = statement.m_statement.m_parameters;
+  switch (m_fleet->shape().m_sabotage) {
+    case Sabotage::kSwapCustomers:
+      statement.m_customer = core::CustomerName("customer-7");
+      break;
+    case Sabotage::kLeakKeys:
+      if (!parameters.empty()) {
+        parameters.emplace_back(m_last_key);
+      }
+      break;
+    case Sabotage::kRunAgain:
+      statement.m_request_id = core::RequestId();
+      break;
+    case Sabotage::kMixTransactions:
+      if (statement.m_step == core::TransactionStep::kInTransaction) {
+        parameters[3] = "caller " + std::to_string(m_world->Below(1000));
+      }
+      break;
+    default:
+      break;
+  }
+  return statement;
+}
+
 void InstanceHost::Do(const core::CallMember& action) {
   const uint64_t number = GlobalNumber(action.m_connection);
   FakeGroup* group = m_fleet->FindGroup(action.m_database);
--- a/test/soak/instance_host.h
+++ b/test/soak/instance_host.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -76,6 +77,9 @@
   void Do(const core::RecordEvent& action);
   void Do(const core::SetReadiness& action);
   void Do(const core::StopProcess& action);
+  void SabotageEvent(core::Event* event);
+  core::RunStatement SabotageStatement(core::RunStatement statement);
+  void HideChanges(core::ObjectBatch* batch);
   void Later(Duration delay, core::Event event);
   // Numbers of connections are unique over the run.
   uint64_t GlobalNumber(core::ConnectionId connection) const;
@@ -94,6 +98,9 @@
   std::vector<core::Event> m_inbox;
   std::map<uint64_t, Link> m_links;
   core::Revision m_last_revision;
+  // For sabotage: the objects as first seen, the last key presented.
+  std::map<core::ObjectKey, core::Object> m_seen;
+  std::string m_last_key;
 };
 
 }  // namespace jasminelug::soak
