--- a/src/core/connection_pool.cc
+++ b/src/core/connection_pool.cc
@@ -81,7 +81,9 @@
   SetIdle(database, connection, context);
 }
 
-void ConnectionPool::OnClosed(ConnectionId id, bool refused, Context& context) {
+void ConnectionPool::OnClosed(const ConnectionClosed& event, Context& context) {
+  const ConnectionId id = event.m_connection;
+  const bool refused = event.m_refused;
   const auto place = m_database_of.find(id);
   if (place == m_database_of.end()) {
     return;
@@ -106,16 +108,16 @@
                           : std::min(2 * backoff.m_delay, kLongestBackoff);
     backoff.m_until = context.Now() + backoff.m_delay / 2 +
                       context.RandomUpTo(backoff.m_delay / 2);
-    TimelineEvent event;
-    event.m_kind = TimelineKind::kConnectionClosed;
-    event.m_database = database;
-    event.m_detail = ended.m_member.m_id.str();
-    context.Record(std::move(event));
+    TimelineEvent entry;
+    entry.m_kind = TimelineKind::kConnectionClosed;
+    entry.m_database = database;
+    entry.m_detail = ended.m_member.m_id.str();
+    context.Record(std::move(entry));
   }
   if (ended.m_state == State::kTaken) {
     m_hooks.m_on_lost(id, context);
   }
-  if (ended.m_state != State::kClosing) {
+  if (ended.m_state != State::kClosing && !event.m_is_full) {
     m_hooks.m_on_member_failure(database, ended.m_member.m_id, refused,
                                 context);
   }
--- a/src/core/connection_pool.h
+++ b/src/core/connection_pool.h
@@ -12,6 +12,7 @@
 #include "src/core/configuration.h"
 #include "src/core/context.h"
 #include "src/core/database_answer.h"
+#include "src/core/event.h"
 #include "src/core/ids.h"
 #include "src/core/time.h"
 
@@ -63,7 +64,7 @@
               Context& context);
 
   void OnOpened(ConnectionId connection, Context& context);
-  void OnClosed(ConnectionId connection, bool refused, Context& context);
+  void OnClosed(const ConnectionClosed& event, Context& context);
   void OnControlAnswered(CallId call,
                          const ControlAnswer& answer,
                          Context& context);
--- a/src/core/engine.cc
+++ b/src/core/engine.cc
@@ -86,7 +86,7 @@
 }
 
 void Engine::On(const ConnectionClosed& event) {
-  m_pool->OnClosed(event.m_connection, event.m_refused, m_context);
+  m_pool->OnClosed(event, m_context);
 }
 
 void Engine::On(const StatementFinished& event) {
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -44,6 +44,8 @@
   ConnectionId m_connection;
   // The member's address actively refused the connection.
   bool m_refused = false;
+  // The database has as many connections as it accepts: the member is well.
+  bool m_is_full = false;
 
   friend bool operator==(const ConnectionClosed&,
                          const ConnectionClosed&) = default;
--- a/test/soak/fault_script.h
+++ b/test/soak/fault_script.h
@@ -59,6 +59,7 @@
   void RetryUntilWritten(const core::ObjectKey& key,
                          const std::string& value,
                          const std::function<void()>& done);
+  void RestartWhenStopped(InstanceHost* instance, int tries);
   InstanceHost* AnyInstance();
   FakeMember* AnyMember(FakeGroup* group);
   FakeGroup* AnyGroup();
