Add the HTTP/2 server and client on nghttp2 and standalone Asio

Callers, operators and the platform all speak HTTP/2, and a truthful "not run" needs REFUSED_STREAM and GOAWAY's last stream, so both ends keep them.

The server hands on whole requests only, answers 413 above the body limit and takes answers in any order; a shutdown first asks for no more streams and names the last stream it handed on when the running ones are done, then drains, as closing with unread bytes makes TCP drop answers. The client tells kNotSent from kUnknown by whether the request's headers were serialised, and replaces a connection on which nothing came before a timeout.

Ruled out: nghttp2's own Asio library (it hides GOAWAY and is not packaged); one GOAWAY with the last id at once, after which nghttp2 ignores streams without a word instead of refusing them; closing an idle connection without GOAWAY, which would leave a crossing request's fate unknown.

--- /dev/null
+++ b/jasminelug/http2.h
@@ -0,0 +1,19 @@
+#ifndef JASMINELUG_HTTP2_H_
+#define JASMINELUG_HTTP2_H_
+
+// HTTP/2 for the packages that serve or call others with it: a server that
+// answers each stream when it likes, and a client that knows what was not sent.
+
+#include "src/http2/client.h"
+#include "src/http2/client_error.h"
+#include "src/http2/client_options.h"
+#include "src/http2/header.h"
+#include "src/http2/request.h"
+#include "src/http2/responder.h"
+#include "src/http2/response.h"
+#include "src/http2/server.h"
+#include "src/http2/server_options.h"
+#include "src/http2/stream_id.h"
+#include "src/http2/tls.h"
+
+#endif  // JASMINELUG_HTTP2_H_
--- /dev/null
+++ b/src/http2/header.h
@@ -0,0 +1,27 @@
+#ifndef SRC_HTTP2_HEADER_H_
+#define SRC_HTTP2_HEADER_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jasminelug::http2 {
+
+// One header field; the name is in lower case, as HTTP/2 demands.
+struct Header {
+  bool operator==(const Header&) const = default;
+
+  std::string m_name;
+  std::string m_value;
+};
+
+using Headers = std::vector<Header>;
+
+// Returns the value of the first header `name`, given in lower case.
+std::optional<std::string> FindHeader(const Headers& headers,
+                                      std::string_view name);
+
+}  // namespace jasminelug::http2
+
+#endif  // SRC_HTTP2_HEADER_H_
--- /dev/null
+++ b/src/http2/internal/bind.h
@@ -0,0 +1,22 @@
+#ifndef SRC_HTTP2_INTERNAL_BIND_H_
+#define SRC_HTTP2_INTERNAL_BIND_H_
+
+#include <functional>
+#include <memory>
+
+namespace jasminelug::http2::internal {
+
+// Makes a hook of a method; it does nothing once the owner is gone.
+template <typename Owner, typename... Args>
+std::function<void(Args...)> Bind(const std::weak_ptr<Owner>& weak,
+                                  void (Owner::*method)(Args...)) {
+  return [weak, method](Args... args) {
+    if (const auto owner = weak.lock()) {
+      ((*owner).*method)(args...);
+    }
+  };
+}
+
+}  // namespace jasminelug::http2::internal
+
+#endif  // SRC_HTTP2_INTERNAL_BIND_H_
--- /dev/null
+++ b/src/http2/internal/client_connection.h
@@ -0,0 +1,78 @@
+#ifndef SRC_HTTP2_INTERNAL_CLIENT_CONNECTION_H_
+#define SRC_HTTP2_INTERNAL_CLIENT_CONNECTION_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/http2/client_options.h"
+#include "src/http2/internal/connection.h"
+#include "src/http2/internal/exchange.h"
+
+namespace jasminelug::http2::internal {
+
+// One connection of a client with the exchanges on it.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  ClientConnection(asio::io_context& io_context, const ClientOptions& options);
+
+  // Starts to connect. `on_closed` is the last call, after every exchange has
+  // its result.
+  void Connect(std::function<void()> on_closed);
+
+  // Sends the exchange's request, at the latest when connected.
+  void Send(const std::shared_ptr<Exchange>& exchange);
+
+  // Whether new requests may be sent on it.
+  bool IsUsable() const;
+
+  // The exchanges that have no result yet.
+  std::size_t Outstanding() const;
+
+  // Closes at once; no hook is called any more.
+  void Stop();
+
+ private:
+  enum class State { kConnecting, kOpen, kRetired, kClosed };
+
+  ConnectionHooks MakeHooks();
+  void Handshake();
+  void Open();
+  void FailToConnect(const std::error_code& error);
+  void WatchTimeout(const std::shared_ptr<Exchange>& exchange);
+  void OnTimeout(const std::shared_ptr<Exchange>& exchange);
+  void Submit(const std::shared_ptr<Exchange>& exchange);
+  void OnHeader(std::int32_t stream, const Header& header);
+  void OnHeadersReceived(std::int32_t stream);
+  void OnData(std::int32_t stream, std::string_view data);
+  void OnMessageReceived(std::int32_t stream);
+  void OnHeadersSent(std::int32_t stream);
+  void OnStreamClosed(std::int32_t stream, std::uint32_t error);
+  void OnClosed();
+  bool CountBytes(Exchange& exchange, std::size_t size);
+  void Retire();
+  void EndIfUnused();
+  std::shared_ptr<Exchange> Find(std::int32_t stream) const;
+  std::shared_ptr<Exchange> Take(std::int32_t stream);
+
+  const ClientOptions m_options;
+  std::shared_ptr<Connection> m_connection;
+  asio::steady_timer m_connect_timer;
+  std::function<void()> m_on_closed;
+  State m_state = State::kConnecting;
+  // Waiting for the connection.
+  std::vector<std::shared_ptr<Exchange>> m_pending;
+  std::map<std::int32_t, std::shared_ptr<Exchange>> m_running;
+};
+
+}  // namespace jasminelug::http2::internal
+
+#endif  // SRC_HTTP2_INTERNAL_CLIENT_CONNECTION_H_
--- /dev/null
+++ b/src/http2/internal/server_connection.h
@@ -0,0 +1,90 @@
+#ifndef SRC_HTTP2_INTERNAL_SERVER_CONNECTION_H_
+#define SRC_HTTP2_INTERNAL_SERVER_CONNECTION_H_
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string_view>
+
+#include "src/http2/internal/connection.h"
+#include "src/http2/server.h"
+#include "src/http2/server_options.h"
+
+namespace jasminelug::http2::internal {
+
+// One accepted connection: gathers requests, hands them on and answers them.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  // `on_closed` is the last call.
+  ServerConnection(std::uint64_t id,
+                   const ServerOptions& options,
+                   RequestHook on_request,
+                   StreamGoneHook on_stream_gone,
+                   std::function<void()> on_closed);
+
+  void Start(asio::ip::tcp::socket socket);
+
+  // Refuses new streams and closes once the running ones have ended.
+  void Shutdown();
+
+  // Closes at once; no hook is called any more.
+  void Stop();
+
+ private:
+  enum class StreamState {
+    kReceiving,
+    // The hook has the request and owes an answer.
+    kHandedOn,
+    kAnswered,
+    // Answered with an error before the request was complete.
+    kRejected,
+  };
+
+  struct Stream {
+    Request m_request;
+    std::size_t m_header_bytes = 0;
+    StreamState m_state = StreamState::kReceiving;
+  };
+
+  ConnectionHooks MakeHooks();
+  void OnHandshake(const std::error_code& error);
+  void OnStreamOpened(std::int32_t stream);
+  void OnHeader(std::int32_t stream, const Header& header);
+  void OnData(std::int32_t stream, std::string_view data);
+  void OnMessageReceived(std::int32_t stream);
+  void OnMessageSent(std::int32_t stream);
+  void OnStreamClosed(std::int32_t stream);
+  void OnClosed();
+  Stream* FindReceiving(std::int32_t stream);
+  Responder MakeResponder(std::int32_t stream);
+  void Answer(std::int32_t stream, const Response& response);
+  void TellGone(std::int32_t stream, const Stream& entry);
+  bool OwesAnswer() const;
+  void WatchIdle(std::chrono::steady_clock::time_point since);
+  void CheckIdle();
+  void EndIfUnused();
+
+  const std::uint64_t m_id;
+  const ServerOptions m_options;
+  RequestHook m_on_request;
+  StreamGoneHook m_on_stream_gone;
+  std::function<void()> m_on_closed;
+  std::shared_ptr<Connection> m_connection;
+  std::unique_ptr<asio::steady_timer> m_idle_timer;
+  std::map<std::int32_t, Stream> m_streams;
+  std::int32_t m_last_handed_on = 0;
+  bool m_started = false;
+  bool m_shutting_down = false;
+  // GOAWAY was sent because nothing moved.
+  bool m_idled = false;
+};
+
+}  // namespace jasminelug::http2::internal
+
+#endif  // SRC_HTTP2_INTERNAL_SERVER_CONNECTION_H_
--- /dev/null
+++ b/test/http2/loop.h
@@ -0,0 +1,29 @@
+#ifndef TEST_HTTP2_LOOP_H_
+#define TEST_HTTP2_LOOP_H_
+
+#include <cppunit/TestAssert.h>
+#include <asio/io_context.hpp>
+
+#include <chrono>
+#include <functional>
+
+namespace jasminelug::http2 {
+
+// Runs handlers until `done` holds; fails the test if that takes far too long.
+inline void RunUntil(asio::io_context& io_context,
+                     const std::function<bool()>& done) {
+  constexpr std::chrono::seconds kPatience{20};
+  const auto deadline = std::chrono::steady_clock::now() + kPatience;
+  while (!done()) {
+    if (io_context.stopped()) {
+      io_context.restart();
+    }
+    const bool ran = io_context.run_one_until(deadline) > 0;
+    CPPUNIT_ASSERT_MESSAGE("the awaited event did not come",
+                           ran || std::chrono::steady_clock::now() < deadline);
+  }
+}
+
+}  // namespace jasminelug::http2
+
+#endif  // TEST_HTTP2_LOOP_H_
