--- /dev/null
+++ b/jasminelug/callers.h
@@ -0,0 +1,13 @@
+#ifndef JASMINELUG_CALLERS_H_
+#define JASMINELUG_CALLERS_H_
+
+// The callers' JSON API: typed requests in, typed answers out.
+
+#include "src/callers/caller_answer.h"
+#include "src/callers/caller_error.h"
+#include "src/callers/caller_key.h"
+#include "src/callers/caller_listener.h"
+#include "src/callers/caller_request.h"
+#include "src/callers/request_handle.h"
+
+#endif  // JASMINELUG_CALLERS_H_
--- a/src/http2/stream_id.h
+++ b/src/http2/stream_id.h
@@ -1,14 +1,18 @@
 #ifndef SRC_HTTP2_STREAM_ID_H_
 #define SRC_HTTP2_STREAM_ID_H_
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace jasminelug::http2 {
 
 // Names one exchange of a server for as long as the process runs.
 struct StreamId {
-  auto operator<=>(const StreamId&) const = default;
+  bool operator==(const StreamId&) const = default;
+  bool operator<(const StreamId& other) const {
+    return std::tie(m_connection, m_stream) <
+           std::tie(other.m_connection, other.m_stream);
+  }
 
   // Counts the server's connections from one; never used again.
   std::uint64_t m_connection = 0;
