Read on a rejected body instead of resetting its stream at once

curl with a body of 100 kB above the limit failed with error 92 and never showed the 413: it drops a response that is followed by RST_STREAM(NO_ERROR) while it still sends. The server now discards up to 16 MiB of the rest, then resets.

Ruled out: holding the 413 back until the body ends, which a slow caller can draw out.

--- a/src/http2/internal/connection.cc
+++ b/src/http2/internal/connection.cc
@@ -121,15 +121,9 @@
                          const nghttp2_frame* frame,
                          void* user_data) {
     Connection& connection = From(user_data);
-    if (connection.m_closed) {
-      return 0;
-    }
-    if (frame->hd.type == NGHTTP2_HEADERS) {
+    if (frame->hd.type == NGHTTP2_HEADERS && !connection.m_closed) {
       Call(connection.m_hooks.m_on_headers_sent, frame->hd.stream_id);
     }
-    if (EndsMessage(frame) && !connection.m_closed) {
-      Call(connection.m_hooks.m_on_message_sent, frame->hd.stream_id);
-    }
     return 0;
   }
 
--- a/src/http2/internal/connection.h
+++ b/src/http2/internal/connection.h
@@ -34,8 +34,6 @@
   std::function<void(std::int32_t stream)> m_on_message_received;
   // The stream's first headers are about to be written.
   std::function<void(std::int32_t stream)> m_on_headers_sent;
-  // Our message is about to be written to its end.
-  std::function<void(std::int32_t stream)> m_on_message_sent;
   // `error` is an HTTP/2 error code; no further hook names this stream.
   std::function<void(std::int32_t stream, std::uint32_t error)>
       m_on_stream_closed;
--- a/src/http2/internal/server_connection.cc
+++ b/src/http2/internal/server_connection.cc
@@ -6,6 +6,12 @@
 #include "src/http2/internal/bind.h"
 
 namespace jasminelug::http2::internal {
+namespace {
+
+// How much of a rejected body is read before its stream is reset.
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{16} * 1024 * 1024;
+
+}  // namespace
 ServerConnection::ServerConnection(std::uint64_t id,
                                    const ServerOptions& options,
                                    RequestHook on_request,
@@ -41,7 +47,6 @@
   hooks.m_on_data = Bind(weak, &ServerConnection::OnData);
   hooks.m_on_message_received =
       Bind(weak, &ServerConnection::OnMessageReceived);
-  hooks.m_on_message_sent = Bind(weak, &ServerConnection::OnMessageSent);
   hooks.m_on_stream_closed = [weak](std::int32_t stream, std::uint32_t) {
     if (const auto self = weak.lock()) {
       self->OnStreamClosed(stream);
@@ -99,6 +104,7 @@
 void ServerConnection::OnData(std::int32_t stream, std::string_view data) {
   Stream* entry = FindReceiving(stream);
   if (!entry) {
+    Discard(stream, data.size());
     return;
   }
   std::string& body = entry->m_request.m_body;
@@ -110,6 +116,19 @@
   body.append(data);
 }
 
+// Lets a caller end a rejected body, within a bound: a reset right after the
+// response is allowed (RFC 9113, section 8.1), but makes curl drop it.
+void ServerConnection::Discard(std::int32_t stream, std::size_t size) {
+  const auto found = m_streams.find(stream);
+  if (found == m_streams.end()) {
+    return;
+  }
+  found->second.m_discarded_bytes += size;
+  if (found->second.m_discarded_bytes > kMaxDiscardedBytes) {
+    m_connection->ResetStream(stream, NGHTTP2_NO_ERROR);
+  }
+}
+
 void ServerConnection::OnMessageReceived(std::int32_t stream) {
   Stream* entry = FindReceiving(stream);
   if (!entry) {
@@ -138,16 +157,6 @@
   m_connection->SubmitResponse(stream, response);
 }
 
-// Tells a caller that still sends a rejected body to stop (RFC 9113, section
-// 8.1); only after the response's end, which the reset would discard.
-void ServerConnection::OnMessageSent(std::int32_t stream) {
-  const auto found = m_streams.find(stream);
-  if (found != m_streams.end() &&
-      found->second.m_state == StreamState::kRejected) {
-    m_connection->ResetStream(stream, NGHTTP2_NO_ERROR);
-  }
-}
-
 void ServerConnection::OnStreamClosed(std::int32_t stream) {
   const auto node = m_streams.extract(stream);
   if (!node.empty()) {
--- a/src/http2/internal/server_connection.h
+++ b/src/http2/internal/server_connection.h
@@ -49,6 +49,7 @@
   struct Stream {
     Request m_request;
     std::size_t m_header_bytes = 0;
+    std::size_t m_discarded_bytes = 0;
     StreamState m_state = StreamState::kReceiving;
   };
 
@@ -58,7 +59,7 @@
   void OnHeader(std::int32_t stream, const Header& header);
   void OnData(std::int32_t stream, std::string_view data);
   void OnMessageReceived(std::int32_t stream);
-  void OnMessageSent(std::int32_t stream);
+  void Discard(std::int32_t stream, std::size_t size);
   void OnStreamClosed(std::int32_t stream);
   void OnClosed();
   Stream* FindReceiving(std::int32_t stream);
