--- /dev/null
+++ b/test/fake_database/server.h
@@ -0,0 +1,46 @@
+#ifndef TEST_FAKE_DATABASE_SERVER_H_
+#define TEST_FAKE_DATABASE_SERVER_H_
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "test/fake_database/group_member.h"
+#include "test/fake_database/member_settings.h"
+#include "test/fake_database/session.h"
+#include "test/fake_database/slots.h"
+
+namespace jasminelug::fake_database {
+
+// A listening member: accepts sessions until stopped.
+class Server : public std::enable_shared_from_this<Server> {
+ public:
+  // Listens at once; throws asio::system_error where that fails.
+  Server(asio::io_context& io, const MemberSettings& settings);
+
+  void Start();
+
+  // Closes the listener and every session, as a killed process would.
+  void Stop();
+
+  std::uint16_t Port() const;
+
+  GroupMember& Member() { return *m_member; }
+
+ private:
+  void Accept();
+  void Remove(const std::shared_ptr<Session>& session);
+
+  asio::ip::tcp::acceptor m_acceptor;
+  std::shared_ptr<GroupMember> m_member;
+  std::shared_ptr<Slots> m_slots;
+  std::vector<std::shared_ptr<Session>> m_sessions;
+};
+
+}  // namespace jasminelug::fake_database
+
+#endif  // TEST_FAKE_DATABASE_SERVER_H_
