--- a/src/databases/connection.h
+++ b/src/databases/connection.h
@@ -10,9 +10,9 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <variant>
 #include <vector>
 
+#include "src/common/result.h"
 #include "src/databases/endpoint.h"
 #include "src/databases/error.h"
 #include "src/databases/group_report.h"
@@ -26,7 +26,7 @@
 
 class Connection;
 
-using ConnectOutcome = std::variant<std::shared_ptr<Connection>, Error>;
+using ConnectOutcome = Result<std::shared_ptr<Connection>, Error>;
 
 // One connection to one member, by libpq without blocking. It runs one call at
 // a time and keeps itself alive while it is open, so its owner must Close() it.
--- a/src/databases/internal/pg_result.cc
+++ b/src/databases/internal/pg_result.cc
@@ -3,7 +3,6 @@
 #include <cerrno>
 #include <charconv>
 #include <cstring>
-#include <regex>
 #include <string_view>
 #include <system_error>
 
@@ -36,6 +35,22 @@
   return role == "replica" ? Role::kReplica : Role::kUnknown;
 }
 
+// The code in "FATAL:  53300: too many connections", as verbose messages have
+// it; empty where there is none.
+std::string SqlstateIn(std::string_view message) {
+  constexpr std::string_view kSeverity = "FATAL:  ";
+  constexpr std::size_t kSqlstateLength = 5;
+  const std::size_t found = message.find(kSeverity);
+  if (found == std::string_view::npos) {
+    return "";
+  }
+  const std::string_view rest = message.substr(found + kSeverity.size());
+  if (rest.find(':') != kSqlstateLength) {
+    return "";
+  }
+  return std::string(rest.substr(0, kSqlstateLength));
+}
+
 Value ValueAt(const PGresult* result, int row, int column) {
   if (PQgetisnull(result, row, column) != 0) {
     return std::nullopt;
@@ -93,7 +108,6 @@
 }
 
 Error ToConnectError(const PGconn* connection) {
-  static const std::regex sqlstate_pattern("FATAL:  ([0-9A-Z]{5}): ");
   Error error;
   error.m_kind = ErrorKind::kConnectFailed;
   error.m_message =
@@ -101,10 +115,7 @@
   // libpq keeps no error number, only the C library's text for it.
   const std::string refused = std::generic_category().message(ECONNREFUSED);
   error.m_refused = error.m_message.find(refused) != std::string::npos;
-  std::smatch match;
-  if (std::regex_search(error.m_message, match, sqlstate_pattern)) {
-    error.m_sqlstate = match[1];
-  }
+  error.m_sqlstate = SqlstateIn(error.m_message);
   return error;
 }
 
--- a/src/databases/member.h
+++ b/src/databases/member.h
@@ -7,8 +7,8 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <variant>
 
+#include "src/common/result.h"
 #include "src/databases/connection.h"
 #include "src/databases/error.h"
 #include "src/databases/group_report.h"
@@ -65,7 +65,7 @@
  public:
   using Timeout = Connection::Timeout;
   template <typename T>
-  using Hook = std::function<void(const std::variant<T, Error>&)>;
+  using Hook = std::function<void(const Result<T, Error>&)>;
 
   explicit Member(std::shared_ptr<Connection> connection);
 
--- a/src/databases/result.h
+++ b/src/databases/result.h
@@ -3,9 +3,9 @@
 
 #include <cstdint>
 #include <string>
-#include <variant>
 #include <vector>
 
+#include "src/common/result.h"
 #include "src/databases/error.h"
 #include "src/databases/group_report.h"
 #include "src/databases/statement.h"
@@ -43,8 +43,8 @@
   bool operator==(const BatchResult&) const = default;
 };
 
-using StatementOutcome = std::variant<StatementResult, Error>;
-using BatchOutcome = std::variant<BatchResult, Error>;
+using StatementOutcome = Result<StatementResult, Error>;
+using BatchOutcome = Result<BatchResult, Error>;
 
 }  // namespace jasminelug::databases
 
--- a/test/databases/member_test.cc
+++ b/test/databases/member_test.cc
@@ -327,7 +327,7 @@
   }
 
   template <typename T>
-  static bool IsRejected(const std::variant<T, Error>& outcome) {
+  static bool IsRejected(const Result<T, Error>& outcome) {
     const Error* error = std::get_if<Error>(&outcome);
     return error != nullptr && error->m_kind == ErrorKind::kRejected;
   }
--- a/test/databases/test_group.cc
+++ b/test/databases/test_group.cc
@@ -33,22 +33,6 @@
   return *m_servers.back();
 }
 
-void TestGroup::AddMembers(std::size_t count, std::chrono::milliseconds lag) {
-  MemberSettings settings;
-  settings.m_lag = lag;
-  for (std::size_t index = 0; index < count; ++index) {
-    AddMember(settings);
-  }
-  WaitUntil([this] {
-    for (const auto& server : m_servers) {
-      if (server->Member().Status().m_applied_position == 0) {
-        return false;
-      }
-    }
-    return true;
-  });
-}
-
 std::string TestGroup::AddressOf(std::size_t index) const {
   return "127.0.0.1:" + std::to_string(m_servers[index]->Port());
 }
@@ -76,8 +60,8 @@
   });
 }
 
-std::shared_ptr<Connection> TestGroup::Connect(std::size_t index) {
-  const ConnectOutcome outcome = TryConnect(EndpointOf(index));
+std::shared_ptr<Connection> TestGroup::ConnectTo(const Endpoint& endpoint) {
+  const ConnectOutcome outcome = TryConnect(endpoint);
   if (const Error* error = std::get_if<Error>(&outcome)) {
     CPPUNIT_FAIL("connect: " + error->m_message);
   }
@@ -118,39 +102,39 @@
   });
 }
 
-std::variant<MemberStatus, Error> TestGroup::Status(std::size_t index) {
+Result<MemberStatus, Error> TestGroup::Status(std::size_t index) {
   const auto connection = Connect(index);
-  auto outcome = Await<std::variant<MemberStatus, Error>>(
+  auto outcome = Await<Result<MemberStatus, Error>>(
       [&](auto hook) { Member(connection).Status(kTimeout, std::move(hook)); });
   connection->Close();
   return outcome;
 }
 
-std::variant<GrantAnswer, Error>
-TestGroup::Grant(std::size_t index, Term term, const std::string& candidate) {
+Result<GrantAnswer, Error> TestGroup::Grant(std::size_t index,
+                                            Term term,
+                                            const std::string& candidate) {
   const auto connection = Connect(index);
-  auto outcome = Await<std::variant<GrantAnswer, Error>>([&](auto hook) {
+  auto outcome = Await<Result<GrantAnswer, Error>>([&](auto hook) {
     Member(connection).Grant(term, candidate, kTimeout, std::move(hook));
   });
   connection->Close();
   return outcome;
 }
 
-std::variant<PromoteAnswer, Error> TestGroup::Promote(std::size_t index,
-                                                      Term term) {
+Result<PromoteAnswer, Error> TestGroup::Promote(std::size_t index, Term term) {
   const auto connection = Connect(index);
-  auto outcome = Await<std::variant<PromoteAnswer, Error>>([&](auto hook) {
+  auto outcome = Await<Result<PromoteAnswer, Error>>([&](auto hook) {
     Member(connection).Promote(term, kTimeout, std::move(hook));
   });
   connection->Close();
   return outcome;
 }
 
-std::variant<FollowAnswer, Error> TestGroup::Follow(std::size_t index,
-                                                    Term term,
-                                                    std::size_t primary) {
+Result<FollowAnswer, Error> TestGroup::Follow(std::size_t index,
+                                              Term term,
+                                              std::size_t primary) {
   const auto connection = Connect(index);
-  auto outcome = Await<std::variant<FollowAnswer, Error>>([&](auto hook) {
+  auto outcome = Await<Result<FollowAnswer, Error>>([&](auto hook) {
     Member(connection)
         .Follow(term, AddressOf(primary), kTimeout, std::move(hook));
   });
--- a/test/databases/test_group.h
+++ b/test/databases/test_group.h
@@ -9,9 +9,9 @@
 #include <optional>
 #include <string>
 #include <utility>
-#include <variant>
 #include <vector>
 
+#include "jasminelug/common.h"
 #include "jasminelug/databases.h"
 #include "test/fake_database/server.h"
 
@@ -29,9 +29,6 @@
   // otherwise, the others follow it.
   fake_database::Server& AddMember(fake_database::MemberSettings settings = {});
 
-  // Starts `count` members and waits until all hold the primary's log.
-  void AddMembers(std::size_t count, std::chrono::milliseconds lag);
-
   fake_database::Server& Server(std::size_t index) { return *m_servers[index]; }
   std::string AddressOf(std::size_t index) const;
   Endpoint EndpointOf(std::size_t index) const;
@@ -46,7 +43,12 @@
                             std::chrono::milliseconds timeout = kTimeout);
 
   // Connects to a member; must succeed.
-  std::shared_ptr<Connection> Connect(std::size_t index);
+  std::shared_ptr<Connection> Connect(std::size_t index) {
+    return ConnectTo(EndpointOf(index));
+  }
+
+  // Connects to anything; must succeed.
+  std::shared_ptr<Connection> ConnectTo(const Endpoint& endpoint);
 
   StatementOutcome Run(Connection& connection,
                        const std::string& sql,
@@ -65,14 +67,14 @@
   BatchOutcome RunBatch(Connection& connection, const Batch& batch);
 
   // Runs a call of Member on a connection of its own.
-  std::variant<MemberStatus, Error> Status(std::size_t index);
-  std::variant<GrantAnswer, Error> Grant(std::size_t index,
-                                         Term term,
-                                         const std::string& candidate);
-  std::variant<PromoteAnswer, Error> Promote(std::size_t index, Term term);
-  std::variant<FollowAnswer, Error> Follow(std::size_t index,
-                                           Term term,
-                                           std::size_t primary);
+  Result<MemberStatus, Error> Status(std::size_t index);
+  Result<GrantAnswer, Error> Grant(std::size_t index,
+                                   Term term,
+                                   const std::string& candidate);
+  Result<PromoteAnswer, Error> Promote(std::size_t index, Term term);
+  Result<FollowAnswer, Error> Follow(std::size_t index,
+                                     Term term,
+                                     std::size_t primary);
 
   // Calls `start` with a hook and returns what the hook gets.
   template <typename T>
--- a/test/fake_database/group_member.h
+++ b/test/fake_database/group_member.h
@@ -8,9 +8,9 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <variant>
 #include <vector>
 
+#include "jasminelug/common.h"
 #include "jasminelug/databases.h"
 #include "test/fake_database/applied_state.h"
 #include "test/fake_database/fault.h"
@@ -36,10 +36,10 @@
 // and replication. docs/ASSUMPTIONS.md says what it offers.
 class GroupMember : public std::enable_shared_from_this<GroupMember> {
  public:
-  using PullOutcome = std::variant<PullAnswer, SqlError>;
+  using PullOutcome = Result<PullAnswer, SqlError>;
   using PullHook = std::function<void(const PullOutcome&)>;
-  using PromoteOutcome = std::variant<databases::PromoteAnswer, SqlError>;
-  using FollowOutcome = std::variant<databases::FollowAnswer, SqlError>;
+  using PromoteOutcome = Result<databases::PromoteAnswer, SqlError>;
+  using FollowOutcome = Result<databases::FollowAnswer, SqlError>;
 
   GroupMember(asio::io_context& io, MemberSettings settings);
   ~GroupMember() { Stop(); }
--- a/test/fake_database/primary_finder.cc
+++ b/test/fake_database/primary_finder.cc
@@ -63,8 +63,8 @@
 void PrimaryFinder::Ask(const std::shared_ptr<Connection>& connection,
                         const Address& peer) {
   Member(connection)
-      .Status(kTimeout, [self = shared_from_this(), connection, peer](
-                            const std::variant<MemberStatus, Error>& outcome) {
+      .Status(kTimeout, [self = shared_from_this(), connection,
+                         peer](const Result<MemberStatus, Error>& outcome) {
         const auto* status = std::get_if<MemberStatus>(&outcome);
         if (!self->m_stopped && status != nullptr &&
             status->m_role == Role::kPrimary) {
--- a/test/fake_database/sql_engine.cc
+++ b/test/fake_database/sql_engine.cc
@@ -202,7 +202,7 @@
   return result;
 }
 
-std::variant<Access, SqlError> SqlEngine::Classify(const std::string& sql) {
+Result<Access, SqlError> SqlEngine::Classify(const std::string& sql) {
   const Prepared prepared = Prepare(m_handle.get(), sql);
   if (prepared == nullptr) {
     return LastError();
--- a/test/fake_database/sql_engine.h
+++ b/test/fake_database/sql_engine.h
@@ -3,9 +3,9 @@
 
 #include <memory>
 #include <string>
-#include <variant>
 #include <vector>
 
+#include "jasminelug/common.h"
 #include "jasminelug/databases.h"
 
 struct sqlite3;
@@ -31,7 +31,7 @@
   bool operator==(const SqlResult&) const = default;
 };
 
-using SqlOutcome = std::variant<SqlResult, SqlError>;
+using SqlOutcome = Result<SqlResult, SqlError>;
 
 // Whether a statement changes the database.
 enum class Access { kRead, kWrite };
@@ -45,7 +45,7 @@
   SqlOutcome Execute(const databases::Statement& statement);
 
   // Returns how `sql` accesses the database, or why it can't be prepared.
-  std::variant<Access, SqlError> Classify(const std::string& sql);
+  Result<Access, SqlError> Classify(const std::string& sql);
 
   // Replaces the contents by those of `other`, which has no open transaction.
   void CopyFrom(const SqlEngine& other);
--- a/test/fake_database/sql_text.cc
+++ b/test/fake_database/sql_text.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
-#include <regex>
 #include <string_view>
 
 namespace jasminelug::fake_database {
@@ -34,25 +33,67 @@
     {"VACUUM", StatementKind::kUnsupported},
 };
 
-const std::regex& CallPattern() {
-  static const std::regex pattern(
-      R"(^\s*select\s+(?:\*\s+from\s+)?(group_[a-z_]+)\s*\(([^)]*)\)\s*;?\s*$)",
-      std::regex::icase);
-  return pattern;
-}
+constexpr std::string_view kSpaces = " \t\r\n";
 
-std::string Trimmed(const std::string& text) {
-  const std::size_t first = text.find_first_not_of(" \t\r\n");
-  if (first == std::string::npos) {
+std::string_view Trimmed(std::string_view text) {
+  const std::size_t first = text.find_first_not_of(kSpaces);
+  if (first == std::string_view::npos) {
     return "";
   }
-  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+  return text.substr(first, text.find_last_not_of(kSpaces) - first + 1);
+}
+
+char Upper(char c) {
+  return static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
+}
+
+// Takes `word`, given in upper case, and the spaces around it off the front
+// of `text`, if it stands there.
+bool TakeWord(std::string_view& text, std::string_view word) {
+  const std::string_view trimmed = Trimmed(text);
+  if (!std::equal(word.begin(), word.end(), trimmed.begin(),
+                  trimmed.begin() + static_cast<std::ptrdiff_t>(
+                                        std::min(word.size(), trimmed.size())),
+                  [](char a, char b) { return a == Upper(b); })) {
+    return false;
+  }
+  text = Trimmed(trimmed.substr(word.size()));
+  return true;
+}
+
+// A call's name and the text between its parentheses.
+struct CallText {
+  std::string m_name;
+  std::string_view m_args;
+};
+
+std::optional<CallText> FindCall(std::string_view sql) {
+  if (!TakeWord(sql, "SELECT")) {
+    return std::nullopt;
+  }
+  if (TakeWord(sql, "*") && !TakeWord(sql, "FROM")) {
+    return std::nullopt;
+  }
+  const std::size_t open = sql.find('(');
+  const std::size_t close = sql.find(')');
+  if (!sql.starts_with("group_") || open == std::string_view::npos ||
+      close == std::string_view::npos || close < open) {
+    return std::nullopt;
+  }
+  const std::string_view name = Trimmed(sql.substr(0, open));
+  const std::string_view rest = Trimmed(sql.substr(close + 1));
+  if (name.find_first_of(kSpaces) != std::string_view::npos ||
+      name.find(',') != std::string_view::npos ||
+      !(rest.empty() || rest == ";")) {
+    return std::nullopt;
+  }
+  return CallText{std::string(name), sql.substr(open + 1, close - open - 1)};
 }
 
-std::optional<Value> ParseArgument(const std::string& text,
+std::optional<Value> ParseArgument(std::string_view text,
                                    const Statement& statement) {
   if (text.size() >= 2 && text.front() == '\'' && text.back() == '\'') {
-    return text.substr(1, text.size() - 2);
+    return std::string(text.substr(1, text.size() - 2));
   }
   if (text.starts_with('$')) {
     std::size_t number = 0;
@@ -62,11 +103,11 @@
     }
     return statement.m_params[number - 1];
   }
-  return text;
+  return std::string(text);
 }
 
-std::vector<std::string> SplitArguments(const std::string& text) {
-  std::vector<std::string> parts;
+std::vector<std::string_view> SplitArguments(std::string_view text) {
+  std::vector<std::string_view> parts;
   std::size_t start = 0;
   while (!Trimmed(text).empty() && start <= text.size()) {
     const std::size_t comma = std::min(text.find(',', start), text.size());
@@ -84,8 +125,7 @@
     if (std::isalpha(static_cast<unsigned char>(c)) == 0) {
       break;
     }
-    keyword.push_back(
-        static_cast<char>(std::toupper(static_cast<unsigned char>(c))));
+    keyword.push_back(Upper(c));
   }
   return keyword;
 }
@@ -97,20 +137,20 @@
       return known.m_kind;
     }
   }
-  if (keyword == "SELECT" && std::regex_match(sql, CallPattern())) {
+  if (FindCall(sql)) {
     return StatementKind::kGroupFunction;
   }
   return StatementKind::kSql;
 }
 
 std::optional<FunctionCall> ParseFunctionCall(const Statement& statement) {
-  std::smatch match;
-  if (!std::regex_match(statement.m_sql, match, CallPattern())) {
+  const std::optional<CallText> found = FindCall(statement.m_sql);
+  if (!found) {
     return std::nullopt;
   }
   FunctionCall call;
-  call.m_name = match[1];
-  for (const std::string& text : SplitArguments(match[2])) {
+  call.m_name = found->m_name;
+  for (const std::string_view text : SplitArguments(found->m_args)) {
     const std::optional<Value> argument = ParseArgument(text, statement);
     if (!argument) {
       return std::nullopt;
