databases: let no test's connection outlive its io_context

A trial build with the address and undefined-behaviour sanitizers found a fixture that destroyed the group, with the io_context, before its connection. The header now says which must outlive the other.

--- a/src/databases/connection.h
+++ b/src/databases/connection.h
@@ -30,8 +30,8 @@
 
 // One connection to one member, by libpq without blocking. It runs one call at
 // a time and keeps itself alive while it is open, so its owner must Close() it.
-// All of it runs on the thread of its io_context; hooks are called from there,
-// never from inside the call that takes them.
+// All of it runs on the thread of its io_context, which must outlive it; hooks
+// are called from there, never from inside the call that takes them.
 //
 // A connection that has lost an answer, timed out or holds anything unread
 // closes itself. It is never reused: see IsReusable().
--- a/test/databases/member_test.cc
+++ b/test/databases/member_test.cc
@@ -34,7 +34,11 @@
 
  public:
   void setUp() override { m_group = std::make_unique<TestGroup>(); }
-  void tearDown() override { m_group.reset(); }
+
+  void tearDown() override {
+    m_connection.reset();
+    m_group.reset();
+  }
 
   void StatusTellsRolesAndPositions() {
     Start(3, milliseconds(0));
--- a/test/fake_database/process_test.cc
+++ b/test/fake_database/process_test.cc
@@ -37,6 +37,7 @@
     posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
     arguments.insert(arguments.begin(), FAKE_DATABASE_PROGRAM);
     std::vector<char*> argv;
+    argv.reserve(arguments.size() + 1);
     for (std::string& argument : arguments) {
       argv.push_back(argument.data());
     }
