Add the peer network: Thrift envelopes in frames over TCP or mutual TLS

Daemons need to exchange messages and to tell a peer that is not running from one that does not answer: the first proves something about withdrawn keys, the second nothing.

- One generic envelope around a Thrift union; libthrift encodes into memory and Asio moves the frames.
A body of a later release is dropped and keeps the connection, so that releases can be mixed.
- A connection for each direction instead of one shared by both: no rule is needed for two daemons that connect to each other at the same moment.
- A failed attempt drops what waits for the peer and reports refused or unreachable; keeping old messages through an outage was ruled out, since every message has a bound on its age.
A frame whose write failed is not sent again, so that none is received twice.
- The container limit bounds the work of skipping an unknown list whose members take no byte, which libthrift does one by one.

Tests: envelope round trips, malformed payloads, order, refused against unreachable, bad frames on the socket, the queue's bound, a restarted peer, mutual TLS against four kinds of strangers.

--- /dev/null
+++ b/src/peers/internal/endpoint.h
@@ -0,0 +1,19 @@
+#ifndef SRC_PEERS_INTERNAL_ENDPOINT_H_
+#define SRC_PEERS_INTERNAL_ENDPOINT_H_
+
+#include <asio/ip/tcp.hpp>
+
+#include <optional>
+
+#include "src/peers/peer_address.h"
+
+namespace jasminelug::peers::internal {
+
+// Returns nothing where the host is no IP number.
+std::optional<asio::ip::tcp::endpoint> ToEndpoint(const PeerAddress& address);
+
+PeerAddress ToPeerAddress(const asio::ip::tcp::endpoint& endpoint);
+
+}  // namespace jasminelug::peers::internal
+
+#endif  // SRC_PEERS_INTERNAL_ENDPOINT_H_
--- /dev/null
+++ b/src/peers/internal/inbound_session.h
@@ -0,0 +1,62 @@
+#ifndef SRC_PEERS_INTERNAL_INBOUND_SESSION_H_
+#define SRC_PEERS_INTERNAL_INBOUND_SESSION_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "src/peers/codec.h"
+#include "src/peers/envelope.h"
+#include "src/peers/internal/stream.h"
+#include "src/peers/peer_address.h"
+
+namespace jasminelug::peers::internal {
+
+// A connection that a peer opened; envelopes come in on it.
+class InboundSession : public std::enable_shared_from_this<InboundSession> {
+ public:
+  using MessageHook = std::function<void(const PeerAddress&, const Envelope&)>;
+  using ClosedHook =
+      std::function<void(const std::shared_ptr<InboundSession>&)>;
+
+  InboundSession(asio::io_context& io,
+                 std::shared_ptr<Stream> stream,
+                 const PeerAddress& from,
+                 std::chrono::milliseconds handshake_timeout,
+                 const MessageHook& on_message,
+                 const ClosedHook& on_closed);
+
+  // Shakes hands and reads until the connection ends.
+  void Start();
+
+  // Closes the connection; no hook is called from then on.
+  void Stop();
+
+ private:
+  void ArmHandshakeTimer();
+  void ReadHeader();
+  void ReadPayload();
+  void Deliver();
+  // Ends the session for a reason that is logged.
+  void Close(std::string_view reason);
+
+  const std::shared_ptr<Stream> m_stream;
+  const PeerAddress m_from;
+  const std::chrono::milliseconds m_handshake_timeout;
+  const MessageHook m_on_message;
+  const ClosedHook m_on_closed;
+  asio::steady_timer m_handshake_timer;
+  std::array<char, kFrameHeaderBytes> m_header{};
+  std::string m_payload;
+  bool m_stopped = false;
+};
+
+}  // namespace jasminelug::peers::internal
+
+#endif  // SRC_PEERS_INTERNAL_INBOUND_SESSION_H_
--- /dev/null
+++ b/src/peers/internal/outbound_session.h
@@ -0,0 +1,77 @@
+#ifndef SRC_PEERS_INTERNAL_OUTBOUND_SESSION_H_
+#define SRC_PEERS_INTERNAL_OUTBOUND_SESSION_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+
+#include "jasminelug/common.h"
+#include "src/peers/error.h"
+#include "src/peers/internal/reconnect_delay.h"
+#include "src/peers/internal/stream.h"
+#include "src/peers/options.h"
+#include "src/peers/peer_address.h"
+
+namespace jasminelug::peers::internal {
+
+// The connection that this daemon keeps to one peer, and the frames that wait
+// for it.
+class OutboundSession : public std::enable_shared_from_this<OutboundSession> {
+ public:
+  OutboundSession(asio::io_context& io,
+                  const PeerAddress& peer,
+                  const PeerNetworkOptions& options,
+                  const PeerHooks& hooks,
+                  std::uint64_t jitter_seed);
+
+  // Queues an encoded frame.
+  // Errors: kQueueFull.
+  Result<Done, Error> Send(std::string frame);
+
+  // Closes the connection and drops the queue; no hook is called from then on.
+  void Stop();
+
+ private:
+  enum class State { kIdle, kConnecting, kConnected, kDelaying, kStopped };
+
+  bool IsFull(std::size_t frame_bytes) const;
+  void Connect();
+  void Handshake();
+  void BecomeConnected();
+  void WriteNext();
+  void WatchForClose();
+  void ArmTimer(std::chrono::milliseconds limit);
+  void OnTimer();
+
+  // Ends an attempt to connect, or a connection, and starts the delay.
+  void FailAttempt(asio::error_code error);
+  void LoseConnection(asio::error_code error);
+  void Delay();
+  void EndDelay();
+  void DropQueue();
+  void PopFront();
+
+  asio::io_context& m_io;
+  const PeerAddress m_peer;
+  const PeerNetworkOptions m_options;
+  const PeerHooks m_hooks;
+  ReconnectDelay m_delay;
+  // The limit on connecting, on a write or on the delay, by m_state.
+  asio::steady_timer m_timer;
+  State m_state = State::kIdle;
+  // Replaced at each attempt: a handler of an earlier one sees another stream.
+  std::shared_ptr<Stream> m_stream;
+  std::deque<std::string> m_queue;
+  std::size_t m_queued_bytes = 0;
+  bool m_writing = false;
+  char m_read_byte = 0;
+};
+
+}  // namespace jasminelug::peers::internal
+
+#endif  // SRC_PEERS_INTERNAL_OUTBOUND_SESSION_H_
--- /dev/null
+++ b/src/peers/internal/stream.h
@@ -0,0 +1,52 @@
+#ifndef SRC_PEERS_INTERNAL_STREAM_H_
+#define SRC_PEERS_INTERNAL_STREAM_H_
+
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/ssl/stream.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <variant>
+
+#include "src/peers/tls.h"
+
+namespace jasminelug::peers::internal {
+
+// A TCP connection, with mutual TLS or plain. The caller keeps the stream
+// alive through its handlers.
+class Stream {
+ public:
+  using DoneHandler = std::function<void(asio::error_code)>;
+
+  // A null `tls` makes a plain connection.
+  Stream(asio::ip::tcp::socket socket, const TlsContext& tls);
+
+  // The TCP socket below.
+  asio::ip::tcp::socket& Socket();
+
+  // Runs the TLS handshake; a plain connection is ready at once.
+  void AsyncHandshake(asio::ssl::stream_base::handshake_type type,
+                      DoneHandler handler);
+
+  // Reads until `buffer` is full.
+  void AsyncRead(asio::mutable_buffer buffer, DoneHandler handler);
+
+  // Writes all of `buffer`.
+  void AsyncWrite(asio::const_buffer buffer, DoneHandler handler);
+
+  // Closes the connection; waiting handlers get operation_aborted.
+  void Close();
+
+ private:
+  using Plain = asio::ip::tcp::socket;
+  using Tls = asio::ssl::stream<asio::ip::tcp::socket>;
+
+  // Kept because the TLS stream refers to it.
+  TlsContext m_context;
+  std::variant<Plain, Tls> m_stream;
+};
+
+}  // namespace jasminelug::peers::internal
+
+#endif  // SRC_PEERS_INTERNAL_STREAM_H_
--- /dev/null
+++ b/test/peers/test_certificates.h
@@ -0,0 +1,121 @@
+#ifndef TEST_PEERS_TEST_CERTIFICATES_H_
+#define TEST_PEERS_TEST_CERTIFICATES_H_
+
+#include <openssl/evp.h>
+#include <openssl/pem.h>
+#include <openssl/x509.h>
+#include <openssl/x509v3.h>
+#include <asio/ssl/context.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <string>
+
+#include "src/peers/tls.h"
+
+namespace jasminelug::peers::test {
+
+// A certificate authority for one test; its files lie in a folder of their own
+// that goes with it.
+class Authority {
+ public:
+  explicit Authority(const std::string& name)
+      : m_folder(MakeFolder()),
+        m_key(MakeKey()),
+        m_certificate(Issue(name, m_key.get(), nullptr, m_key.get())) {
+    Write(m_folder / "authority.pem", m_certificate.get());
+  }
+  ~Authority() { std::filesystem::remove_all(m_folder); }
+  Authority(const Authority&) = delete;
+  Authority& operator=(const Authority&) = delete;
+
+  // A context with a certificate of this authority, which it trusts too.
+  TlsContext MakeContext(const std::string& name) const {
+    return MakeContextThatTrusts(*this, name);
+  }
+
+  // A context with a certificate of this authority that trusts `other`.
+  TlsContext MakeContextThatTrusts(const Authority& other,
+                                   const std::string& name) const {
+    const KeyPtr key = MakeKey();
+    const CertificatePtr certificate =
+        Issue(name, key.get(), m_certificate.get(), m_key.get());
+    const TlsFiles files{m_folder / (name + ".pem"), m_folder / (name + ".key"),
+                         other.m_folder / "authority.pem"};
+    Write(files.m_certificate, certificate.get());
+    Write(files.m_private_key, key.get());
+    return TakeValue(MakeTlsContext(files));
+  }
+
+  // A context that presents no certificate.
+  TlsContext MakeContextWithoutCertificate() const {
+    auto context =
+        std::make_shared<asio::ssl::context>(asio::ssl::context::tls);
+    context->load_verify_file(m_folder / "authority.pem");
+    return context;
+  }
+
+ private:
+  using KeyPtr = std::unique_ptr<EVP_PKEY, decltype(&EVP_PKEY_free)>;
+  using CertificatePtr = std::unique_ptr<X509, decltype(&X509_free)>;
+  using BioPtr = std::unique_ptr<BIO, decltype(&BIO_free_all)>;
+
+  static constexpr long kLifetimeSeconds = 3600;
+
+  static std::filesystem::path MakeFolder() {
+    std::string pattern =
+        std::filesystem::temp_directory_path() / "jasminelug-XXXXXX";
+    return mkdtemp(pattern.data());
+  }
+
+  static KeyPtr MakeKey() {
+    return KeyPtr(EVP_EC_gen("P-256"), &EVP_PKEY_free);
+  }
+
+  // Signs a certificate for `key`; without an issuer it is an authority's own.
+  static CertificatePtr Issue(const std::string& name,
+                              EVP_PKEY* key,
+                              X509* issuer,
+                              EVP_PKEY* issuer_key) {
+    CertificatePtr result(X509_new(), &X509_free);
+    X509* const certificate = result.get();
+    X509_set_version(certificate, 2);
+    ASN1_INTEGER_set(X509_get_serialNumber(certificate), issuer ? 2 : 1);
+    X509_gmtime_adj(X509_getm_notBefore(certificate), -kLifetimeSeconds);
+    X509_gmtime_adj(X509_getm_notAfter(certificate), kLifetimeSeconds);
+    X509_set_pubkey(certificate, key);
+    X509_NAME_add_entry_by_txt(
+        X509_get_subject_name(certificate), "CN", MBSTRING_ASC,
+        reinterpret_cast<const unsigned char*>(name.c_str()), -1, -1, 0);
+    X509_set_issuer_name(certificate,
+                         X509_get_subject_name(issuer ? issuer : certificate));
+    if (!issuer) {
+      X509_EXTENSION* const is_authority = X509V3_EXT_conf_nid(
+          nullptr, nullptr, NID_basic_constraints, "critical,CA:TRUE");
+      X509_add_ext(certificate, is_authority, -1);
+      X509_EXTENSION_free(is_authority);
+    }
+    X509_sign(certificate, issuer_key, EVP_sha256());
+    return result;
+  }
+
+  static void Write(const std::filesystem::path& path, X509* certificate) {
+    const BioPtr file(BIO_new_file(path.c_str(), "w"), &BIO_free_all);
+    PEM_write_bio_X509(file.get(), certificate);
+  }
+
+  static void Write(const std::filesystem::path& path, EVP_PKEY* key) {
+    const BioPtr file(BIO_new_file(path.c_str(), "w"), &BIO_free_all);
+    PEM_write_bio_PrivateKey(file.get(), key, nullptr, nullptr, 0, nullptr,
+                             nullptr);
+  }
+
+  const std::filesystem::path m_folder;
+  const KeyPtr m_key;
+  const CertificatePtr m_certificate;
+};
+
+}  // namespace jasminelug::peers::test
+
+#endif  // TEST_PEERS_TEST_CERTIFICATES_H_
