Add the platform's client and its stand-in fake_platform

Configuration, leases and terms live in the platform's objects. The client turns the object API into typed results and keeps apart what provably had no effect from what may have had one.

- Only a NotSent of the transport or an explicit "not_applied" proves that a change had no effect; a bare 5xx answer to a change is an unknown outcome.
- A repeated change whose conflict carries its own write id is a success.
To take a read-back that shows the old version as "not applied" was ruled out: a slow platform may still apply the change, which the stand-in's slow mode does and a test shows.
- Versions go on after a deletion, so that a delayed change cannot meet an object that was made anew.
- Watches are bounded in length, answer in parts and end with "list again" where the log does not reach; one waiting watch is one call.
- The stand-in is a library that tests run in-process and a program that prints its port; faults are up, down, slow and lose_answers.

Tests: conditions of put and delete, lost answers read back by write id, a late effect, down, watches over an outage, too old and long ones, and the client's counts against the stand-in's.

--- /dev/null
+++ b/jasminelug/platform.h
@@ -0,0 +1,13 @@
+#ifndef JASMINELUG_PLATFORM_H_
+#define JASMINELUG_PLATFORM_H_
+
+// A client of the platform's object API.
+
+#include "src/platform/call_counts.h"
+#include "src/platform/client.h"
+#include "src/platform/client_options.h"
+#include "src/platform/error.h"
+#include "src/platform/object.h"
+#include "src/platform/object_json.h"
+
+#endif  // JASMINELUG_PLATFORM_H_
--- /dev/null
+++ b/src/platform/internal/caller.h
@@ -0,0 +1,47 @@
+#ifndef SRC_PLATFORM_INTERNAL_CALLER_H_
+#define SRC_PLATFORM_INTERNAL_CALLER_H_
+
+#include <asio/io_context.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "jasminelug/http2.h"
+#include "src/platform/call_counts.h"
+#include "src/platform/client_options.h"
+
+namespace jasminelug::platform::internal {
+
+// Sends the calls of a Client and counts them.
+class Caller {
+ public:
+  // The member of CallCounts that a call belongs to.
+  using Counter = std::int64_t CallCounts::*;
+
+  Caller(asio::io_context& io, const ClientOptions& options);
+
+  // Sends a request that may take `wait` longer than the usual limit. It counts
+  // from now on, unless it proves not to have been sent.
+  void Call(Counter counter,
+            const http2::Request& request,
+            std::chrono::milliseconds wait,
+            http2::ResponseHook hook);
+
+  // Calls `task` soon, without a call of the platform.
+  void Post(std::function<void()> task);
+
+  CallCounts Counts() const { return *m_counts; }
+
+ private:
+  asio::io_context& m_io;
+  const std::chrono::milliseconds m_call_timeout;
+  const std::shared_ptr<CallCounts> m_counts = std::make_shared<CallCounts>();
+  http2::Client m_client;
+};
+
+}  // namespace jasminelug::platform::internal
+
+#endif  // SRC_PLATFORM_INTERNAL_CALLER_H_
