--- /dev/null
+++ b/test/core/service_state_test.cc
@@ -0,0 +1,145 @@
+#include "src/core/service_state.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <optional>
+
+#include "src/core/return_ramp.h"
+#include "test/core/control_driver.h"
+
+namespace jasminelug::core {
+namespace {
+
+using control_test::ControlDriver;
+
+const ZoneName kOwn("arima");
+
+ConfigurationPtr WithZone(bool out) {
+  Configuration configuration;
+  configuration.m_zones[kOwn] = {kOwn, out};
+  return std::make_shared<const Configuration>(configuration);
+}
+
+struct RampCase {
+  Duration m_since_return;
+  double m_fraction;
+};
+
+constexpr RampCase kRamp[] = {{0s, 0.0},
+                              {1s, 0.1},
+                              {5s, 0.5},
+                              {10s, 1.0},
+                              {60s, 1.0}};
+
+class ServiceStateTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ServiceStateTest);
+  CPPUNIT_TEST(NotReadyBeforeAConfiguration);
+  CPPUNIT_TEST(ZoneOutHasAGrace);
+  CPPUNIT_TEST(LaterConfigurationDoesNotProlongTheGrace);
+  CPPUNIT_TEST(UnconfirmedKeysTurnTheBalancerAway);
+  CPPUNIT_TEST(ShutdownRefuses);
+  CPPUNIT_TEST(FencedRefuses);
+  CPPUNIT_TEST(ReturnIsGradual);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_driver = std::make_unique<ControlDriver>();
+    m_state = std::make_unique<ServiceState>(kOwn);
+  }
+
+  void NotReadyBeforeAConfiguration() {
+    CPPUNIT_ASSERT(Check() == RefusalCode::kUnavailable);
+    m_state->OnKeysConfirmed(true, m_driver->Begin());
+    CPPUNIT_ASSERT(!m_state->IsReady());
+    m_state->OnInstalled(WithZone(false), m_driver->Begin());
+    CPPUNIT_ASSERT(Check() == std::nullopt);
+    CPPUNIT_ASSERT(m_driver->Last<SetReadiness>()->m_ready);
+  }
+
+  void ZoneOutHasAGrace() {
+    MakeReady();
+    m_state->OnInstalled(WithZone(true), m_driver->Begin());
+    CPPUNIT_ASSERT(!m_driver->Last<SetReadiness>()->m_ready);
+    CPPUNIT_ASSERT(m_driver->HasRecorded(TimelineKind::kZoneLeft));
+    m_driver->After(kZoneGrace);
+    CPPUNIT_ASSERT(Check() == std::nullopt);
+    m_driver->After(1ms);
+    CPPUNIT_ASSERT(Check() == RefusalCode::kZoneOut);
+    m_state->OnInstalled(WithZone(false), m_driver->Begin());
+    CPPUNIT_ASSERT(m_driver->Last<SetReadiness>()->m_ready);
+    CPPUNIT_ASSERT(m_driver->HasRecorded(TimelineKind::kZoneReturned));
+    CPPUNIT_ASSERT(Check() == std::nullopt);
+  }
+
+  void LaterConfigurationDoesNotProlongTheGrace() {
+    MakeReady();
+    m_state->OnInstalled(WithZone(true), m_driver->Begin());
+    m_state->OnInstalled(WithZone(true), m_driver->After(1900ms));
+    m_driver->After(101ms);
+    CPPUNIT_ASSERT(Check() == RefusalCode::kZoneOut);
+  }
+
+  void UnconfirmedKeysTurnTheBalancerAway() {
+    MakeReady();
+    m_state->OnKeysConfirmed(false, m_driver->Begin());
+    CPPUNIT_ASSERT(!m_driver->Last<SetReadiness>()->m_ready);
+    // Routes that are open to all go on.
+    CPPUNIT_ASSERT(Check() == std::nullopt);
+    m_state->OnKeysConfirmed(true, m_driver->Begin());
+    CPPUNIT_ASSERT(m_driver->Last<SetReadiness>()->m_ready);
+    m_state->OnKeysConfirmed(true, m_driver->Begin());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_driver->Count<SetReadiness>());
+  }
+
+  void ShutdownRefuses() {
+    MakeReady();
+    m_state->OnShutdownRequested(m_driver->Begin());
+    CPPUNIT_ASSERT(!m_driver->Last<SetReadiness>()->m_ready);
+    CPPUNIT_ASSERT(Check() == RefusalCode::kShuttingDown);
+  }
+
+  void FencedRefuses() {
+    MakeReady();
+    m_state->OnFenced(m_driver->Begin());
+    CPPUNIT_ASSERT(!m_driver->Last<SetReadiness>()->m_ready);
+    CPPUNIT_ASSERT(Check() == RefusalCode::kShuttingDown);
+  }
+
+  void ReturnIsGradual() {
+    for (const RampCase& row : kRamp) {
+      ReturnRamp ramp;
+      CPPUNIT_ASSERT_EQUAL(1.0, ramp.WorkFraction(kOwn, m_driver->Begin()));
+      ramp.OnInstalled(WithZone(false), m_driver->Begin());
+      CPPUNIT_ASSERT_EQUAL(1.0, ramp.WorkFraction(kOwn, m_driver->Begin()));
+      ramp.OnInstalled(WithZone(true), m_driver->Begin());
+      CPPUNIT_ASSERT_EQUAL(0.0, ramp.WorkFraction(kOwn, m_driver->After(60s)));
+      ramp.OnInstalled(WithZone(false), m_driver->Begin());
+      // Another change of the configuration does not start the ramp again.
+      m_driver->After(row.m_since_return);
+      ramp.OnInstalled(WithZone(false), m_driver->Begin());
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(
+          row.m_fraction, ramp.WorkFraction(kOwn, m_driver->Begin()), 1e-9);
+    }
+  }
+
+ private:
+  void MakeReady() {
+    m_state->OnInstalled(WithZone(false), m_driver->Begin());
+    m_state->OnKeysConfirmed(true, m_driver->Begin());
+    CPPUNIT_ASSERT(m_state->IsReady());
+  }
+
+  std::optional<RefusalCode> Check() {
+    return m_state->CheckNewRequest(m_driver->Now());
+  }
+
+  std::unique_ptr<ControlDriver> m_driver;
+  std::unique_ptr<ServiceState> m_state;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServiceStateTest);
+
+}  // namespace
+}  // namespace jasminelug::core
