core: tests of leases, peers, cells and the removal of instances

Lost, late and refused writes of the lease, a paused holder, conflicts of incarnations, a deleted lease; heartbeats matched with their own sending.

--- a/src/core/lease_keeper.cc
+++ b/src/core/lease_keeper.cc
@@ -299,13 +299,9 @@
 void LeaseKeeper::Report(Context& context) {
   m_lease.m_pending_cells.clear();
   for (const SentWrite& write : m_writes) {
-    LeaseCell& last = m_lease.m_pending_cells.empty()
-                          ? m_lease.m_cell
-                          : m_lease.m_pending_cells.back();
-    const bool repeats =
-        !m_lease.m_pending_cells.empty() && last == write.m_cell;
-    if (!repeats) {
-      m_lease.m_pending_cells.push_back(write.m_cell);
+    std::vector<LeaseCell>& cells = m_lease.m_pending_cells;
+    if (cells.empty() || cells.back() != write.m_cell) {
+      cells.push_back(write.m_cell);
     }
   }
   if (m_hooks.m_on_lease) {
--- /dev/null
+++ b/test/core/lease_keeper_test.cc
@@ -0,0 +1,409 @@
+#include "src/core/lease_keeper.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/core/configuration_codec.h"
+#include "test/core/control_driver.h"
+#include "test/core/control_values.h"
+#include "test/core/virtual_platform.h"
+
+namespace jasminelug::core {
+namespace {
+
+using control_test::ControlDriver;
+using control_test::VirtualPlatform;
+
+const ObjectKey kOwnObject{ObjectKind::kInstance, "own"};
+const LeaseCell kCellOne{{InstanceId("p"), Incarnation(1)}};
+const LeaseCell kCellTwo{{InstanceId("q"), Incarnation(1)}};
+
+// What the platform does with a write, and what the keeper learns.
+enum class Fate { kAnswered, kAnswerLost, kNeverArrives, kArrivesLate };
+
+struct LossCase {
+  const char* m_name;
+  Fate m_fate;
+  // Whether the lease counts from the write once the object was read back.
+  bool m_proved;
+};
+
+constexpr LossCase kLosses[] = {
+    {"answered", Fate::kAnswered, true},
+    {"took effect, the answer was lost", Fate::kAnswerLost, true},
+    {"took no effect", Fate::kNeverArrives, false},
+};
+
+class LeaseKeeperTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LeaseKeeperTest);
+  CPPUNIT_TEST(RegistersAndRenews);
+  CPPUNIT_TEST(LossesAreReadBack);
+  CPPUNIT_TEST(LateWriteIsRecognised);
+  CPPUNIT_TEST(RefusedWriteLeavesNothingOpen);
+  CPPUNIT_TEST(OpenWritesCellsAreReported);
+  CPPUNIT_TEST(PausedHolderBelievesInNoMoreThanIsProved);
+  CPPUNIT_TEST(LapseIsRecordedOnce);
+  CPPUNIT_TEST(OlderIncarnationIsOverwritten);
+  CPPUNIT_TEST(NewerIncarnationFences);
+  CPPUNIT_TEST(SameIncarnationFences);
+  CPPUNIT_TEST(WatchOfANewerIncarnationIsCheckedAtOnce);
+  CPPUNIT_TEST(DeletedLeaseBeginsANewSeries);
+  CPPUNIT_TEST(DrainingIsWrittenAtOnce);
+  CPPUNIT_TEST(DrainingWaitsForTheWriteUnderWay);
+  CPPUNIT_TEST(DeregistersLast);
+  CPPUNIT_TEST(DeregistersDespiteALostAnswer);
+  CPPUNIT_TEST(DeregisterGivesUpInTime);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_driver = std::make_unique<ControlDriver>();
+    m_platform = VirtualPlatform();
+    m_lease = OwnLease();
+    m_cell = kCellOne;
+    m_fenced = 0;
+    m_deregistered = 0;
+    m_keeper = MakeKeeper(5);
+  }
+
+  void RegistersAndRenews() {
+    Register();
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, m_lease.m_version);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, m_lease.m_series);
+    CPPUNIT_ASSERT(m_lease.m_cell == kCellOne);
+    int renewals = 0;
+    for (int i = 0; i < 1200; ++i) {
+      Tick(100ms);
+      renewals += ServePut() ? 1 : 0;
+      CPPUNIT_ASSERT(m_driver->GetTime() < m_lease.m_valid_until);
+    }
+    // Two minutes, one renewal in 3.6 s to 4 s and the wait for a tick.
+    CPPUNIT_ASSERT(renewals >= 29);
+    CPPUNIT_ASSERT(renewals <= 34);
+    const InstanceRecord record = Stored();
+    CPPUNIT_ASSERT(record.m_renewal == m_lease.m_version);
+    CPPUNIT_ASSERT(record.m_incarnation == Incarnation(5));
+  }
+
+  void LossesAreReadBack() {
+    for (const LossCase& row : kLosses) {
+      setUp();
+      Register();
+      const Time first_end = m_lease.m_valid_until;
+      AdvanceToPut();
+      const Time sent = m_driver->GetTime();
+      const bool answered = row.m_fate == Fate::kAnswered;
+      if (row.m_fate != Fate::kNeverArrives) {
+        m_platform.Put(m_put);
+      }
+      Answer(answered ? PlatformAnswer(ObjectAnswer{m_platform.Get(kOwnObject)})
+                      : PlatformAnswer(PlatformFailure{true}),
+             30ms);
+      if (!answered) {
+        // Nothing is believed until the object was read.
+        CPPUNIT_ASSERT(first_end == m_lease.m_valid_until);
+        CPPUNIT_ASSERT(AdvanceToGet());
+        Answer(ObjectAnswer{m_platform.Get(kOwnObject)}, 5ms);
+      }
+      const Time expected = row.m_proved ? sent + kDefaultLease : first_end;
+      CPPUNIT_ASSERT_MESSAGE(row.m_name, expected == m_lease.m_valid_until);
+    }
+  }
+
+  // The write is delayed in the network beyond a read back, and beats the
+  // repeat to the platform.
+  void LateWriteIsRecognised() {
+    Register();
+    AdvanceToPut();
+    const PutObject late = m_put;
+    const Time sent = m_driver->GetTime();
+    Answer(PlatformFailure{true}, 30ms);
+    CPPUNIT_ASSERT(AdvanceToGet());
+    Answer(ObjectAnswer{m_platform.Get(kOwnObject)}, 5ms);
+    CPPUNIT_ASSERT(AdvanceToPut());
+    CPPUNIT_ASSERT(m_put.m_write_id != late.m_write_id);
+    m_platform.Put(late);
+    Answer(m_platform.Put(m_put), 5ms);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, m_lease.m_version);
+    CPPUNIT_ASSERT(sent + kDefaultLease == m_lease.m_valid_until);
+    CPPUNIT_ASSERT_EQUAL(0, m_fenced);
+  }
+
+  void RefusedWriteLeavesNothingOpen() {
+    Register();
+    m_cell = kCellTwo;
+    AdvanceToPut();
+    Answer(PlatformFailure{false}, 5ms);
+    CPPUNIT_ASSERT(m_lease.m_pending_cells.empty());
+    CPPUNIT_ASSERT(AdvanceToPut());
+  }
+
+  void OpenWritesCellsAreReported() {
+    Register();
+    CPPUNIT_ASSERT(m_lease.m_pending_cells.empty());
+    m_cell = kCellTwo;
+    AdvanceToPut();
+    // Already while the write is under way.
+    CPPUNIT_ASSERT(m_lease.m_cell == kCellOne);
+    CPPUNIT_ASSERT(m_lease.m_pending_cells == std::vector<LeaseCell>{kCellTwo});
+    Answer(PlatformFailure{true}, 5ms);
+    CPPUNIT_ASSERT(AdvanceToGet());
+    m_cell = kCellOne;
+    // The read shows no effect, and the write is repeated with another cell.
+    Answer(ObjectAnswer{m_platform.Get(kOwnObject)}, 5ms);
+    CPPUNIT_ASSERT(AdvanceToPut());
+    CPPUNIT_ASSERT((m_lease.m_pending_cells ==
+                    std::vector<LeaseCell>{kCellTwo, kCellOne}));
+    Answer(m_platform.Put(m_put), 5ms);
+    CPPUNIT_ASSERT(m_lease.m_pending_cells.empty());
+    CPPUNIT_ASSERT(m_lease.m_cell == kCellOne);
+  }
+
+  // The answer to a renewal waits while the process is paused.
+  void PausedHolderBelievesInNoMoreThanIsProved() {
+    Register();
+    AdvanceToPut();
+    const Time sent = m_driver->GetTime();
+    Answer(m_platform.Put(m_put), 60s);
+    CPPUNIT_ASSERT(sent + kDefaultLease == m_lease.m_valid_until);
+    CPPUNIT_ASSERT(m_lease.m_valid_until < m_driver->GetTime());
+    // It renews at once, and counts from then.
+    CPPUNIT_ASSERT(m_driver->LastRequest<PutObject>() || AdvanceToPut());
+  }
+
+  void LapseIsRecordedOnce() {
+    Register();
+    int lapses = 0;
+    for (int i = 0; i < 400; ++i) {
+      Tick(100ms);
+      lapses += m_driver->HasRecorded(TimelineKind::kLeaseLapsed) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(1, lapses);
+  }
+
+  void OlderIncarnationIsOverwritten() {
+    PutRecord(4);
+    m_keeper->Start(m_driver->Begin());
+    CPPUNIT_ASSERT(ServePut());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, m_lease.m_version);
+    CPPUNIT_ASSERT(AdvanceToPut());
+    Answer(m_platform.Put(m_put), 5ms);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, m_lease.m_version);
+    CPPUNIT_ASSERT(Stored().m_incarnation == Incarnation(5));
+    CPPUNIT_ASSERT_EQUAL(0, m_fenced);
+  }
+
+  void NewerIncarnationFences() {
+    Register();
+    PutRecord(6);
+    AdvanceToPut();
+    Answer(m_platform.Put(m_put), 5ms);
+    CheckFenced();
+  }
+
+  void SameIncarnationFences() {
+    Register();
+    PutRecord(5);
+    AdvanceToPut();
+    Answer(m_platform.Put(m_put), 5ms);
+    CheckFenced();
+  }
+
+  void WatchOfANewerIncarnationIsCheckedAtOnce() {
+    Register();
+    PutRecord(6);
+    m_keeper->OnOwnObject(m_platform.Get(kOwnObject), m_driver->After(10ms));
+    CPPUNIT_ASSERT(AdvanceToGet());
+    Answer(ObjectAnswer{m_platform.Get(kOwnObject)}, 5ms);
+    CheckFenced();
+  }
+
+  void DeletedLeaseBeginsANewSeries() {
+    Register();
+    m_platform.Remove(kOwnObject);
+    AdvanceToPut();
+    Answer(m_platform.Put(m_put), 5ms);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, m_lease.m_series);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, m_lease.m_version);
+    CPPUNIT_ASSERT(m_lease.m_valid_until < m_driver->GetTime());
+    CPPUNIT_ASSERT(m_driver->LastRequest<PutObject>());
+    CPPUNIT_ASSERT(ServePut());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, m_lease.m_version);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, Stored().m_series);
+    CPPUNIT_ASSERT_EQUAL(0, m_fenced);
+  }
+
+  void DrainingIsWrittenAtOnce() {
+    Register();
+    m_keeper->SetDraining(m_driver->After(10ms));
+    CPPUNIT_ASSERT(ServePut());
+    CPPUNIT_ASSERT(Stored().m_draining);
+  }
+
+  void DrainingWaitsForTheWriteUnderWay() {
+    Register();
+    AdvanceToPut();
+    const PutObject under_way = m_put;
+    const CallId call = m_driver->LastCall();
+    m_keeper->SetDraining(m_driver->After(1ms));
+    CPPUNIT_ASSERT(!m_driver->LastRequest<PutObject>());
+    m_keeper->OnPlatformAnswered(call, m_platform.Put(under_way),
+                                 m_driver->After(5ms));
+    CPPUNIT_ASSERT(ServePut());
+    CPPUNIT_ASSERT(Stored().m_draining);
+  }
+
+  void DeregistersLast() {
+    Register();
+    m_keeper->Deregister(m_driver->After(10ms));
+    CPPUNIT_ASSERT_EQUAL(0, m_deregistered);
+    CPPUNIT_ASSERT(ServeDelete());
+    CPPUNIT_ASSERT_EQUAL(1, m_deregistered);
+    CPPUNIT_ASSERT(m_platform.Get(kOwnObject).m_deleted);
+    Tick(60s);
+    CPPUNIT_ASSERT(!m_driver->LastRequest<PutObject>());
+    CPPUNIT_ASSERT_EQUAL(1, m_deregistered);
+  }
+
+  void DeregistersDespiteALostAnswer() {
+    Register();
+    m_keeper->Deregister(m_driver->After(10ms));
+    const auto request = m_driver->LastRequest<DeleteObject>();
+    CPPUNIT_ASSERT(request);
+    m_platform.Delete(*request);
+    Answer(PlatformFailure{true}, 5ms);
+    CPPUNIT_ASSERT_EQUAL(0, m_deregistered);
+    CPPUNIT_ASSERT(AdvanceToGet());
+    Answer(ObjectAnswer{m_platform.Get(kOwnObject)}, 5ms);
+    CPPUNIT_ASSERT_EQUAL(1, m_deregistered);
+  }
+
+  void DeregisterGivesUpInTime() {
+    Register();
+    m_keeper->Deregister(m_driver->After(10ms));
+    m_driver->LastRequest<DeleteObject>();
+    Answer(PlatformFailure{true}, 5ms);
+    for (int i = 0; i < 60; ++i) {
+      Tick(100ms);
+      if (m_driver->LastRequest<GetObject>()) {
+        Answer(PlatformFailure{}, 1ms);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(1, m_deregistered);
+  }
+
+ private:
+  std::unique_ptr<LeaseKeeper> MakeKeeper(uint64_t incarnation) {
+    LeaseKeeper::Hooks hooks;
+    hooks.m_on_lease = [this](const OwnLease& lease, Context&) {
+      m_lease = lease;
+    };
+    hooks.m_on_fenced = [this](Context&) { ++m_fenced; };
+    hooks.m_on_deregistered = [this](Context&) { ++m_deregistered; };
+    hooks.m_choose_cell = [this] { return m_cell; };
+    return std::make_unique<LeaseKeeper>(RecordOf(incarnation), hooks);
+  }
+
+  static InstanceRecord RecordOf(uint64_t incarnation) {
+    InstanceRecord record;
+    record.m_id = InstanceId("own");
+    record.m_address = Address("10.0.0.1:7000");
+    record.m_caller_address = Address("10.0.0.1:8080");
+    record.m_zone = ZoneName("z");
+    record.m_incarnation = Incarnation(incarnation);
+    record.m_lease = kDefaultLease;
+    return record;
+  }
+
+  // Another process writes under the same id.
+  void PutRecord(uint64_t incarnation) {
+    m_platform.Write(kOwnObject, Format(RecordOf(incarnation)));
+  }
+
+  InstanceRecord Stored() const {
+    return GetValue(ParseInstanceRecord(InstanceId("own"),
+                                        m_platform.Get(kOwnObject).m_value));
+  }
+
+  void Register() {
+    m_keeper->Start(m_driver->Begin());
+    CPPUNIT_ASSERT(ServePut());
+  }
+
+  void Tick(Duration later) { m_keeper->OnTick(m_driver->After(later)); }
+
+  // Lets time pass until the keeper writes; the write is m_put.
+  bool AdvanceToPut() {
+    for (int i = 0; i < 100; ++i) {
+      if (const auto put = m_driver->LastRequest<PutObject>()) {
+        m_put = *put;
+        return true;
+      }
+      Tick(50ms);
+    }
+    return false;
+  }
+
+  bool AdvanceToGet() {
+    for (int i = 0; i < 100; ++i) {
+      if (m_driver->LastRequest<GetObject>()) {
+        return true;
+      }
+      Tick(50ms);
+    }
+    return false;
+  }
+
+  bool ServePut() {
+    const auto put = m_driver->LastRequest<PutObject>();
+    if (!put) {
+      return false;
+    }
+    Answer(m_platform.Put(*put), 5ms);
+    return true;
+  }
+
+  bool ServeDelete() {
+    const auto request = m_driver->LastRequest<DeleteObject>();
+    if (!request) {
+      return false;
+    }
+    Answer(m_platform.Delete(*request), 5ms);
+    return true;
+  }
+
+  void Answer(const PlatformAnswer& answer, Duration later) {
+    const CallId call = m_driver->LastCall();
+    m_keeper->OnPlatformAnswered(call, answer, m_driver->After(later));
+  }
+
+  void CheckFenced() {
+    CPPUNIT_ASSERT_EQUAL(1, m_fenced);
+    CPPUNIT_ASSERT(m_keeper->IsFenced());
+    CPPUNIT_ASSERT(m_driver->HasRecorded(TimelineKind::kLeaseLapsed));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, m_lease.m_version);
+    const Revision before = m_platform.GetRevision();
+    for (int i = 0; i < 100; ++i) {
+      Tick(100ms);
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, m_driver->Count<CallPlatform>());
+    }
+    CPPUNIT_ASSERT(before == m_platform.GetRevision());
+  }
+
+  std::unique_ptr<ControlDriver> m_driver;
+  VirtualPlatform m_platform;
+  std::unique_ptr<LeaseKeeper> m_keeper;
+  LeaseCell m_cell;
+  OwnLease m_lease;
+  PutObject m_put;
+  int m_fenced = 0;
+  int m_deregistered = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeaseKeeperTest);
+
+}  // namespace
+}  // namespace jasminelug::core
--- /dev/null
+++ b/test/core/peer_table_test.cc
@@ -0,0 +1,390 @@
+#include "src/core/peer_table.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/core/cell_chooser.h"
+#include "src/core/instance_reaper.h"
+#include "test/core/control_driver.h"
+#include "test/core/control_values.h"
+
+namespace jasminelug::core {
+namespace {
+
+using control_test::ControlDriver;
+
+const InstanceId kOwn("own");
+const InstanceId kPeer("peer");
+
+InstanceRecord RecordOf(const InstanceId& id, uint64_t incarnation) {
+  InstanceRecord record;
+  record.m_id = id;
+  record.m_address = Address(id.str() + ":1");
+  record.m_caller_address = Address(id.str() + ":2");
+  record.m_zone = ZoneName("z");
+  record.m_incarnation = Incarnation(incarnation);
+  record.m_lease = kDefaultLease;
+  return record;
+}
+
+class PeerTableTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerTableTest);
+  CPPUNIT_TEST(HeartbeatsGoToSeedsAndRegisteredPeers);
+  CPPUNIT_TEST(AnswerNamesTheHeartbeat);
+  CPPUNIT_TEST(AnswerCountsFromItsHeartbeatsSending);
+  CPPUNIT_TEST(AnswerToAnEarlierProcessIsNotTaken);
+  CPPUNIT_TEST(OlderIncarnationsAreDropped);
+  CPPUNIT_TEST(UnregisteredPeerIsAnsweredAtItsOwnAddress);
+  CPPUNIT_TEST(SilentPeerIsLost);
+  CPPUNIT_TEST(OnlyARefusedHeartbeatCounts);
+  CPPUNIT_TEST(DeletedPeerIsGone);
+  CPPUNIT_TEST(SilentUnregisteredPeerIsForgotten);
+  CPPUNIT_TEST(CellIsOddAndLive);
+  CPPUNIT_TEST(ReaperDeletesWhatIsGone);
+  CPPUNIT_TEST(ReaperSparesHoldersOfShares);
+  CPPUNIT_TEST(ReaperNeedsTheWatchToHaveGoneOn);
+  CPPUNIT_TEST(OneInstanceIsChosenToReap);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_driver = std::make_unique<ControlDriver>();
+    m_known.clear();
+    m_gone.clear();
+    m_answers.clear();
+    m_refusals.clear();
+    m_table = MakeTable(kOwn);
+    m_table->Start(m_driver->Begin());
+  }
+
+  void HeartbeatsGoToSeedsAndRegisteredPeers() {
+    Register(kPeer, 1);
+    Tick(500ms);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, m_driver->Count<SendToPeer>());
+    // The seed was neither registered nor heard.
+    CPPUNIT_ASSERT(m_known == std::vector<InstanceId>{kPeer});
+    Tick(400ms);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_driver->Count<SendToPeer>());
+    Tick(100ms);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, m_driver->Count<SendToPeer>());
+  }
+
+  void AnswerNamesTheHeartbeat() {
+    Register(kPeer, 1);
+    Heartbeat ask;
+    ask.m_number = 77;
+    Receive(kPeer, 1, ask);
+    const auto answer = SentHeartbeatTo(kPeer);
+    CPPUNIT_ASSERT(answer && answer->m_answers == 77);
+    // An answer is not answered.
+    Heartbeat other;
+    other.m_answers = 1;
+    Receive(kPeer, 1, other);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, m_driver->Count<SendToPeer>());
+  }
+
+  void AnswerCountsFromItsHeartbeatsSending() {
+    Register(kPeer, 1);
+    const uint64_t first = Ask();
+    const Time sent = m_driver->GetTime();
+    const uint64_t second = Ask();
+    CPPUNIT_ASSERT(first != second);
+    m_driver->After(200ms);
+    ReceiveAnswer(kPeer, 1, first);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_answers.size());
+    CPPUNIT_ASSERT(sent == m_answers[0]);
+    // A repeat of the answer, and an answer to nothing, change nothing.
+    ReceiveAnswer(kPeer, 1, first);
+    ReceiveAnswer(kPeer, 1, 12345);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_answers.size());
+  }
+
+  // The earlier process under this id was as far with its numbers.
+  void AnswerToAnEarlierProcessIsNotTaken() {
+    Register(kPeer, 1);
+    const uint64_t earlier = Ask();
+    m_driver = std::make_unique<ControlDriver>(2);
+    m_table = MakeTable(kOwn);
+    m_table->Start(m_driver->Begin());
+    Register(kPeer, 1);
+    CPPUNIT_ASSERT(Ask() != earlier);
+    ReceiveAnswer(kPeer, 1, earlier);
+    CPPUNIT_ASSERT(m_answers.empty());
+  }
+
+  void OlderIncarnationsAreDropped() {
+    Register(kPeer, 3);
+    CPPUNIT_ASSERT(
+        !m_table->Accept({kPeer, Incarnation(2)}, m_driver->Begin()));
+    CPPUNIT_ASSERT(m_table->Accept({kPeer, Incarnation(3)}, m_driver->Begin()));
+    CPPUNIT_ASSERT(m_table->Accept({kPeer, Incarnation(4)}, m_driver->Begin()));
+    CPPUNIT_ASSERT(
+        !m_table->Accept({kPeer, Incarnation(3)}, m_driver->Begin()));
+    CPPUNIT_ASSERT(!m_table->Accept({kOwn, Incarnation(9)}, m_driver->Begin()));
+    // The record of the older incarnation arrives late.
+    Register(kPeer, 3);
+    CPPUNIT_ASSERT(Incarnation(4) == m_table->Find(kPeer)->m_incarnation);
+  }
+
+  void UnregisteredPeerIsAnsweredAtItsOwnAddress() {
+    Heartbeat ask;
+    ask.m_number = 5;
+    ask.m_address = Address("10.9.9.9:7000");
+    const InstanceId newcomer("newcomer");
+    Receive(newcomer, 1, ask);
+    CPPUNIT_ASSERT(m_known == std::vector<InstanceId>{newcomer});
+    CPPUNIT_ASSERT(ask.m_address == m_table->AddressOf(newcomer));
+    CPPUNIT_ASSERT(SentHeartbeatTo(newcomer));
+    CPPUNIT_ASSERT(!m_table->Find(newcomer)->m_registered);
+  }
+
+  void SilentPeerIsLost() {
+    Register(kPeer, 1);
+    ReceiveAnswer(kPeer, 1, Ask());
+    CPPUNIT_ASSERT(m_driver->HasRecorded(TimelineKind::kPeerReached));
+    CPPUNIT_ASSERT(m_table->Find(kPeer)->m_live);
+    // It is still heard, but does not answer: our messages do not arrive.
+    m_driver->After(1400ms);
+    Heartbeat ask;
+    ask.m_number = 9;
+    Receive(kPeer, 1, ask);
+    Tick(101ms);
+    CPPUNIT_ASSERT(m_driver->HasRecorded(TimelineKind::kPeerLost));
+    CPPUNIT_ASSERT(!m_table->Find(kPeer)->m_live);
+  }
+
+  void OnlyARefusedHeartbeatCounts() {
+    Register(kPeer, 1);
+    const uint64_t number = Ask();
+    const Time sent = m_driver->GetTime();
+    m_table->OnPeerUnreachable({kPeer, false, number}, m_driver->After(1ms));
+    m_table->OnPeerUnreachable({kPeer, true, 0}, m_driver->After(1ms));
+    m_table->OnPeerUnreachable({kPeer, true, 4711}, m_driver->After(1ms));
+    CPPUNIT_ASSERT(m_refusals.empty());
+    m_table->OnPeerUnreachable({kPeer, true, number}, m_driver->After(60s));
+    CPPUNIT_ASSERT(m_refusals == std::vector<Time>{sent});
+  }
+
+  void DeletedPeerIsGone() {
+    Register(kPeer, 1);
+    m_table->OnRecord(kPeer, nullptr, m_driver->Begin());
+    CPPUNIT_ASSERT(m_gone == std::vector<InstanceId>{kPeer});
+    CPPUNIT_ASSERT(!m_table->Find(kPeer));
+    // Its last words do not make it known again.
+    Heartbeat last;
+    last.m_number = 1;
+    last.m_draining = true;
+    Receive(kPeer, 1, last);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_known.size());
+  }
+
+  void SilentUnregisteredPeerIsForgotten() {
+    Heartbeat ask;
+    ask.m_number = 5;
+    Receive(kPeer, 1, ask);
+    const Time heard = m_driver->GetTime();
+    // Without word from the platform it may be registered by now.
+    m_table->ForgetSilent(heard, m_driver->After(kForgetPeerAfter + 1s));
+    CPPUNIT_ASSERT(m_gone.empty());
+    m_table->ForgetSilent(heard + 1s, m_driver->Begin());
+    CPPUNIT_ASSERT(m_gone == std::vector<InstanceId>{kPeer});
+  }
+
+  void CellIsOddAndLive() {
+    std::vector<PeerInfo> peers;
+    const size_t expected[] = {0, 1, 1, 3, 3, 5, 5, 5};
+    for (const size_t size : expected) {
+      CPPUNIT_ASSERT_EQUAL(size, ChooseCell(kOwn, peers).size());
+      PeerInfo peer;
+      peer.m_id = InstanceId("p" + std::to_string(peers.size()));
+      peer.m_registered = true;
+      peer.m_live = true;
+      peers.push_back(peer);
+    }
+    const LeaseCell before = ChooseCell(kOwn, peers);
+    for (PeerInfo& peer : peers) {
+      const bool in_cell = IsIn(before, peer.m_id);
+      peer.m_live = false;
+      const LeaseCell without = ChooseCell(kOwn, peers);
+      CPPUNIT_ASSERT(!IsIn(without, peer.m_id));
+      // The loss of another peer changes nothing.
+      CPPUNIT_ASSERT(in_cell || without == before);
+      peer.m_live = true;
+      peer.m_draining = true;
+      CPPUNIT_ASSERT(!IsIn(ChooseCell(kOwn, peers), peer.m_id));
+      peer.m_draining = false;
+    }
+  }
+
+  void ReaperDeletesWhatIsGone() {
+    Register(kPeer, 1);
+    InstanceReaper reaper(kOwn, *m_table, nullptr);
+    Watch(&reaper, 7);
+    CPPUNIT_ASSERT(!ReapsAfter(&reaper, 120s));
+    CPPUNIT_ASSERT(ReapsAfter(&reaper, 2s));
+    CPPUNIT_ASSERT_EQUAL(
+        uint64_t{7}, m_driver->LastRequest<DeleteObject>()->m_expected_version);
+    CPPUNIT_ASSERT(reaper.OnPlatformAnswered(m_driver->LastCall()));
+    CPPUNIT_ASSERT(!reaper.OnPlatformAnswered(m_driver->LastCall()));
+    // Not again at once; and no more after a renewal.
+    CPPUNIT_ASSERT(!ReapsAfter(&reaper, 1s));
+    Watch(&reaper, 8);
+    CPPUNIT_ASSERT(!ReapsAfter(&reaper, 30s));
+  }
+
+  void ReaperSparesHoldersOfShares() {
+    Register(kPeer, 1);
+    bool holds = true;
+    InstanceReaper reaper(kOwn, *m_table,
+                          [&holds](const InstanceId&) { return holds; });
+    Watch(&reaper, 7);
+    CPPUNIT_ASSERT(!ReapsAfter(&reaper, 200s));
+    holds = false;
+    CPPUNIT_ASSERT(ReapsAfter(&reaper, 10s));
+  }
+
+  void ReaperNeedsTheWatchToHaveGoneOn() {
+    Register(kPeer, 1);
+    InstanceReaper reaper(kOwn, *m_table, nullptr);
+    Watch(&reaper, 7);
+    reaper.OnConfirmed(m_driver->GetTime());
+    reaper.OnTick(m_driver->After(500s));
+    CPPUNIT_ASSERT(!m_driver->LastRequest<DeleteObject>());
+  }
+
+  void OneInstanceIsChosenToReap() {
+    const std::vector<InstanceId> ids = {InstanceId("a"), InstanceId("b"),
+                                         InstanceId("c"), InstanceId("d")};
+    int chosen = 0;
+    for (const InstanceId& own : ids) {
+      m_table = MakeTable(own);
+      m_table->Start(m_driver->Begin());
+      for (const InstanceId& other : ids) {
+        if (other != own) {
+          Register(other, 1);
+        }
+      }
+      Register(kPeer, 1);
+      Tick(500ms);
+      for (const InstanceId& other : ids) {
+        if (const auto asked = SentHeartbeatTo(other)) {
+          m_asked.push_back({other, asked->m_number});
+        }
+      }
+      for (const Asked& asked : m_asked) {
+        ReceiveAnswer(asked.m_peer, 1, asked.m_number);
+      }
+      m_asked.clear();
+      InstanceReaper reaper(own, *m_table, nullptr);
+      Watch(&reaper, 7);
+      chosen += ReapsAfter(&reaper, 130s) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(1, chosen);
+  }
+
+ private:
+  struct Asked {
+    InstanceId m_peer;
+    uint64_t m_number = 0;
+  };
+
+  std::unique_ptr<PeerTable> MakeTable(const InstanceId& own) {
+    PeerTable::Hooks hooks;
+    hooks.m_on_answer = [this](const PeerSender&, Time sent, const Heartbeat&,
+                               Context&) { m_answers.push_back(sent); };
+    hooks.m_on_refused = [this](const InstanceId&, Time sent, Context&) {
+      m_refusals.push_back(sent);
+    };
+    hooks.m_on_known = [this](const InstanceId& id, Context&) {
+      m_known.push_back(id);
+    };
+    hooks.m_on_gone = [this](const InstanceId& id, Context&) {
+      m_gone.push_back(id);
+    };
+    return std::make_unique<PeerTable>(
+        own, std::vector<SeedPeer>{{InstanceId("seed"), Address("seed:1")}},
+        hooks);
+  }
+
+  static bool IsIn(const LeaseCell& cell, const InstanceId& id) {
+    for (const PeerSender& member : cell) {
+      if (member.m_instance == id) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void Register(const InstanceId& id, uint64_t incarnation) {
+    const InstanceRecord record = RecordOf(id, incarnation);
+    m_table->OnRecord(id, &record, m_driver->Begin());
+  }
+
+  void Tick(Duration later) { m_table->OnTick(m_driver->After(later)); }
+
+  // Lets the next heartbeat be sent; returns its number.
+  uint64_t Ask() {
+    Tick(kHeartbeatInterval);
+    const auto sent = SentHeartbeatTo(kPeer);
+    CPPUNIT_ASSERT(sent);
+    return sent->m_number;
+  }
+
+  std::optional<Heartbeat> SentHeartbeatTo(const InstanceId& peer) const {
+    for (const Action& action : m_driver->Actions()) {
+      const auto* send = std::get_if<SendToPeer>(&action);
+      if (send && send->m_peer == peer) {
+        return std::get<Heartbeat>(send->m_message);
+      }
+    }
+    return std::nullopt;
+  }
+
+  void Receive(const InstanceId& from,
+               uint64_t incarnation,
+               const Heartbeat& heartbeat) {
+    const PeerSender sender{from, Incarnation(incarnation)};
+    Context& context = m_driver->Begin();
+    CPPUNIT_ASSERT(m_table->Accept(sender, context));
+    m_table->OnHeartbeat(sender, heartbeat, context);
+  }
+
+  void ReceiveAnswer(const InstanceId& from,
+                     uint64_t incarnation,
+                     uint64_t number) {
+    Heartbeat answer;
+    answer.m_answers = number;
+    Receive(from, incarnation, answer);
+  }
+
+  void Watch(InstanceReaper* reaper, uint64_t version) {
+    const InstanceRecord record = RecordOf(kPeer, 1);
+    const Object object = control_test::MakeObject(
+        {ObjectKind::kInstance, kPeer.str()}, version, version, "");
+    reaper->OnObject(object, &record, m_driver->Begin());
+  }
+
+  bool ReapsAfter(InstanceReaper* reaper, Duration later) {
+    Context& context = m_driver->After(later);
+    reaper->OnConfirmed(m_driver->GetTime());
+    reaper->OnTick(context);
+    return m_driver->LastRequest<DeleteObject>().has_value();
+  }
+
+  std::unique_ptr<ControlDriver> m_driver;
+  std::unique_ptr<PeerTable> m_table;
+  std::vector<InstanceId> m_known;
+  std::vector<InstanceId> m_gone;
+  std::vector<Time> m_answers;
+  std::vector<Time> m_refusals;
+  std::vector<Asked> m_asked;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerTableTest);
+
+}  // namespace
+}  // namespace jasminelug::core
