core: simulate the control planes of a fleet; keep the proof of an outage for its time

The simulation showed a gap: when the platform came back after an outage, the first instance to reach it had a newer revision, and the others refused every key until they had it too. Proof that a peer did not reach the platform is good for the bound, whatever the peer says next: a withdrawal that it learns of later is younger than that.

--- a/src/core/freshness.cc
+++ b/src/core/freshness.cc
@@ -27,8 +27,6 @@
     NoteSilence(&evidence, sent);
   }
   evidence.m_at = sent;
-  evidence.m_answered = true;
-  evidence.m_reaches_platform = answer.m_platform_reachable;
   evidence.m_revision = answer.m_revision;
   evidence.m_incarnation = peer.m_incarnation;
   evidence.m_confirmed.reset();
@@ -36,6 +34,11 @@
     // The peer answered after `sent`, and its clock may run slower than ours.
     evidence.m_confirmed = sent - OnEveryClock(*answer.m_platform_age);
   }
+  if (!answer.m_platform_reachable) {
+    evidence.m_outage_at = sent;
+    evidence.m_outage_revision = answer.m_revision;
+    evidence.m_outage_answered = true;
+  }
   TakeConfirmation(evidence);
 }
 
@@ -50,7 +53,9 @@
   }
   NoteSilence(&evidence, sent);
   evidence.m_at = sent;
-  evidence.m_answered = false;
+  evidence.m_outage_at = sent;
+  evidence.m_outage_revision = Revision();
+  evidence.m_outage_answered = false;
 }
 
 void Freshness::OnPeerKnown(const InstanceId& peer) {
@@ -96,23 +101,18 @@
     if (!ProvesOutage(evidence, now)) {
       return false;
     }
-    any_answered |= evidence.m_answered;
+    any_answered |= evidence.m_outage_answered;
   }
   return any_answered;
 }
 
 bool Freshness::ProvesOutage(const Evidence& evidence, Time now) const {
   const bool recent =
-      evidence.m_at && now - *evidence.m_at <= kKeyFreshnessBound;
+      evidence.m_outage_at && now - *evidence.m_outage_at <= kKeyFreshnessBound;
+  const bool knows_more = evidence.m_outage_revision > m_installed;
   const bool unproved =
       evidence.m_unproved_until && *m_confirmed < *evidence.m_unproved_until;
-  if (!recent || unproved) {
-    return false;
-  }
-  if (!evidence.m_answered) {
-    return true;
-  }
-  return !evidence.m_reaches_platform && evidence.m_revision <= m_installed;
+  return recent && !knows_more && !unproved;
 }
 
 void Freshness::Confirm(Time at) {
--- a/src/core/freshness.h
+++ b/src/core/freshness.h
@@ -52,14 +52,16 @@
   struct Evidence {
     // When the heartbeat was sent that brought the latest evidence.
     std::optional<Time> m_at;
-    // The latest evidence is an answer, not a refused connection.
-    bool m_answered = false;
-    // The peer reached the platform itself when it answered.
-    bool m_reaches_platform = false;
-    // What the peer had installed when it answered.
+    // What the peer had installed when it answered last.
     Revision m_revision;
     // At this time the peer had all that was accepted.
     std::optional<Time> m_confirmed;
+    // When the heartbeat was sent that showed last that the peer does not reach
+    // the platform. It stays good for its time when the peer reaches it again.
+    std::optional<Time> m_outage_at;
+    // What the peer had installed then; 0 if the connection was refused.
+    Revision m_outage_revision;
+    bool m_outage_answered = false;
     // Who answered last.
     Incarnation m_incarnation;
     // End of a silence from which another process came back than fell silent,
--- /dev/null
+++ b/test/core/control_simulation.h
@@ -0,0 +1,546 @@
+#ifndef TEST_CORE_CONTROL_SIMULATION_H_
+#define TEST_CORE_CONTROL_SIMULATION_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "src/core/control_plane.h"
+#include "test/core/control_values.h"
+#include "test/core/virtual_platform.h"
+
+namespace jasminelug::core::control_test {
+
+enum class PlatformMode {
+  kUp,
+  // Every call fails at once.
+  kFailing,
+  // No call is answered.
+  kSilent,
+};
+
+// How often things go wrong; all are probabilities for one message or call.
+struct SimulationFaults {
+  double m_drop = 0;
+  double m_duplicate = 0;
+  double m_delay = 0;
+  Duration m_max_delay = 60s;
+  // The platform's answer is lost after the call took effect.
+  double m_lose_answer = 0;
+  // The call reaches the platform long after the caller was told it failed.
+  double m_late_call = 0;
+};
+
+// Several instances' control planes, the platform and an operator on one
+// virtual clock; each instance has a clock of its own rate.
+class ControlSimulation {
+ public:
+  // Changes a message on its way. For tests that break a mechanism.
+  using Tamper = std::function<void(size_t from, PeerMessage*)>;
+
+  ControlSimulation(uint64_t seed, size_t nodes, bool skewed_clocks = false)
+      : m_random(seed) {
+    std::uniform_real_distribution<double> rate(0.9952, 1.0048);
+    for (size_t i = 0; i < nodes; ++i) {
+      Node node;
+      node.m_rate = skewed_clocks ? rate(m_random) : 1.0;
+      node.m_offset = Duration(1'000'000'000 * static_cast<int64_t>(i + 1));
+      m_nodes.push_back(std::move(node));
+    }
+  }
+
+  static InstanceId IdOf(size_t node) {
+    return InstanceId("instance" + std::to_string(node));
+  }
+
+  // Starts a process on the node; a later one has a higher incarnation.
+  void Start(size_t i) {
+    Node& node = m_nodes[i];
+    node.m_process = ++m_last_process;
+    node.m_machine_up = true;
+    node.m_paused = false;
+    node.m_backlog.clear();
+    node.m_ready = false;
+    node.m_fenced = false;
+    node.m_deregistered = false;
+    node.m_lease = OwnLease();
+    node.m_context = std::make_unique<Context>(m_random());
+    node.m_plane = std::make_unique<ControlPlane>(OptionsOf(i), HooksOf(&node));
+    ControlPlane* plane = node.m_plane.get();
+    node.m_context->SetAddressLookup([plane](const InstanceId& id) {
+      return plane->Members().AddressOf(id);
+    });
+    Handle(i, [](ControlPlane& p, Context& c) { p.Start(c); });
+    ScheduleTick(i, node.m_process);
+  }
+
+  // Ends the process. The machine refuses connections, or is silent.
+  void Kill(size_t i, bool machine_up) {
+    m_nodes[i].m_plane.reset();
+    m_nodes[i].m_process = 0;
+    m_nodes[i].m_machine_up = machine_up;
+  }
+
+  void Pause(size_t i) { m_nodes[i].m_paused = true; }
+
+  void Resume(size_t i) {
+    Node& node = m_nodes[i];
+    node.m_paused = false;
+    std::vector<Work> backlog;
+    backlog.swap(node.m_backlog);
+    for (const Work& work : backlog) {
+      Handle(i, work);
+    }
+  }
+
+  void CutPeers(size_t a, size_t b, bool cut) {
+    SetMember(&m_cut_links, {a, b}, cut);
+    SetMember(&m_cut_links, {b, a}, cut);
+  }
+
+  void CutPlatform(size_t node, bool cut) {
+    SetMember(&m_cut_platform, node, cut);
+    if (cut) {
+      FailWaiters(
+          [node](const Waiter& waiter) { return waiter.m_node == node; });
+    }
+  }
+
+  void SetPlatform(PlatformMode mode) {
+    m_mode = mode;
+    if (mode != PlatformMode::kUp) {
+      FailWaiters([](const Waiter&) { return true; });
+    }
+  }
+
+  PlatformMode GetPlatformMode() const { return m_mode; }
+  void SetFaults(const SimulationFaults& faults) { m_faults = faults; }
+  void SetTamper(Tamper tamper) { m_tamper = std::move(tamper); }
+
+  // Makes a silent machine look like one that refuses, as no network should.
+  void SetSilenceLooksRefused(bool on) { m_silence_looks_refused = on; }
+
+  // What the operator changes is accepted now.
+  void OperatorWrites(const ObjectKey& key, const std::string& value) {
+    m_platform.Write(key, value);
+    WakeWaiters();
+  }
+
+  void OperatorRemoves(const ObjectKey& key) {
+    m_platform.Remove(key);
+    WakeWaiters();
+  }
+
+  // Called after each step of the virtual clock at which something happened.
+  void SetObserver(std::function<void()> observer) {
+    m_observer = std::move(observer);
+  }
+
+  void Run(Duration duration) {
+    const Duration end = m_now + duration;
+    while (!m_events.empty() && m_events.begin()->first <= end) {
+      m_now = m_events.begin()->first;
+      const std::function<void()> event = std::move(m_events.begin()->second);
+      m_events.erase(m_events.begin());
+      event();
+      if (m_observer) {
+        m_observer();
+      }
+    }
+    m_now = end;
+  }
+
+  void After(Duration delay, std::function<void()> event) {
+    m_events.emplace(m_now + delay, std::move(event));
+  }
+
+  Duration Now() const { return m_now; }
+  size_t Size() const { return m_nodes.size(); }
+  const VirtualPlatform& Platform() const { return m_platform; }
+  std::mt19937_64& Random() { return m_random; }
+
+  bool IsRunning(size_t i) const { return m_nodes[i].m_plane != nullptr; }
+  bool IsPaused(size_t i) const { return m_nodes[i].m_paused; }
+  uint64_t ProcessOf(size_t i) const { return m_nodes[i].m_process; }
+  const ControlPlane& Plane(size_t i) const { return *m_nodes[i].m_plane; }
+  bool IsReady(size_t i) const { return m_nodes[i].m_ready; }
+  bool IsFenced(size_t i) const { return m_nodes[i].m_fenced; }
+  bool IsDeregistered(size_t i) const { return m_nodes[i].m_deregistered; }
+  const OwnLease& LeaseOf(size_t i) const { return m_nodes[i].m_lease; }
+  Time ClockOf(size_t i) const { return ClockOf(m_nodes[i]); }
+  uint64_t Calls() const { return m_calls; }
+  uint64_t Messages() const { return m_messages; }
+  uint64_t Refusals(TimelineKind kind) const {
+    const auto found = m_recorded.find(kind);
+    return found == m_recorded.end() ? 0 : found->second;
+  }
+
+  // Returns what the node decides on a key now.
+  KeyAuthority::Decision Ask(size_t i, const Secret& key) {
+    Node& node = m_nodes[i];
+    std::vector<Action> none;
+    node.m_context->Start(ClockOf(node), &none);
+    return node.m_plane->Keys().Authorize(key, *node.m_context);
+  }
+
+  bool Honours(size_t i, const Secret& key) {
+    return IsRunning(i) && std::holds_alternative<Authorized>(Ask(i, key));
+  }
+
+  void RequestShutdown(size_t i) {
+    Handle(i, [](ControlPlane& p, Context& c) { p.OnShutdownRequested(c); });
+  }
+
+  void Deregister(size_t i) {
+    Handle(i, [](ControlPlane& p, Context& c) { p.Deregister(c); });
+  }
+
+  bool Knows(size_t i, size_t peer) const {
+    for (const PeerInfo& info : Plane(i).Members().Peers()) {
+      if (info.m_id == IdOf(peer)) {
+        return info.m_registered || info.m_last_heard;
+      }
+    }
+    return false;
+  }
+
+ private:
+  using Work = std::function<void(ControlPlane&, Context&)>;
+
+  struct Node {
+    std::unique_ptr<Context> m_context;
+    std::unique_ptr<ControlPlane> m_plane;
+    // 0 while no process runs.
+    uint64_t m_process = 0;
+    bool m_machine_up = true;
+    bool m_paused = false;
+    std::vector<Work> m_backlog;
+    double m_rate = 1.0;
+    Duration m_offset{};
+    bool m_ready = false;
+    bool m_fenced = false;
+    bool m_deregistered = false;
+    OwnLease m_lease;
+  };
+
+  struct Link {
+    size_t m_from = 0;
+    size_t m_to = 0;
+
+    friend auto operator<=>(const Link&, const Link&) = default;
+  };
+
+  // A watch that waits at the platform.
+  struct Waiter {
+    size_t m_node = 0;
+    uint64_t m_process = 0;
+    CallId m_call;
+    Revision m_since;
+    uint64_t m_number = 0;
+  };
+
+  template <typename T>
+  static void SetMember(std::set<T>* members, T member, bool in) {
+    if (in) {
+      members->insert(member);
+    } else {
+      members->erase(member);
+    }
+  }
+
+  MembershipOptions OptionsOf(size_t i) const {
+    MembershipOptions options;
+    options.m_id = IdOf(i);
+    options.m_incarnation = Incarnation(m_nodes[i].m_process);
+    options.m_address = AddressOf(i);
+    options.m_caller_address = Address("10.0.0.9:8080");
+    options.m_zone = ZoneName("zone" + std::to_string(i % 4));
+    for (size_t seed = 0; seed < m_nodes.size(); ++seed) {
+      options.m_seeds.push_back({IdOf(seed), AddressOf(seed)});
+    }
+    return options;
+  }
+
+  static Address AddressOf(size_t i) {
+    return Address("10.0.1." + std::to_string(i) + ":7000");
+  }
+
+  static ControlPlane::Hooks HooksOf(Node* node) {
+    ControlPlane::Hooks hooks;
+    hooks.m_on_lease = [node](const OwnLease& lease, Context&) {
+      node->m_lease = lease;
+    };
+    hooks.m_on_fenced = [node](Context&) { node->m_fenced = true; };
+    hooks.m_on_deregistered = [node](Context&) { node->m_deregistered = true; };
+    return hooks;
+  }
+
+  Time ClockOf(const Node& node) const {
+    const auto elapsed = static_cast<double>(m_now.count()) * node.m_rate;
+    return Time(node.m_offset + Duration(static_cast<int64_t>(elapsed)));
+  }
+
+  bool Chance(double probability) {
+    return probability > 0 &&
+           std::uniform_real_distribution<double>(0, 1)(m_random) < probability;
+  }
+
+  Duration RandomIn(Duration from, Duration to) {
+    return Duration(std::uniform_int_distribution<int64_t>(
+        from.count(), to.count())(m_random));
+  }
+
+  void Handle(size_t i, const Work& work) {
+    Node& node = m_nodes[i];
+    if (!node.m_plane) {
+      return;
+    }
+    if (node.m_paused) {
+      node.m_backlog.push_back(work);
+      return;
+    }
+    std::vector<Action> actions;
+    node.m_context->Start(ClockOf(node), &actions);
+    work(*node.m_plane, *node.m_context);
+    for (const Action& action : actions) {
+      Perform(i, action);
+    }
+  }
+
+  // Handles `work` later, unless the process has ended by then.
+  void HandleLater(size_t i, uint64_t process, Duration delay, Work work) {
+    After(delay, [this, i, process, work = std::move(work)] {
+      if (m_nodes[i].m_process == process) {
+        Handle(i, work);
+      }
+    });
+  }
+
+  void ScheduleTick(size_t i, uint64_t process) {
+    After(20ms, [this, i, process] {
+      if (m_nodes[i].m_process != process) {
+        return;
+      }
+      if (!m_nodes[i].m_paused) {
+        Handle(i, [](ControlPlane& p, Context& c) { p.OnTick(c); });
+      }
+      ScheduleTick(i, process);
+    });
+  }
+
+  void Perform(size_t i, const Action& action) {
+    if (const auto* call = std::get_if<CallPlatform>(&action)) {
+      ++m_calls;
+      PerformCall(i, *call);
+    } else if (const auto* send = std::get_if<SendToPeer>(&action)) {
+      ++m_messages;
+      PerformSend(i, *send);
+    } else if (const auto* ready = std::get_if<SetReadiness>(&action)) {
+      m_nodes[i].m_ready = ready->m_ready;
+    } else if (const auto* record = std::get_if<RecordEvent>(&action)) {
+      ++m_recorded[record->m_event.m_kind];
+    }
+  }
+
+  void Answer(size_t i, uint64_t process, CallId call, PlatformAnswer answer) {
+    HandleLater(
+        i, process, RandomIn(1ms, 3ms),
+        [call, answer = std::move(answer)](ControlPlane& p, Context& c) {
+          p.OnPlatformAnswered({call, answer}, c);
+        });
+  }
+
+  void Fail(size_t i, uint64_t process, CallId call, Duration delay) {
+    HandleLater(i, process, delay, [call](ControlPlane& p, Context& c) {
+      p.OnPlatformAnswered({call, PlatformFailure{true}}, c);
+    });
+  }
+
+  bool IsPlatformOpen(size_t i) const {
+    return m_mode == PlatformMode::kUp && !m_cut_platform.contains(i);
+  }
+
+  void PerformCall(size_t i, const CallPlatform& call) {
+    const uint64_t process = m_nodes[i].m_process;
+    if (!IsPlatformOpen(i)) {
+      const bool fails = m_mode == PlatformMode::kFailing;
+      Fail(i, process, call.m_call, fails ? Duration(5ms) : Duration(3s));
+      return;
+    }
+    const bool lost = Chance(m_faults.m_lose_answer);
+    const bool late = Chance(m_faults.m_late_call);
+    if (lost || late) {
+      Fail(i, process, call.m_call, RandomIn(50ms, 1s));
+    }
+    const Duration delay = late ? RandomIn(1s, 10s) : RandomIn(1ms, 3ms);
+    After(delay, [this, i, process, call, answered = !lost && !late] {
+      Arrive(i, answered ? process : 0, call);
+    });
+  }
+
+  // The call reaches the platform; nobody waits for the answer if `process`
+  // is 0.
+  void Arrive(size_t i, uint64_t process, const CallPlatform& call) {
+    if (!IsPlatformOpen(i)) {
+      Fail(i, process, call.m_call, 5ms);
+      return;
+    }
+    if (const auto* watch = std::get_if<WatchObjects>(&call.m_request)) {
+      Watch(i, process, call.m_call, *watch);
+      return;
+    }
+    const Revision before = m_platform.GetRevision();
+    Answer(i, process, call.m_call, Serve(call.m_request));
+    if (m_platform.GetRevision() != before) {
+      WakeWaiters();
+    }
+  }
+
+  PlatformAnswer Serve(const PlatformRequest& request) {
+    if (const auto* put = std::get_if<PutObject>(&request)) {
+      return m_platform.Put(*put);
+    }
+    if (const auto* removal = std::get_if<DeleteObject>(&request)) {
+      return m_platform.Delete(*removal);
+    }
+    if (const auto* get = std::get_if<GetObject>(&request)) {
+      return ObjectAnswer{m_platform.Get(get->m_key)};
+    }
+    return m_platform.List();
+  }
+
+  void Watch(size_t i,
+             uint64_t process,
+             CallId call,
+             const WatchObjects& watch) {
+    const Waiter waiter{i, process, call, watch.m_since, ++m_last_waiter};
+    m_waiters.push_back(waiter);
+    if (m_platform.GetRevision() > watch.m_since) {
+      WakeWaiters();
+      return;
+    }
+    After(watch.m_wait, [this, number = waiter.m_number] { EndWait(number); });
+  }
+
+  void EndWait(uint64_t number) {
+    for (size_t w = 0; w < m_waiters.size(); ++w) {
+      if (m_waiters[w].m_number == number) {
+        const Waiter waiter = m_waiters[w];
+        m_waiters.erase(m_waiters.begin() + static_cast<ptrdiff_t>(w));
+        Answer(waiter.m_node, waiter.m_process, waiter.m_call,
+               m_platform.ChangesSince(waiter.m_since));
+        return;
+      }
+    }
+  }
+
+  void WakeWaiters() {
+    std::vector<Waiter> waiters;
+    waiters.swap(m_waiters);
+    for (const Waiter& waiter : waiters) {
+      if (m_platform.GetRevision() > waiter.m_since) {
+        Answer(waiter.m_node, waiter.m_process, waiter.m_call,
+               m_platform.ChangesSince(waiter.m_since));
+      } else {
+        m_waiters.push_back(waiter);
+      }
+    }
+  }
+
+  void FailWaiters(const std::function<bool(const Waiter&)>& fails) {
+    std::vector<Waiter> waiters;
+    waiters.swap(m_waiters);
+    for (const Waiter& waiter : waiters) {
+      if (fails(waiter)) {
+        Fail(waiter.m_node, waiter.m_process, waiter.m_call, 5ms);
+      } else {
+        m_waiters.push_back(waiter);
+      }
+    }
+  }
+
+  size_t NodeAt(const Address& address) const {
+    for (size_t i = 0; i < m_nodes.size(); ++i) {
+      if (AddressOf(i) == address) {
+        return i;
+      }
+    }
+    return m_nodes.size();
+  }
+
+  void PerformSend(size_t from, const SendToPeer& send) {
+    const size_t to = NodeAt(send.m_address);
+    if (to == m_nodes.size() || Chance(m_faults.m_drop)) {
+      return;
+    }
+    PeerMessage message = send.m_message;
+    if (m_tamper) {
+      m_tamper(from, &message);
+    }
+    const PeerSender sender{IdOf(from), Incarnation(m_nodes[from].m_process)};
+    const int copies = Chance(m_faults.m_duplicate) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+      const bool slow = Chance(m_faults.m_delay);
+      const Duration delay =
+          slow ? RandomIn(0ms, m_faults.m_max_delay) : RandomIn(1ms, 2ms);
+      After(delay, [this, from, to, sender, message] {
+        Deliver(from, to, sender, message);
+      });
+    }
+  }
+
+  void Deliver(size_t from,
+               size_t to,
+               const PeerSender& sender,
+               const PeerMessage& message) {
+    const bool silent =
+        m_cut_links.contains({from, to}) || !m_nodes[to].m_machine_up;
+    if (silent && !m_silence_looks_refused) {
+      return;
+    }
+    if (!silent && m_nodes[to].m_plane) {
+      Handle(to, [sender, message](ControlPlane& p, Context& c) {
+        p.OnPeerMessage({sender, message}, c);
+      });
+      return;
+    }
+    const auto* heartbeat = std::get_if<Heartbeat>(&message);
+    const PeerUnreachable refused{IdOf(to), true,
+                                  heartbeat ? heartbeat->m_number : 0};
+    HandleLater(from, sender.m_incarnation.value(), RandomIn(1ms, 2ms),
+                [refused](ControlPlane& p, Context& c) {
+                  p.OnPeerUnreachable(refused, c);
+                });
+  }
+
+  std::mt19937_64 m_random;
+  std::vector<Node> m_nodes;
+  VirtualPlatform m_platform;
+  PlatformMode m_mode = PlatformMode::kUp;
+  SimulationFaults m_faults;
+  Tamper m_tamper;
+  bool m_silence_looks_refused = false;
+  std::set<Link> m_cut_links;
+  std::set<size_t> m_cut_platform;
+  std::vector<Waiter> m_waiters;
+  std::multimap<Duration, std::function<void()>> m_events;
+  std::function<void()> m_observer;
+  Duration m_now{};
+  uint64_t m_last_process = 0;
+  uint64_t m_last_waiter = 0;
+  uint64_t m_calls = 0;
+  uint64_t m_messages = 0;
+  std::map<TimelineKind, uint64_t> m_recorded;
+};
+
+}  // namespace jasminelug::core::control_test
+
+#endif  // TEST_CORE_CONTROL_SIMULATION_H_
--- a/test/core/freshness_test.cc
+++ b/test/core/freshness_test.cc
@@ -142,6 +142,16 @@
      false},
     {"an answer that is minutes late counts from our sending",
      [](Story& s) { s.Platform(0s).Answer(kA, 300s, 300s); }, 600s, false},
+    {"the proof of an outage stays good for the bound when it ends",
+     [](Story& s) {
+       s.Platform(0s).Answer(kA, 600s, 600s).Answer(kA, 601s, 601s, true, 11);
+     },
+     602s, true},
+    {"and no longer",
+     [](Story& s) {
+       s.Platform(0s).Answer(kA, 600s, 600s).Answer(kA, 601s, 601s, true, 11);
+     },
+     602001ms, false},
     {"an earlier answer that arrives later changes nothing",
      [](Story& s) {
        s.Platform(0s).Answer(kA, 600s, 600s, true).Answer(kA, 599s, 599s);
