--- a/test/core/configuration_codec_test.cc
+++ b/test/core/configuration_codec_test.cc
@@ -3,8 +3,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <array>
 #include <string>
-#include <vector>
 
 #include "test/core/control_values.h"
 
@@ -44,11 +44,11 @@
 struct BadValue {
   ObjectKind m_kind;
   const char* m_value;
-  // Fields that must be named, all of them.
-  std::vector<std::string> m_fields;
+  // Fields that must be named, all of them; unused places are null.
+  std::array<const char*, 5> m_fields;
 };
 
-const BadValue kBadValues[] = {
+constexpr BadValue kBadValues[] = {
     {ObjectKind::kProfile, "{", {""}},
     {ObjectKind::kProfile, "[]", {""}},
     {ObjectKind::kProfile, "", {""}},
@@ -125,10 +125,13 @@
       const FieldErrors errors =
           ValidateObject({bad.m_kind, "name"}, bad.m_value);
       CPPUNIT_ASSERT_MESSAGE(bad.m_value, !errors.empty());
-      for (const std::string& field : bad.m_fields) {
+      for (const char* field : bad.m_fields) {
+        if (!field) {
+          continue;
+        }
         const bool named = std::any_of(
             errors.begin(), errors.end(),
-            [&field](const FieldError& e) { return e.m_field == field; });
+            [field](const FieldError& e) { return e.m_field == field; });
         CPPUNIT_ASSERT_MESSAGE(std::string(bad.m_value) + " names " + field +
                                    ": " + FormatFieldErrors(errors),
                                named);
--- a/test/core/configuration_store_test.cc
+++ b/test/core/configuration_store_test.cc
@@ -18,7 +18,9 @@
 using control_test::ZoneObject;
 using control_test::ZoneValue;
 
-const PeerSender kPeer{InstanceId("peer"), Incarnation(1)};
+PeerSender Peer() {
+  return {InstanceId("peer"), Incarnation(1)};
+}
 
 Object ZoneOf(const std::string& name,
               uint64_t version,
@@ -208,38 +210,38 @@
     m_driver->LastRequest<ListObjects>();
     Answer(PlatformFailure{}, 600ms);
     CPPUNIT_ASSERT(!m_store->Current());
-    m_store->OnHeartbeat(kPeer, HeartbeatAt(8), m_driver->Begin());
+    m_store->OnHeartbeat(Peer(), HeartbeatAt(8), m_driver->Begin());
     const auto wanted = LastSent<ObjectsWanted>();
     CPPUNIT_ASSERT(wanted && wanted->m_since == Revision());
     m_store->OnObjectsRelayed(
-        kPeer, {Revision(), MakeBatch(8, {ZoneOf("z", 2, 8, true)})},
+        Peer(), {Revision(), MakeBatch(8, {ZoneOf("z", 2, 8, true)})},
         m_driver->Begin());
     CPPUNIT_ASSERT(m_store->Current()->IsZoneOut(ZoneName("z")));
     // A relay proves nothing about the platform.
     CPPUNIT_ASSERT(m_confirmed.empty());
     m_store->OnObjectsRelayed(
-        kPeer, {Revision(), MakeBatch(7, {ZoneOf("z", 1, 7, false)})},
+        Peer(), {Revision(), MakeBatch(7, {ZoneOf("z", 1, 7, false)})},
         m_driver->Begin());
     CPPUNIT_ASSERT(m_store->Current()->IsZoneOut(ZoneName("z")));
   }
 
   void AsksPeersOnlyWithoutThePlatform() {
     StartWith(MakeBatch(4, {}));
-    m_store->OnHeartbeat(kPeer, HeartbeatAt(9), m_driver->After(100ms));
+    m_store->OnHeartbeat(Peer(), HeartbeatAt(9), m_driver->After(100ms));
     CPPUNIT_ASSERT(!LastSent<ObjectsWanted>());
-    m_store->OnHeartbeat(kPeer, HeartbeatAt(9), m_driver->After(2s));
+    m_store->OnHeartbeat(Peer(), HeartbeatAt(9), m_driver->After(2s));
     CPPUNIT_ASSERT(LastSent<ObjectsWanted>());
-    m_store->OnHeartbeat(kPeer, HeartbeatAt(9), m_driver->After(1ms));
+    m_store->OnHeartbeat(Peer(), HeartbeatAt(9), m_driver->After(1ms));
     CPPUNIT_ASSERT(!LastSent<ObjectsWanted>());
-    m_store->OnHeartbeat(kPeer, HeartbeatAt(4), m_driver->After(1s));
+    m_store->OnHeartbeat(Peer(), HeartbeatAt(4), m_driver->After(1s));
     CPPUNIT_ASSERT(!LastSent<ObjectsWanted>());
   }
 
   void HandsOnWhatAPeerMisses() {
     StartWith(MakeBatch(4, {ZoneOf("a", 1, 3, true), ZoneOf("b", 1, 4, true)}));
-    m_store->OnObjectsWanted(kPeer, {Revision(4)}, m_driver->Begin());
+    m_store->OnObjectsWanted(Peer(), {Revision(4)}, m_driver->Begin());
     CPPUNIT_ASSERT(!LastSent<ObjectsRelayed>());
-    m_store->OnObjectsWanted(kPeer, {Revision()}, m_driver->Begin());
+    m_store->OnObjectsWanted(Peer(), {Revision()}, m_driver->Begin());
     const auto relayed = LastSent<ObjectsRelayed>();
     CPPUNIT_ASSERT(relayed && relayed->m_batch.m_objects.size() == 2);
   }
--- a/test/core/freshness_test.cc
+++ b/test/core/freshness_test.cc
@@ -2,7 +2,6 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -14,8 +13,13 @@
 
 using control_test::ControlDriver;
 
-const InstanceId kA("a");
-const InstanceId kB("b");
+InstanceId A() {
+  return InstanceId("a");
+}
+
+InstanceId B() {
+  return InstanceId("b");
+}
 
 // One instance's evidence, told step by step on its own clock.
 class Story {
@@ -78,12 +82,12 @@
 
 struct Case {
   const char* m_name;
-  std::function<void(Story&)> m_tell;
+  void (*m_tell)(Story&);
   Duration m_at;
   bool m_fresh;
 };
 
-const Case kCases[] = {
+constexpr Case kCases[] = {
     {"nothing is known", [](Story&) {}, 0ms, false},
     {"the platform confirmed within the bound",
      [](Story& s) { s.Platform(0s); }, 2s, true},
@@ -91,113 +95,121 @@
     {"alone, an outage proves nothing", [](Story& s) { s.Platform(0s); }, 3s,
      false},
     {"a peer that is in contact confirms",
-     [](Story& s) { s.Platform(0s).Answer(kA, 5s, 500ms, true); }, 6s, true},
+     [](Story& s) { s.Platform(0s).Answer(A(), 5s, 500ms, true); }, 6s, true},
     {"its confirmation ages from before our heartbeat, by its clock's error "
      "too",
-     [](Story& s) { s.Platform(0s).Answer(kA, 5s, 1000ms, true); }, 5990ms,
+     [](Story& s) { s.Platform(0s).Answer(A(), 5s, 1000ms, true); }, 5990ms,
      true},
     {"and no longer",
-     [](Story& s) { s.Platform(0s).Answer(kA, 5s, 1000ms, true); }, 5991ms,
+     [](Story& s) { s.Platform(0s).Answer(A(), 5s, 1000ms, true); }, 5991ms,
      false},
     {"a peer that knows more confirms nothing",
-     [](Story& s) { s.Platform(0s).Answer(kA, 5s, 100ms, true, 11); }, 5s,
+     [](Story& s) { s.Platform(0s).Answer(A(), 5s, 100ms, true, 11); }, 5s,
      false},
     {"until what it knows is installed",
      [](Story& s) {
-       s.Platform(0s).Answer(kA, 5s, 100ms, true, 11).Installed(11);
+       s.Platform(0s).Answer(A(), 5s, 100ms, true, 11).Installed(11);
      },
      5s, true},
     {"a peer without the platform proves the outage",
-     [](Story& s) { s.Platform(0s).Answer(kA, 600s, 600s); }, 602s, true},
-    {"for the bound", [](Story& s) { s.Platform(0s).Answer(kA, 600s, 600s); },
+     [](Story& s) { s.Platform(0s).Answer(A(), 600s, 600s); }, 602s, true},
+    {"for the bound", [](Story& s) { s.Platform(0s).Answer(A(), 600s, 600s); },
      602001ms, false},
     {"one silent peer proves nothing",
-     [](Story& s) { s.Platform(0s).Known(kB).Answer(kA, 600s, 600s); }, 600s,
+     [](Story& s) { s.Platform(0s).Known(B()).Answer(A(), 600s, 600s); }, 600s,
      false},
     {"a peer that fell silent proves nothing",
-     [](Story& s) { s.Platform(0s).Answer(kB, 1s, 1s).Answer(kA, 600s, 600s); },
+     [](Story& s) {
+       s.Platform(0s).Answer(B(), 1s, 1s).Answer(A(), 600s, 600s);
+     },
      600s, false},
     {"a refused connection proves that no process runs",
      [](Story& s) {
-       s.Platform(0s).Known(kB).Answer(kA, 600s, 600s).Refused(kB, 600s);
+       s.Platform(0s).Known(B()).Answer(A(), 600s, 600s).Refused(B(), 600s);
      },
      601s, true},
     {"a refusal that is too old proves nothing",
      [](Story& s) {
-       s.Platform(0s).Known(kB).Answer(kA, 600s, 600s).Refused(kB, 598s);
+       s.Platform(0s).Known(B()).Answer(A(), 600s, 600s).Refused(B(), 598s);
      },
      600001ms, false},
     {"all refused: the cut may be ours",
-     [](Story& s) { s.Platform(0s).Known(kB).Refused(kB, 600s); }, 600s, false},
+     [](Story& s) { s.Platform(0s).Known(B()).Refused(B(), 600s); }, 600s,
+     false},
     {"a peer with a newer revision may know of a withdrawal",
-     [](Story& s) { s.Platform(0s).Answer(kA, 600s, 600s, false, 11); }, 600s,
+     [](Story& s) { s.Platform(0s).Answer(A(), 600s, 600s, false, 11); }, 600s,
      false},
     {"and no more once it is installed here",
      [](Story& s) {
-       s.Platform(0s).Answer(kA, 600s, 600s, false, 11).Installed(11);
+       s.Platform(0s).Answer(A(), 600s, 600s, false, 11).Installed(11);
      },
      600s, true},
     {"a peer that reaches the platform is no outage",
-     [](Story& s) { s.Platform(0s).Answer(kA, 600s, 600s, true); }, 600s,
+     [](Story& s) { s.Platform(0s).Answer(A(), 600s, 600s, true); }, 600s,
      false},
     {"an answer that is minutes late counts from our sending",
-     [](Story& s) { s.Platform(0s).Answer(kA, 300s, 300s); }, 600s, false},
+     [](Story& s) { s.Platform(0s).Answer(A(), 300s, 300s); }, 600s, false},
     {"the proof of an outage stays good for the bound when it ends",
      [](Story& s) {
-       s.Platform(0s).Answer(kA, 600s, 600s).Answer(kA, 601s, 601s, true, 11);
+       s.Platform(0s).Answer(A(), 600s, 600s).Answer(A(), 601s, 601s, true, 11);
      },
      602s, true},
     {"and no longer",
      [](Story& s) {
-       s.Platform(0s).Answer(kA, 600s, 600s).Answer(kA, 601s, 601s, true, 11);
+       s.Platform(0s).Answer(A(), 600s, 600s).Answer(A(), 601s, 601s, true, 11);
      },
      602001ms, false},
     {"an earlier answer that arrives later changes nothing",
      [](Story& s) {
-       s.Platform(0s).Answer(kA, 600s, 600s, true).Answer(kA, 599s, 599s);
+       s.Platform(0s).Answer(A(), 600s, 600s, true).Answer(A(), 599s, 599s);
      },
      600s, false},
     {"a silent peer that comes back as the same process is believed",
-     [](Story& s) { s.Platform(0s).Answer(kA, 1s, 1s).Answer(kA, 600s, 600s); },
+     [](Story& s) {
+       s.Platform(0s).Answer(A(), 1s, 1s).Answer(A(), 600s, 600s);
+     },
      600s, true},
     {"one that comes back as another process has lost what it knew",
      [](Story& s) {
-       s.Platform(0s).Answer(kA, 1s, 1s).Answer(kA, 600s, 600s, false, 10, 2);
+       s.Platform(0s).Answer(A(), 1s, 1s).Answer(A(), 600s, 600s, false, 10, 2);
      },
      600s, false},
     {"as has one that fell silent and then refuses",
      [](Story& s) {
        s.Platform(0s)
-           .Answer(kB, 1s, 1s)
-           .Answer(kA, 600s, 600s)
-           .Refused(kB, 600s);
+           .Answer(B(), 1s, 1s)
+           .Answer(A(), 600s, 600s)
+           .Refused(B(), 600s);
      },
      600s, false},
     {"a later confirmation covers what was lost",
      [](Story& s) {
        s.Platform(0s)
-           .Answer(kA, 1s, 1s)
-           .Answer(kA, 600s, 600s, false, 10, 2)
+           .Answer(A(), 1s, 1s)
+           .Answer(A(), 600s, 600s, false, 10, 2)
            .Platform(601s)
-           .Answer(kA, 610s, 9s, false, 10, 2);
+           .Answer(A(), 610s, 9s, false, 10, 2);
      },
      611s, true},
     {"a peer that restarts within the bound is believed",
      [](Story& s) {
        s.Platform(0s)
-           .Answer(kA, 598s, 598s)
-           .Refused(kA, 599s)
-           .Answer(kA, 600s, std::nullopt, false, 10, 2);
+           .Answer(A(), 598s, 598s)
+           .Refused(A(), 599s)
+           .Answer(A(), 600s, std::nullopt, false, 10, 2);
      },
      601s, true},
     {"a peer whose lease object is gone is not waited for",
-     [](Story& s) { s.Platform(0s).Known(kB).Answer(kA, 600s, 600s).Gone(kB); },
+     [](Story& s) {
+       s.Platform(0s).Known(B()).Answer(A(), 600s, 600s).Gone(B());
+     },
      600s, true},
     {"starting in an outage: a peer's confirmation, however old, and its "
      "answer",
-     [](Story& s) { s.Installed(10).Answer(kA, 5s, 300s); }, 6s, true},
+     [](Story& s) { s.Installed(10).Answer(A(), 5s, 300s); }, 6s, true},
     {"starting in an outage among instances that all have started in it",
-     [](Story& s) { s.Installed(10).Answer(kA, 5s, std::nullopt); }, 6s, false},
+     [](Story& s) { s.Installed(10).Answer(A(), 5s, std::nullopt); }, 6s,
+     false},
 };
 
 class FreshnessTest : public CppUnit::TestFixture {
--- a/test/core/key_authority_test.cc
+++ b/test/core/key_authority_test.cc
@@ -20,11 +20,11 @@
 
 struct RefusalCase {
   const char* m_name;
-  std::string m_key;
+  const char* m_key;
   RefusalCode m_code;
 };
 
-const RefusalCase kRefusals[] = {
+constexpr RefusalCase kRefusals[] = {
     {"no key", "", RefusalCode::kKeyMissing},
     {"an unknown id", "nobody.secret", RefusalCode::kKeyUnknown},
     {"a wrong secret", "live.secret", RefusalCode::kKeyUnknown},
--- a/test/core/lease_keeper_test.cc
+++ b/test/core/lease_keeper_test.cc
@@ -17,9 +17,17 @@
 using control_test::ControlDriver;
 using control_test::VirtualPlatform;
 
-const ObjectKey kOwnObject{ObjectKind::kInstance, "own"};
-const LeaseCell kCellOne{{InstanceId("p"), Incarnation(1)}};
-const LeaseCell kCellTwo{{InstanceId("q"), Incarnation(1)}};
+ObjectKey OwnObject() {
+  return {ObjectKind::kInstance, "own"};
+}
+
+LeaseCell CellOne() {
+  return {{InstanceId("p"), Incarnation(1)}};
+}
+
+LeaseCell CellTwo() {
+  return {{InstanceId("q"), Incarnation(1)}};
+}
 
 // What the platform does with a write, and what the keeper learns.
 enum class Fate { kAnswered, kAnswerLost, kNeverArrives, kArrivesLate };
@@ -63,7 +71,7 @@
     m_driver = std::make_unique<ControlDriver>();
     m_platform = VirtualPlatform();
     m_lease = OwnLease();
-    m_cell = kCellOne;
+    m_cell = CellOne();
     m_fenced = 0;
     m_deregistered = 0;
     m_keeper = MakeKeeper(5);
@@ -73,7 +81,7 @@
     Register();
     CPPUNIT_ASSERT_EQUAL(uint64_t{1}, m_lease.m_version);
     CPPUNIT_ASSERT_EQUAL(uint64_t{1}, m_lease.m_series);
-    CPPUNIT_ASSERT(m_lease.m_cell == kCellOne);
+    CPPUNIT_ASSERT(m_lease.m_cell == CellOne());
     int renewals = 0;
     for (int i = 0; i < 1200; ++i) {
       Tick(100ms);
@@ -99,14 +107,15 @@
       if (row.m_fate != Fate::kNeverArrives) {
         m_platform.Put(m_put);
       }
-      Answer(answered ? PlatformAnswer(ObjectAnswer{m_platform.Get(kOwnObject)})
-                      : PlatformAnswer(PlatformFailure{true}),
+      Answer(answered
+                 ? PlatformAnswer(ObjectAnswer{m_platform.Get(OwnObject())})
+                 : PlatformAnswer(PlatformFailure{true}),
              30ms);
       if (!answered) {
         // Nothing is believed until the object was read.
         CPPUNIT_ASSERT(first_end == m_lease.m_valid_until);
         CPPUNIT_ASSERT(AdvanceToGet());
-        Answer(ObjectAnswer{m_platform.Get(kOwnObject)}, 5ms);
+        Answer(ObjectAnswer{m_platform.Get(OwnObject())}, 5ms);
       }
       const Time expected = row.m_proved ? sent + kDefaultLease : first_end;
       CPPUNIT_ASSERT_MESSAGE(row.m_name, expected == m_lease.m_valid_until);
@@ -122,7 +131,7 @@
     const Time sent = m_driver->GetTime();
     Answer(PlatformFailure{true}, 30ms);
     CPPUNIT_ASSERT(AdvanceToGet());
-    Answer(ObjectAnswer{m_platform.Get(kOwnObject)}, 5ms);
+    Answer(ObjectAnswer{m_platform.Get(OwnObject())}, 5ms);
     CPPUNIT_ASSERT(AdvanceToPut());
     CPPUNIT_ASSERT(m_put.m_write_id != late.m_write_id);
     m_platform.Put(late);
@@ -134,7 +143,7 @@
 
   void RefusedWriteLeavesNothingOpen() {
     Register();
-    m_cell = kCellTwo;
+    m_cell = CellTwo();
     AdvanceToPut();
     Answer(PlatformFailure{false}, 5ms);
     CPPUNIT_ASSERT(m_lease.m_pending_cells.empty());
@@ -144,22 +153,23 @@
   void OpenWritesCellsAreReported() {
     Register();
     CPPUNIT_ASSERT(m_lease.m_pending_cells.empty());
-    m_cell = kCellTwo;
+    m_cell = CellTwo();
     AdvanceToPut();
     // Already while the write is under way.
-    CPPUNIT_ASSERT(m_lease.m_cell == kCellOne);
-    CPPUNIT_ASSERT(m_lease.m_pending_cells == std::vector<LeaseCell>{kCellTwo});
+    CPPUNIT_ASSERT(m_lease.m_cell == CellOne());
+    CPPUNIT_ASSERT(m_lease.m_pending_cells ==
+                   std::vector<LeaseCell>{CellTwo()});
     Answer(PlatformFailure{true}, 5ms);
     CPPUNIT_ASSERT(AdvanceToGet());
-    m_cell = kCellOne;
+    m_cell = CellOne();
     // The read shows no effect, and the write is repeated with another cell.
-    Answer(ObjectAnswer{m_platform.Get(kOwnObject)}, 5ms);
+    Answer(ObjectAnswer{m_platform.Get(OwnObject())}, 5ms);
     CPPUNIT_ASSERT(AdvanceToPut());
     CPPUNIT_ASSERT((m_lease.m_pending_cells ==
-                    std::vector<LeaseCell>{kCellTwo, kCellOne}));
+                    std::vector<LeaseCell>{CellTwo(), CellOne()}));
     Answer(m_platform.Put(m_put), 5ms);
     CPPUNIT_ASSERT(m_lease.m_pending_cells.empty());
-    CPPUNIT_ASSERT(m_lease.m_cell == kCellOne);
+    CPPUNIT_ASSERT(m_lease.m_cell == CellOne());
   }
 
   // The answer to a renewal waits while the process is paused.
@@ -215,15 +225,15 @@
   void WatchOfANewerIncarnationIsCheckedAtOnce() {
     Register();
     PutRecord(6);
-    m_keeper->OnOwnObject(m_platform.Get(kOwnObject), m_driver->After(10ms));
+    m_keeper->OnOwnObject(m_platform.Get(OwnObject()), m_driver->After(10ms));
     CPPUNIT_ASSERT(AdvanceToGet());
-    Answer(ObjectAnswer{m_platform.Get(kOwnObject)}, 5ms);
+    Answer(ObjectAnswer{m_platform.Get(OwnObject())}, 5ms);
     CheckFenced();
   }
 
   void DeletedLeaseBeginsANewSeries() {
     Register();
-    m_platform.Remove(kOwnObject);
+    m_platform.Remove(OwnObject());
     AdvanceToPut();
     Answer(m_platform.Put(m_put), 5ms);
     CPPUNIT_ASSERT_EQUAL(uint64_t{2}, m_lease.m_series);
@@ -262,7 +272,7 @@
     CPPUNIT_ASSERT_EQUAL(0, m_deregistered);
     CPPUNIT_ASSERT(ServeDelete());
     CPPUNIT_ASSERT_EQUAL(1, m_deregistered);
-    CPPUNIT_ASSERT(m_platform.Get(kOwnObject).m_deleted);
+    CPPUNIT_ASSERT(m_platform.Get(OwnObject()).m_deleted);
     Tick(60s);
     CPPUNIT_ASSERT(!m_driver->LastRequest<PutObject>());
     CPPUNIT_ASSERT_EQUAL(1, m_deregistered);
@@ -277,7 +287,7 @@
     Answer(PlatformFailure{true}, 5ms);
     CPPUNIT_ASSERT_EQUAL(0, m_deregistered);
     CPPUNIT_ASSERT(AdvanceToGet());
-    Answer(ObjectAnswer{m_platform.Get(kOwnObject)}, 5ms);
+    Answer(ObjectAnswer{m_platform.Get(OwnObject())}, 5ms);
     CPPUNIT_ASSERT_EQUAL(1, m_deregistered);
   }
 
@@ -320,12 +330,12 @@
 
   // Another process writes under the same id.
   void PutRecord(uint64_t incarnation) {
-    m_platform.Write(kOwnObject, Format(RecordOf(incarnation)));
+    m_platform.Write(OwnObject(), Format(RecordOf(incarnation)));
   }
 
   InstanceRecord Stored() const {
     return GetValue(ParseInstanceRecord(InstanceId("own"),
-                                        m_platform.Get(kOwnObject).m_value));
+                                        m_platform.Get(OwnObject()).m_value));
   }
 
   void Register() {
--- a/test/core/peer_table_test.cc
+++ b/test/core/peer_table_test.cc
@@ -17,8 +17,13 @@
 
 using control_test::ControlDriver;
 
-const InstanceId kOwn("own");
-const InstanceId kPeer("peer");
+InstanceId Own() {
+  return InstanceId("own");
+}
+
+InstanceId Peer() {
+  return InstanceId("peer");
+}
 
 InstanceRecord RecordOf(const InstanceId& id, uint64_t incarnation) {
   InstanceRecord record;
@@ -57,16 +62,16 @@
     m_gone.clear();
     m_answers.clear();
     m_refusals.clear();
-    m_table = MakeTable(kOwn);
+    m_table = MakeTable(Own());
     m_table->Start(m_driver->Begin());
   }
 
   void HeartbeatsGoToSeedsAndRegisteredPeers() {
-    Register(kPeer, 1);
+    Register(Peer(), 1);
     Tick(500ms);
     CPPUNIT_ASSERT_EQUAL(size_t{2}, m_driver->Count<SendToPeer>());
     // The seed was neither registered nor heard.
-    CPPUNIT_ASSERT(m_known == std::vector<InstanceId>{kPeer});
+    CPPUNIT_ASSERT(m_known == std::vector<InstanceId>{Peer()});
     Tick(400ms);
     CPPUNIT_ASSERT_EQUAL(size_t{0}, m_driver->Count<SendToPeer>());
     Tick(100ms);
@@ -74,60 +79,63 @@
   }
 
   void AnswerNamesTheHeartbeat() {
-    Register(kPeer, 1);
+    Register(Peer(), 1);
     Heartbeat ask;
     ask.m_number = 77;
-    Receive(kPeer, 1, ask);
-    const auto answer = SentHeartbeatTo(kPeer);
+    Receive(Peer(), 1, ask);
+    const auto answer = SentHeartbeatTo(Peer());
     CPPUNIT_ASSERT(answer && answer->m_answers == 77);
     // An answer is not answered.
     Heartbeat other;
     other.m_answers = 1;
-    Receive(kPeer, 1, other);
+    Receive(Peer(), 1, other);
     CPPUNIT_ASSERT_EQUAL(size_t{0}, m_driver->Count<SendToPeer>());
   }
 
   void AnswerCountsFromItsHeartbeatsSending() {
-    Register(kPeer, 1);
+    Register(Peer(), 1);
     const uint64_t first = Ask();
     const Time sent = m_driver->GetTime();
     const uint64_t second = Ask();
     CPPUNIT_ASSERT(first != second);
     m_driver->After(200ms);
-    ReceiveAnswer(kPeer, 1, first);
+    ReceiveAnswer(Peer(), 1, first);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, m_answers.size());
     CPPUNIT_ASSERT(sent == m_answers[0]);
     // A repeat of the answer, and an answer to nothing, change nothing.
-    ReceiveAnswer(kPeer, 1, first);
-    ReceiveAnswer(kPeer, 1, 12345);
+    ReceiveAnswer(Peer(), 1, first);
+    ReceiveAnswer(Peer(), 1, 12345);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, m_answers.size());
   }
 
   // The earlier process under this id was as far with its numbers.
   void AnswerToAnEarlierProcessIsNotTaken() {
-    Register(kPeer, 1);
+    Register(Peer(), 1);
     const uint64_t earlier = Ask();
     m_driver = std::make_unique<ControlDriver>(2);
-    m_table = MakeTable(kOwn);
+    m_table = MakeTable(Own());
     m_table->Start(m_driver->Begin());
-    Register(kPeer, 1);
+    Register(Peer(), 1);
     CPPUNIT_ASSERT(Ask() != earlier);
-    ReceiveAnswer(kPeer, 1, earlier);
+    ReceiveAnswer(Peer(), 1, earlier);
     CPPUNIT_ASSERT(m_answers.empty());
   }
 
   void OlderIncarnationsAreDropped() {
-    Register(kPeer, 3);
+    Register(Peer(), 3);
+    CPPUNIT_ASSERT(
+        !m_table->Accept({Peer(), Incarnation(2)}, m_driver->Begin()));
+    CPPUNIT_ASSERT(
+        m_table->Accept({Peer(), Incarnation(3)}, m_driver->Begin()));
+    CPPUNIT_ASSERT(
+        m_table->Accept({Peer(), Incarnation(4)}, m_driver->Begin()));
     CPPUNIT_ASSERT(
-        !m_table->Accept({kPeer, Incarnation(2)}, m_driver->Begin()));
-    CPPUNIT_ASSERT(m_table->Accept({kPeer, Incarnation(3)}, m_driver->Begin()));
-    CPPUNIT_ASSERT(m_table->Accept({kPeer, Incarnation(4)}, m_driver->Begin()));
+        !m_table->Accept({Peer(), Incarnation(3)}, m_driver->Begin()));
     CPPUNIT_ASSERT(
-        !m_table->Accept({kPeer, Incarnation(3)}, m_driver->Begin()));
-    CPPUNIT_ASSERT(!m_table->Accept({kOwn, Incarnation(9)}, m_driver->Begin()));
+        !m_table->Accept({Own(), Incarnation(9)}, m_driver->Begin()));
     // The record of the older incarnation arrives late.
-    Register(kPeer, 3);
-    CPPUNIT_ASSERT(Incarnation(4) == m_table->Find(kPeer)->m_incarnation);
+    Register(Peer(), 3);
+    CPPUNIT_ASSERT(Incarnation(4) == m_table->Find(Peer())->m_incarnation);
   }
 
   void UnregisteredPeerIsAnsweredAtItsOwnAddress() {
@@ -143,86 +151,86 @@
   }
 
   void SilentPeerIsLost() {
-    Register(kPeer, 1);
-    ReceiveAnswer(kPeer, 1, Ask());
+    Register(Peer(), 1);
+    ReceiveAnswer(Peer(), 1, Ask());
     CPPUNIT_ASSERT(m_driver->HasRecorded(TimelineKind::kPeerReached));
-    CPPUNIT_ASSERT(m_table->Find(kPeer)->m_live);
+    CPPUNIT_ASSERT(m_table->Find(Peer())->m_live);
     // It is still heard, but does not answer: our messages do not arrive.
     m_driver->After(1400ms);
     Heartbeat ask;
     ask.m_number = 9;
-    Receive(kPeer, 1, ask);
+    Receive(Peer(), 1, ask);
     Tick(101ms);
     CPPUNIT_ASSERT(m_driver->HasRecorded(TimelineKind::kPeerLost));
-    CPPUNIT_ASSERT(!m_table->Find(kPeer)->m_live);
+    CPPUNIT_ASSERT(!m_table->Find(Peer())->m_live);
   }
 
   void OnlyARefusedHeartbeatCounts() {
-    Register(kPeer, 1);
+    Register(Peer(), 1);
     const uint64_t number = Ask();
     const Time sent = m_driver->GetTime();
-    m_table->OnPeerUnreachable({kPeer, false, number}, m_driver->After(1ms));
-    m_table->OnPeerUnreachable({kPeer, true, 0}, m_driver->After(1ms));
-    m_table->OnPeerUnreachable({kPeer, true, 4711}, m_driver->After(1ms));
+    m_table->OnPeerUnreachable({Peer(), false, number}, m_driver->After(1ms));
+    m_table->OnPeerUnreachable({Peer(), true, 0}, m_driver->After(1ms));
+    m_table->OnPeerUnreachable({Peer(), true, 4711}, m_driver->After(1ms));
     CPPUNIT_ASSERT(m_refusals.empty());
-    m_table->OnPeerUnreachable({kPeer, true, number}, m_driver->After(60s));
+    m_table->OnPeerUnreachable({Peer(), true, number}, m_driver->After(60s));
     CPPUNIT_ASSERT(m_refusals == std::vector<Time>{sent});
   }
 
   void DeletedPeerIsGone() {
-    Register(kPeer, 1);
-    m_table->OnRecord(kPeer, nullptr, m_driver->Begin());
-    CPPUNIT_ASSERT(m_gone == std::vector<InstanceId>{kPeer});
-    CPPUNIT_ASSERT(!m_table->Find(kPeer));
+    Register(Peer(), 1);
+    m_table->OnRecord(Peer(), nullptr, m_driver->Begin());
+    CPPUNIT_ASSERT(m_gone == std::vector<InstanceId>{Peer()});
+    CPPUNIT_ASSERT(!m_table->Find(Peer()));
     // Its last words do not make it known again.
     Heartbeat last;
     last.m_number = 1;
     last.m_draining = true;
-    Receive(kPeer, 1, last);
+    Receive(Peer(), 1, last);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, m_known.size());
   }
 
   void SilentUnregisteredPeerIsForgotten() {
     Heartbeat ask;
     ask.m_number = 5;
-    Receive(kPeer, 1, ask);
+    Receive(Peer(), 1, ask);
     const Time heard = m_driver->GetTime();
     // Without word from the platform it may be registered by now.
     m_table->ForgetSilent(heard, m_driver->After(kForgetPeerAfter + 1s));
     CPPUNIT_ASSERT(m_gone.empty());
     m_table->ForgetSilent(heard + 1s, m_driver->Begin());
-    CPPUNIT_ASSERT(m_gone == std::vector<InstanceId>{kPeer});
+    CPPUNIT_ASSERT(m_gone == std::vector<InstanceId>{Peer()});
   }
 
   void CellIsOddAndLive() {
     std::vector<PeerInfo> peers;
     const size_t expected[] = {0, 1, 1, 3, 3, 5, 5, 5};
     for (const size_t size : expected) {
-      CPPUNIT_ASSERT_EQUAL(size, ChooseCell(kOwn, peers).size());
+      CPPUNIT_ASSERT_EQUAL(size, ChooseCell(Own(), peers).size());
       PeerInfo peer;
       peer.m_id = InstanceId("p" + std::to_string(peers.size()));
       peer.m_registered = true;
       peer.m_live = true;
       peers.push_back(peer);
     }
-    const LeaseCell before = ChooseCell(kOwn, peers);
+    const LeaseCell before = ChooseCell(Own(), peers);
     for (PeerInfo& peer : peers) {
       const bool in_cell = IsIn(before, peer.m_id);
       peer.m_live = false;
-      const LeaseCell without = ChooseCell(kOwn, peers);
+      const LeaseCell without = ChooseCell(Own(), peers);
       CPPUNIT_ASSERT(!IsIn(without, peer.m_id));
       // The loss of another peer changes nothing.
       CPPUNIT_ASSERT(in_cell || without == before);
       peer.m_live = true;
       peer.m_draining = true;
-      CPPUNIT_ASSERT(!IsIn(ChooseCell(kOwn, peers), peer.m_id));
+      CPPUNIT_ASSERT(!IsIn(ChooseCell(Own(), peers), peer.m_id));
       peer.m_draining = false;
     }
   }
 
   void ReaperDeletesWhatIsGone() {
-    Register(kPeer, 1);
-    InstanceReaper reaper(kOwn, *m_table, nullptr);
+    Register(Peer(), 1);
+    InstanceReaper reaper(Own(), *m_table, nullptr);
     Watch(&reaper, 7);
     CPPUNIT_ASSERT(!ReapsAfter(&reaper, 120s));
     CPPUNIT_ASSERT(ReapsAfter(&reaper, 2s));
@@ -237,9 +245,9 @@
   }
 
   void ReaperSparesHoldersOfShares() {
-    Register(kPeer, 1);
+    Register(Peer(), 1);
     bool holds = true;
-    InstanceReaper reaper(kOwn, *m_table,
+    InstanceReaper reaper(Own(), *m_table,
                           [&holds](const InstanceId&) { return holds; });
     Watch(&reaper, 7);
     CPPUNIT_ASSERT(!ReapsAfter(&reaper, 200s));
@@ -248,8 +256,8 @@
   }
 
   void ReaperNeedsTheWatchToHaveGoneOn() {
-    Register(kPeer, 1);
-    InstanceReaper reaper(kOwn, *m_table, nullptr);
+    Register(Peer(), 1);
+    InstanceReaper reaper(Own(), *m_table, nullptr);
     Watch(&reaper, 7);
     reaper.OnConfirmed(m_driver->GetTime());
     reaper.OnTick(m_driver->After(500s));
@@ -268,7 +276,7 @@
           Register(other, 1);
         }
       }
-      Register(kPeer, 1);
+      Register(Peer(), 1);
       Tick(500ms);
       for (const InstanceId& other : ids) {
         if (const auto asked = SentHeartbeatTo(other)) {
@@ -329,7 +337,7 @@
   // Lets the next heartbeat be sent; returns its number.
   uint64_t Ask() {
     Tick(kHeartbeatInterval);
-    const auto sent = SentHeartbeatTo(kPeer);
+    const auto sent = SentHeartbeatTo(Peer());
     CPPUNIT_ASSERT(sent);
     return sent->m_number;
   }
@@ -362,9 +370,9 @@
   }
 
   void Watch(InstanceReaper* reaper, uint64_t version) {
-    const InstanceRecord record = RecordOf(kPeer, 1);
+    const InstanceRecord record = RecordOf(Peer(), 1);
     const Object object = control_test::MakeObject(
-        {ObjectKind::kInstance, kPeer.str()}, version, version, "");
+        {ObjectKind::kInstance, Peer().str()}, version, version, "");
     reaper->OnObject(object, &record, m_driver->Begin());
   }
 
--- a/test/core/service_state_test.cc
+++ b/test/core/service_state_test.cc
@@ -13,11 +13,13 @@
 
 using control_test::ControlDriver;
 
-const ZoneName kOwn("arima");
+ZoneName OwnZone() {
+  return ZoneName("arima");
+}
 
 ConfigurationPtr WithZone(bool out) {
   Configuration configuration;
-  configuration.m_zones[kOwn] = {kOwn, out};
+  configuration.m_zones[OwnZone()] = {OwnZone(), out};
   return std::make_shared<const Configuration>(configuration);
 }
 
@@ -46,7 +48,7 @@
  public:
   void setUp() override {
     m_driver = std::make_unique<ControlDriver>();
-    m_state = std::make_unique<ServiceState>(kOwn);
+    m_state = std::make_unique<ServiceState>(OwnZone());
   }
 
   void NotReadyBeforeAConfiguration() {
@@ -110,17 +112,21 @@
   void ReturnIsGradual() {
     for (const RampCase& row : kRamp) {
       ReturnRamp ramp;
-      CPPUNIT_ASSERT_EQUAL(1.0, ramp.WorkFraction(kOwn, m_driver->Begin()));
+      CPPUNIT_ASSERT_EQUAL(1.0,
+                           ramp.WorkFraction(OwnZone(), m_driver->Begin()));
       ramp.OnInstalled(WithZone(false), m_driver->Begin());
-      CPPUNIT_ASSERT_EQUAL(1.0, ramp.WorkFraction(kOwn, m_driver->Begin()));
+      CPPUNIT_ASSERT_EQUAL(1.0,
+                           ramp.WorkFraction(OwnZone(), m_driver->Begin()));
       ramp.OnInstalled(WithZone(true), m_driver->Begin());
-      CPPUNIT_ASSERT_EQUAL(0.0, ramp.WorkFraction(kOwn, m_driver->After(60s)));
+      CPPUNIT_ASSERT_EQUAL(0.0,
+                           ramp.WorkFraction(OwnZone(), m_driver->After(60s)));
       ramp.OnInstalled(WithZone(false), m_driver->Begin());
       // Another change of the configuration does not start the ramp again.
       m_driver->After(row.m_since_return);
       ramp.OnInstalled(WithZone(false), m_driver->Begin());
       CPPUNIT_ASSERT_DOUBLES_EQUAL(
-          row.m_fraction, ramp.WorkFraction(kOwn, m_driver->Begin()), 1e-9);
+          row.m_fraction, ramp.WorkFraction(OwnZone(), m_driver->Begin()),
+          1e-9);
     }
   }
 
