core: relay objects in parts

A complete relay of some thousand objects is larger than the largest frame between daemons (1 MiB), so an instance could not have started from its peers at the sizes to come. Parts of about 256 KiB are of use only together: installing one alone would claim a revision whose earlier changes are missing. ObjectsRelayed gets two fields, m_part and m_parts.

Ruled out: cutting a relay by revision. An object whose newest change lies beyond the cut would keep its older value, and with it a key that was withdrawn in between.

--- a/src/core/configuration_store.cc
+++ b/src/core/configuration_store.cc
@@ -24,6 +24,8 @@
 constexpr Duration kFirstRetryDelay = 100ms;
 constexpr Duration kMaxRetryDelay = 1s;
 constexpr Duration kRelayInterval = 100ms;
+// How long after one part of a relay the next may come.
+constexpr Duration kRelayPatience = 500ms;
 constexpr size_t kNamesInDetail = 5;
 
 std::string NameOf(const Object& object) {
@@ -103,14 +105,23 @@
                                          const ObjectsWanted& wanted,
                                          Context& context) {
   if (m_table.GetRevision() > wanted.m_since) {
-    context.Send(from.m_instance, m_table.ChangesSince(wanted.m_since));
+    const ObjectsRelayed whole = m_table.ChangesSince(wanted.m_since);
+    for (ObjectsRelayed& part : SplitRelay(whole, kMaxRelayBytes)) {
+      context.Send(from.m_instance, std::move(part));
+    }
   }
 }
 
-void ConfigurationStore::OnObjectsRelayed(const PeerSender& /*from*/,
+void ConfigurationStore::OnObjectsRelayed(const PeerSender& from,
                                           const ObjectsRelayed& relayed,
                                           Context& context) {
-  Install(relayed.m_since, relayed.m_batch, context);
+  const std::optional<ObjectsRelayed> whole = m_assembler.Add(from, relayed);
+  if (whole) {
+    Install(whole->m_since, whole->m_batch, context);
+  } else {
+    // More parts are on their way: nothing else is asked for meanwhile.
+    m_next_relay = context.Now() + kRelayPatience;
+  }
 }
 
 bool ConfigurationStore::IsPlatformReachable(const Context& context) const {
--- a/src/core/configuration_store.h
+++ b/src/core/configuration_store.h
@@ -10,6 +10,7 @@
 #include "src/core/object_table.h"
 #include "src/core/peer_message.h"
 #include "src/core/platform_call.h"
+#include "src/core/relay_assembler.h"
 #include "src/core/time.h"
 
 namespace jasminelug::core {
@@ -118,6 +119,7 @@
   std::optional<Time> m_last_contact;
   bool m_reachable = false;
   Time m_next_relay;
+  RelayAssembler m_assembler;
 };
 
 }  // namespace jasminelug::core
--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -51,10 +51,15 @@
   friend bool operator==(const ObjectsWanted&, const ObjectsWanted&) = default;
 };
 
-// Hands on objects as read from the platform.
+// Hands on objects as read from the platform: all that changed after
+// `m_since`, or every object where that is 0. Many objects are sent in parts of
+// one `m_since` and revision, which are of use only together.
 struct ObjectsRelayed {
   Revision m_since;
   ObjectBatch m_batch;
+  // Number of this part, from 0, and of all parts.
+  uint32_t m_part = 0;
+  uint32_t m_parts = 1;
 
   friend bool operator==(const ObjectsRelayed&,
                          const ObjectsRelayed&) = default;
--- a/test/core/control_plane_test.cc
+++ b/test/core/control_plane_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(FalseReportOfAnOutageBreaksThePromise);
   CPPUNIT_TEST(ReturnOfThePlatformBringsTheWithdrawal);
   CPPUNIT_TEST(InstanceStartsInAnOutage);
+  CPPUNIT_TEST(InstanceStartsInAnOutageWithManyObjects);
   CPPUNIT_TEST(InstanceThatWasNeverRegisteredStartsInAnOutage);
   CPPUNIT_TEST(NobodyServesWhereAllHaveStartedInTheOutage);
   CPPUNIT_TEST(PeerRestartsInAnOutage);
@@ -208,6 +209,33 @@
     m_sim->Run(120s);
   }
 
+  // More than one message holds.
+  void InstanceStartsInAnOutageWithManyObjects() {
+    constexpr size_t kObjects = 3000;
+    m_sim = std::make_unique<ControlSimulation>(1, kFleet);
+    m_sim->OperatorWrites(KeyObject("k"), KeyValue("k", false));
+    for (size_t i = 0; i < kObjects; ++i) {
+      const std::string id = "many" + std::to_string(i);
+      m_sim->OperatorWrites(KeyObject(id), KeyValue(id, false));
+    }
+    for (size_t i = 0; i < 3; ++i) {
+      m_sim->Start(i);
+    }
+    m_sim->Run(5s);
+    m_sim->SetPlatform(PlatformMode::kFailing);
+    m_sim->Run(5s);
+    size_t parts = 0;
+    m_sim->SetTamper([&parts](size_t /*from*/, PeerMessage* message) {
+      parts += std::holds_alternative<ObjectsRelayed>(*message) ? 1 : 0;
+    });
+    m_sim->Start(3);
+    m_sim->Run(3s);
+    CPPUNIT_ASSERT(m_sim->Honours(3, KeyOf("many2999")));
+    CPPUNIT_ASSERT(parts > 1);
+    // Not one relay from each peer, and none again.
+    CPPUNIT_ASSERT(parts < 20);
+  }
+
   void InstanceThatWasNeverRegisteredStartsInAnOutage() {
     StartFleet(kFleet - 1);
     m_sim->SetPlatform(PlatformMode::kFailing);
