--- a/src/core/share_holder.cc
+++ b/src/core/share_holder.cc
@@ -144,6 +144,7 @@
     own = FindRow(next, plan.m_self);
     const ShareAmount held = own == nullptr ? ShareAmount{} : own->m_granted;
     wish.m_wanted = LesserOf(wish.m_wanted, held);
+    wish.m_due = {};
     wish.m_idle_floor.reset();
   }
   const ShareAmount free = FreeOf(next);
--- a/src/core/share_table.cc
+++ b/src/core/share_table.cc
@@ -133,6 +133,28 @@
   }
 }
 
+// Returns whether another row's holder needs more than it is granted.
+bool IsOtherShort(const ShareTable& table, const ShareHolderId& holder) {
+  return std::any_of(table.m_rows.begin(), table.m_rows.end(),
+                     [&holder](const ShareRow& row) {
+                       const uint64_t granted = row.m_granted.m_units;
+                       return row.m_holder != holder && row.m_demand > 0 &&
+                              row.m_demand > granted - granted / 4;
+                     });
+}
+
+// Returns whether another row is granted less than an equal part.
+bool IsOtherBelow(const ShareTable& table,
+                  const ShareHolderId& holder,
+                  Part part,
+                  uint64_t right) {
+  return std::any_of(table.m_rows.begin(), table.m_rows.end(),
+                     [&holder, part, right](const ShareRow& row) {
+                       return row.m_holder != holder &&
+                              row.m_granted.*part < right;
+                     });
+}
+
 void ClaimPart(ShareTable& table,
                ShareRow& own,
                Part part,
@@ -148,10 +170,19 @@
   if (granted != confirmed) {
     return;
   }
-  granted += std::min(wanted - granted, free);
-  confirmed = granted;
-  const uint64_t due =
-      wish.m_idle_floor ? wanted : std::min(wanted, wish.m_right.*part);
+  // What is free is left to a holder that is short of it.
+  const uint64_t due = wish.m_due.*part;
+  const bool modest = !wish.m_idle_floor && IsOtherShort(table, own.m_holder);
+  uint64_t limit = modest ? std::min(wanted, due) : wanted;
+  const uint64_t right = wish.m_right.*part;
+  if (!wish.m_idle_floor && limit > right &&
+      IsOtherBelow(table, own.m_holder, part, right)) {
+    limit = right;
+  }
+  if (granted < limit) {
+    granted += std::min(limit - granted, free);
+    confirmed = granted;
+  }
   if (granted < due) {
     LowerOthers(table, own.m_holder, part, wish, due - granted);
   }
--- a/src/core/share_table.h
+++ b/src/core/share_table.h
@@ -72,12 +72,15 @@
 
 // What a holder wishes of a table.
 struct ShareWish {
-  // What it may take back from rows that have more than this.
+  // An equal part.
   ShareAmount m_right;
-  // What it would use; above m_right only from what is free or idle.
+  // What it takes from what is free.
   ShareAmount m_wanted;
-  // Least that it leaves to the others when it takes what they leave idle;
-  // nullopt where it takes none.
+  // What it also takes from rows that have more than m_right. An instance that
+  // uses little is content with less than its right.
+  ShareAmount m_due;
+  // Set where it needs more than its right: then it takes what others leave
+  // idle, but leaves them this.
   std::optional<ShareAmount> m_idle_floor;
   uint64_t m_demand = 0;
 
--- a/src/core/share_wish.cc
+++ b/src/core/share_wish.cc
@@ -75,9 +75,15 @@
   wish.m_wanted.m_burst = units == wish.m_right.m_units
                               ? wish.m_right.m_burst
                               : BurstPart(goal.m_burst, units, goal.m_units);
+  wish.m_due = wish.m_wanted;
   if (units > wish.m_right.m_units) {
     wish.m_idle_floor = floor;
+    return wish;
   }
+  const uint64_t due =
+      std::clamp(demand + demand / 4, floor.m_units, wish.m_right.m_units);
+  wish.m_due = {due, BurstPart(wish.m_right.m_burst, due,
+                               wish.m_right.m_units)};
   return wish;
 }
 
@@ -95,6 +101,7 @@
   }
   wish.m_right.m_units = goal.m_units / count;
   wish.m_wanted.m_units = (goal.m_units + count - 1) / count;
+  wish.m_due = wish.m_right;
   return wish;
 }
 
