--- /dev/null
+++ b/test/core/share_table_test.cc
@@ -0,0 +1,223 @@
+#include "src/core/share_table.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace jasminelug::core {
+namespace {
+
+ShareHolderId Holder(const std::string& name, uint64_t incarnation = 1) {
+  return {InstanceId(name), Incarnation(incarnation), 1};
+}
+
+ShareRow Row(const std::string& name, uint64_t granted, uint64_t confirmed) {
+  return {Holder(name), {granted, 0}, {confirmed, 0}, 0};
+}
+
+ShareTable Table(uint64_t total, std::vector<ShareRow> rows) {
+  return {{total, 0}, {total, 0}, Revision(1), std::move(rows)};
+}
+
+ShareWish Wish(uint64_t right, uint64_t wanted) {
+  return {{right, 0}, {wanted, 0}, {right, 0}, std::nullopt, 0};
+}
+
+ShareTable ClaimFree(const ShareTable& table,
+                     const std::string& name,
+                     const ShareWish& wish) {
+  return Claim(table, Holder(name), wish, FreeOf(table));
+}
+
+uint64_t Granted(const ShareTable& table, const std::string& name) {
+  const ShareRow* row = FindRow(table, Holder(name));
+  return row == nullptr ? 0 : row->m_granted.m_units;
+}
+
+uint64_t Confirmed(const ShareTable& table, const std::string& name) {
+  const ShareRow* row = FindRow(table, Holder(name));
+  return row == nullptr ? 0 : row->m_confirmed.m_units;
+}
+
+class ShareTableTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ShareTableTest);
+  CPPUNIT_TEST(ClaimTakesOnlyWhatIsFree);
+  CPPUNIT_TEST(ClaimLowersRowsAboveTheirRight);
+  CPPUNIT_TEST(BusyHolderTakesWhatIsIdle);
+  CPPUNIT_TEST(LowerGoalShrinksBeforeTheTotalMoves);
+  CPPUNIT_TEST(OlderConfigurationChangesNothing);
+  CPPUNIT_TEST(ConfirmDropsAnEmptyRow);
+  CPPUNIT_TEST(CodecKeepsTheTable);
+  CPPUNIT_TEST(CodecRefusesMalformedValues);
+  CPPUNIT_TEST(RandomStepsKeepTheRule);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ClaimTakesOnlyWhatIsFree() {
+    struct Case {
+      std::vector<ShareRow> m_rows;
+      uint64_t m_right;
+      uint64_t m_wanted;
+      uint64_t m_granted;
+    };
+    const std::vector<Case> cases = {
+        {{}, 20, 20, 20},
+        {{Row("b", 20, 20)}, 10, 10, 0},
+        // A grant that is lowered but not confirmed is not free.
+        {{Row("b", 10, 20)}, 10, 10, 0},
+        {{Row("b", 10, 10)}, 10, 10, 10},
+        {{Row("b", 17, 17)}, 10, 10, 3},
+        {{Row("a", 4, 4), Row("b", 10, 10)}, 10, 10, 10},
+        // A holder that shrinks does not grow before it has confirmed.
+        {{Row("a", 2, 4), Row("b", 10, 10)}, 10, 10, 2},
+        // One that does not divide evenly goes to whoever comes first.
+        {{Row("a", 6, 6), Row("b", 6, 6), Row("c", 6, 6)}, 6, 7, 7},
+        // But not past a row that has less than an equal part.
+        {{Row("a", 6, 6), Row("b", 5, 5), Row("c", 6, 6)}, 6, 7, 6},
+    };
+    for (const Case& row : cases) {
+      const ShareTable after = ClaimFree(Table(20, row.m_rows), "a",
+                                         Wish(row.m_right, row.m_wanted));
+      CPPUNIT_ASSERT_EQUAL(row.m_granted, Granted(after, "a"));
+      CPPUNIT_ASSERT(IsSound(after));
+    }
+  }
+
+  void ClaimLowersRowsAboveTheirRight() {
+    const ShareTable table = Table(20, {Row("b", 16, 16), Row("c", 4, 4)});
+    const ShareTable after = ClaimFree(table, "a", Wish(6, 7));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{10}, Granted(after, "b"));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{16}, Confirmed(after, "b"));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{4}, Granted(after, "c"));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, Granted(after, "a"));
+    // What is on its way is not asked for again.
+    const ShareTable again = ClaimFree(after, "a", Wish(6, 7));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{10}, Granted(again, "b"));
+    const ShareTable confirmed = Confirm(again, Holder("b"));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{6},
+                         Granted(ClaimFree(confirmed, "a", Wish(6, 7)), "a"));
+  }
+
+  void BusyHolderTakesWhatIsIdle() {
+    ShareTable table = Table(
+        300, {Row("a", 100, 100), Row("b", 100, 100), Row("c", 100, 100)});
+    // Holder b uses most of its share, c nothing.
+    table.m_rows[1].m_demand = 90;
+    ShareWish wish = Wish(100, 200);
+    wish.m_due = wish.m_wanted;
+    wish.m_idle_floor = ShareAmount{50, 0};
+    wish.m_demand = 160;
+    const ShareTable after = ClaimFree(table, "a", wish);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{100}, Granted(after, "b"));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{50}, Granted(after, "c"));
+    // An idle holder does not take it back.
+    ShareWish idle = Wish(100, 100);
+    idle.m_due = {50, 0};
+    const ShareTable freed = Confirm(after, Holder("c"));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{50},
+                         Granted(ClaimFree(freed, "c", idle), "c"));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{150},
+                         Granted(ClaimFree(freed, "a", wish), "a"));
+  }
+
+  void LowerGoalShrinksBeforeTheTotalMoves() {
+    const ShareTable table = Table(20, {Row("a", 10, 10), Row("b", 10, 10)});
+    ShareTable lowered = Retarget(table, {10, 0}, Revision(2));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{20}, lowered.m_total.m_units);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{5}, Granted(lowered, "a"));
+    lowered = SettleTotal(Confirm(lowered, Holder("a")));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{15}, lowered.m_total.m_units);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, FreeOf(lowered).m_units);
+    lowered = SettleTotal(Confirm(lowered, Holder("b")));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{10}, lowered.m_total.m_units);
+    const ShareTable raised = Retarget(lowered, {30, 0}, Revision(3));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{30}, raised.m_total.m_units);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{20}, FreeOf(raised).m_units);
+  }
+
+  void OlderConfigurationChangesNothing() {
+    ShareTable table = Table(20, {Row("a", 10, 10)});
+    table.m_goal_revision = Revision(7);
+    CPPUNIT_ASSERT(table == Retarget(table, {10, 0}, Revision(6)));
+    CPPUNIT_ASSERT(table == Retarget(table, {10, 0}, Revision(7)));
+    CPPUNIT_ASSERT(table == Retarget(table, {20, 0}, Revision(8)));
+  }
+
+  void ConfirmDropsAnEmptyRow() {
+    const ShareTable table = Table(20, {Row("a", 0, 10), Row("b", 4, 10)});
+    const ShareTable after = Confirm(Confirm(table, Holder("a")), Holder("b"));
+    CPPUNIT_ASSERT(FindRow(after, Holder("a")) == nullptr);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{4}, Confirmed(after, "b"));
+    CPPUNIT_ASSERT(after == Confirm(after, Holder("b", 2)));
+  }
+
+  void CodecKeepsTheTable() {
+    ShareTable table = Table(20, {Row("a", 3, 5), Row("b", 4, 10)});
+    table.m_rows[0].m_demand = 77;
+    table.m_rows[1].m_holder.m_series = 9;
+    table.m_total.m_burst = 5;
+    const auto decoded = DecodeShareTable(EncodeShareTable(table));
+    CPPUNIT_ASSERT(decoded && *decoded == table);
+  }
+
+  void CodecRefusesMalformedValues() {
+    const std::vector<std::string> values = {
+        "",
+        "{",
+        "[]",
+        "{}",
+        R"({"total":[1],"goal":[1,2],"rows":[]})",
+        R"({"total":[1,0],"goal":[1,0],"goal_revision":1,"rows":[{}]})"};
+    for (const std::string& value : values) {
+      CPPUNIT_ASSERT(!DecodeShareTable(value));
+    }
+  }
+
+  // Any holder may take any step at any time.
+  void RandomStepsKeepTheRule() {
+    const char* text = std::getenv("JASMINELUG_SEED");
+    const uint64_t seed =
+        text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
+    std::cout << "share table seed " << seed << std::endl;
+    std::mt19937_64 random(seed);
+    ShareTable table;
+    uint64_t revision = 0;
+    uint64_t highest_goal = 0;
+    for (int step = 0; step < 20000; ++step) {
+      const ShareHolderId who = Holder(std::string(1, 'a' + random() % 6));
+      if (random() % 20 == 0) {
+        const ShareAmount goal{random() % 100, random() % 1000};
+        table = Retarget(table, goal, Revision(++revision));
+      } else if (random() % 3 == 0) {
+        table = SettleTotal(Confirm(table, who));
+      } else if (random() % 30 == 0) {
+        table = SettleTotal(RemoveRows(
+            table, [&who](const ShareHolderId& id) { return id == who; }));
+      } else {
+        ShareWish wish;
+        wish.m_right = {random() % 40, random() % 400};
+        wish.m_wanted = {random() % 80, random() % 800};
+        wish.m_due = LesserOf(wish.m_wanted, {random() % 80, random() % 800});
+        if (random() % 2 == 0) {
+          wish.m_idle_floor = ShareAmount{random() % 20, random() % 200};
+        }
+        wish.m_demand = random() % 60;
+        const ShareAmount before = SumOf(table);
+        table = Claim(table, who, wish, FreeOf(table));
+        CPPUNIT_ASSERT(FitsIn(SumOf(table), GreaterOf(before, table.m_goal)));
+      }
+      CPPUNIT_ASSERT(IsSound(table));
+      highest_goal = std::max(highest_goal, table.m_goal.m_units);
+      CPPUNIT_ASSERT(SumOf(table).m_units <= highest_goal);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ShareTableTest);
+
+}  // namespace
+}  // namespace jasminelug::core
--- /dev/null
+++ b/test/core/vouch_keeper_test.cc
@@ -0,0 +1,194 @@
+#include "src/core/vouch_keeper.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "src/core/lease_record.h"
+
+namespace jasminelug::core {
+namespace {
+
+const InstanceId kHolder("h");
+const PeerSender kHolderSender{kHolder, Incarnation(1)};
+
+Time At(Duration time) {
+  return Time(time);
+}
+
+PeerSender Member(const std::string& name, uint64_t incarnation = 1) {
+  return {InstanceId(name), Incarnation(incarnation)};
+}
+
+// A holder whose lease of three seconds ends at 3 s.
+class Holder {
+ public:
+  Holder(LeaseCell cell, std::vector<LeaseCell> pending)
+      : m_keeper(1000), m_context(1) {
+    m_context.SetAddressLookup(
+        [](const InstanceId& peer) { return Address(peer.str()); });
+    m_keeper.OnOwnLease({Incarnation(1), 1, 5, std::move(cell), At(3s), 3s,
+                         std::move(pending)});
+  }
+
+  // Asks; keeps the numbers of the questions by whom they went to.
+  void Tick(Duration time) {
+    std::vector<Action> actions;
+    m_context.Start(At(time), &actions);
+    m_keeper.OnTick(m_context);
+    for (const Action& action : actions) {
+      const auto& send = std::get<SendToPeer>(action);
+      const auto& question = std::get<VouchWanted>(send.m_message);
+      m_numbers[send.m_peer.str()] = question.m_number;
+    }
+  }
+
+  void Vouch(const PeerSender& from) {
+    m_keeper.OnVouched(from, {m_numbers[from.m_instance.str()], true});
+  }
+
+  VouchKeeper m_keeper;
+  Context m_context;
+  std::map<std::string, uint64_t> m_numbers;
+};
+
+class VouchKeeperTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(VouchKeeperTest);
+  CPPUNIT_TEST(MajorityOfEachCellIsNeeded);
+  CPPUNIT_TEST(VouchCountsFromItsQuestion);
+  CPPUNIT_TEST(AnswerToAnEarlierQuestionCountsForNothing);
+  CPPUNIT_TEST(LaterLeaseDropsEarlierVouches);
+  CPPUNIT_TEST(DeniedVersionGetsNoVouch);
+  CPPUNIT_TEST(LiveHolderIsNotDenied);
+  CPPUNIT_TEST(LeaseRecordCodec);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void MajorityOfEachCellIsNeeded() {
+    struct Case {
+      LeaseCell m_cell;
+      std::vector<LeaseCell> m_pending;
+      std::vector<PeerSender> m_vouches;
+      bool m_may_use;
+    };
+    const LeaseCell three = {Member("a"), Member("b"), Member("c")};
+    const LeaseCell four = {Member("a"), Member("b"), Member("c"), Member("d")};
+    const LeaseCell others = {Member("c"), Member("d"), Member("e")};
+    const std::vector<Case> cases = {
+        {{}, {}, {}, false},
+        {three, {}, {}, false},
+        {three, {}, {Member("a")}, false},
+        {three, {}, {Member("a"), Member("b")}, true},
+        // A restarted member counts for nothing.
+        {three, {}, {Member("a"), Member("b", 2)}, false},
+        {three, {}, {Member("a"), Member("d")}, false},
+        // Half is no majority.
+        {four, {}, {Member("a"), Member("b")}, false},
+        {four, {}, {Member("a"), Member("b"), Member("d")}, true},
+        // A renewal that may have taken effect counts as well.
+        {three, {others}, {Member("a"), Member("b")}, false},
+        {three, {others}, {Member("a"), Member("b"), Member("c")}, false},
+        {three, {others}, {Member("a"), Member("c"), Member("d")}, true},
+        {three, {{}}, {Member("a"), Member("b"), Member("c")}, false},
+    };
+    for (const Case& row : cases) {
+      Holder holder(row.m_cell, row.m_pending);
+      CPPUNIT_ASSERT(holder.m_keeper.MayUse(At(2999ms)));
+      CPPUNIT_ASSERT(!holder.m_keeper.MayUse(At(3s)));
+      holder.Tick(2900ms);
+      for (const PeerSender& from : row.m_vouches) {
+        holder.Vouch(from);
+      }
+      CPPUNIT_ASSERT_EQUAL(row.m_may_use, holder.m_keeper.MayUse(At(3s)));
+    }
+  }
+
+  void VouchCountsFromItsQuestion() {
+    Holder holder({Member("a")}, {});
+    holder.Tick(2900ms);
+    // The answer may come late; that lengthens nothing.
+    holder.Vouch(Member("a"));
+    CPPUNIT_ASSERT(
+        holder.m_keeper.MayUse(At(2900ms + kVouchDuration - Duration(1))));
+    CPPUNIT_ASSERT(!holder.m_keeper.MayUse(At(2900ms + kVouchDuration)));
+  }
+
+  void AnswerToAnEarlierQuestionCountsForNothing() {
+    Holder holder({Member("a")}, {});
+    holder.Tick(2500ms);
+    const uint64_t earlier = holder.m_numbers["a"];
+    holder.Tick(4s);
+    holder.m_keeper.OnVouched(Member("a"), {earlier, true});
+    CPPUNIT_ASSERT(!holder.m_keeper.MayUse(At(4s)));
+    holder.m_keeper.OnVouched(Member("a"), {holder.m_numbers["a"], false});
+    CPPUNIT_ASSERT(!holder.m_keeper.MayUse(At(4s)));
+  }
+
+  void LaterLeaseDropsEarlierVouches() {
+    Holder holder({Member("a")}, {});
+    holder.Tick(2900ms);
+    holder.Vouch(Member("a"));
+    holder.m_keeper.OnOwnLease(
+        {Incarnation(1), 1, 6, {Member("a")}, At(3100ms), 3s, {}});
+    CPPUNIT_ASSERT(!holder.m_keeper.MayUse(At(3100ms)));
+    holder.Vouch(Member("a"));
+    CPPUNIT_ASSERT(!holder.m_keeper.MayUse(At(3100ms)));
+  }
+
+  void DeniedVersionGetsNoVouch() {
+    struct Case {
+      uint64_t m_incarnation;
+      uint64_t m_version;
+      bool m_granted;
+    };
+    const std::vector<Case> cases = {
+        {1, 4, false}, {1, 5, false}, {1, 6, true}, {2, 1, true}};
+    for (const Case& row : cases) {
+      VouchKeeper member(0);
+      CPPUNIT_ASSERT(
+          member.OnDenialWanted({1, kHolder, Incarnation(1), 5}, At(0s))
+              .m_granted);
+      // An earlier version's denial, coming late, lowers nothing.
+      member.OnDenialWanted({2, kHolder, Incarnation(1), 3}, At(0s));
+      const PeerSender asker{kHolder, Incarnation(row.m_incarnation)};
+      const Vouched answer =
+          member.OnVouchWanted(asker, {9, row.m_version}, At(100s));
+      CPPUNIT_ASSERT_EQUAL(row.m_granted, answer.m_granted);
+      CPPUNIT_ASSERT_EQUAL(uint64_t{9}, answer.m_number);
+    }
+  }
+
+  void LiveHolderIsNotDenied() {
+    VouchKeeper member(0);
+    CPPUNIT_ASSERT(
+        member.OnVouchWanted(kHolderSender, {1, 5}, At(0s)).m_granted);
+    const DenialWanted question{2, kHolder, Incarnation(1), 5};
+    const Duration over = OnEveryClock(kVouchDuration);
+    CPPUNIT_ASSERT(
+        !member.OnDenialWanted(question, At(over - Duration(1))).m_granted);
+    // A refused denial leaves the holder its vouches.
+    CPPUNIT_ASSERT(
+        member.OnVouchWanted(kHolderSender, {2, 5}, At(1s)).m_granted);
+    CPPUNIT_ASSERT(member.OnDenialWanted(question, At(1s + over)).m_granted);
+    CPPUNIT_ASSERT(
+        !member.OnVouchWanted(kHolderSender, {3, 5}, At(1s + over)).m_granted);
+  }
+
+  void LeaseRecordCodec() {
+    const LeaseRecord record{
+        Incarnation(4), 2, 12s, {Member("a"), Member("b", 7)}};
+    const auto decoded = DecodeLeaseRecord(EncodeLeaseRecord(record));
+    CPPUNIT_ASSERT(decoded && *decoded == record);
+    for (const std::string value : {"", "{}", "[]", R"({"incarnation":"x"})"}) {
+      CPPUNIT_ASSERT(!DecodeLeaseRecord(value));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(VouchKeeperTest);
+
+}  // namespace
+}  // namespace jasminelug::core
