apps: the daemon's duties for callers, databases and the platform; core: a grant names the attempt

Cause: a member repeats a grant to the same candidate, and the candidate's name was the instance's. A process that restarted between grant and promotion could gather a second majority for the same term and have a second member promoted at it. Found by reading the databases package's contract, not by a run: the soak has not hit it. The name now carries a random number for each attempt, and refused terms raise the next one. Not yet linked into a daemon.

--- /dev/null
+++ b/apps/jasminelugd/database_duty.h
@@ -0,0 +1,60 @@
+#ifndef APPS_JASMINELUGD_DATABASE_DUTY_H_
+#define APPS_JASMINELUGD_DATABASE_DUTY_H_
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <variant>
+
+#include "apps/jasminelugd/duty.h"
+#include "jasminelug/core.h"
+#include "jasminelug/databases.h"
+
+namespace jasminelug::daemon {
+
+// What the decision duty tells the databases' duty.
+using DatabaseOrder = std::variant<std::monostate,
+                                   core::OpenConnection,
+                                   core::CloseConnection,
+                                   core::RunStatement,
+                                   core::CallMember>;
+
+// The duty of the connections to database members.
+class DatabaseDuty {
+ public:
+  DatabaseDuty(std::string user, Channel<core::Event>* events)
+      : m_user(std::move(user)), m_events(events) {}
+  ~DatabaseDuty();
+
+  DutyThread& thread() { return m_thread; }
+
+  // Carries out an order; runs on this duty's thread.
+  void Do(const DatabaseOrder& order);
+
+ private:
+  using ConnectionPtr = std::shared_ptr<databases::Connection>;
+
+  void Do(const std::monostate& /*order*/) {}
+  void Do(const core::OpenConnection& order);
+  void Do(const core::CloseConnection& order);
+  void Do(const core::RunStatement& order);
+  void Do(const core::CallMember& order);
+  void OnConnected(core::ConnectionId id,
+                   const databases::ConnectOutcome& outcome);
+  void OnClosed(core::ConnectionId id);
+  void RunAutocommit(const ConnectionPtr& connection,
+                     const core::RunStatement& order);
+  void RunCommit(const ConnectionPtr& connection,
+                 const core::RunStatement& order);
+  void Report(core::ConnectionId id, core::StatementOutcome outcome);
+
+  DutyThread m_thread;
+  std::string m_user;
+  Channel<core::Event>* m_events;
+  // Holds nullptr while a connection is being opened.
+  std::unordered_map<core::ConnectionId, ConnectionPtr> m_connections;
+};
+
+}  // namespace jasminelug::daemon
+
+#endif  // APPS_JASMINELUGD_DATABASE_DUTY_H_
--- /dev/null
+++ b/apps/jasminelugd/duty.h
@@ -0,0 +1,124 @@
+#ifndef APPS_JASMINELUGD_DUTY_H_
+#define APPS_JASMINELUGD_DUTY_H_
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <thread>
+#include <utility>
+
+#include "src/common/bounded_ring.h"
+
+namespace jasminelug::daemon {
+
+// One thread with its io_context. Its work is posted to it; Join() waits for
+// the thread after Stop().
+class DutyThread {
+ public:
+  DutyThread() : m_guard(asio::make_work_guard(m_io)) {}
+  ~DutyThread() { Join(); }
+
+  DutyThread(const DutyThread&) = delete;
+  DutyThread& operator=(const DutyThread&) = delete;
+
+  asio::io_context& io() { return m_io; }
+
+  void Start() {
+    m_thread = std::thread([this] { m_io.run(); });
+  }
+
+  void Stop() { m_io.stop(); }
+
+  void Join() {
+    Stop();
+    if (m_thread.joinable()) {
+      m_thread.join();
+    }
+  }
+
+ private:
+  asio::io_context m_io;
+  asio::executor_work_guard<asio::io_context::executor_type> m_guard;
+  std::thread m_thread;
+};
+
+// The way of values of type T from one duty to another: a bounded ring that
+// wakes its consumer. What does not fit waits at the producer, in order, so
+// that no answer of a database or of the platform is lost; a producer that can
+// refuse instead asks IsFull() first.
+template <typename T>
+class Channel {
+ public:
+  using Handler = std::function<void(T)>;
+
+  explicit Channel(std::size_t capacity) : m_ring(capacity) {}
+
+  // To be called before either thread starts.
+  void Connect(asio::io_context* producer,
+               asio::io_context* consumer,
+               Handler handler) {
+    m_producer = producer;
+    m_handler = std::move(handler);
+    m_ring.SetWakeHook(
+        [this, consumer] { asio::post(*consumer, [this] { Drain(); }); });
+  }
+
+  // Producer's thread only.
+  bool IsFull() const { return !m_overflow.empty(); }
+
+  // Producer's thread only.
+  void Push(T value) {
+    if (!m_overflow.empty() || !m_ring.TryPush(std::move(value))) {
+      m_overflow.push_back(std::move(value));
+      ScheduleFlush();
+    }
+  }
+
+ private:
+  static constexpr std::chrono::milliseconds kFlushInterval{1};
+
+  void Drain() {
+    T value{};
+    while (m_ring.TryPop(&value)) {
+      m_handler(std::move(value));
+    }
+  }
+
+  void ScheduleFlush() {
+    if (m_is_flush_scheduled) {
+      return;
+    }
+    m_is_flush_scheduled = true;
+    auto timer = std::make_shared<asio::steady_timer>(*m_producer);
+    timer->expires_after(kFlushInterval);
+    timer->async_wait([this, timer](std::error_code) {
+      m_is_flush_scheduled = false;
+      Flush();
+    });
+  }
+
+  void Flush() {
+    while (!m_overflow.empty()) {
+      if (!m_ring.TryPush(std::move(m_overflow.front()))) {
+        ScheduleFlush();
+        return;
+      }
+      m_overflow.pop_front();
+    }
+  }
+
+  BoundedRing<T> m_ring;
+  asio::io_context* m_producer = nullptr;
+  Handler m_handler;
+  std::deque<T> m_overflow;
+  bool m_is_flush_scheduled = false;
+};
+
+}  // namespace jasminelug::daemon
+
+#endif  // APPS_JASMINELUGD_DUTY_H_
--- /dev/null
+++ b/apps/jasminelugd/platform_duty.h
@@ -0,0 +1,43 @@
+#ifndef APPS_JASMINELUGD_PLATFORM_DUTY_H_
+#define APPS_JASMINELUGD_PLATFORM_DUTY_H_
+
+#include <variant>
+
+#include "apps/jasminelugd/duty.h"
+#include "jasminelug/core.h"
+#include "jasminelug/platform.h"
+
+namespace jasminelug::daemon {
+
+// What the decision duty tells the platform's duty.
+using PlatformOrder = std::variant<std::monostate, core::CallPlatform>;
+
+// The duty of the platform's object API.
+class PlatformDuty {
+ public:
+  PlatformDuty(const platform::ClientOptions& options,
+               Channel<core::Event>* events)
+      : m_events(events), m_client(m_thread.io(), options) {}
+  ~PlatformDuty() { m_thread.Join(); }
+
+  DutyThread& thread() { return m_thread; }
+
+  // Carries out an order; runs on this duty's thread.
+  void Do(const PlatformOrder& order);
+
+ private:
+  void Call(core::CallId call, const core::ListObjects& request);
+  void Call(core::CallId call, const core::WatchObjects& request);
+  void Call(core::CallId call, const core::GetObject& request);
+  void Call(core::CallId call, const core::PutObject& request);
+  void Call(core::CallId call, const core::DeleteObject& request);
+  void Answer(core::CallId call, core::PlatformAnswer answer);
+
+  DutyThread m_thread;
+  Channel<core::Event>* m_events;
+  platform::Client m_client;
+};
+
+}  // namespace jasminelug::daemon
+
+#endif  // APPS_JASMINELUGD_PLATFORM_DUTY_H_
--- a/src/callers/caller_error.cc
+++ b/src/callers/caller_error.cc
@@ -30,6 +30,12 @@
     {ErrorCode::kUnavailable, "unavailable", 503},
     {ErrorCode::kShuttingDown, "shutting_down", 503},
     {ErrorCode::kDeadlineExceeded, "deadline_exceeded", 504},
+    {ErrorCode::kKeyUnconfirmed, "key_unconfirmed", 503},
+    {ErrorCode::kDatabaseLeaving, "database_leaving", 503},
+    {ErrorCode::kOverloaded, "overloaded", 503},
+    {ErrorCode::kZoneOut, "zone_out", 503},
+    {ErrorCode::kRejectedByDatabase, "rejected_by_database", 422},
+    {ErrorCode::kTransactionAborted, "transaction_aborted", 409},
 };
 
 const CodeInfo& GetInfo(ErrorCode code) {
--- a/src/callers/caller_error.h
+++ b/src/callers/caller_error.h
@@ -27,6 +27,12 @@
   kUnavailable,         // 503
   kShuttingDown,        // 503
   kDeadlineExceeded,    // 504
+  kKeyUnconfirmed,      // 503
+  kDatabaseLeaving,     // 503
+  kOverloaded,          // 503
+  kZoneOut,             // 503
+  kRejectedByDatabase,  // 422
+  kTransactionAborted,  // 409
 };
 
 // Whether the request had any effect.
@@ -49,6 +55,8 @@
   Execution m_execution = Execution::kUnknown;
   // When to come again.
   std::optional<std::chrono::milliseconds> m_retry_after;
+  // The session's token, where the request may have changed what it must see.
+  std::optional<std::string> m_session;
 };
 
 // Returns the name, such as "invalid_request".
--- a/src/callers/internal/answer_formatter.cc
+++ b/src/callers/internal/answer_formatter.cc
@@ -73,6 +73,9 @@
   if (error.m_retry_after) {
     fields["retry_after_ms"] = error.m_retry_after->count();
   }
+  if (error.m_session) {
+    fields["session"] = *error.m_session;
+  }
   Json body;
   body["error"] = std::move(fields);
   http2::Response response =
--- a/src/core/database_answer.h
+++ b/src/core/database_answer.h
@@ -92,6 +92,7 @@
 
 struct GrantWanted {
   Term m_term;
+  // Names the attempt, not only the instance that makes it.
   InstanceId m_candidate;
 
   friend bool operator==(const GrantWanted&, const GrantWanted&) = default;
--- a/src/core/group.cc
+++ b/src/core/group.cc
@@ -251,6 +251,7 @@
   event.m_term = wanted.m_term;
   event.m_detail = call.m_member.str();
   context.Record(std::move(event));
+  m_view.NoteGranted(answer.m_granted_term);
   m_election->OnGrant(call.m_member, answer);
   CountGrants(context);
 }
@@ -582,8 +583,13 @@
   m_phase = Phase::kGranting;
   m_phase_until = context.Now() + kElectionLimit;
   m_election.emplace(term, context.Now(), AvoidedMembers());
+  // Unique to this attempt: a member repeats a grant to the same candidate, so
+  // a later attempt under the same name, perhaps of a restarted process, could
+  // have a second member promoted at this term.
+  const InstanceId candidate(m_self.str() + "/" +
+                             std::to_string(context.Random()()));
   for (const MemberView& member : m_view.members()) {
-    CallMember(member.m_member, GrantWanted{term, m_self}, context);
+    CallMember(member.m_member, GrantWanted{term, candidate}, context);
   }
 }
 
--- a/src/core/group_view.h
+++ b/src/core/group_view.h
@@ -65,6 +65,9 @@
                 MemberRole role,
                 Time now);
 
+  // Notes a term that a member has granted.
+  void NoteGranted(Term term);
+
   void OnFailure(const MemberId& member, bool refused);
 
   // Forgets how long members have been silent, e.g. after this process itself
@@ -94,7 +97,6 @@
  private:
   MemberView* FindMutable(const MemberId& member);
   void NoteAnswer(MemberView* view, Time now);
-  void NoteGranted(Term term);
 
   Database m_database;
   std::vector<MemberView> m_members;
--- a/src/databases/member.cc
+++ b/src/databases/member.cc
@@ -22,6 +22,7 @@
         std::chrono::milliseconds(row.Number("last_contact_ms"));
   }
   status.m_term_start = row.Number("term_start");
+  status.m_previous_term = row.Number("previous_term");
   status.m_connections = static_cast<std::uint32_t>(row.Number("connections"));
   return status;
 }
--- a/src/databases/member.h
+++ b/src/databases/member.h
@@ -29,6 +29,8 @@
   std::optional<std::chrono::milliseconds> m_last_contact;
   // The position at which m_term began.
   Position m_term_start = 0;
+  // The term of the entry before that one; 0 if there is none.
+  Term m_previous_term = 0;
   std::uint32_t m_connections = 0;
 
   bool operator==(const MemberStatus&) const = default;
--- a/test/fake_database/group_functions.cc
+++ b/test/fake_database/group_functions.cc
@@ -66,6 +66,7 @@
        {"primary_term", std::to_string(status.m_primary_term)},
        {"last_contact_ms", age},
        {"term_start", std::to_string(status.m_term_start)},
+       {"previous_term", std::to_string(status.m_previous_term)},
        {"connections", std::to_string(status.m_connections)}});
 }
 
