core: shares that follow demand without going to and fro

The causes, each seen in a trace of the tables: - a holder that confirmed a smaller share took the freed part back in the same write, so that the shrink lasted for seconds. It now leaves what it gave up to others for a second; - two busy holders lowered each other. A busy one now takes only what others do not use, beyond the equal part that is its right; - lenders gave parts of a credit, which expired at borrowers without a bucket of their own (60 % refused with a burst of 5). They lend whole credits; - borrowers asked again for requests that had been served meanwhile. Borrowed credit that is not used at once goes into the bucket, as far as there is room.

--- a/src/core/allowance_account.cc
+++ b/src/core/allowance_account.cc
@@ -11,6 +11,9 @@
 constexpr Duration kKeptUse = 200ms;
 // Credit is asked for ahead when less than the use of this time is left.
 constexpr Duration kLowWater = 50ms;
+// A request that may wait for so long waits also for peers that had nothing
+// when last asked.
+constexpr Duration kBorrowPatience = 150ms;
 // An instance that missed credit within this time lends none.
 constexpr Duration kMissMemory = 100ms;
 
@@ -44,6 +47,9 @@
     m_exchange.TakeBorrowed(from_lots, now);
   }
   m_demand.Add(kCreditCost, now);
+  // Requests are served in their order: those that missed before have gone.
+  m_missed = 0;
+  m_missed_before = 0;
   return true;
 }
 
@@ -68,19 +74,27 @@
   if ((missed == 0 && !IsRunningLow(now)) || !m_exchange.MayAsk(now)) {
     return;
   }
+  // Asks for more only where all that was asked for has come and is used up.
+  const bool more = missed > 0 && m_exchange.WasAnsweredInFull();
   m_ask_size =
-      missed > 0 ? std::min(m_ask_size * 2, kCreditCost << 10U) : kCreditCost;
-  const uint64_t amount =
+      more ? std::min(m_ask_size * 2, kCreditCost << 10U) : kCreditCost;
+  const uint64_t have = m_bucket.Level(now) + m_exchange.Borrowed(now);
+  const uint64_t needed =
       std::max({m_ask_size, missed * kCreditCost, UseOf(recent, kLowWater)});
+  const uint64_t amount = needed > have ? needed - have : kCreditCost;
   const uint64_t left_over =
       m_exchange.Ask(m_key, amount, peers, last_number, context);
   m_bucket.Add(left_over, now);
 }
 
 bool AllowanceAccount::MayBorrow(const std::vector<InstanceId>& peers,
+                                 Duration patience,
                                  Time now) const {
-  return !peers.empty() &&
-         (m_exchange.IsAsking(now) || !m_exchange.AllEmpty(peers, now));
+  if (peers.empty()) {
+    return false;
+  }
+  return patience >= kBorrowPatience || m_exchange.IsAsking(now) ||
+         !m_exchange.AllEmpty(peers, now);
 }
 
 uint64_t AllowanceAccount::Lend(const PeerSender& from,
@@ -98,7 +112,9 @@
   const uint64_t level = m_bucket.Level(now);
   const uint64_t amount =
       std::min(question.m_millicredits, level > kept ? level - kept : 0);
-  if (amount == 0 || !m_bucket.Take(amount, now)) {
+  // Less than a whole credit would mostly expire in pieces at many borrowers.
+  const uint64_t least = std::min(question.m_millicredits, kCreditCost);
+  if (amount < least || amount == 0 || !m_bucket.Take(amount, now)) {
     return 0;
   }
   m_exchange.Lend(from, question.m_number, amount, now);
@@ -113,6 +129,13 @@
   return m_exchange.TakeAnswer(from, answer, accept_late, now) > 0;
 }
 
+void AllowanceAccount::KeepBorrowed(Time now) {
+  const uint64_t level = m_bucket.Level(now);
+  const uint64_t room =
+      m_bucket.capacity() > level ? m_bucket.capacity() - level : 0;
+  m_bucket.Add(m_exchange.TakeBorrowed(room, now), now);
+}
+
 void AllowanceAccount::OnTick(Time now) {
   if (m_missed == 0) {
     m_ask_size = kCreditCost;
--- a/src/core/allowance_account.h
+++ b/src/core/allowance_account.h
@@ -48,8 +48,10 @@
                   uint64_t& last_number,
                   Context& context);
 
-  // Returns whether a peer may have credit, as far as is known.
-  bool MayBorrow(const std::vector<InstanceId>& peers, Time now) const;
+  // Returns whether a peer may have credit in time, as far as is known.
+  bool MayBorrow(const std::vector<InstanceId>& peers,
+                 Duration patience,
+                 Time now) const;
 
   // Debits what can be lent in answer to a question; returns 0 if nothing.
   uint64_t Lend(const PeerSender& from, const CreditWanted& question, Time now);
@@ -63,6 +65,10 @@
   // Returns whether requests found no credit since the last tick.
   bool IsShort() const { return m_missed > 0 || m_missed_before > 0; }
 
+  // Moves borrowed credit that was not used at once into the bucket, as far as
+  // there is room, where it does not expire.
+  void KeepBorrowed(Time now);
+
   // Starts to count anew how many requests find no credit.
   void OnTick(Time now);
 
--- a/src/core/allowance_shares.cc
+++ b/src/core/allowance_shares.cc
@@ -105,10 +105,17 @@
              : &found->second->m_account;
 }
 
-bool AllowanceShares::MayBorrow(const AllowanceKey& key, Time now) const {
+bool AllowanceShares::MayBorrow(const AllowanceKey& key,
+                                Duration patience,
+                                Time now) const {
   const auto found = m_entries.find(key);
-  return found != m_entries.end() &&
-         found->second->m_account.MayBorrow(found->second->m_lenders, now);
+  if (found == m_entries.end()) {
+    return false;
+  }
+  const Entry& entry = *found->second;
+  // Before the table is known, nothing says that credit will not come.
+  return entry.m_holder.table().m_rows.empty() ||
+         entry.m_account.MayBorrow(entry.m_lenders, patience, now);
 }
 
 void AllowanceShares::AskIfShort(const AllowanceKey& key, Context& context) {
--- a/src/core/allowance_shares.h
+++ b/src/core/allowance_shares.h
@@ -53,8 +53,8 @@
   AllowanceAccount* Find(const AllowanceKey& key);
   const AllowanceAccount* Find(const AllowanceKey& key) const;
 
-  // Returns whether the peers may have credit of an allowance.
-  bool MayBorrow(const AllowanceKey& key, Time now) const;
+  // Returns whether credit of an allowance may come from peers in time.
+  bool MayBorrow(const AllowanceKey& key, Duration patience, Time now) const;
 
   // Asks peers where credit is short.
   void AskIfShort(const AllowanceKey& key, Context& context);
--- a/src/core/credit_exchange.cc
+++ b/src/core/credit_exchange.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/core/token_bucket.h"
+
 namespace jasminelug::core {
 namespace {
 
@@ -12,8 +14,12 @@
 // A peer that had nothing is asked again after a pause, doubled up to a limit.
 constexpr Duration kFirstPause = 40ms;
 constexpr Duration kLastPause = 640ms;
-// What a peer that was never asked is taken to lend.
-constexpr uint64_t kUnknownLends = 500;
+// What a peer that was never asked is taken to have, and what one gains in a
+// millisecond that has been asked.
+constexpr uint64_t kUnknownLevel = 1'000'000;
+constexpr uint64_t kGainPerMillisecond = 10;
+// Spreads the questions over peers that are alike.
+constexpr uint64_t kGuessSpread = 200;
 
 }  // namespace
 
@@ -65,12 +71,16 @@
                              Context& context) {
   const Time now = context.Now();
   m_next_ask = now + kAskInterval;
+  m_answered_in_full = false;
+  const size_t most = amount <= kCreditCost ? 1 : kQuestionsAtOnce;
+  const std::vector<InstanceId> chosen = ChooseLenders(peers, most, context);
   uint64_t left_over = 0;
-  for (const InstanceId& peer : ChooseLenders(peers, context)) {
+  for (const InstanceId& peer : chosen) {
     left_over += DropLots(peer, now);
     const uint64_t number = ++last_number;
-    m_questions[peer] = {number, now + kCreditValidity};
-    context.Send(peer, CreditWanted{number, key, amount});
+    const uint64_t part = (amount + chosen.size() - 1) / chosen.size();
+    m_questions[peer] = {number, part, now + kCreditValidity};
+    context.Send(peer, CreditWanted{number, key, part});
   }
   return left_over;
 }
@@ -87,10 +97,13 @@
     return 0;
   }
   const Time over = open ? question->second.m_over : now + kCreditValidity;
+  const bool in_full =
+      open && answer.m_millicredits >= question->second.m_amount;
   if (open) {
     m_questions.erase(question);
   }
-  NoteAnswer(from.m_instance, answer.m_millicredits, now);
+  m_answered_in_full = m_answered_in_full || in_full;
+  NoteAnswer(from.m_instance, answer.m_millicredits, in_full, now);
   if (answer.m_millicredits > 0) {
     m_lots.push_back({from.m_instance, answer.m_millicredits, over});
   }
@@ -137,6 +150,7 @@
 
 std::vector<InstanceId> CreditExchange::ChooseLenders(
     const std::vector<InstanceId>& peers,
+    size_t most,
     Context& context) const {
   struct Candidate {
     uint64_t m_weight;
@@ -150,14 +164,12 @@
     if (paused || m_questions.contains(peer)) {
       continue;
     }
-    const uint64_t lends =
-        known == m_lenders.end() ? kUnknownLends : known->second.m_last_lent;
-    // A random part spreads the questions over peers that lend alike.
-    candidates.push_back(
-        {lends + context.Random()() % (kUnknownLends + lends / 2), peer});
+    const uint64_t guess = GuessOf(peer, context.Now());
+    candidates.push_back({guess + context.Random()() % kGuessSpread, peer});
   }
   const size_t open = std::min(kQuestionsAtOnce, m_questions.size());
-  const size_t count = std::min(candidates.size(), kQuestionsAtOnce - open);
+  const size_t count =
+      std::min({candidates.size(), kQuestionsAtOnce - open, most});
   std::partial_sort(candidates.begin(),
                     candidates.begin() + static_cast<std::ptrdiff_t>(count),
                     candidates.end(),
@@ -171,6 +183,20 @@
   return chosen;
 }
 
+// Guesses what a peer has: what it has gained since its last answer, and more
+// where that was all that was asked for.
+uint64_t CreditExchange::GuessOf(const InstanceId& peer, Time now) const {
+  const auto known = m_lenders.find(peer);
+  if (known == m_lenders.end()) {
+    return kUnknownLevel;
+  }
+  const Lender& lender = known->second;
+  const auto elapsed = static_cast<uint64_t>(
+      std::max<Duration::rep>((now - lender.m_last_answer) / 1ms, 0));
+  return elapsed * kGainPerMillisecond +
+         (lender.m_lent_in_full ? lender.m_last_lent : 0);
+}
+
 uint64_t CreditExchange::DropLots(const InstanceId& from, Time now) {
   uint64_t left_over = 0;
   std::erase_if(m_lots, [&](const Lot& lot) {
@@ -188,15 +214,18 @@
     if (now < entry.second.m_over) {
       return false;
     }
-    NoteAnswer(entry.first, 0, now);
+    NoteAnswer(entry.first, 0, false, now);
     return true;
   });
 }
 
 void CreditExchange::NoteAnswer(const InstanceId& from,
                                 uint64_t amount,
+                                bool in_full,
                                 Time now) {
   Lender& lender = m_lenders[from];
+  lender.m_lent_in_full = in_full;
+  lender.m_last_answer = now;
   lender.m_last_lent = amount;
   lender.m_pause =
       amount > 0 ? Duration::zero()
--- a/src/core/credit_exchange.h
+++ b/src/core/credit_exchange.h
@@ -40,8 +40,9 @@
   // early.
   bool MayAsk(Time now);
 
-  // Chooses up to kQuestionsAtOnce peers and asks each for `amount`; numbers
-  // are taken from `last_number`. Returns the credit that must leave the
+  // Asks for `amount`: one peer where that is one credit, else up to
+  // kQuestionsAtOnce for a part each. Numbers are taken from `last_number`.
+  // Returns the credit that must leave the
   // borrowed amount, for the caller to keep as its bucket allows.
   uint64_t Ask(const AllowanceKey& key,
                uint64_t amount,
@@ -64,6 +65,10 @@
   // Returns whether no peer had credit when last asked.
   bool AllEmpty(const std::vector<InstanceId>& peers, Time now) const;
 
+  // Returns whether any answer since the last question was all that was asked
+  // for.
+  bool WasAnsweredInFull() const { return m_answered_in_full; }
+
   // Returns whether a question waits for an answer.
   bool IsAsking(Time now) const;
 
@@ -77,6 +82,7 @@
 
   struct Question {
     uint64_t m_number = 0;
+    uint64_t m_amount = 0;
     Time m_over;
   };
 
@@ -95,15 +101,22 @@
   // What is known of a peer as a lender.
   struct Lender {
     uint64_t m_last_lent = 0;
+    bool m_lent_in_full = false;
+    Time m_last_answer;
     Duration m_pause{};
     Time m_next_question;
   };
 
   std::vector<InstanceId> ChooseLenders(const std::vector<InstanceId>& peers,
+                                        size_t most,
                                         Context& context) const;
+  uint64_t GuessOf(const InstanceId& peer, Time now) const;
   uint64_t DropLots(const InstanceId& from, Time now);
   void CloseOverdue(Time now);
-  void NoteAnswer(const InstanceId& from, uint64_t amount, Time now);
+  void NoteAnswer(const InstanceId& from,
+                  uint64_t amount,
+                  bool in_full,
+                  Time now);
 
   std::vector<Loan> m_loans;
   std::map<InstanceId, Taken> m_last_taken;
@@ -111,6 +124,7 @@
   std::vector<Lot> m_lots;
   std::map<InstanceId, Lender> m_lenders;
   Time m_next_ask;
+  bool m_answered_in_full = false;
 };
 
 }  // namespace jasminelug::core
--- a/src/core/demand_meter.h
+++ b/src/core/demand_meter.h
@@ -33,10 +33,10 @@
   }
 
   // Returns the use a second of about the last second.
-  uint64_t Recent() const { return m_fast; }
+  uint64_t Recent() const { return static_cast<uint64_t>(m_fast); }
 
   // Returns the use a second of about the last ten seconds.
-  uint64_t Lasting() const { return m_slow; }
+  uint64_t Lasting() const { return static_cast<uint64_t>(m_slow); }
 
  private:
   static constexpr int64_t kWindowsKept = 200;
--- a/src/core/share_holder.cc
+++ b/src/core/share_holder.cc
@@ -12,6 +12,8 @@
 constexpr Duration kStartSpread = 100ms;
 constexpr Duration kFirstRetryDelay = 20ms;
 constexpr Duration kLastRetryDelay = 2s;
+// A holder that has shrunk leaves what it gave up to others for so long.
+constexpr Duration kGrowPause = 1s;
 // A call without an answer for so long counts as of unknown outcome.
 constexpr Duration kCallLimit = 5s;
 
@@ -90,7 +92,7 @@
   if (m_must_read) {
     return SendGet(context);
   }
-  const ShareTable next = NextTable(plan);
+  const ShareTable next = NextTable(plan, now);
   if (!IsWorthWriting(next, plan)) {
     return std::nullopt;
   }
@@ -126,7 +128,7 @@
                                          });
 }
 
-ShareTable ShareHolder::NextTable(const SharePlan& plan) const {
+ShareTable ShareHolder::NextTable(const SharePlan& plan, Time now) {
   ShareTable next = Retarget(m_table, plan.m_goal, plan.m_goal_revision);
   next = RemoveRows(std::move(next), [&plan](const ShareHolderId& holder) {
     return IsEarlier(holder, plan.m_self) ? plan.m_earlier_gone
@@ -137,10 +139,11 @@
       FitsIn(own->m_granted, own->m_confirmed) &&
       plan.m_uses_at_most(own->m_granted)) {
     next = Confirm(std::move(next), plan.m_self);
+    m_grow_after = now + kGrowPause;
   }
   next = SettleTotal(std::move(next));
   ShareWish wish = plan.m_wish;
-  if (!plan.m_may_grow) {
+  if (!plan.m_may_grow || now < m_grow_after) {
     own = FindRow(next, plan.m_self);
     const ShareAmount held = own == nullptr ? ShareAmount{} : own->m_granted;
     wish.m_wanted = LesserOf(wish.m_wanted, held);
--- a/src/core/share_holder.h
+++ b/src/core/share_holder.h
@@ -70,7 +70,7 @@
     ShareTable m_table;
   };
 
-  ShareTable NextTable(const SharePlan& plan) const;
+  ShareTable NextTable(const SharePlan& plan, Time now);
   bool IsWorthWriting(const ShareTable& next, const SharePlan& plan) const;
   CallId SendPut(const ShareTable& next, Context& context);
   CallId SendGet(Context& context);
@@ -89,6 +89,7 @@
   bool m_started = false;
   uint64_t m_last_write = 0;
   Time m_next_try;
+  Time m_grow_after;
   Duration m_retry_delay{};
 };
 
--- a/src/core/share_manager.cc
+++ b/src/core/share_manager.cc
@@ -134,10 +134,13 @@
       return;
     }
     const bool accept_late = m_options.m_faults.m_accept_late_credit;
-    if (account->TakeAnswer(from, message, accept_late, context.Now()) &&
-        m_hooks.m_on_credit) {
+    if (!account->TakeAnswer(from, message, accept_late, context.Now())) {
+      return;
+    }
+    if (m_hooks.m_on_credit) {
       m_hooks.m_on_credit(message.m_allowance);
     }
+    account->KeepBorrowed(context.Now());
   }
 
   void OnPeerMessage(const PeerSender& from,
@@ -220,7 +223,10 @@
     }
     const Duration own =
         account.TimeUntilOwnCredit(patience + Duration(1), now);
-    return own <= patience || (IsEscrow() && m_allowances.MayBorrow(key, now));
+    if (own <= patience) {
+      return true;
+    }
+    return IsEscrow() && m_allowances.MayBorrow(key, patience, now);
   }
 
   void UpdateSelf() {
--- a/src/core/share_table.cc
+++ b/src/core/share_table.cc
@@ -76,32 +76,28 @@
   }
 }
 
-// Returns the grant below which `taker` may not lower this row.
-uint64_t KeptBy(const ShareRow& row,
-                Part part,
-                const ShareWish& wish,
-                const ShareAmount& goal) {
-  const uint64_t right = wish.m_right.*part;
-  if (!wish.m_idle_floor) {
-    return right;
-  }
-  // A quarter more than what the row's holder uses stays with it. Burst goes
-  // with the rate.
+// Returns the grant of a row that a holder that needs more than its right
+// leaves to it: a quarter more than what its holder uses, or the floor.
+uint64_t KeptForUse(const ShareRow& row,
+                    Part part,
+                    uint64_t floor,
+                    const ShareAmount& goal) {
   const uint64_t used = row.m_demand + row.m_demand / 4;
-  const uint64_t used_part =
-      part == &ShareAmount::m_units
-          ? used
-          : Scale(goal.m_burst, std::min(used, goal.m_units), goal.m_units);
-  return std::max((*wish.m_idle_floor).*part, std::min(right, used_part));
+  if (part == &ShareAmount::m_units) {
+    return std::max(floor, used);
+  }
+  // Burst goes with the rate.
+  return std::max(
+      floor, Scale(goal.m_burst, std::min(used, goal.m_units), goal.m_units));
 }
 
 // Lowers grants of others by up to `lacking` in all, in proportion to what
-// each has above what it keeps.
+// each has above what it keeps. What is on its way already counts.
 void LowerOthers(ShareTable& table,
                  const ShareHolderId& holder,
                  Part part,
-                 const ShareWish& wish,
-                 uint64_t lacking) {
+                 uint64_t lacking,
+                 const std::function<uint64_t(const ShareRow&)>& kept_by) {
   uint64_t excess = 0;
   uint64_t coming = 0;
   for (const ShareRow& row : table.m_rows) {
@@ -109,7 +105,7 @@
       continue;
     }
     const uint64_t granted = row.m_granted.*part;
-    const uint64_t kept = KeptBy(row, part, wish, table.m_goal);
+    const uint64_t kept = kept_by(row);
     excess += granted > kept ? granted - kept : 0;
     const uint64_t confirmed = row.m_confirmed.*part;
     coming += confirmed > granted ? confirmed - granted : 0;
@@ -120,7 +116,7 @@
   const uint64_t wanted = std::min(lacking - coming, excess);
   uint64_t left = wanted;
   for (ShareRow& row : table.m_rows) {
-    const uint64_t kept = KeptBy(row, part, wish, table.m_goal);
+    const uint64_t kept = kept_by(row);
     if (row.m_holder == holder || row.m_granted.*part <= kept) {
       continue;
     }
@@ -139,7 +135,7 @@
                      [&holder](const ShareRow& row) {
                        const uint64_t granted = row.m_granted.m_units;
                        return row.m_holder != holder && row.m_demand > 0 &&
-                              row.m_demand > granted - granted / 4;
+                              row.m_demand > granted - granted / 8;
                      });
 }
 
@@ -183,8 +179,17 @@
     granted += std::min(limit - granted, free);
     confirmed = granted;
   }
-  if (granted < due) {
-    LowerOthers(table, own.m_holder, part, wish, due - granted);
+  const uint64_t fair_due = std::min(due, right);
+  if (granted < fair_due) {
+    LowerOthers(table, own.m_holder, part, fair_due - granted,
+                [right](const ShareRow&) { return right; });
+  }
+  if (wish.m_idle_floor && granted < due) {
+    const uint64_t floor = (*wish.m_idle_floor).*part;
+    LowerOthers(table, own.m_holder, part, due - granted,
+                [&table, part, floor](const ShareRow& row) {
+                  return KeptForUse(row, part, floor, table.m_goal);
+                });
   }
 }
 
@@ -287,11 +292,14 @@
                  const ShareHolderId& holder,
                  const ShareWish& wish,
                  const ShareAmount& free) {
-  const bool known = FindMutableRow(table, holder) != nullptr;
-  if (!known && wish.m_wanted.empty()) {
-    return table;
+  const ShareRow* known = FindRow(table, holder);
+  if (wish.m_wanted.empty() &&
+      (known == nullptr || known->m_confirmed.empty())) {
+    return RemoveRows(std::move(table), [&holder](const ShareHolderId& id) {
+      return id == holder;
+    });
   }
-  if (!known) {
+  if (known == nullptr) {
     table.m_rows.push_back({holder, {}, {}, 0});
   }
   ShareRow own = *FindMutableRow(table, holder);
--- a/src/core/share_wish.cc
+++ b/src/core/share_wish.cc
@@ -82,8 +82,8 @@
   }
   const uint64_t due =
       std::clamp(demand + demand / 4, floor.m_units, wish.m_right.m_units);
-  wish.m_due = {due, BurstPart(wish.m_right.m_burst, due,
-                               wish.m_right.m_units)};
+  wish.m_due = {due,
+                BurstPart(wish.m_right.m_burst, due, wish.m_right.m_units)};
   return wish;
 }
 
--- a/test/core/credit_exchange_test.cc
+++ b/test/core/credit_exchange_test.cc
@@ -10,9 +10,15 @@
 namespace jasminelug::core {
 namespace {
 
-const AllowanceKey kKey{CustomerName("clerks"), ProfileName("desk")};
-const InstanceId kPeer("b");
-const PeerSender kFrom{InstanceId("b"), Incarnation(3)};
+AllowanceKey Key() {
+  return {CustomerName("clerks"), ProfileName("desk")};
+}
+InstanceId Peer() {
+  return InstanceId("b");
+}
+PeerSender From() {
+  return {InstanceId("b"), Incarnation(3)};
+}
 
 Time At(Duration time) {
   return Time(time);
@@ -30,12 +36,13 @@
   void Ask(Duration time) {
     std::vector<Action> actions;
     m_context.Start(At(time), &actions);
-    m_left_over = m_exchange.Ask(kKey, 5000, {kPeer}, m_last_number, m_context);
+    m_left_over =
+        m_exchange.Ask(Key(), 5000, {Peer()}, m_last_number, m_context);
     m_questions = actions.size();
   }
 
   uint64_t Take(const PeerSender& from, uint64_t number, Duration time) {
-    return m_exchange.TakeAnswer(from, CreditLent{number, kKey, 3000}, false,
+    return m_exchange.TakeAnswer(from, CreditLent{number, Key(), 3000}, false,
                                  At(time));
   }
 
@@ -68,11 +75,11 @@
       uint64_t m_accepted;
     };
     const std::vector<Case> cases = {
-        {kFrom, 101, 1ms, 3000},
-        {kFrom, 101, kCreditValidity - Duration(1), 3000},
-        {kFrom, 101, kCreditValidity, 0},
-        {kFrom, 100, 1ms, 0},
-        {kFrom, 102, 1ms, 0},
+        {From(), 101, 1ms, 3000},
+        {From(), 101, kCreditValidity - Duration(1), 3000},
+        {From(), 101, kCreditValidity, 0},
+        {From(), 100, 1ms, 0},
+        {From(), 102, 1ms, 0},
         {{InstanceId("c"), Incarnation(3)}, 101, 1ms, 0},
     };
     for (const Case& row : cases) {
@@ -85,14 +92,14 @@
 
   void AcceptsAnAnswerOnce() {
     Borrower borrower;
-    CPPUNIT_ASSERT_EQUAL(uint64_t{3000}, borrower.Take(kFrom, 101, 1ms));
-    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, borrower.Take(kFrom, 101, 2ms));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{3000}, borrower.Take(From(), 101, 1ms));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, borrower.Take(From(), 101, 2ms));
     CPPUNIT_ASSERT_EQUAL(uint64_t{3000}, borrower.m_exchange.Borrowed(At(2ms)));
   }
 
   void BorrowedCreditExpires() {
     Borrower borrower;
-    borrower.Take(kFrom, 101, 1ms);
+    borrower.Take(From(), 101, 1ms);
     CreditExchange& exchange = borrower.m_exchange;
     CPPUNIT_ASSERT_EQUAL(uint64_t{1000}, exchange.TakeBorrowed(1000, At(2ms)));
     const Time last = At(kCreditValidity - Duration(1));
@@ -104,7 +111,7 @@
 
   void NextQuestionGivesUpWhatIsLeft() {
     Borrower borrower;
-    borrower.Take(kFrom, 101, 1ms);
+    borrower.Take(From(), 101, 1ms);
     borrower.Ask(50ms);
     CPPUNIT_ASSERT_EQUAL(uint64_t{3000}, borrower.m_left_over);
     CPPUNIT_ASSERT_EQUAL(uint64_t{0}, borrower.m_exchange.Borrowed(At(50ms)));
@@ -112,8 +119,8 @@
 
   void LoanIsInFlightUntilItIsVoid() {
     CreditExchange lender;
-    CPPUNIT_ASSERT(lender.TakeQuestion(kFrom, 7));
-    lender.Lend(kFrom, 7, 3000, At(0s));
+    CPPUNIT_ASSERT(lender.TakeQuestion(From(), 7));
+    lender.Lend(From(), 7, 3000, At(0s));
     const Duration over = OnEveryClock(kCreditValidity);
     CPPUNIT_ASSERT_EQUAL(uint64_t{3000}, lender.InFlight(At(over)));
     CPPUNIT_ASSERT_EQUAL(uint64_t{0}, lender.InFlight(At(over + Duration(1))));
@@ -121,33 +128,34 @@
 
   void NextQuestionEndsALoan() {
     CreditExchange lender;
-    lender.TakeQuestion(kFrom, 7);
-    lender.Lend(kFrom, 7, 3000, At(0s));
+    lender.TakeQuestion(From(), 7);
+    lender.Lend(From(), 7, 3000, At(0s));
     // Of another process, and of an older question: ends nothing.
-    CPPUNIT_ASSERT(lender.TakeQuestion({kPeer, Incarnation(4)}, 1));
-    CPPUNIT_ASSERT(!lender.TakeQuestion(kFrom, 8));
+    CPPUNIT_ASSERT(lender.TakeQuestion({Peer(), Incarnation(4)}, 1));
+    CPPUNIT_ASSERT(!lender.TakeQuestion(From(), 8));
     CPPUNIT_ASSERT_EQUAL(uint64_t{3000}, lender.InFlight(At(1ms)));
     CreditExchange other;
-    other.TakeQuestion(kFrom, 7);
-    other.Lend(kFrom, 7, 3000, At(0s));
-    CPPUNIT_ASSERT(other.TakeQuestion(kFrom, 8));
+    other.TakeQuestion(From(), 7);
+    other.Lend(From(), 7, 3000, At(0s));
+    CPPUNIT_ASSERT(other.TakeQuestion(From(), 8));
     CPPUNIT_ASSERT_EQUAL(uint64_t{0}, other.InFlight(At(1ms)));
   }
 
   void RepeatedQuestionIsLentNothing() {
-    AllowanceAccount account(kKey);
+    AllowanceAccount account(Key());
     account.SetShare({1000, 10000}, At(0s));
-    const CreditWanted question{7, kKey, 2000};
+    const CreditWanted question{7, Key(), 2000};
     CPPUNIT_ASSERT_EQUAL(uint64_t{2000},
-                         account.Lend(kFrom, question, At(10s)));
-    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, account.Lend(kFrom, question, At(10s)));
+                         account.Lend(From(), question, At(10s)));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, account.Lend(From(), question, At(10s)));
   }
 
   void LevelAndLoansFitInTheBurst() {
-    AllowanceAccount account(kKey);
+    AllowanceAccount account(Key());
     account.SetShare({1000000, 10000}, At(0s));
-    const CreditWanted question{7, kKey, 6000};
-    CPPUNIT_ASSERT_EQUAL(uint64_t{6000}, account.Lend(kFrom, question, At(1s)));
+    const CreditWanted question{7, Key(), 6000};
+    CPPUNIT_ASSERT_EQUAL(uint64_t{6000},
+                         account.Lend(From(), question, At(1s)));
     // The bucket has had the time to refill, but not the room.
     CPPUNIT_ASSERT_EQUAL(uint64_t{4000}, account.Level(At(1100ms)));
     account.OnTick(At(1500ms));
@@ -155,9 +163,9 @@
   }
 
   void ShrinkIsConfirmedOnlyAfterTheLoan() {
-    AllowanceAccount account(kKey);
+    AllowanceAccount account(Key());
     account.SetShare({1000, 10000}, At(0s));
-    account.Lend(kFrom, {7, kKey, 6000}, At(10s));
+    account.Lend(From(), {7, Key(), 6000}, At(10s));
     account.SetShare({500, 5000}, At(10s));
     CPPUNIT_ASSERT(!account.UsesAtMost({500, 5000}, At(10s)));
     CPPUNIT_ASSERT(!account.UsesAtMost({400, 5000}, At(20s)));
--- a/test/core/share_fleet.h
+++ b/test/core/share_fleet.h
@@ -200,7 +200,7 @@
   void Load(const AllowanceKey& key,
             double per_second,
             Duration end,
-            std::function<size_t()> choose_instance) {
+            const std::function<size_t()>& choose_instance) {
     const auto gap = Duration(static_cast<Duration::rep>(1e6 / per_second));
     m_world.After(m_world.Random(gap / 2, gap + gap / 2), [=, this] {
       if (m_world.Now() < end) {
@@ -273,7 +273,7 @@
   }
 
   // Runs `step` in the process if that still runs, after any pause.
-  void Deliver(Node& node, uint64_t life, std::function<void()> step) {
+  void Deliver(Node& node, uint64_t life, const std::function<void()>& step) {
     if (node.m_life != life || !node.m_running) {
       return;
     }
@@ -285,7 +285,7 @@
     Handle(node, step);
   }
 
-  void Every(Node& node, Duration interval, std::function<void()> step) {
+  void Every(Node& node, Duration interval, const std::function<void()>& step) {
     const uint64_t life = node.m_life;
     m_world.After(m_world.Random(interval / 2, interval), [=, this, &node] {
       Deliver(node, life, [=, this, &node] {
@@ -298,7 +298,7 @@
   void CarryOut(Node& node, const Action& action) {
     if (const auto* call = std::get_if<CallPlatform>(&action)) {
       const CallId id = call->m_call;
-      CallStore(node, call->m_request, [this, &node, id](const auto& answer) {
+      CallStore(node, call->m_request, [&node, id](const auto& answer) {
         node.m_manager->OnPlatformAnswered(id, answer, *node.m_context);
       });
     }
@@ -311,7 +311,9 @@
     return !m_store_down && !node.m_cut_from_platform;
   }
 
-  void CallStore(Node& node, PlatformRequest request, AnswerHandler handler) {
+  void CallStore(Node& node,
+                 const PlatformRequest& request,
+                 const AnswerHandler& handler) {
     const FleetFaults& faults = m_options.m_faults;
     const uint64_t life = node.m_life;
     const auto fail = [=, this, &node] {
@@ -404,7 +406,7 @@
       return;
     }
     m_world.After(delay, [=, this, &node, configuration = m_configuration] {
-      Deliver(node, life, [=, &node] {
+      Deliver(node, life, [configuration, &node] {
         node.m_manager->OnConfiguration(configuration, *node.m_context);
       });
     });
--- a/test/core/share_table_test.cc
+++ b/test/core/share_table_test.cc
@@ -188,7 +188,7 @@
     uint64_t revision = 0;
     uint64_t highest_goal = 0;
     for (int step = 0; step < 20000; ++step) {
-      const ShareHolderId who = Holder(std::string(1, 'a' + random() % 6));
+      const ShareHolderId who = Holder(std::to_string(random() % 6));
       if (random() % 20 == 0) {
         const ShareAmount goal{random() % 100, random() % 1000};
         table = Retarget(table, goal, Revision(++revision));
--- a/test/core/vouch_keeper_test.cc
+++ b/test/core/vouch_keeper_test.cc
@@ -12,8 +12,12 @@
 namespace jasminelug::core {
 namespace {
 
-const InstanceId kHolder("h");
-const PeerSender kHolderSender{kHolder, Incarnation(1)};
+InstanceId HolderName() {
+  return InstanceId("h");
+}
+PeerSender HolderSender() {
+  return {HolderName(), Incarnation(1)};
+}
 
 Time At(Duration time) {
   return Time(time);
@@ -149,11 +153,11 @@
     for (const Case& row : cases) {
       VouchKeeper member(0);
       CPPUNIT_ASSERT(
-          member.OnDenialWanted({1, kHolder, Incarnation(1), 5}, At(0s))
+          member.OnDenialWanted({1, HolderName(), Incarnation(1), 5}, At(0s))
               .m_granted);
       // An earlier version's denial, coming late, lowers nothing.
-      member.OnDenialWanted({2, kHolder, Incarnation(1), 3}, At(0s));
-      const PeerSender asker{kHolder, Incarnation(row.m_incarnation)};
+      member.OnDenialWanted({2, HolderName(), Incarnation(1), 3}, At(0s));
+      const PeerSender asker{HolderName(), Incarnation(row.m_incarnation)};
       const Vouched answer =
           member.OnVouchWanted(asker, {9, row.m_version}, At(100s));
       CPPUNIT_ASSERT_EQUAL(row.m_granted, answer.m_granted);
@@ -164,17 +168,17 @@
   void LiveHolderIsNotDenied() {
     VouchKeeper member(0);
     CPPUNIT_ASSERT(
-        member.OnVouchWanted(kHolderSender, {1, 5}, At(0s)).m_granted);
-    const DenialWanted question{2, kHolder, Incarnation(1), 5};
+        member.OnVouchWanted(HolderSender(), {1, 5}, At(0s)).m_granted);
+    const DenialWanted question{2, HolderName(), Incarnation(1), 5};
     const Duration over = OnEveryClock(kVouchDuration);
     CPPUNIT_ASSERT(
         !member.OnDenialWanted(question, At(over - Duration(1))).m_granted);
     // A refused denial leaves the holder its vouches.
     CPPUNIT_ASSERT(
-        member.OnVouchWanted(kHolderSender, {2, 5}, At(1s)).m_granted);
+        member.OnVouchWanted(HolderSender(), {2, 5}, At(1s)).m_granted);
     CPPUNIT_ASSERT(member.OnDenialWanted(question, At(1s + over)).m_granted);
     CPPUNIT_ASSERT(
-        !member.OnVouchWanted(kHolderSender, {3, 5}, At(1s + over)).m_granted);
+        !member.OnVouchWanted(HolderSender(), {3, 5}, At(1s + over)).m_granted);
   }
 
   void LeaseRecordCodec() {
