--- a/jasminelug/core.h
+++ b/jasminelug/core.h
@@ -10,9 +10,13 @@
 #include "src/core/database_answer.h"
 #include "src/core/event.h"
 #include "src/core/ids.h"
+#include "src/core/lease_record.h"
 #include "src/core/log_position.h"
+#include "src/core/own_lease.h"
 #include "src/core/peer_message.h"
 #include "src/core/platform_call.h"
+#include "src/core/share_manager.h"
+#include "src/core/share_options.h"
 #include "src/core/time.h"
 #include "src/core/timeline_event.h"
 
--- a/src/core/allowance_shares.cc
+++ b/src/core/allowance_shares.cc
@@ -195,12 +195,15 @@
   if (environment.m_options.m_policy == SharePolicy::kFixedEqual) {
     return;
   }
+  UpdateWish(entry, environment, context);
+  if (!entry.m_holder.IsDue(now)) {
+    return;
+  }
   for (const ShareRow& row : entry.m_holder.table().m_rows) {
     if (row.m_holder.m_instance != environment.m_self.m_instance) {
       ended.OnRow(row.m_holder, context);
     }
   }
-  UpdateWish(entry, environment, context);
   SharePlan plan;
   plan.m_self = environment.m_self;
   plan.m_goal = entry.m_goal;
--- a/src/core/connection_shares.cc
+++ b/src/core/connection_shares.cc
@@ -124,6 +124,9 @@
   if (environment.m_options.m_policy == SharePolicy::kFixedEqual) {
     return;
   }
+  if (!entry.m_holder.IsDue(context.Now()) && !environment.m_releasing) {
+    return;
+  }
   for (const ShareRow& row : entry.m_holder.table().m_rows) {
     if (row.m_holder.m_instance != environment.m_self.m_instance) {
       ended.OnRow(row.m_holder, context);
--- a/src/core/share_holder.cc
+++ b/src/core/share_holder.cc
@@ -37,6 +37,7 @@
     return;
   }
   m_revision = object.m_revision;
+  LookAgain();
   m_version = 0;
   m_table = {};
   if (!object.m_deleted) {
@@ -53,6 +54,7 @@
 void ShareHolder::OnPlatformAnswered(const PlatformAnswer& answer,
                                      Context& context) {
   m_call.reset();
+  LookAgain();
   if (const auto* done = std::get_if<ObjectAnswer>(&answer)) {
     OnObject(done->m_object);
     m_must_read = false;
@@ -75,6 +77,10 @@
   DelayRetry(context);
 }
 
+bool ShareHolder::IsDue(Time now) const {
+  return now >= m_look_at && (!m_call || now >= m_call_overdue);
+}
+
 std::optional<CallId> ShareHolder::Work(const SharePlan& plan,
                                         Context& context) {
   const Time now = context.Now();
@@ -94,6 +100,10 @@
   }
   const ShareTable next = NextTable(plan, now);
   if (!IsWorthWriting(next, plan)) {
+    // A shrink that is not confirmed yet waits for its use to end.
+    const ShareRow* own = FindRow(m_table, plan.m_self);
+    const bool shrinks = own != nullptr && own->m_granted != own->m_confirmed;
+    m_look_at = shrinks ? now : now + kLookInterval;
     return std::nullopt;
   }
   return SendPut(next, context);
--- a/src/core/share_holder.h
+++ b/src/core/share_holder.h
@@ -36,6 +36,8 @@
 // with conditional updates until it is as wished.
 class ShareHolder {
  public:
+  static constexpr Duration kLookInterval = 500ms;
+
   // `name` is that of the table's object. The first write comes at a random
   // time, so that instances that start together do not collide.
   explicit ShareHolder(std::string name) : m_name(std::move(name)) {}
@@ -48,6 +50,13 @@
 
   void OnPlatformAnswered(const PlatformAnswer& answer, Context& context);
 
+  // Returns whether Work may have something to do. While nothing changes, the
+  // table is looked at once in kLookInterval.
+  bool IsDue(Time now) const;
+
+  // Makes Work look at the table next time: a wish or the fence has changed.
+  void LookAgain() { m_look_at = {}; }
+
   // Writes or reads the table if there is a need and the time has come.
   // Returns the call, if one was made.
   std::optional<CallId> Work(const SharePlan& plan, Context& context);
@@ -90,6 +99,7 @@
   uint64_t m_last_write = 0;
   Time m_next_try;
   Time m_grow_after;
+  Time m_look_at;
   Duration m_retry_delay{};
 };
 
