--- a/test/core/share_fleet.h
+++ b/test/core/share_fleet.h
@@ -298,7 +298,7 @@
   void CarryOut(Node& node, const Action& action) {
     if (const auto* call = std::get_if<CallPlatform>(&action)) {
       const CallId id = call->m_call;
-      CallStore(node, call->m_request, [this, &node, id](const auto& answer) {
+      CallStore(node, call->m_request, [&node, id](const auto& answer) {
         node.m_manager->OnPlatformAnswered(id, answer, *node.m_context);
       });
     }
