--- a/apps/jasminelugd/caller_duty.cc
+++ b/apps/jasminelugd/caller_duty.cc
@@ -24,8 +24,7 @@
 
 }  // namespace
 
-CallerDuty::CallerDuty(const Settings& /*settings*/,
-                       const http2::ServerOptions& options,
+CallerDuty::CallerDuty(const http2::ServerOptions& options,
                        Channel<core::Event>* events)
     : m_events(events),
       m_listener(m_thread.io(),
--- a/apps/jasminelugd/caller_duty.h
+++ b/apps/jasminelugd/caller_duty.h
@@ -5,7 +5,7 @@
 #include <memory>
 
 #include "apps/jasminelugd/duty.h"
-#include "apps/jasminelugd/settings.h"
+
 #include "jasminelug/callers.h"
 #include "jasminelug/core.h"
 
@@ -21,9 +21,7 @@
 class CallerDuty {
  public:
   // `events` is its way to the decision duty.
-  CallerDuty(const Settings& settings,
-             const http2::ServerOptions& options,
-             Channel<core::Event>* events);
+  CallerDuty(const http2::ServerOptions& options, Channel<core::Event>* events);
 
   // Listens; nothing is handed on before Start() of the thread.
   Result<Done, callers::CallerListenerError> Listen();
--- /dev/null
+++ b/apps/jasminelugd/decision_duty.h
@@ -0,0 +1,74 @@
+#ifndef APPS_JASMINELUGD_DECISION_DUTY_H_
+#define APPS_JASMINELUGD_DECISION_DUTY_H_
+
+#include <chrono>
+#include <functional>
+#include <vector>
+
+#include "apps/jasminelugd/caller_duty.h"
+#include "apps/jasminelugd/database_duty.h"
+#include "apps/jasminelugd/duty.h"
+#include "apps/jasminelugd/peer_duty.h"
+#include "apps/jasminelugd/platform_duty.h"
+#include "apps/jasminelugd/timeline.h"
+#include "jasminelug/core.h"
+
+namespace jasminelug::daemon {
+
+// Where the decision duty's orders go.
+struct OrderChannels {
+  Channel<CallerOrder>* m_callers = nullptr;
+  Channel<DatabaseOrder>* m_databases = nullptr;
+  Channel<PlatformOrder>* m_platform = nullptr;
+  Channel<PeerOrder>* m_peers = nullptr;
+};
+
+// The duty that decides: owns the engine, hands it events with their times and
+// its actions to the other duties. No other thread touches the engine.
+class DecisionDuty {
+ public:
+  DecisionDuty(core::EngineOptions options,
+               OrderChannels orders,
+               std::size_t timeline_events);
+
+  DutyThread& thread() { return m_thread; }
+
+  // Starts the engine and its ticks; runs on this duty's thread.
+  void Start();
+
+  // Hands an event to the engine; runs on this duty's thread.
+  void Handle(const core::Event& event);
+
+  // For operators; runs on this duty's thread.
+  core::Engine& engine() { return m_engine; }
+  const Timeline& timeline() const { return m_timeline; }
+  const core::EngineOptions& options() const { return m_options; }
+  uint64_t PlatformCalls() const { return m_platform_calls; }
+
+ private:
+  static core::Time Now();
+  void ScheduleTick();
+  void Perform(std::vector<core::Action> actions);
+  void Do(core::AnswerRequest action);
+  void Do(core::OpenConnection action);
+  void Do(core::CloseConnection action);
+  void Do(core::RunStatement action);
+  void Do(core::CallMember action);
+  void Do(core::CallPlatform action);
+  void Do(core::SendToPeer action);
+  void Do(core::RecordEvent action);
+  void Do(core::SetReadiness action);
+  void Do(core::StopProcess action);
+
+  DutyThread m_thread;
+  core::EngineOptions m_options;
+  OrderChannels m_orders;
+  core::Engine m_engine;
+  Timeline m_timeline;
+  uint64_t m_platform_calls = 0;
+  asio::steady_timer m_tick;
+};
+
+}  // namespace jasminelug::daemon
+
+#endif  // APPS_JASMINELUGD_DECISION_DUTY_H_
--- /dev/null
+++ b/apps/jasminelugd/peer_duty.h
@@ -0,0 +1,50 @@
+#ifndef APPS_JASMINELUGD_PEER_DUTY_H_
+#define APPS_JASMINELUGD_PEER_DUTY_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "apps/jasminelugd/duty.h"
+#include "jasminelug/core.h"
+#include "jasminelug/peers.h"
+
+namespace jasminelug::daemon {
+
+// What the decision duty tells the peers' duty.
+using PeerOrder = std::variant<std::monostate, core::SendToPeer>;
+
+// The duty of the connections to other instances.
+class PeerDuty {
+ public:
+  PeerDuty(core::PeerSender self, Channel<core::Event>* events)
+      : m_self(std::move(self)), m_events(events) {}
+  ~PeerDuty();
+
+  // Listens for peers; nothing is handed on before Start() of the thread.
+  Result<Done, peers::Error> Listen(const peers::PeerNetworkOptions& options);
+
+  DutyThread& thread() { return m_thread; }
+  std::uint16_t Port() const { return m_network->LocalAddress().m_port; }
+
+  // Carries out an order; runs on this duty's thread.
+  void Do(const PeerOrder& order);
+
+ private:
+  void OnMessage(const peers::Envelope& envelope);
+  void OnFailure(const peers::PeerAddress& peer, bool refused);
+
+  DutyThread m_thread;
+  core::PeerSender m_self;
+  Channel<core::Event>* m_events;
+  std::int64_t m_last_sequence = 0;
+  // Which instance was last sent to at an address.
+  std::map<peers::PeerAddress, core::InstanceId> m_peers;
+  std::unique_ptr<peers::PeerNetwork> m_network;
+};
+
+}  // namespace jasminelug::daemon
+
+#endif  // APPS_JASMINELUGD_PEER_DUTY_H_
--- a/src/core/share_holder.h
+++ b/src/core/share_holder.h
@@ -99,10 +99,7 @@
   uint64_t m_last_write = 0;
   Time m_next_try;
   Time m_grow_after;
-<<<<<<< HEAD
-=======
   Time m_look_at;
->>>>>>> part-d
   Duration m_retry_delay{};
 };
 
