--- /dev/null
+++ b/src/operators/timeline_entry.h
@@ -0,0 +1,53 @@
+#ifndef SRC_OPERATORS_TIMELINE_ENTRY_H_
+#define SRC_OPERATORS_TIMELINE_ENTRY_H_
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/common/field_error.h"
+#include "src/common/result.h"
+
+namespace jasminelug::operators {
+
+// One event of an instance. Fields that do not apply are empty or zero. Never
+// holds a key or a statement's parameters.
+struct TimelineEntry {
+  bool operator==(const TimelineEntry&) const = default;
+
+  std::string m_instance;
+  std::uint64_t m_incarnation = 0;
+  // Counts the events of the incarnation.
+  std::uint64_t m_sequence = 0;
+  // Microseconds since 1970 by the instance's own clock.
+  std::int64_t m_time_unix_us = 0;
+  // E.g. "primary_promoted".
+  std::string m_kind;
+  // Number of the request at its instance.
+  std::uint64_t m_request = 0;
+  // The id that the caller gave.
+  std::string m_request_id;
+  std::string m_customer;
+  std::string m_database;
+  std::string m_zone;
+  std::string m_peer;
+  std::uint64_t m_term = 0;
+  std::uint64_t m_revision = 0;
+  std::string m_detail;
+};
+
+using TimelineEntries = std::vector<TimelineEntry>;
+
+nlohmann::json ToJson(const TimelineEntry& entry);
+
+// {"entries":[...]}, the answer to GET /v1/timeline.
+nlohmann::json ToJson(const TimelineEntries& entries);
+Result<TimelineEntries, FieldErrors> ParseTimelineEntries(
+    std::string_view text);
+
+}  // namespace jasminelug::operators
+
+#endif  // SRC_OPERATORS_TIMELINE_ENTRY_H_
