--- a/apps/jasminelugd/daemon.cc
+++ b/apps/jasminelugd/daemon.cc
@@ -25,6 +25,10 @@
 // Values that wait on the way between two duties.
 constexpr std::size_t kRingCapacity = 4096;
 
+// A refused connection must be proved again within the bound on the freshness
+// of keys.
+constexpr std::chrono::milliseconds kMaxReconnectDelay{500};
+
 log4cplus::Logger MainLogger() {
   return log4cplus::Logger::getInstance("jasminelugd");
 }
@@ -183,6 +187,7 @@
                         m_settings.m_peers.m_port};
     options.m_tls = tls.m_peers;
     options.m_jitter_seed = std::random_device()();
+    options.m_max_reconnect_delay = kMaxReconnectDelay;
     const auto peers_listening = m_peers->Listen(options);
     if (!IsOk(peers_listening)) {
       return StartError{"peers: " + GetError(peers_listening).m_message};
--- a/apps/jasminelugd/decision_duty.cc
+++ b/apps/jasminelugd/decision_duty.cc
@@ -1,5 +1,7 @@
 #include "apps/jasminelugd/decision_duty.h"
 
+#include <time.h>
+
 #include <utility>
 #include <variant>
 
@@ -24,8 +26,13 @@
 }
 
 core::Time DecisionDuty::Now() {
+  // Goes on while the machine is suspended, unlike CLOCK_MONOTONIC: leases and
+  // confirmations must not outlive a suspension.
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
   return core::Time(std::chrono::duration_cast<core::Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 void DecisionDuty::ScheduleTick() {
--- a/apps/jasminelugd/operator_duty.cc
+++ b/apps/jasminelugd/operator_duty.cc
@@ -17,13 +17,12 @@
   const core::MemberId successor(request.m_successor);
   const core::Group* group = decision.engine().Groups().Find(database);
   if (group == nullptr) {
-    return operators::AdminError{operators::AdminErrorCode::kUnknownDatabase,
-                                 "no such database", "database"};
+    return operators::AdminError{operators::AdminError::Kind::kBadRequest,
+                                 "database: no such database"};
   }
   if (group->view().Find(successor) == nullptr) {
-    return operators::AdminError{operators::AdminErrorCode::kUnknownMember,
-                                 "the database has no such member",
-                                 "successor"};
+    return operators::AdminError{operators::AdminError::Kind::kBadRequest,
+                                 "successor: the database has no such member"};
   }
   decision.Handle(core::SwitchoverRequested{database, successor});
   return operators::SwitchoverOutcome{request.m_database, request.m_successor,
--- a/apps/jasminelugd/peer_duty.cc
+++ b/apps/jasminelugd/peer_duty.cc
@@ -55,12 +55,15 @@
   envelope.m_sender_incarnation =
       static_cast<std::int64_t>(m_self.m_incarnation.value());
   envelope.m_sequence = ++m_last_sequence;
+  Link& link = m_links[GetValue(address)];
+  link.m_instance = send->m_peer;
   if (const auto* heartbeat = std::get_if<core::Heartbeat>(&send->m_message)) {
+    link.m_last_heartbeat = heartbeat->m_number;
     envelope.m_configuration_version =
         static_cast<std::int64_t>(heartbeat->m_revision.value());
   }
   envelope.m_body = peers::Opaque{kCoreKind, wire::Encode(send->m_message)};
-  m_peers.insert_or_assign(GetValue(address), send->m_peer);
+
   // What cannot be queued is lost, as any message may be: the core repeats
   // what matters.
   static_cast<void>(m_network->Send(GetValue(address), envelope));
@@ -82,10 +85,17 @@
 }
 
 void PeerDuty::OnFailure(const peers::PeerAddress& peer, bool refused) {
-  const auto found = m_peers.find(peer);
-  if (found != m_peers.end()) {
-    m_events->Push(core::PeerUnreachable{found->second, refused});
+  const auto found = m_links.find(peer);
+  if (found == m_links.end()) {
+    return;
   }
+  Link& link = found->second;
+  core::PeerUnreachable event;
+  event.m_peer = link.m_instance;
+  event.m_refused = refused;
+  event.m_number = link.m_last_before_failure;
+  link.m_last_before_failure = link.m_last_heartbeat;
+  m_events->Push(std::move(event));
 }
 
 }  // namespace jasminelug::daemon
--- a/apps/jasminelugd/peer_duty.h
+++ b/apps/jasminelugd/peer_duty.h
@@ -33,6 +33,15 @@
   void Do(const PeerOrder& order);
 
  private:
+  // What was sent to an address. A failure that the network reports may stem
+  // from an attempt begun just after the failure before, so it proves nothing
+  // about heartbeats that were sent later than that.
+  struct Link {
+    core::InstanceId m_instance;
+    uint64_t m_last_heartbeat = 0;
+    uint64_t m_last_before_failure = 0;
+  };
+
   void OnMessage(const peers::Envelope& envelope);
   void OnFailure(const peers::PeerAddress& peer, bool refused);
 
@@ -40,8 +49,7 @@
   core::PeerSender m_self;
   Channel<core::Event>* m_events;
   std::int64_t m_last_sequence = 0;
-  // Which instance was last sent to at an address.
-  std::map<peers::PeerAddress, core::InstanceId> m_peers;
+  std::map<peers::PeerAddress, Link> m_links;
   std::unique_ptr<peers::PeerNetwork> m_network;
 };
 
--- a/jasminelug/core.h
+++ b/jasminelug/core.h
@@ -8,6 +8,7 @@
 #include "src/core/configuration.h"
 #include "src/core/context.h"
 #include "src/core/database_answer.h"
+#include "src/core/engine.h"
 #include "src/core/event.h"
 #include "src/core/ids.h"
 #include "src/core/lease_record.h"
--- a/test/soak/instance_host.cc
+++ b/test/soak/instance_host.cc
@@ -391,7 +391,14 @@
       }
       if (!peer->IsUp()) {
         if (!m_world->IsCut(peer->Node(), Node())) {
-          Deliver(life, core::PeerUnreachable{action.m_peer, true});
+          core::PeerUnreachable unreachable;
+          unreachable.m_peer = action.m_peer;
+          unreachable.m_refused = true;
+          if (const auto* heartbeat =
+                  std::get_if<core::Heartbeat>(&action.m_message)) {
+            unreachable.m_number = heartbeat->m_number;
+          }
+          Deliver(life, unreachable);
         }
         return;
       }
