--- a/src/callers/caller_error.h
+++ b/src/callers/caller_error.h
@@ -56,7 +56,7 @@
   // When to come again.
   std::optional<std::chrono::milliseconds> m_retry_after;
   // The session's token, where the request may have changed what it must see.
-  std::optional<std::string> m_session;
+  std::optional<std::string> m_session = std::nullopt;
 };
 
 // Returns the name, such as "invalid_request".
