jasminelugctl: the operators' client

Every object is validated with the daemons' own code before anything is written; writes carry the version that was read, so another operator's change is shown and never overwritten; a lost answer is repeated with the same write id, and an outcome that stays open is said so. A key whose grant has an unknown outcome is not shown: a key that may not exist is of no use.

--- /dev/null
+++ b/apps/jasminelugctl/admin_session.h
@@ -0,0 +1,63 @@
+#ifndef APPS_JASMINELUGCTL_ADMIN_SESSION_H_
+#define APPS_JASMINELUGCTL_ADMIN_SESSION_H_
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "apps/jasminelugctl/options.h"
+#include "jasminelug/common.h"
+#include "jasminelug/http2.h"
+#include "jasminelug/operators.h"
+
+namespace jasminelug::ctl {
+
+// An instance's answer.
+template <typename T>
+struct AdminAnswer {
+  Endpoint m_endpoint;
+  Result<T, operators::AdminError> m_result;
+};
+
+namespace internal {
+
+// Sends `request` to all endpoints at once and waits for what they answer.
+std::vector<AdminAnswer<std::string>> Exchange(
+    const std::vector<Endpoint>& endpoints,
+    const http2::Request& request);
+
+}  // namespace internal
+
+// Reads an answer's body.
+template <typename T>
+using AnswerParser =
+    std::function<Result<T, FieldErrors>(std::string_view text)>;
+
+// Asks all endpoints at once and returns their answers in the same order.
+template <typename T>
+std::vector<AdminAnswer<T>> AskAll(const std::vector<Endpoint>& endpoints,
+                                   const http2::Request& request,
+                                   const AnswerParser<T>& parse) {
+  std::vector<AdminAnswer<T>> answers;
+  for (const auto& raw : internal::Exchange(endpoints, request)) {
+    if (!IsOk(raw.m_result)) {
+      answers.push_back({raw.m_endpoint, GetError(raw.m_result)});
+      continue;
+    }
+    const Result<T, FieldErrors> parsed = parse(GetValue(raw.m_result));
+    if (IsOk(parsed)) {
+      answers.push_back({raw.m_endpoint, GetValue(parsed)});
+    } else {
+      answers.push_back(
+          {raw.m_endpoint,
+           operators::AdminError{operators::AdminError::Kind::kUnknown,
+                                 FormatFieldErrors(GetError(parsed))}});
+    }
+  }
+  return answers;
+}
+
+}  // namespace jasminelug::ctl
+
+#endif  // APPS_JASMINELUGCTL_ADMIN_SESSION_H_
--- /dev/null
+++ b/apps/jasminelugctl/key_commands.cc
@@ -0,0 +1,105 @@
+#include <nlohmann/json.hpp>
+
+#include "apps/jasminelugctl/commands.h"
+#include "apps/jasminelugctl/object_edit.h"
+#include "apps/jasminelugctl/object_list.h"
+#include "apps/jasminelugctl/object_write.h"
+#include "apps/jasminelugctl/platform_session.h"
+#include "apps/jasminelugctl/random.h"
+#include "apps/jasminelugctl/revision_wait.h"
+
+namespace jasminelug::ctl {
+namespace {
+
+constexpr std::size_t kArgument = 2;
+constexpr std::size_t kIdBytes = 8;
+constexpr std::size_t kSecretBytes = 32;
+constexpr std::size_t kSaltBytes = 16;
+
+PlannedWrite MakeGrant(const core::CustomerName& customer,
+                       const core::Secret& key) {
+  const core::KeyGrant grant =
+      core::MakeKeyGrant(customer, RandomHex(kSaltBytes), key);
+  PlannedWrite write;
+  write.m_wanted = {{core::ObjectKind::kKey, grant.m_id.str()},
+                    core::Format(grant)};
+  return write;
+}
+
+// Prints the key. It is nowhere else: not stored, not logged.
+void PrintKey(const Invocation& invocation,
+              const WriteReport& report,
+              const core::Secret& key) {
+  if (invocation.m_options.m_json) {
+    PrintJson(invocation, {{"id", report.m_write.m_wanted.m_key.m_name},
+                           {"key", key.Reveal()},
+                           {"revision", report.m_revision}});
+    return;
+  }
+  invocation.m_out << key.Reveal() << "\n";
+  invocation.m_err << "This key is shown once and is not stored; its id is "
+                   << report.m_write.m_wanted.m_key.m_name << ".\n";
+}
+
+ExitCode GrantTo(const Invocation& invocation,
+                 PlatformSession& platform,
+                 const core::CustomerName& customer) {
+  const core::Secret key("k" + RandomHex(kIdBytes) + "." +
+                         RandomHex(kSecretBytes));
+  const WriteReports reports = Execute(platform, {MakeGrant(customer, key)});
+  const ExitCode code = ExitCodeOf(reports);
+  if (code != ExitCode::kDone) {
+    PrintReports(invocation, reports);
+    if (reports.front().m_status == WriteStatus::kUnknown) {
+      invocation.m_err << "The key was not shown; withdraw its id if it is "
+                          "listed later, and grant another.\n";
+    }
+    return code;
+  }
+  PrintKey(invocation, reports.front(), key);
+  invocation.m_out.flush();
+  return WaitForRevision(invocation, reports.front().m_revision);
+}
+
+Result<Table::Row, FieldErrors> MakeRow(const platform::Object& object) {
+  const Result<core::KeyGrant, FieldErrors> grant =
+      core::ParseKeyGrant(core::KeyId(object.m_name), object.m_value);
+  if (!IsOk(grant)) {
+    return GetError(grant);
+  }
+  return Table::Row{object.m_name, GetValue(grant).m_customer.str(),
+                    GetValue(grant).m_withdrawn ? "withdrawn" : "granted"};
+}
+
+}  // namespace
+
+ExitCode KeyGrant(const Invocation& invocation) {
+  const core::CustomerName customer(invocation.m_options.m_words[kArgument]);
+  PlatformSession platform(*invocation.m_options.m_platform);
+  const PlatformResult<platform::ObjectList> list =
+      platform.List(core::ToString(core::ObjectKind::kCustomer));
+  if (!IsOk(list)) {
+    return ReportError(invocation, GetError(list));
+  }
+  if (!FindObject(GetValue(list),
+                  {core::ObjectKind::kCustomer, customer.str()})) {
+    invocation.m_err << "no such customer: " << Printable(customer.str())
+                     << "\n";
+    return ExitCode::kRefused;
+  }
+  return GrantTo(invocation, platform, customer);
+}
+
+ExitCode KeyWithdraw(const Invocation& invocation) {
+  const std::string& id = invocation.m_options.m_words[kArgument];
+  return EditObject(
+      invocation, {core::ObjectKind::kKey, id},
+      [](nlohmann::json* value) { (*value)["withdrawn"] = true; });
+}
+
+ExitCode KeyList(const Invocation& invocation) {
+  return ListObjects(invocation, core::ObjectKind::kKey,
+                     {"ID", "CUSTOMER", "STATUS"}, MakeRow);
+}
+
+}  // namespace jasminelug::ctl
--- /dev/null
+++ b/apps/jasminelugctl/program.h
@@ -0,0 +1,18 @@
+#ifndef APPS_JASMINELUGCTL_PROGRAM_H_
+#define APPS_JASMINELUGCTL_PROGRAM_H_
+
+#include <ostream>
+
+#include "apps/jasminelugctl/exit_code.h"
+
+namespace jasminelug::ctl {
+
+// Runs one command line; results go to `out`, messages to `err`.
+ExitCode RunProgram(int argc,
+                    const char** argv,
+                    std::ostream& out,
+                    std::ostream& err);
+
+}  // namespace jasminelug::ctl
+
+#endif  // APPS_JASMINELUGCTL_PROGRAM_H_
--- /dev/null
+++ b/apps/jasminelugctl/timeline_order.cc
@@ -0,0 +1,121 @@
+#include "apps/jasminelugctl/timeline_order.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <utility>
+
+namespace jasminelug::ctl {
+namespace {
+
+using operators::TimelineEntries;
+using operators::TimelineEntry;
+
+// A promotion, by its database and term.
+struct Promotion {
+  friend auto operator<=>(const Promotion&, const Promotion&) = default;
+
+  std::string m_database;
+  std::uint64_t m_term = 0;
+};
+
+Promotion PromotionOf(const TimelineEntry& entry) {
+  return {entry.m_database, entry.m_term};
+}
+
+bool IsPromotion(const TimelineEntry& entry) {
+  return entry.m_kind == "primary_promoted";
+}
+
+bool IsEarlierInItsInstance(const TimelineEntry& a, const TimelineEntry& b) {
+  return std::tie(a.m_incarnation, a.m_sequence) <
+         std::tie(b.m_incarnation, b.m_sequence);
+}
+
+// One instance's entries and how many of them have been merged.
+struct Stream {
+  TimelineEntries m_entries;
+  std::size_t m_next = 0;
+
+  bool IsAtEnd() const { return m_next == m_entries.size(); }
+  const TimelineEntry& Head() const { return m_entries[m_next]; }
+};
+
+class Merger {
+ public:
+  explicit Merger(const std::vector<TimelineEntries>& timelines) {
+    for (const TimelineEntries& timeline : timelines) {
+      for (const TimelineEntry& entry : timeline) {
+        m_streams[entry.m_instance].m_entries.push_back(entry);
+        if (IsPromotion(entry)) {
+          m_awaited.insert(PromotionOf(entry));
+        }
+      }
+    }
+    for (auto& [instance, stream] : m_streams) {
+      SortUnique(&stream.m_entries);
+    }
+  }
+
+  TimelineEntries Merge() {
+    TimelineEntries merged;
+    while (Stream* stream = FindNext()) {
+      const TimelineEntry& entry = stream->Head();
+      if (IsPromotion(entry)) {
+        m_awaited.erase(PromotionOf(entry));
+      }
+      merged.push_back(entry);
+      ++stream->m_next;
+    }
+    return merged;
+  }
+
+ private:
+  // The same instance may have been asked under two addresses.
+  static void SortUnique(TimelineEntries* entries) {
+    std::stable_sort(entries->begin(), entries->end(), IsEarlierInItsInstance);
+    entries->erase(std::unique(entries->begin(), entries->end()),
+                   entries->end());
+  }
+
+  bool IsBlocked(const TimelineEntry& entry) const {
+    return entry.m_kind == "primary_learned" &&
+           m_awaited.contains(PromotionOf(entry));
+  }
+
+  // Returns the stream with the earliest head that waits for nothing. Where
+  // all wait, as after lost entries, the earliest of all: the merge must end.
+  Stream* FindNext() {
+    using Rank = std::pair<bool, std::int64_t>;
+    Stream* next = nullptr;
+    Rank next_rank;
+    for (auto& [instance, stream] : m_streams) {
+      if (stream.IsAtEnd()) {
+        continue;
+      }
+      const TimelineEntry& head = stream.Head();
+      const Rank rank = {IsBlocked(head), head.m_time_unix_us};
+      if (!next || rank < next_rank) {
+        next = &stream;
+        next_rank = rank;
+      }
+    }
+    return next;
+  }
+
+  std::map<std::string, Stream> m_streams;
+  // Promotions that have not been merged.
+  std::set<Promotion> m_awaited;
+};
+
+}  // namespace
+
+TimelineEntries MergeTimelines(const std::vector<TimelineEntries>& timelines) {
+  return Merger(timelines).Merge();
+}
+
+}  // namespace jasminelug::ctl
