--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -28,6 +28,9 @@
   uint64_t m_number = 0;
   // Number of the heartbeat that this one answers; 0 if it answers none.
   uint64_t m_answers = 0;
+  // Where the sender listens, so that peers can answer an instance that could
+  // not register with the platform; may be empty.
+  Address m_address;
   ZoneName m_zone;
   // The configuration's revision that this instance has installed.
   Revision m_revision;
@@ -48,10 +51,15 @@
   friend bool operator==(const ObjectsWanted&, const ObjectsWanted&) = default;
 };
 
-// Hands on objects as read from the platform.
+// Hands on objects as read from the platform: all that changed after
+// `m_since`, or every object where that is 0. Many objects are sent in parts of
+// one `m_since` and revision, which are of use only together.
 struct ObjectsRelayed {
   Revision m_since;
   ObjectBatch m_batch;
+  // Number of this part, from 0, and of all parts.
+  uint32_t m_part = 0;
+  uint32_t m_parts = 1;
 
   friend bool operator==(const ObjectsRelayed&,
                          const ObjectsRelayed&) = default;
