--- a/apps/jasminelugd/peer_duty.cc
+++ b/apps/jasminelugd/peer_duty.cc
@@ -42,11 +42,7 @@
 }
 
 void PeerDuty::Do(const PeerOrder& order) {
-  const auto* send = std::get_if<core::SendToPeer>(&order);
-  if (send == nullptr) {
-    return;
-  }
-  const auto address = peers::ParsePeerAddress(send->m_address.str());
+  const auto address = peers::ParsePeerAddress(order.m_address.str());
   if (!IsOk(address)) {
     return;
   }
@@ -56,13 +52,13 @@
       static_cast<std::int64_t>(m_self.m_incarnation.value());
   envelope.m_sequence = ++m_last_sequence;
   Link& link = m_links[GetValue(address)];
-  link.m_instance = send->m_peer;
-  if (const auto* heartbeat = std::get_if<core::Heartbeat>(&send->m_message)) {
+  link.m_instance = order.m_peer;
+  if (const auto* heartbeat = std::get_if<core::Heartbeat>(&order.m_message)) {
     link.m_last_heartbeat = heartbeat->m_number;
     envelope.m_configuration_version =
         static_cast<std::int64_t>(heartbeat->m_revision.value());
   }
-  envelope.m_body = peers::Opaque{kCoreKind, wire::Encode(send->m_message)};
+  envelope.m_body = peers::Opaque{kCoreKind, wire::Encode(order.m_message)};
 
   // What cannot be queued is lost, as any message may be: the core repeats
   // what matters.
--- a/apps/jasminelugd/peer_duty.h
+++ b/apps/jasminelugd/peer_duty.h
@@ -14,7 +14,7 @@
 namespace jasminelug::daemon {
 
 // What the decision duty tells the peers' duty.
-using PeerOrder = std::variant<std::monostate, core::SendToPeer>;
+using PeerOrder = core::SendToPeer;
 
 // The duty of the connections to other instances.
 class PeerDuty {
--- a/apps/jasminelugd/platform_duty.cc
+++ b/apps/jasminelugd/platform_duty.cc
@@ -19,11 +19,9 @@
 }  // namespace
 
 void PlatformDuty::Do(const PlatformOrder& order) {
-  if (const auto* call = std::get_if<core::CallPlatform>(&order)) {
-    std::visit(
-        [this, call](const auto& request) { Call(call->m_call, request); },
-        call->m_request);
-  }
+  std::visit(
+      [this, &order](const auto& request) { Call(order.m_call, request); },
+      order.m_request);
 }
 
 void PlatformDuty::Call(core::CallId call,
--- a/apps/jasminelugd/platform_duty.h
+++ b/apps/jasminelugd/platform_duty.h
@@ -10,7 +10,7 @@
 namespace jasminelug::daemon {
 
 // What the decision duty tells the platform's duty.
-using PlatformOrder = std::variant<std::monostate, core::CallPlatform>;
+using PlatformOrder = core::CallPlatform;
 
 // The duty of the platform's object API.
 class PlatformDuty {
