--- a/jasminelug/wire.h
+++ b/jasminelug/wire.h
@@ -3,6 +3,8 @@
 
 // The core's plain values as bytes, in Thrift's compact protocol.
 
+#include "src/wire/action_codec.h"
+#include "src/wire/event_codec.h"
 #include "src/wire/peer_message_codec.h"
 
 #endif  // JASMINELUG_WIRE_H_
--- a/src/wire/gen/core_messages_types.cpp
+++ b/src/wire/gen/core_messages_types.cpp
@@ -14,14 +14,14 @@
 namespace jasminelug { namespace wire { namespace generated {
 
 int _kObjectKindValues[] = {
-  PROFILE,
-  CUSTOMER,
-  KEY,
-  ZONE,
-  DATABASE,
-  INSTANCE,
-  SHARE,
-  GROUP
+  ObjectKind::PROFILE,
+  ObjectKind::CUSTOMER,
+  ObjectKind::KEY,
+  ObjectKind::ZONE,
+  ObjectKind::DATABASE,
+  ObjectKind::INSTANCE,
+  ObjectKind::SHARE,
+  ObjectKind::GROUP
 };
 const char* _kObjectKindNames[] = {
   "PROFILE",
@@ -35,7 +35,7 @@
 };
 const std::map<int, const char*> _ObjectKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(8, _kObjectKindValues, _kObjectKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
-std::ostream& operator<<(std::ostream& out, const ObjectKind val) {
+std::ostream& operator<<(std::ostream& out, const ObjectKind::type& val) {
   std::map<int, const char*>::const_iterator it = _ObjectKind_VALUES_TO_NAMES.find(val);
   if (it != _ObjectKind_VALUES_TO_NAMES.end()) {
     out << it->second;
@@ -45,7 +45,7 @@
   return out;
 }
 
-std::string to_string(const ObjectKind val) {
+std::string to_string(const ObjectKind::type& val) {
   std::map<int, const char*>::const_iterator it = _ObjectKind_VALUES_TO_NAMES.find(val);
   if (it != _ObjectKind_VALUES_TO_NAMES.end()) {
     return std::string(it->second);
@@ -54,12 +54,309 @@
   }
 }
 
+int _kOperationValues[] = {
+  Operation::STATEMENT,
+  Operation::BEGIN_TRANSACTION,
+  Operation::COMMIT,
+  Operation::ROLLBACK
+};
+const char* _kOperationNames[] = {
+  "STATEMENT",
+  "BEGIN_TRANSACTION",
+  "COMMIT",
+  "ROLLBACK"
+};
+const std::map<int, const char*> _Operation_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kOperationValues, _kOperationNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const Operation::type& val) {
+  std::map<int, const char*>::const_iterator it = _Operation_VALUES_TO_NAMES.find(val);
+  if (it != _Operation_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const Operation::type& val) {
+  std::map<int, const char*>::const_iterator it = _Operation_VALUES_TO_NAMES.find(val);
+  if (it != _Operation_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kEffectValues[] = {
+  Effect::NOT_RUN,
+  Effect::UNKNOWN
+};
+const char* _kEffectNames[] = {
+  "NOT_RUN",
+  "UNKNOWN"
+};
+const std::map<int, const char*> _Effect_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(2, _kEffectValues, _kEffectNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const Effect::type& val) {
+  std::map<int, const char*>::const_iterator it = _Effect_VALUES_TO_NAMES.find(val);
+  if (it != _Effect_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const Effect::type& val) {
+  std::map<int, const char*>::const_iterator it = _Effect_VALUES_TO_NAMES.find(val);
+  if (it != _Effect_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kRefusalCodeValues[] = {
+  RefusalCode::INVALID_REQUEST,
+  RefusalCode::KEY_MISSING,
+  RefusalCode::KEY_UNKNOWN,
+  RefusalCode::KEY_WITHDRAWN,
+  RefusalCode::KEY_UNCONFIRMED,
+  RefusalCode::NOT_ALLOWED,
+  RefusalCode::UNKNOWN_DATABASE,
+  RefusalCode::UNKNOWN_PROFILE,
+  RefusalCode::UNKNOWN_TRANSACTION,
+  RefusalCode::DATABASE_LEAVING,
+  RefusalCode::RATE_EXCEEDED,
+  RefusalCode::OVERLOADED,
+  RefusalCode::UNAVAILABLE,
+  RefusalCode::ZONE_OUT,
+  RefusalCode::SHUTTING_DOWN,
+  RefusalCode::DEADLINE_EXCEEDED,
+  RefusalCode::REJECTED_BY_DATABASE,
+  RefusalCode::TRANSACTION_ABORTED,
+  RefusalCode::OUTCOME_UNKNOWN
+};
+const char* _kRefusalCodeNames[] = {
+  "INVALID_REQUEST",
+  "KEY_MISSING",
+  "KEY_UNKNOWN",
+  "KEY_WITHDRAWN",
+  "KEY_UNCONFIRMED",
+  "NOT_ALLOWED",
+  "UNKNOWN_DATABASE",
+  "UNKNOWN_PROFILE",
+  "UNKNOWN_TRANSACTION",
+  "DATABASE_LEAVING",
+  "RATE_EXCEEDED",
+  "OVERLOADED",
+  "UNAVAILABLE",
+  "ZONE_OUT",
+  "SHUTTING_DOWN",
+  "DEADLINE_EXCEEDED",
+  "REJECTED_BY_DATABASE",
+  "TRANSACTION_ABORTED",
+  "OUTCOME_UNKNOWN"
+};
+const std::map<int, const char*> _RefusalCode_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(19, _kRefusalCodeValues, _kRefusalCodeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const RefusalCode::type& val) {
+  std::map<int, const char*>::const_iterator it = _RefusalCode_VALUES_TO_NAMES.find(val);
+  if (it != _RefusalCode_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const RefusalCode::type& val) {
+  std::map<int, const char*>::const_iterator it = _RefusalCode_VALUES_TO_NAMES.find(val);
+  if (it != _RefusalCode_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kMemberRoleValues[] = {
+  MemberRole::PRIMARY,
+  MemberRole::REPLICA
+};
+const char* _kMemberRoleNames[] = {
+  "PRIMARY",
+  "REPLICA"
+};
+const std::map<int, const char*> _MemberRole_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(2, _kMemberRoleValues, _kMemberRoleNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const MemberRole::type& val) {
+  std::map<int, const char*>::const_iterator it = _MemberRole_VALUES_TO_NAMES.find(val);
+  if (it != _MemberRole_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const MemberRole::type& val) {
+  std::map<int, const char*>::const_iterator it = _MemberRole_VALUES_TO_NAMES.find(val);
+  if (it != _MemberRole_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kRejectionKindValues[] = {
+  RejectionKind::STATEMENT,
+  RejectionKind::DUPLICATE_REQUEST,
+  RejectionKind::NOT_PRIMARY
+};
+const char* _kRejectionKindNames[] = {
+  "STATEMENT",
+  "DUPLICATE_REQUEST",
+  "NOT_PRIMARY"
+};
+const std::map<int, const char*> _RejectionKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kRejectionKindValues, _kRejectionKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const RejectionKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _RejectionKind_VALUES_TO_NAMES.find(val);
+  if (it != _RejectionKind_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const RejectionKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _RejectionKind_VALUES_TO_NAMES.find(val);
+  if (it != _RejectionKind_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kTransactionStepValues[] = {
+  TransactionStep::AUTOCOMMIT,
+  TransactionStep::BEGIN_TRANSACTION,
+  TransactionStep::IN_TRANSACTION,
+  TransactionStep::COMMIT,
+  TransactionStep::ROLLBACK
+};
+const char* _kTransactionStepNames[] = {
+  "AUTOCOMMIT",
+  "BEGIN_TRANSACTION",
+  "IN_TRANSACTION",
+  "COMMIT",
+  "ROLLBACK"
+};
+const std::map<int, const char*> _TransactionStep_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kTransactionStepValues, _kTransactionStepNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const TransactionStep::type& val) {
+  std::map<int, const char*>::const_iterator it = _TransactionStep_VALUES_TO_NAMES.find(val);
+  if (it != _TransactionStep_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const TransactionStep::type& val) {
+  std::map<int, const char*>::const_iterator it = _TransactionStep_VALUES_TO_NAMES.find(val);
+  if (it != _TransactionStep_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kTimelineKindValues[] = {
+  TimelineKind::REQUEST_RECEIVED,
+  TimelineKind::REQUEST_ANSWERED,
+  TimelineKind::REQUEST_REFUSED,
+  TimelineKind::PRIMARY_SUSPECTED,
+  TimelineKind::TERM_GRANTED,
+  TimelineKind::TERM_REFUSED,
+  TimelineKind::PRIMARY_PROMOTED,
+  TimelineKind::PRIMARY_LEARNED,
+  TimelineKind::CONFIGURATION_INSTALLED,
+  TimelineKind::CONFIGURATION_REFUSED,
+  TimelineKind::PLATFORM_LOST,
+  TimelineKind::PLATFORM_REACHED,
+  TimelineKind::LEASE_RENEWED,
+  TimelineKind::LEASE_LAPSED,
+  TimelineKind::LEASE_RECLAIMED,
+  TimelineKind::SHARE_CHANGED,
+  TimelineKind::CREDIT_LENT,
+  TimelineKind::CREDIT_RECEIVED,
+  TimelineKind::CONNECTION_OPENED,
+  TimelineKind::CONNECTION_CLOSED,
+  TimelineKind::ZONE_LEFT,
+  TimelineKind::ZONE_RETURNED,
+  TimelineKind::SHUTDOWN_STARTED,
+  TimelineKind::SHUTDOWN_FINISHED,
+  TimelineKind::PEER_LOST,
+  TimelineKind::PEER_REACHED
+};
+const char* _kTimelineKindNames[] = {
+  "REQUEST_RECEIVED",
+  "REQUEST_ANSWERED",
+  "REQUEST_REFUSED",
+  "PRIMARY_SUSPECTED",
+  "TERM_GRANTED",
+  "TERM_REFUSED",
+  "PRIMARY_PROMOTED",
+  "PRIMARY_LEARNED",
+  "CONFIGURATION_INSTALLED",
+  "CONFIGURATION_REFUSED",
+  "PLATFORM_LOST",
+  "PLATFORM_REACHED",
+  "LEASE_RENEWED",
+  "LEASE_LAPSED",
+  "LEASE_RECLAIMED",
+  "SHARE_CHANGED",
+  "CREDIT_LENT",
+  "CREDIT_RECEIVED",
+  "CONNECTION_OPENED",
+  "CONNECTION_CLOSED",
+  "ZONE_LEFT",
+  "ZONE_RETURNED",
+  "SHUTDOWN_STARTED",
+  "SHUTDOWN_FINISHED",
+  "PEER_LOST",
+  "PEER_REACHED"
+};
+const std::map<int, const char*> _TimelineKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(26, _kTimelineKindValues, _kTimelineKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const TimelineKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _TimelineKind_VALUES_TO_NAMES.find(val);
+  if (it != _TimelineKind_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const TimelineKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _TimelineKind_VALUES_TO_NAMES.find(val);
+  if (it != _TimelineKind_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 ObjectKey::~ObjectKey() noexcept {
 }
 
 
-void ObjectKey::__set_kind(const ObjectKind val) {
+void ObjectKey::__set_kind(const int32_t val) {
   this->kind = val;
 }
 
@@ -98,9 +395,7 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast0;
-          xfer += iprot->readI32(ecast0);
-          this->kind = static_cast<ObjectKind>(ecast0);
+          xfer += iprot->readI32(this->kind);
           isset_kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -136,7 +431,7 @@
   xfer += oprot->writeStructBegin("ObjectKey");
 
   xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeI32(this->kind);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 2);
@@ -154,22 +449,22 @@
   swap(a.name, b.name);
 }
 
-ObjectKey::ObjectKey(const ObjectKey& other1) {
+ObjectKey::ObjectKey(const ObjectKey& other0) {
+  kind = other0.kind;
+  name = other0.name;
+}
+ObjectKey::ObjectKey(ObjectKey&& other1) noexcept {
   kind = other1.kind;
-  name = other1.name;
+  name = std::move(other1.name);
 }
-ObjectKey::ObjectKey(ObjectKey&& other2) noexcept {
+ObjectKey& ObjectKey::operator=(const ObjectKey& other2) {
   kind = other2.kind;
-  name = std::move(other2.name);
-}
-ObjectKey& ObjectKey::operator=(const ObjectKey& other3) {
-  kind = other3.kind;
-  name = other3.name;
+  name = other2.name;
   return *this;
 }
-ObjectKey& ObjectKey::operator=(ObjectKey&& other4) noexcept {
-  kind = other4.kind;
-  name = std::move(other4.name);
+ObjectKey& ObjectKey::operator=(ObjectKey&& other3) noexcept {
+  kind = other3.kind;
+  name = std::move(other3.name);
   return *this;
 }
 void ObjectKey::printTo(std::ostream& out) const {
@@ -358,38 +653,38 @@
   swap(a.write_id, b.write_id);
 }
 
-Object::Object(const Object& other5) {
-  key = other5.key;
+Object::Object(const Object& other4) {
+  key = other4.key;
+  version = other4.version;
+  revision = other4.revision;
+  value = other4.value;
+  deleted = other4.deleted;
+  write_id = other4.write_id;
+}
+Object::Object(Object&& other5) noexcept {
+  key = std::move(other5.key);
   version = other5.version;
   revision = other5.revision;
-  value = other5.value;
+  value = std::move(other5.value);
   deleted = other5.deleted;
-  write_id = other5.write_id;
+  write_id = std::move(other5.write_id);
 }
-Object::Object(Object&& other6) noexcept {
-  key = std::move(other6.key);
+Object& Object::operator=(const Object& other6) {
+  key = other6.key;
   version = other6.version;
   revision = other6.revision;
-  value = std::move(other6.value);
+  value = other6.value;
   deleted = other6.deleted;
-  write_id = std::move(other6.write_id);
+  write_id = other6.write_id;
+  return *this;
 }
-Object& Object::operator=(const Object& other7) {
-  key = other7.key;
+Object& Object::operator=(Object&& other7) noexcept {
+  key = std::move(other7.key);
   version = other7.version;
   revision = other7.revision;
-  value = other7.value;
+  value = std::move(other7.value);
   deleted = other7.deleted;
-  write_id = other7.write_id;
-  return *this;
-}
-Object& Object::operator=(Object&& other8) noexcept {
-  key = std::move(other8.key);
-  version = other8.version;
-  revision = other8.revision;
-  value = std::move(other8.value);
-  deleted = other8.deleted;
-  write_id = std::move(other8.write_id);
+  write_id = std::move(other7.write_id);
   return *this;
 }
 void Object::printTo(std::ostream& out) const {
@@ -463,14 +758,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size9;
-            ::apache::thrift::protocol::TType _etype12;
-            xfer += iprot->readListBegin(_etype12, _size9);
-            this->objects.resize(_size9);
-            uint32_t _i13;
-            for (_i13 = 0; _i13 < _size9; ++_i13)
+            uint32_t _size8;
+            ::apache::thrift::protocol::TType _etype11;
+            xfer += iprot->readListBegin(_etype11, _size8);
+            this->objects.resize(_size8);
+            uint32_t _i12;
+            for (_i12 = 0; _i12 < _size8; ++_i12)
             {
-              xfer += this->objects[_i13].read(iprot);
+              xfer += this->objects[_i12].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -517,10 +812,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<Object> ::const_iterator _iter14;
-    for (_iter14 = this->objects.begin(); _iter14 != this->objects.end(); ++_iter14)
+    std::vector<Object> ::const_iterator _iter13;
+    for (_iter13 = this->objects.begin(); _iter13 != this->objects.end(); ++_iter13)
     {
-      xfer += (*_iter14).write(oprot);
+      xfer += (*_iter13).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -542,28 +837,28 @@
   swap(a.must_list, b.must_list);
 }
 
-ObjectBatch::ObjectBatch(const ObjectBatch& other15) {
+ObjectBatch::ObjectBatch(const ObjectBatch& other14) {
+  revision = other14.revision;
+  objects = other14.objects;
+  must_list = other14.must_list;
+}
+ObjectBatch::ObjectBatch(ObjectBatch&& other15) noexcept {
   revision = other15.revision;
-  objects = other15.objects;
+  objects = std::move(other15.objects);
   must_list = other15.must_list;
 }
-ObjectBatch::ObjectBatch(ObjectBatch&& other16) noexcept {
+ObjectBatch& ObjectBatch::operator=(const ObjectBatch& other16) {
   revision = other16.revision;
-  objects = std::move(other16.objects);
+  objects = other16.objects;
   must_list = other16.must_list;
+  return *this;
 }
-ObjectBatch& ObjectBatch::operator=(const ObjectBatch& other17) {
+ObjectBatch& ObjectBatch::operator=(ObjectBatch&& other17) noexcept {
   revision = other17.revision;
-  objects = other17.objects;
+  objects = std::move(other17.objects);
   must_list = other17.must_list;
   return *this;
 }
-ObjectBatch& ObjectBatch::operator=(ObjectBatch&& other18) noexcept {
-  revision = other18.revision;
-  objects = std::move(other18.objects);
-  must_list = other18.must_list;
-  return *this;
-}
 void ObjectBatch::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "ObjectBatch(";
@@ -671,22 +966,22 @@
   swap(a.profile, b.profile);
 }
 
-AllowanceKey::AllowanceKey(const AllowanceKey& other19) {
-  customer = other19.customer;
-  profile = other19.profile;
+AllowanceKey::AllowanceKey(const AllowanceKey& other18) {
+  customer = other18.customer;
+  profile = other18.profile;
 }
-AllowanceKey::AllowanceKey(AllowanceKey&& other20) noexcept {
-  customer = std::move(other20.customer);
-  profile = std::move(other20.profile);
+AllowanceKey::AllowanceKey(AllowanceKey&& other19) noexcept {
+  customer = std::move(other19.customer);
+  profile = std::move(other19.profile);
 }
-AllowanceKey& AllowanceKey::operator=(const AllowanceKey& other21) {
-  customer = other21.customer;
-  profile = other21.profile;
+AllowanceKey& AllowanceKey::operator=(const AllowanceKey& other20) {
+  customer = other20.customer;
+  profile = other20.profile;
   return *this;
 }
-AllowanceKey& AllowanceKey::operator=(AllowanceKey&& other22) noexcept {
-  customer = std::move(other22.customer);
-  profile = std::move(other22.profile);
+AllowanceKey& AllowanceKey::operator=(AllowanceKey&& other21) noexcept {
+  customer = std::move(other21.customer);
+  profile = std::move(other21.profile);
   return *this;
 }
 void AllowanceKey::printTo(std::ostream& out) const {
@@ -915,33 +1210,45 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other23) {
+Heartbeat::Heartbeat(const Heartbeat& other22) {
+  number = other22.number;
+  answers = other22.answers;
+  address = other22.address;
+  zone = other22.zone;
+  revision = other22.revision;
+  platform_age_us = other22.platform_age_us;
+  platform_reachable = other22.platform_reachable;
+  draining = other22.draining;
+  __isset = other22.__isset;
+}
+Heartbeat::Heartbeat(Heartbeat&& other23) noexcept {
   number = other23.number;
   answers = other23.answers;
-  address = other23.address;
-  zone = other23.zone;
+  address = std::move(other23.address);
+  zone = std::move(other23.zone);
   revision = other23.revision;
   platform_age_us = other23.platform_age_us;
   platform_reachable = other23.platform_reachable;
   draining = other23.draining;
   __isset = other23.__isset;
 }
-Heartbeat::Heartbeat(Heartbeat&& other24) noexcept {
+Heartbeat& Heartbeat::operator=(const Heartbeat& other24) {
   number = other24.number;
   answers = other24.answers;
-  address = std::move(other24.address);
-  zone = std::move(other24.zone);
+  address = other24.address;
+  zone = other24.zone;
   revision = other24.revision;
   platform_age_us = other24.platform_age_us;
   platform_reachable = other24.platform_reachable;
   draining = other24.draining;
   __isset = other24.__isset;
+  return *this;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other25) {
+Heartbeat& Heartbeat::operator=(Heartbeat&& other25) noexcept {
   number = other25.number;
   answers = other25.answers;
-  address = other25.address;
-  zone = other25.zone;
+  address = std::move(other25.address);
+  zone = std::move(other25.zone);
   revision = other25.revision;
   platform_age_us = other25.platform_age_us;
   platform_reachable = other25.platform_reachable;
@@ -949,18 +1256,6 @@
   __isset = other25.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other26) noexcept {
-  number = other26.number;
-  answers = other26.answers;
-  address = std::move(other26.address);
-  zone = std::move(other26.zone);
-  revision = other26.revision;
-  platform_age_us = other26.platform_age_us;
-  platform_reachable = other26.platform_reachable;
-  draining = other26.draining;
-  __isset = other26.__isset;
-  return *this;
-}
 void Heartbeat::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Heartbeat(";
@@ -1053,18 +1348,18 @@
   swap(a.since, b.since);
 }
 
-ObjectsWanted::ObjectsWanted(const ObjectsWanted& other27) noexcept {
+ObjectsWanted::ObjectsWanted(const ObjectsWanted& other26) noexcept {
+  since = other26.since;
+}
+ObjectsWanted::ObjectsWanted(ObjectsWanted&& other27) noexcept {
   since = other27.since;
 }
-ObjectsWanted::ObjectsWanted(ObjectsWanted&& other28) noexcept {
+ObjectsWanted& ObjectsWanted::operator=(const ObjectsWanted& other28) noexcept {
   since = other28.since;
-}
-ObjectsWanted& ObjectsWanted::operator=(const ObjectsWanted& other29) noexcept {
-  since = other29.since;
   return *this;
 }
-ObjectsWanted& ObjectsWanted::operator=(ObjectsWanted&& other30) noexcept {
-  since = other30.since;
+ObjectsWanted& ObjectsWanted::operator=(ObjectsWanted&& other29) noexcept {
+  since = other29.since;
   return *this;
 }
 void ObjectsWanted::printTo(std::ostream& out) const {
@@ -1212,32 +1507,32 @@
   swap(a.parts, b.parts);
 }
 
-ObjectsRelayed::ObjectsRelayed(const ObjectsRelayed& other31) {
+ObjectsRelayed::ObjectsRelayed(const ObjectsRelayed& other30) {
+  since = other30.since;
+  batch = other30.batch;
+  part = other30.part;
+  parts = other30.parts;
+}
+ObjectsRelayed::ObjectsRelayed(ObjectsRelayed&& other31) noexcept {
   since = other31.since;
-  batch = other31.batch;
+  batch = std::move(other31.batch);
   part = other31.part;
   parts = other31.parts;
 }
-ObjectsRelayed::ObjectsRelayed(ObjectsRelayed&& other32) noexcept {
+ObjectsRelayed& ObjectsRelayed::operator=(const ObjectsRelayed& other32) {
   since = other32.since;
-  batch = std::move(other32.batch);
+  batch = other32.batch;
   part = other32.part;
   parts = other32.parts;
+  return *this;
 }
-ObjectsRelayed& ObjectsRelayed::operator=(const ObjectsRelayed& other33) {
+ObjectsRelayed& ObjectsRelayed::operator=(ObjectsRelayed&& other33) noexcept {
   since = other33.since;
-  batch = other33.batch;
+  batch = std::move(other33.batch);
   part = other33.part;
   parts = other33.parts;
   return *this;
 }
-ObjectsRelayed& ObjectsRelayed::operator=(ObjectsRelayed&& other34) noexcept {
-  since = other34.since;
-  batch = std::move(other34.batch);
-  part = other34.part;
-  parts = other34.parts;
-  return *this;
-}
 void ObjectsRelayed::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "ObjectsRelayed(";
@@ -1366,28 +1661,28 @@
   swap(a.millicredits, b.millicredits);
 }
 
-CreditWanted::CreditWanted(const CreditWanted& other35) {
+CreditWanted::CreditWanted(const CreditWanted& other34) {
+  number = other34.number;
+  allowance = other34.allowance;
+  millicredits = other34.millicredits;
+}
+CreditWanted::CreditWanted(CreditWanted&& other35) noexcept {
   number = other35.number;
-  allowance = other35.allowance;
+  allowance = std::move(other35.allowance);
   millicredits = other35.millicredits;
 }
-CreditWanted::CreditWanted(CreditWanted&& other36) noexcept {
+CreditWanted& CreditWanted::operator=(const CreditWanted& other36) {
   number = other36.number;
-  allowance = std::move(other36.allowance);
+  allowance = other36.allowance;
   millicredits = other36.millicredits;
+  return *this;
 }
-CreditWanted& CreditWanted::operator=(const CreditWanted& other37) {
+CreditWanted& CreditWanted::operator=(CreditWanted&& other37) noexcept {
   number = other37.number;
-  allowance = other37.allowance;
+  allowance = std::move(other37.allowance);
   millicredits = other37.millicredits;
   return *this;
 }
-CreditWanted& CreditWanted::operator=(CreditWanted&& other38) noexcept {
-  number = other38.number;
-  allowance = std::move(other38.allowance);
-  millicredits = other38.millicredits;
-  return *this;
-}
 void CreditWanted::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "CreditWanted(";
@@ -1515,28 +1810,28 @@
   swap(a.millicredits, b.millicredits);
 }
 
-CreditLent::CreditLent(const CreditLent& other39) {
+CreditLent::CreditLent(const CreditLent& other38) {
+  number = other38.number;
+  allowance = other38.allowance;
+  millicredits = other38.millicredits;
+}
+CreditLent::CreditLent(CreditLent&& other39) noexcept {
   number = other39.number;
-  allowance = other39.allowance;
+  allowance = std::move(other39.allowance);
   millicredits = other39.millicredits;
 }
-CreditLent::CreditLent(CreditLent&& other40) noexcept {
+CreditLent& CreditLent::operator=(const CreditLent& other40) {
   number = other40.number;
-  allowance = std::move(other40.allowance);
+  allowance = other40.allowance;
   millicredits = other40.millicredits;
+  return *this;
 }
-CreditLent& CreditLent::operator=(const CreditLent& other41) {
+CreditLent& CreditLent::operator=(CreditLent&& other41) noexcept {
   number = other41.number;
-  allowance = other41.allowance;
+  allowance = std::move(other41.allowance);
   millicredits = other41.millicredits;
   return *this;
 }
-CreditLent& CreditLent::operator=(CreditLent&& other42) noexcept {
-  number = other42.number;
-  allowance = std::move(other42.allowance);
-  millicredits = other42.millicredits;
-  return *this;
-}
 void CreditLent::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "CreditLent(";
@@ -1644,24 +1939,24 @@
   swap(a.lease_version, b.lease_version);
 }
 
-VouchWanted::VouchWanted(const VouchWanted& other43) noexcept {
+VouchWanted::VouchWanted(const VouchWanted& other42) noexcept {
+  number = other42.number;
+  lease_version = other42.lease_version;
+}
+VouchWanted::VouchWanted(VouchWanted&& other43) noexcept {
   number = other43.number;
   lease_version = other43.lease_version;
 }
-VouchWanted::VouchWanted(VouchWanted&& other44) noexcept {
+VouchWanted& VouchWanted::operator=(const VouchWanted& other44) noexcept {
   number = other44.number;
   lease_version = other44.lease_version;
+  return *this;
 }
-VouchWanted& VouchWanted::operator=(const VouchWanted& other45) noexcept {
+VouchWanted& VouchWanted::operator=(VouchWanted&& other45) noexcept {
   number = other45.number;
   lease_version = other45.lease_version;
   return *this;
 }
-VouchWanted& VouchWanted::operator=(VouchWanted&& other46) noexcept {
-  number = other46.number;
-  lease_version = other46.lease_version;
-  return *this;
-}
 void VouchWanted::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "VouchWanted(";
@@ -1768,24 +2063,24 @@
   swap(a.granted, b.granted);
 }
 
-Vouched::Vouched(const Vouched& other47) noexcept {
+Vouched::Vouched(const Vouched& other46) noexcept {
+  number = other46.number;
+  granted = other46.granted;
+}
+Vouched::Vouched(Vouched&& other47) noexcept {
   number = other47.number;
   granted = other47.granted;
 }
-Vouched::Vouched(Vouched&& other48) noexcept {
+Vouched& Vouched::operator=(const Vouched& other48) noexcept {
   number = other48.number;
   granted = other48.granted;
+  return *this;
 }
-Vouched& Vouched::operator=(const Vouched& other49) noexcept {
+Vouched& Vouched::operator=(Vouched&& other49) noexcept {
   number = other49.number;
   granted = other49.granted;
   return *this;
 }
-Vouched& Vouched::operator=(Vouched&& other50) noexcept {
-  number = other50.number;
-  granted = other50.granted;
-  return *this;
-}
 void Vouched::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Vouched(";
@@ -1932,32 +2227,32 @@
   swap(a.lease_version, b.lease_version);
 }
 
-DenialWanted::DenialWanted(const DenialWanted& other51) {
+DenialWanted::DenialWanted(const DenialWanted& other50) {
+  number = other50.number;
+  holder = other50.holder;
+  holder_incarnation = other50.holder_incarnation;
+  lease_version = other50.lease_version;
+}
+DenialWanted::DenialWanted(DenialWanted&& other51) noexcept {
   number = other51.number;
-  holder = other51.holder;
+  holder = std::move(other51.holder);
   holder_incarnation = other51.holder_incarnation;
   lease_version = other51.lease_version;
 }
-DenialWanted::DenialWanted(DenialWanted&& other52) noexcept {
+DenialWanted& DenialWanted::operator=(const DenialWanted& other52) {
   number = other52.number;
-  holder = std::move(other52.holder);
+  holder = other52.holder;
   holder_incarnation = other52.holder_incarnation;
   lease_version = other52.lease_version;
+  return *this;
 }
-DenialWanted& DenialWanted::operator=(const DenialWanted& other53) {
+DenialWanted& DenialWanted::operator=(DenialWanted&& other53) noexcept {
   number = other53.number;
-  holder = other53.holder;
+  holder = std::move(other53.holder);
   holder_incarnation = other53.holder_incarnation;
   lease_version = other53.lease_version;
   return *this;
 }
-DenialWanted& DenialWanted::operator=(DenialWanted&& other54) noexcept {
-  number = other54.number;
-  holder = std::move(other54.holder);
-  holder_incarnation = other54.holder_incarnation;
-  lease_version = other54.lease_version;
-  return *this;
-}
 void DenialWanted::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "DenialWanted(";
@@ -2086,28 +2381,28 @@
   swap(a.granted, b.granted);
 }
 
-Denied::Denied(const Denied& other55) {
+Denied::Denied(const Denied& other54) {
+  number = other54.number;
+  holder = other54.holder;
+  granted = other54.granted;
+}
+Denied::Denied(Denied&& other55) noexcept {
   number = other55.number;
-  holder = other55.holder;
+  holder = std::move(other55.holder);
   granted = other55.granted;
 }
-Denied::Denied(Denied&& other56) noexcept {
+Denied& Denied::operator=(const Denied& other56) {
   number = other56.number;
-  holder = std::move(other56.holder);
+  holder = other56.holder;
   granted = other56.granted;
+  return *this;
 }
-Denied& Denied::operator=(const Denied& other57) {
+Denied& Denied::operator=(Denied&& other57) noexcept {
   number = other57.number;
-  holder = other57.holder;
+  holder = std::move(other57.holder);
   granted = other57.granted;
   return *this;
 }
-Denied& Denied::operator=(Denied&& other58) noexcept {
-  number = other58.number;
-  holder = std::move(other58.holder);
-  granted = other58.granted;
-  return *this;
-}
 void Denied::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Denied(";
@@ -2255,36 +2550,36 @@
   swap(a.__isset, b.__isset);
 }
 
-GroupReport::GroupReport(const GroupReport& other59) {
-  database = other59.database;
+GroupReport::GroupReport(const GroupReport& other58) {
+  database = other58.database;
+  term = other58.term;
+  primary = other58.primary;
+  primary_age_us = other58.primary_age_us;
+  __isset = other58.__isset;
+}
+GroupReport::GroupReport(GroupReport&& other59) noexcept {
+  database = std::move(other59.database);
   term = other59.term;
-  primary = other59.primary;
+  primary = std::move(other59.primary);
   primary_age_us = other59.primary_age_us;
   __isset = other59.__isset;
 }
-GroupReport::GroupReport(GroupReport&& other60) noexcept {
-  database = std::move(other60.database);
+GroupReport& GroupReport::operator=(const GroupReport& other60) {
+  database = other60.database;
   term = other60.term;
-  primary = std::move(other60.primary);
+  primary = other60.primary;
   primary_age_us = other60.primary_age_us;
   __isset = other60.__isset;
+  return *this;
 }
-GroupReport& GroupReport::operator=(const GroupReport& other61) {
-  database = other61.database;
+GroupReport& GroupReport::operator=(GroupReport&& other61) noexcept {
+  database = std::move(other61.database);
   term = other61.term;
-  primary = other61.primary;
+  primary = std::move(other61.primary);
   primary_age_us = other61.primary_age_us;
   __isset = other61.__isset;
   return *this;
 }
-GroupReport& GroupReport::operator=(GroupReport&& other62) noexcept {
-  database = std::move(other62.database);
-  term = other62.term;
-  primary = std::move(other62.primary);
-  primary_age_us = other62.primary_age_us;
-  __isset = other62.__isset;
-  return *this;
-}
 void GroupReport::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "GroupReport(";
@@ -2393,22 +2688,22 @@
   swap(a.term, b.term);
 }
 
-SuspicionRaised::SuspicionRaised(const SuspicionRaised& other63) {
-  database = other63.database;
+SuspicionRaised::SuspicionRaised(const SuspicionRaised& other62) {
+  database = other62.database;
+  term = other62.term;
+}
+SuspicionRaised::SuspicionRaised(SuspicionRaised&& other63) noexcept {
+  database = std::move(other63.database);
   term = other63.term;
 }
-SuspicionRaised::SuspicionRaised(SuspicionRaised&& other64) noexcept {
-  database = std::move(other64.database);
+SuspicionRaised& SuspicionRaised::operator=(const SuspicionRaised& other64) {
+  database = other64.database;
   term = other64.term;
-}
-SuspicionRaised& SuspicionRaised::operator=(const SuspicionRaised& other65) {
-  database = other65.database;
-  term = other65.term;
   return *this;
 }
-SuspicionRaised& SuspicionRaised::operator=(SuspicionRaised&& other66) noexcept {
-  database = std::move(other66.database);
-  term = other66.term;
+SuspicionRaised& SuspicionRaised::operator=(SuspicionRaised&& other65) noexcept {
+  database = std::move(other65.database);
+  term = other65.term;
   return *this;
 }
 void SuspicionRaised::printTo(std::ostream& out) const {
@@ -2687,62 +2982,62 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other67) {
-  heartbeat = other67.heartbeat;
-  objects_wanted = other67.objects_wanted;
-  objects_relayed = other67.objects_relayed;
-  credit_wanted = other67.credit_wanted;
-  credit_lent = other67.credit_lent;
-  vouch_wanted = other67.vouch_wanted;
-  vouched = other67.vouched;
-  denial_wanted = other67.denial_wanted;
-  denied = other67.denied;
-  group_report = other67.group_report;
-  suspicion_raised = other67.suspicion_raised;
+PeerMessage::PeerMessage(const PeerMessage& other66) {
+  heartbeat = other66.heartbeat;
+  objects_wanted = other66.objects_wanted;
+  objects_relayed = other66.objects_relayed;
+  credit_wanted = other66.credit_wanted;
+  credit_lent = other66.credit_lent;
+  vouch_wanted = other66.vouch_wanted;
+  vouched = other66.vouched;
+  denial_wanted = other66.denial_wanted;
+  denied = other66.denied;
+  group_report = other66.group_report;
+  suspicion_raised = other66.suspicion_raised;
+  __isset = other66.__isset;
+}
+PeerMessage::PeerMessage(PeerMessage&& other67) noexcept {
+  heartbeat = std::move(other67.heartbeat);
+  objects_wanted = std::move(other67.objects_wanted);
+  objects_relayed = std::move(other67.objects_relayed);
+  credit_wanted = std::move(other67.credit_wanted);
+  credit_lent = std::move(other67.credit_lent);
+  vouch_wanted = std::move(other67.vouch_wanted);
+  vouched = std::move(other67.vouched);
+  denial_wanted = std::move(other67.denial_wanted);
+  denied = std::move(other67.denied);
+  group_report = std::move(other67.group_report);
+  suspicion_raised = std::move(other67.suspicion_raised);
   __isset = other67.__isset;
 }
-PeerMessage::PeerMessage(PeerMessage&& other68) noexcept {
-  heartbeat = std::move(other68.heartbeat);
-  objects_wanted = std::move(other68.objects_wanted);
-  objects_relayed = std::move(other68.objects_relayed);
-  credit_wanted = std::move(other68.credit_wanted);
-  credit_lent = std::move(other68.credit_lent);
-  vouch_wanted = std::move(other68.vouch_wanted);
-  vouched = std::move(other68.vouched);
-  denial_wanted = std::move(other68.denial_wanted);
-  denied = std::move(other68.denied);
-  group_report = std::move(other68.group_report);
-  suspicion_raised = std::move(other68.suspicion_raised);
+PeerMessage& PeerMessage::operator=(const PeerMessage& other68) {
+  heartbeat = other68.heartbeat;
+  objects_wanted = other68.objects_wanted;
+  objects_relayed = other68.objects_relayed;
+  credit_wanted = other68.credit_wanted;
+  credit_lent = other68.credit_lent;
+  vouch_wanted = other68.vouch_wanted;
+  vouched = other68.vouched;
+  denial_wanted = other68.denial_wanted;
+  denied = other68.denied;
+  group_report = other68.group_report;
+  suspicion_raised = other68.suspicion_raised;
   __isset = other68.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other69) {
-  heartbeat = other69.heartbeat;
-  objects_wanted = other69.objects_wanted;
-  objects_relayed = other69.objects_relayed;
-  credit_wanted = other69.credit_wanted;
-  credit_lent = other69.credit_lent;
-  vouch_wanted = other69.vouch_wanted;
-  vouched = other69.vouched;
-  denial_wanted = other69.denial_wanted;
-  denied = other69.denied;
-  group_report = other69.group_report;
-  suspicion_raised = other69.suspicion_raised;
-  __isset = other69.__isset;
   return *this;
 }
-PeerMessage& PeerMessage::operator=(PeerMessage&& other70) noexcept {
-  heartbeat = std::move(other70.heartbeat);
-  objects_wanted = std::move(other70.objects_wanted);
-  objects_relayed = std::move(other70.objects_relayed);
-  credit_wanted = std::move(other70.credit_wanted);
-  credit_lent = std::move(other70.credit_lent);
-  vouch_wanted = std::move(other70.vouch_wanted);
-  vouched = std::move(other70.vouched);
-  denial_wanted = std::move(other70.denial_wanted);
-  denied = std::move(other70.denied);
-  group_report = std::move(other70.group_report);
-  suspicion_raised = std::move(other70.suspicion_raised);
-  __isset = other70.__isset;
+PeerMessage& PeerMessage::operator=(PeerMessage&& other69) noexcept {
+  heartbeat = std::move(other69.heartbeat);
+  objects_wanted = std::move(other69.objects_wanted);
+  objects_relayed = std::move(other69.objects_relayed);
+  credit_wanted = std::move(other69.credit_wanted);
+  credit_lent = std::move(other69.credit_lent);
+  vouch_wanted = std::move(other69.vouch_wanted);
+  vouched = std::move(other69.vouched);
+  denial_wanted = std::move(other69.denial_wanted);
+  denied = std::move(other69.denied);
+  group_report = std::move(other69.group_report);
+  suspicion_raised = std::move(other69.suspicion_raised);
+  __isset = other69.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -2762,4 +3057,9021 @@
   out << ")";
 }
 
+
+ListObjects::~ListObjects() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const ListObjects& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ListObjects::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ListObjects::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ListObjects");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ListObjects &a, ListObjects &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+ListObjects::ListObjects(const ListObjects& other70) noexcept {
+  (void) other70;
+}
+ListObjects::ListObjects(ListObjects&& other71) noexcept {
+  (void) other71;
+}
+ListObjects& ListObjects::operator=(const ListObjects& other72) noexcept {
+  (void) other72;
+  return *this;
+}
+ListObjects& ListObjects::operator=(ListObjects&& other73) noexcept {
+  (void) other73;
+  return *this;
+}
+void ListObjects::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ListObjects(";
+  out << ")";
+}
+
+
+WatchObjects::~WatchObjects() noexcept {
+}
+
+
+void WatchObjects::__set_since(const int64_t val) {
+  this->since = val;
+}
+
+void WatchObjects::__set_wait_us(const int64_t val) {
+  this->wait_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const WatchObjects& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WatchObjects::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_since = false;
+  bool isset_wait_us = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->since);
+          isset_since = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wait_us);
+          isset_wait_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_since)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_wait_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WatchObjects::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WatchObjects");
+
+  xfer += oprot->writeFieldBegin("since", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->since);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wait_us", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->wait_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WatchObjects &a, WatchObjects &b) {
+  using ::std::swap;
+  swap(a.since, b.since);
+  swap(a.wait_us, b.wait_us);
+}
+
+WatchObjects::WatchObjects(const WatchObjects& other74) noexcept {
+  since = other74.since;
+  wait_us = other74.wait_us;
+}
+WatchObjects::WatchObjects(WatchObjects&& other75) noexcept {
+  since = other75.since;
+  wait_us = other75.wait_us;
+}
+WatchObjects& WatchObjects::operator=(const WatchObjects& other76) noexcept {
+  since = other76.since;
+  wait_us = other76.wait_us;
+  return *this;
+}
+WatchObjects& WatchObjects::operator=(WatchObjects&& other77) noexcept {
+  since = other77.since;
+  wait_us = other77.wait_us;
+  return *this;
+}
+void WatchObjects::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WatchObjects(";
+  out << "since=" << to_string(since);
+  out << ", " << "wait_us=" << to_string(wait_us);
+  out << ")";
+}
+
+
+GetObject::~GetObject() noexcept {
+}
+
+
+void GetObject::__set_key(const ObjectKey& val) {
+  this->key = val;
+}
+std::ostream& operator<<(std::ostream& out, const GetObject& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GetObject::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_key = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->key.read(iprot);
+          isset_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GetObject::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GetObject");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->key.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GetObject &a, GetObject &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+}
+
+GetObject::GetObject(const GetObject& other78) {
+  key = other78.key;
+}
+GetObject::GetObject(GetObject&& other79) noexcept {
+  key = std::move(other79.key);
+}
+GetObject& GetObject::operator=(const GetObject& other80) {
+  key = other80.key;
+  return *this;
+}
+GetObject& GetObject::operator=(GetObject&& other81) noexcept {
+  key = std::move(other81.key);
+  return *this;
+}
+void GetObject::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GetObject(";
+  out << "key=" << to_string(key);
+  out << ")";
+}
+
+
+PutObject::~PutObject() noexcept {
+}
+
+
+void PutObject::__set_key(const ObjectKey& val) {
+  this->key = val;
+}
+
+void PutObject::__set_expected_version(const int64_t val) {
+  this->expected_version = val;
+}
+
+void PutObject::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+void PutObject::__set_write_id(const std::string& val) {
+  this->write_id = val;
+}
+std::ostream& operator<<(std::ostream& out, const PutObject& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PutObject::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_key = false;
+  bool isset_expected_version = false;
+  bool isset_value = false;
+  bool isset_write_id = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->key.read(iprot);
+          isset_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expected_version);
+          isset_expected_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->value);
+          isset_value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->write_id);
+          isset_write_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_expected_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_value)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_write_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t PutObject::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PutObject");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->key.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expected_version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->expected_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("write_id", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->write_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PutObject &a, PutObject &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.expected_version, b.expected_version);
+  swap(a.value, b.value);
+  swap(a.write_id, b.write_id);
+}
+
+PutObject::PutObject(const PutObject& other82) {
+  key = other82.key;
+  expected_version = other82.expected_version;
+  value = other82.value;
+  write_id = other82.write_id;
+}
+PutObject::PutObject(PutObject&& other83) noexcept {
+  key = std::move(other83.key);
+  expected_version = other83.expected_version;
+  value = std::move(other83.value);
+  write_id = std::move(other83.write_id);
+}
+PutObject& PutObject::operator=(const PutObject& other84) {
+  key = other84.key;
+  expected_version = other84.expected_version;
+  value = other84.value;
+  write_id = other84.write_id;
+  return *this;
+}
+PutObject& PutObject::operator=(PutObject&& other85) noexcept {
+  key = std::move(other85.key);
+  expected_version = other85.expected_version;
+  value = std::move(other85.value);
+  write_id = std::move(other85.write_id);
+  return *this;
+}
+void PutObject::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PutObject(";
+  out << "key=" << to_string(key);
+  out << ", " << "expected_version=" << to_string(expected_version);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "write_id=" << to_string(write_id);
+  out << ")";
+}
+
+
+DeleteObject::~DeleteObject() noexcept {
+}
+
+
+void DeleteObject::__set_key(const ObjectKey& val) {
+  this->key = val;
+}
+
+void DeleteObject::__set_expected_version(const int64_t val) {
+  this->expected_version = val;
+}
+
+void DeleteObject::__set_write_id(const std::string& val) {
+  this->write_id = val;
+}
+std::ostream& operator<<(std::ostream& out, const DeleteObject& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DeleteObject::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_key = false;
+  bool isset_expected_version = false;
+  bool isset_write_id = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->key.read(iprot);
+          isset_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expected_version);
+          isset_expected_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->write_id);
+          isset_write_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_expected_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_write_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t DeleteObject::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DeleteObject");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->key.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expected_version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->expected_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("write_id", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->write_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DeleteObject &a, DeleteObject &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.expected_version, b.expected_version);
+  swap(a.write_id, b.write_id);
+}
+
+DeleteObject::DeleteObject(const DeleteObject& other86) {
+  key = other86.key;
+  expected_version = other86.expected_version;
+  write_id = other86.write_id;
+}
+DeleteObject::DeleteObject(DeleteObject&& other87) noexcept {
+  key = std::move(other87.key);
+  expected_version = other87.expected_version;
+  write_id = std::move(other87.write_id);
+}
+DeleteObject& DeleteObject::operator=(const DeleteObject& other88) {
+  key = other88.key;
+  expected_version = other88.expected_version;
+  write_id = other88.write_id;
+  return *this;
+}
+DeleteObject& DeleteObject::operator=(DeleteObject&& other89) noexcept {
+  key = std::move(other89.key);
+  expected_version = other89.expected_version;
+  write_id = std::move(other89.write_id);
+  return *this;
+}
+void DeleteObject::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DeleteObject(";
+  out << "key=" << to_string(key);
+  out << ", " << "expected_version=" << to_string(expected_version);
+  out << ", " << "write_id=" << to_string(write_id);
+  out << ")";
+}
+
+
+PlatformRequest::~PlatformRequest() noexcept {
+}
+
+
+void PlatformRequest::__set_list_objects(const ListObjects& val) {
+  this->list_objects = val;
+__isset.list_objects = true;
+}
+
+void PlatformRequest::__set_watch_objects(const WatchObjects& val) {
+  this->watch_objects = val;
+__isset.watch_objects = true;
+}
+
+void PlatformRequest::__set_get_object(const GetObject& val) {
+  this->get_object = val;
+__isset.get_object = true;
+}
+
+void PlatformRequest::__set_put_object(const PutObject& val) {
+  this->put_object = val;
+__isset.put_object = true;
+}
+
+void PlatformRequest::__set_delete_object(const DeleteObject& val) {
+  this->delete_object = val;
+__isset.delete_object = true;
+}
+std::ostream& operator<<(std::ostream& out, const PlatformRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlatformRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->list_objects.read(iprot);
+          this->__isset.list_objects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->watch_objects.read(iprot);
+          this->__isset.watch_objects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->get_object.read(iprot);
+          this->__isset.get_object = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->put_object.read(iprot);
+          this->__isset.put_object = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->delete_object.read(iprot);
+          this->__isset.delete_object = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlatformRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlatformRequest");
+
+  if (this->__isset.list_objects) {
+    xfer += oprot->writeFieldBegin("list_objects", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->list_objects.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.watch_objects) {
+    xfer += oprot->writeFieldBegin("watch_objects", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->watch_objects.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.get_object) {
+    xfer += oprot->writeFieldBegin("get_object", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->get_object.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.put_object) {
+    xfer += oprot->writeFieldBegin("put_object", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->put_object.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.delete_object) {
+    xfer += oprot->writeFieldBegin("delete_object", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->delete_object.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlatformRequest &a, PlatformRequest &b) {
+  using ::std::swap;
+  swap(a.list_objects, b.list_objects);
+  swap(a.watch_objects, b.watch_objects);
+  swap(a.get_object, b.get_object);
+  swap(a.put_object, b.put_object);
+  swap(a.delete_object, b.delete_object);
+  swap(a.__isset, b.__isset);
+}
+
+PlatformRequest::PlatformRequest(const PlatformRequest& other90) {
+  list_objects = other90.list_objects;
+  watch_objects = other90.watch_objects;
+  get_object = other90.get_object;
+  put_object = other90.put_object;
+  delete_object = other90.delete_object;
+  __isset = other90.__isset;
+}
+PlatformRequest::PlatformRequest(PlatformRequest&& other91) noexcept {
+  list_objects = std::move(other91.list_objects);
+  watch_objects = std::move(other91.watch_objects);
+  get_object = std::move(other91.get_object);
+  put_object = std::move(other91.put_object);
+  delete_object = std::move(other91.delete_object);
+  __isset = other91.__isset;
+}
+PlatformRequest& PlatformRequest::operator=(const PlatformRequest& other92) {
+  list_objects = other92.list_objects;
+  watch_objects = other92.watch_objects;
+  get_object = other92.get_object;
+  put_object = other92.put_object;
+  delete_object = other92.delete_object;
+  __isset = other92.__isset;
+  return *this;
+}
+PlatformRequest& PlatformRequest::operator=(PlatformRequest&& other93) noexcept {
+  list_objects = std::move(other93.list_objects);
+  watch_objects = std::move(other93.watch_objects);
+  get_object = std::move(other93.get_object);
+  put_object = std::move(other93.put_object);
+  delete_object = std::move(other93.delete_object);
+  __isset = other93.__isset;
+  return *this;
+}
+void PlatformRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlatformRequest(";
+  out << "list_objects="; (__isset.list_objects ? (out << to_string(list_objects)) : (out << "<null>"));
+  out << ", " << "watch_objects="; (__isset.watch_objects ? (out << to_string(watch_objects)) : (out << "<null>"));
+  out << ", " << "get_object="; (__isset.get_object ? (out << to_string(get_object)) : (out << "<null>"));
+  out << ", " << "put_object="; (__isset.put_object ? (out << to_string(put_object)) : (out << "<null>"));
+  out << ", " << "delete_object="; (__isset.delete_object ? (out << to_string(delete_object)) : (out << "<null>"));
+  out << ")";
+}
+
+
+ObjectAnswer::~ObjectAnswer() noexcept {
+}
+
+
+void ObjectAnswer::__set_object(const Object& val) {
+  this->object = val;
+}
+std::ostream& operator<<(std::ostream& out, const ObjectAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ObjectAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_object = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->object.read(iprot);
+          isset_object = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_object)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ObjectAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ObjectAnswer");
+
+  xfer += oprot->writeFieldBegin("object", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->object.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ObjectAnswer &a, ObjectAnswer &b) {
+  using ::std::swap;
+  swap(a.object, b.object);
+}
+
+ObjectAnswer::ObjectAnswer(const ObjectAnswer& other94) {
+  object = other94.object;
+}
+ObjectAnswer::ObjectAnswer(ObjectAnswer&& other95) noexcept {
+  object = std::move(other95.object);
+}
+ObjectAnswer& ObjectAnswer::operator=(const ObjectAnswer& other96) {
+  object = other96.object;
+  return *this;
+}
+ObjectAnswer& ObjectAnswer::operator=(ObjectAnswer&& other97) noexcept {
+  object = std::move(other97.object);
+  return *this;
+}
+void ObjectAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ObjectAnswer(";
+  out << "object=" << to_string(object);
+  out << ")";
+}
+
+
+VersionConflict::~VersionConflict() noexcept {
+}
+
+
+void VersionConflict::__set_current(const Object& val) {
+  this->current = val;
+}
+std::ostream& operator<<(std::ostream& out, const VersionConflict& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VersionConflict::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_current = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->current.read(iprot);
+          isset_current = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_current)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t VersionConflict::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VersionConflict");
+
+  xfer += oprot->writeFieldBegin("current", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->current.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VersionConflict &a, VersionConflict &b) {
+  using ::std::swap;
+  swap(a.current, b.current);
+}
+
+VersionConflict::VersionConflict(const VersionConflict& other98) {
+  current = other98.current;
+}
+VersionConflict::VersionConflict(VersionConflict&& other99) noexcept {
+  current = std::move(other99.current);
+}
+VersionConflict& VersionConflict::operator=(const VersionConflict& other100) {
+  current = other100.current;
+  return *this;
+}
+VersionConflict& VersionConflict::operator=(VersionConflict&& other101) noexcept {
+  current = std::move(other101.current);
+  return *this;
+}
+void VersionConflict::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VersionConflict(";
+  out << "current=" << to_string(current);
+  out << ")";
+}
+
+
+PlatformFailure::~PlatformFailure() noexcept {
+}
+
+
+void PlatformFailure::__set_outcome_unknown(const bool val) {
+  this->outcome_unknown = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlatformFailure& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlatformFailure::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_outcome_unknown = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->outcome_unknown);
+          isset_outcome_unknown = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_outcome_unknown)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t PlatformFailure::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlatformFailure");
+
+  xfer += oprot->writeFieldBegin("outcome_unknown", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->outcome_unknown);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlatformFailure &a, PlatformFailure &b) {
+  using ::std::swap;
+  swap(a.outcome_unknown, b.outcome_unknown);
+}
+
+PlatformFailure::PlatformFailure(const PlatformFailure& other102) noexcept {
+  outcome_unknown = other102.outcome_unknown;
+}
+PlatformFailure::PlatformFailure(PlatformFailure&& other103) noexcept {
+  outcome_unknown = other103.outcome_unknown;
+}
+PlatformFailure& PlatformFailure::operator=(const PlatformFailure& other104) noexcept {
+  outcome_unknown = other104.outcome_unknown;
+  return *this;
+}
+PlatformFailure& PlatformFailure::operator=(PlatformFailure&& other105) noexcept {
+  outcome_unknown = other105.outcome_unknown;
+  return *this;
+}
+void PlatformFailure::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlatformFailure(";
+  out << "outcome_unknown=" << to_string(outcome_unknown);
+  out << ")";
+}
+
+
+PlatformAnswer::~PlatformAnswer() noexcept {
+}
+
+
+void PlatformAnswer::__set_object_batch(const ObjectBatch& val) {
+  this->object_batch = val;
+__isset.object_batch = true;
+}
+
+void PlatformAnswer::__set_object_answer(const ObjectAnswer& val) {
+  this->object_answer = val;
+__isset.object_answer = true;
+}
+
+void PlatformAnswer::__set_version_conflict(const VersionConflict& val) {
+  this->version_conflict = val;
+__isset.version_conflict = true;
+}
+
+void PlatformAnswer::__set_platform_failure(const PlatformFailure& val) {
+  this->platform_failure = val;
+__isset.platform_failure = true;
+}
+std::ostream& operator<<(std::ostream& out, const PlatformAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlatformAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->object_batch.read(iprot);
+          this->__isset.object_batch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->object_answer.read(iprot);
+          this->__isset.object_answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->version_conflict.read(iprot);
+          this->__isset.version_conflict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->platform_failure.read(iprot);
+          this->__isset.platform_failure = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlatformAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlatformAnswer");
+
+  if (this->__isset.object_batch) {
+    xfer += oprot->writeFieldBegin("object_batch", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->object_batch.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.object_answer) {
+    xfer += oprot->writeFieldBegin("object_answer", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->object_answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.version_conflict) {
+    xfer += oprot->writeFieldBegin("version_conflict", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->version_conflict.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.platform_failure) {
+    xfer += oprot->writeFieldBegin("platform_failure", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->platform_failure.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlatformAnswer &a, PlatformAnswer &b) {
+  using ::std::swap;
+  swap(a.object_batch, b.object_batch);
+  swap(a.object_answer, b.object_answer);
+  swap(a.version_conflict, b.version_conflict);
+  swap(a.platform_failure, b.platform_failure);
+  swap(a.__isset, b.__isset);
+}
+
+PlatformAnswer::PlatformAnswer(const PlatformAnswer& other106) {
+  object_batch = other106.object_batch;
+  object_answer = other106.object_answer;
+  version_conflict = other106.version_conflict;
+  platform_failure = other106.platform_failure;
+  __isset = other106.__isset;
+}
+PlatformAnswer::PlatformAnswer(PlatformAnswer&& other107) noexcept {
+  object_batch = std::move(other107.object_batch);
+  object_answer = std::move(other107.object_answer);
+  version_conflict = std::move(other107.version_conflict);
+  platform_failure = std::move(other107.platform_failure);
+  __isset = other107.__isset;
+}
+PlatformAnswer& PlatformAnswer::operator=(const PlatformAnswer& other108) {
+  object_batch = other108.object_batch;
+  object_answer = other108.object_answer;
+  version_conflict = other108.version_conflict;
+  platform_failure = other108.platform_failure;
+  __isset = other108.__isset;
+  return *this;
+}
+PlatformAnswer& PlatformAnswer::operator=(PlatformAnswer&& other109) noexcept {
+  object_batch = std::move(other109.object_batch);
+  object_answer = std::move(other109.object_answer);
+  version_conflict = std::move(other109.version_conflict);
+  platform_failure = std::move(other109.platform_failure);
+  __isset = other109.__isset;
+  return *this;
+}
+void PlatformAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlatformAnswer(";
+  out << "object_batch="; (__isset.object_batch ? (out << to_string(object_batch)) : (out << "<null>"));
+  out << ", " << "object_answer="; (__isset.object_answer ? (out << to_string(object_answer)) : (out << "<null>"));
+  out << ", " << "version_conflict="; (__isset.version_conflict ? (out << to_string(version_conflict)) : (out << "<null>"));
+  out << ", " << "platform_failure="; (__isset.platform_failure ? (out << to_string(platform_failure)) : (out << "<null>"));
+  out << ")";
+}
+
+
+Cell::~Cell() noexcept {
+}
+
+
+void Cell::__set_text(const std::string& val) {
+  this->text = val;
+__isset.text = true;
+}
+std::ostream& operator<<(std::ostream& out, const Cell& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Cell::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Cell::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Cell");
+
+  if (this->__isset.text) {
+    xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 1);
+    xfer += oprot->writeString(this->text);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Cell &a, Cell &b) {
+  using ::std::swap;
+  swap(a.text, b.text);
+  swap(a.__isset, b.__isset);
+}
+
+Cell::Cell(const Cell& other110) {
+  text = other110.text;
+  __isset = other110.__isset;
+}
+Cell::Cell(Cell&& other111) noexcept {
+  text = std::move(other111.text);
+  __isset = other111.__isset;
+}
+Cell& Cell::operator=(const Cell& other112) {
+  text = other112.text;
+  __isset = other112.__isset;
+  return *this;
+}
+Cell& Cell::operator=(Cell&& other113) noexcept {
+  text = std::move(other113.text);
+  __isset = other113.__isset;
+  return *this;
+}
+void Cell::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Cell(";
+  out << "text="; (__isset.text ? (out << to_string(text)) : (out << "<null>"));
+  out << ")";
+}
+
+
+Statement::~Statement() noexcept {
+}
+
+
+void Statement::__set_sql(const std::string& val) {
+  this->sql = val;
+}
+
+void Statement::__set_parameters(const std::vector<Cell> & val) {
+  this->parameters = val;
+}
+std::ostream& operator<<(std::ostream& out, const Statement& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Statement::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_sql = false;
+  bool isset_parameters = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->sql);
+          isset_sql = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parameters.clear();
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->parameters.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
+            {
+              xfer += this->parameters[_i118].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_parameters = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_sql)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_parameters)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t Statement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Statement");
+
+  xfer += oprot->writeFieldBegin("sql", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->sql);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parameters", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parameters.size()));
+    std::vector<Cell> ::const_iterator _iter119;
+    for (_iter119 = this->parameters.begin(); _iter119 != this->parameters.end(); ++_iter119)
+    {
+      xfer += (*_iter119).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Statement &a, Statement &b) {
+  using ::std::swap;
+  swap(a.sql, b.sql);
+  swap(a.parameters, b.parameters);
+}
+
+Statement::Statement(const Statement& other120) {
+  sql = other120.sql;
+  parameters = other120.parameters;
+}
+Statement::Statement(Statement&& other121) noexcept {
+  sql = std::move(other121.sql);
+  parameters = std::move(other121.parameters);
+}
+Statement& Statement::operator=(const Statement& other122) {
+  sql = other122.sql;
+  parameters = other122.parameters;
+  return *this;
+}
+Statement& Statement::operator=(Statement&& other123) noexcept {
+  sql = std::move(other123.sql);
+  parameters = std::move(other123.parameters);
+  return *this;
+}
+void Statement::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Statement(";
+  out << "sql=" << to_string(sql);
+  out << ", " << "parameters=" << to_string(parameters);
+  out << ")";
+}
+
+
+CallerRequest::~CallerRequest() noexcept {
+}
+
+
+void CallerRequest::__set_operation(const int32_t val) {
+  this->operation = val;
+}
+
+void CallerRequest::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void CallerRequest::__set_database(const std::string& val) {
+  this->database = val;
+}
+
+void CallerRequest::__set_profile(const std::string& val) {
+  this->profile = val;
+}
+
+void CallerRequest::__set_statement(const Statement& val) {
+  this->statement = val;
+}
+
+void CallerRequest::__set_read_only(const bool val) {
+  this->read_only = val;
+}
+
+void CallerRequest::__set_transaction(const std::string& val) {
+  this->transaction = val;
+}
+
+void CallerRequest::__set_deadline_us(const int64_t val) {
+  this->deadline_us = val;
+__isset.deadline_us = true;
+}
+
+void CallerRequest::__set_request_id(const std::string& val) {
+  this->request_id = val;
+}
+
+void CallerRequest::__set_idempotent(const bool val) {
+  this->idempotent = val;
+}
+
+void CallerRequest::__set_session(const std::string& val) {
+  this->session = val;
+}
+
+void CallerRequest::__set_sequence(const int64_t val) {
+  this->sequence = val;
+__isset.sequence = true;
+}
+
+void CallerRequest::__set_max_staleness_us(const int64_t val) {
+  this->max_staleness_us = val;
+__isset.max_staleness_us = true;
+}
+std::ostream& operator<<(std::ostream& out, const CallerRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallerRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_operation = false;
+  bool isset_key = false;
+  bool isset_database = false;
+  bool isset_profile = false;
+  bool isset_statement = false;
+  bool isset_read_only = false;
+  bool isset_transaction = false;
+  bool isset_request_id = false;
+  bool isset_idempotent = false;
+  bool isset_session = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->operation);
+          isset_operation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          isset_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->database);
+          isset_database = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->profile);
+          isset_profile = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->statement.read(iprot);
+          isset_statement = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->read_only);
+          isset_read_only = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->transaction);
+          isset_transaction = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->deadline_us);
+          this->__isset.deadline_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->request_id);
+          isset_request_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->idempotent);
+          isset_idempotent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->session);
+          isset_session = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->max_staleness_us);
+          this->__isset.max_staleness_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_operation)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_database)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_profile)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_statement)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_read_only)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_transaction)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_request_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_idempotent)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_session)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t CallerRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallerRequest");
+
+  xfer += oprot->writeFieldBegin("operation", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->operation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("database", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->database);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("profile", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->profile);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("statement", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->statement.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("read_only", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->read_only);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("transaction", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->transaction);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.deadline_us) {
+    xfer += oprot->writeFieldBegin("deadline_us", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->deadline_us);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->request_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idempotent", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->idempotent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("session", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->session);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.sequence) {
+    xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 12);
+    xfer += oprot->writeI64(this->sequence);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.max_staleness_us) {
+    xfer += oprot->writeFieldBegin("max_staleness_us", ::apache::thrift::protocol::T_I64, 13);
+    xfer += oprot->writeI64(this->max_staleness_us);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallerRequest &a, CallerRequest &b) {
+  using ::std::swap;
+  swap(a.operation, b.operation);
+  swap(a.key, b.key);
+  swap(a.database, b.database);
+  swap(a.profile, b.profile);
+  swap(a.statement, b.statement);
+  swap(a.read_only, b.read_only);
+  swap(a.transaction, b.transaction);
+  swap(a.deadline_us, b.deadline_us);
+  swap(a.request_id, b.request_id);
+  swap(a.idempotent, b.idempotent);
+  swap(a.session, b.session);
+  swap(a.sequence, b.sequence);
+  swap(a.max_staleness_us, b.max_staleness_us);
+  swap(a.__isset, b.__isset);
+}
+
+CallerRequest::CallerRequest(const CallerRequest& other124) {
+  operation = other124.operation;
+  key = other124.key;
+  database = other124.database;
+  profile = other124.profile;
+  statement = other124.statement;
+  read_only = other124.read_only;
+  transaction = other124.transaction;
+  deadline_us = other124.deadline_us;
+  request_id = other124.request_id;
+  idempotent = other124.idempotent;
+  session = other124.session;
+  sequence = other124.sequence;
+  max_staleness_us = other124.max_staleness_us;
+  __isset = other124.__isset;
+}
+CallerRequest::CallerRequest(CallerRequest&& other125) noexcept {
+  operation = other125.operation;
+  key = std::move(other125.key);
+  database = std::move(other125.database);
+  profile = std::move(other125.profile);
+  statement = std::move(other125.statement);
+  read_only = other125.read_only;
+  transaction = std::move(other125.transaction);
+  deadline_us = other125.deadline_us;
+  request_id = std::move(other125.request_id);
+  idempotent = other125.idempotent;
+  session = std::move(other125.session);
+  sequence = other125.sequence;
+  max_staleness_us = other125.max_staleness_us;
+  __isset = other125.__isset;
+}
+CallerRequest& CallerRequest::operator=(const CallerRequest& other126) {
+  operation = other126.operation;
+  key = other126.key;
+  database = other126.database;
+  profile = other126.profile;
+  statement = other126.statement;
+  read_only = other126.read_only;
+  transaction = other126.transaction;
+  deadline_us = other126.deadline_us;
+  request_id = other126.request_id;
+  idempotent = other126.idempotent;
+  session = other126.session;
+  sequence = other126.sequence;
+  max_staleness_us = other126.max_staleness_us;
+  __isset = other126.__isset;
+  return *this;
+}
+CallerRequest& CallerRequest::operator=(CallerRequest&& other127) noexcept {
+  operation = other127.operation;
+  key = std::move(other127.key);
+  database = std::move(other127.database);
+  profile = std::move(other127.profile);
+  statement = std::move(other127.statement);
+  read_only = other127.read_only;
+  transaction = std::move(other127.transaction);
+  deadline_us = other127.deadline_us;
+  request_id = std::move(other127.request_id);
+  idempotent = other127.idempotent;
+  session = std::move(other127.session);
+  sequence = other127.sequence;
+  max_staleness_us = other127.max_staleness_us;
+  __isset = other127.__isset;
+  return *this;
+}
+void CallerRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallerRequest(";
+  out << "operation=" << to_string(operation);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "database=" << to_string(database);
+  out << ", " << "profile=" << to_string(profile);
+  out << ", " << "statement=" << to_string(statement);
+  out << ", " << "read_only=" << to_string(read_only);
+  out << ", " << "transaction=" << to_string(transaction);
+  out << ", " << "deadline_us="; (__isset.deadline_us ? (out << to_string(deadline_us)) : (out << "<null>"));
+  out << ", " << "request_id=" << to_string(request_id);
+  out << ", " << "idempotent=" << to_string(idempotent);
+  out << ", " << "session=" << to_string(session);
+  out << ", " << "sequence="; (__isset.sequence ? (out << to_string(sequence)) : (out << "<null>"));
+  out << ", " << "max_staleness_us="; (__isset.max_staleness_us ? (out << to_string(max_staleness_us)) : (out << "<null>"));
+  out << ")";
+}
+
+
+Refusal::~Refusal() noexcept {
+}
+
+
+void Refusal::__set_code(const int32_t val) {
+  this->code = val;
+}
+
+void Refusal::__set_effect(const int32_t val) {
+  this->effect = val;
+}
+
+void Refusal::__set_message(const std::string& val) {
+  this->message = val;
+}
+
+void Refusal::__set_field(const std::string& val) {
+  this->field = val;
+}
+
+void Refusal::__set_retry_after_us(const int64_t val) {
+  this->retry_after_us = val;
+__isset.retry_after_us = true;
+}
+
+void Refusal::__set_session(const std::string& val) {
+  this->session = val;
+}
+std::ostream& operator<<(std::ostream& out, const Refusal& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Refusal::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_code = false;
+  bool isset_effect = false;
+  bool isset_message = false;
+  bool isset_field = false;
+  bool isset_session = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->code);
+          isset_code = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->effect);
+          isset_effect = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->message);
+          isset_message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->field);
+          isset_field = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retry_after_us);
+          this->__isset.retry_after_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->session);
+          isset_session = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_code)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_effect)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_message)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_field)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_session)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t Refusal::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Refusal");
+
+  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->code);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("effect", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->effect);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->message);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("field", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->field);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.retry_after_us) {
+    xfer += oprot->writeFieldBegin("retry_after_us", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->retry_after_us);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("session", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->session);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Refusal &a, Refusal &b) {
+  using ::std::swap;
+  swap(a.code, b.code);
+  swap(a.effect, b.effect);
+  swap(a.message, b.message);
+  swap(a.field, b.field);
+  swap(a.retry_after_us, b.retry_after_us);
+  swap(a.session, b.session);
+  swap(a.__isset, b.__isset);
+}
+
+Refusal::Refusal(const Refusal& other128) {
+  code = other128.code;
+  effect = other128.effect;
+  message = other128.message;
+  field = other128.field;
+  retry_after_us = other128.retry_after_us;
+  session = other128.session;
+  __isset = other128.__isset;
+}
+Refusal::Refusal(Refusal&& other129) noexcept {
+  code = other129.code;
+  effect = other129.effect;
+  message = std::move(other129.message);
+  field = std::move(other129.field);
+  retry_after_us = other129.retry_after_us;
+  session = std::move(other129.session);
+  __isset = other129.__isset;
+}
+Refusal& Refusal::operator=(const Refusal& other130) {
+  code = other130.code;
+  effect = other130.effect;
+  message = other130.message;
+  field = other130.field;
+  retry_after_us = other130.retry_after_us;
+  session = other130.session;
+  __isset = other130.__isset;
+  return *this;
+}
+Refusal& Refusal::operator=(Refusal&& other131) noexcept {
+  code = other131.code;
+  effect = other131.effect;
+  message = std::move(other131.message);
+  field = std::move(other131.field);
+  retry_after_us = other131.retry_after_us;
+  session = std::move(other131.session);
+  __isset = other131.__isset;
+  return *this;
+}
+void Refusal::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Refusal(";
+  out << "code=" << to_string(code);
+  out << ", " << "effect=" << to_string(effect);
+  out << ", " << "message=" << to_string(message);
+  out << ", " << "field=" << to_string(field);
+  out << ", " << "retry_after_us="; (__isset.retry_after_us ? (out << to_string(retry_after_us)) : (out << "<null>"));
+  out << ", " << "session=" << to_string(session);
+  out << ")";
+}
+
+
+Served::~Served() noexcept {
+}
+
+
+void Served::__set_columns(const std::vector<std::string> & val) {
+  this->columns = val;
+}
+
+void Served::__set_rows(const std::vector<Row> & val) {
+  this->rows = val;
+}
+
+void Served::__set_affected(const int64_t val) {
+  this->affected = val;
+}
+
+void Served::__set_session(const std::string& val) {
+  this->session = val;
+}
+
+void Served::__set_transaction(const std::string& val) {
+  this->transaction = val;
+}
+
+void Served::__set_instance(const std::string& val) {
+  this->instance = val;
+}
+
+void Served::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void Served::__set_role(const int32_t val) {
+  this->role = val;
+}
+
+void Served::__set_replayed(const bool val) {
+  this->replayed = val;
+}
+std::ostream& operator<<(std::ostream& out, const Served& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Served::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_columns = false;
+  bool isset_rows = false;
+  bool isset_affected = false;
+  bool isset_session = false;
+  bool isset_transaction = false;
+  bool isset_instance = false;
+  bool isset_member = false;
+  bool isset_role = false;
+  bool isset_replayed = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->columns.clear();
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->columns.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
+            {
+              xfer += iprot->readString(this->columns[_i136]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_columns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size137;
+            ::apache::thrift::protocol::TType _etype140;
+            xfer += iprot->readListBegin(_etype140, _size137);
+            this->rows.resize(_size137);
+            uint32_t _i141;
+            for (_i141 = 0; _i141 < _size137; ++_i141)
+            {
+              {
+                this->rows[_i141].clear();
+                uint32_t _size142;
+                ::apache::thrift::protocol::TType _etype145;
+                xfer += iprot->readListBegin(_etype145, _size142);
+                this->rows[_i141].resize(_size142);
+                uint32_t _i146;
+                for (_i146 = 0; _i146 < _size142; ++_i146)
+                {
+                  xfer += this->rows[_i141][_i146].read(iprot);
+                }
+                xfer += iprot->readListEnd();
+              }
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->affected);
+          isset_affected = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->session);
+          isset_session = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->transaction);
+          isset_transaction = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance);
+          isset_instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          isset_member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->role);
+          isset_role = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->replayed);
+          isset_replayed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_columns)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_rows)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_affected)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_session)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_transaction)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_instance)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_member)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_role)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_replayed)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t Served::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Served");
+
+  xfer += oprot->writeFieldBegin("columns", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->columns.size()));
+    std::vector<std::string> ::const_iterator _iter147;
+    for (_iter147 = this->columns.begin(); _iter147 != this->columns.end(); ++_iter147)
+    {
+      xfer += oprot->writeString((*_iter147));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_LIST, static_cast<uint32_t>(this->rows.size()));
+    std::vector<Row> ::const_iterator _iter148;
+    for (_iter148 = this->rows.begin(); _iter148 != this->rows.end(); ++_iter148)
+    {
+      {
+        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*_iter148).size()));
+        std::vector<Cell> ::const_iterator _iter149;
+        for (_iter149 = (*_iter148).begin(); _iter149 != (*_iter148).end(); ++_iter149)
+        {
+          xfer += (*_iter149).write(oprot);
+        }
+        xfer += oprot->writeListEnd();
+      }
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("affected", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->affected);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("session", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->session);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("transaction", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->transaction);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("role", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->role);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replayed", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->replayed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Served &a, Served &b) {
+  using ::std::swap;
+  swap(a.columns, b.columns);
+  swap(a.rows, b.rows);
+  swap(a.affected, b.affected);
+  swap(a.session, b.session);
+  swap(a.transaction, b.transaction);
+  swap(a.instance, b.instance);
+  swap(a.member, b.member);
+  swap(a.role, b.role);
+  swap(a.replayed, b.replayed);
+}
+
+Served::Served(const Served& other150) {
+  columns = other150.columns;
+  rows = other150.rows;
+  affected = other150.affected;
+  session = other150.session;
+  transaction = other150.transaction;
+  instance = other150.instance;
+  member = other150.member;
+  role = other150.role;
+  replayed = other150.replayed;
+}
+Served::Served(Served&& other151) noexcept {
+  columns = std::move(other151.columns);
+  rows = std::move(other151.rows);
+  affected = other151.affected;
+  session = std::move(other151.session);
+  transaction = std::move(other151.transaction);
+  instance = std::move(other151.instance);
+  member = std::move(other151.member);
+  role = other151.role;
+  replayed = other151.replayed;
+}
+Served& Served::operator=(const Served& other152) {
+  columns = other152.columns;
+  rows = other152.rows;
+  affected = other152.affected;
+  session = other152.session;
+  transaction = other152.transaction;
+  instance = other152.instance;
+  member = other152.member;
+  role = other152.role;
+  replayed = other152.replayed;
+  return *this;
+}
+Served& Served::operator=(Served&& other153) noexcept {
+  columns = std::move(other153.columns);
+  rows = std::move(other153.rows);
+  affected = other153.affected;
+  session = std::move(other153.session);
+  transaction = std::move(other153.transaction);
+  instance = std::move(other153.instance);
+  member = std::move(other153.member);
+  role = other153.role;
+  replayed = other153.replayed;
+  return *this;
+}
+void Served::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Served(";
+  out << "columns=" << to_string(columns);
+  out << ", " << "rows=" << to_string(rows);
+  out << ", " << "affected=" << to_string(affected);
+  out << ", " << "session=" << to_string(session);
+  out << ", " << "transaction=" << to_string(transaction);
+  out << ", " << "instance=" << to_string(instance);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "role=" << to_string(role);
+  out << ", " << "replayed=" << to_string(replayed);
+  out << ")";
+}
+
+
+CallerAnswer::~CallerAnswer() noexcept {
+}
+
+
+void CallerAnswer::__set_served(const Served& val) {
+  this->served = val;
+__isset.served = true;
+}
+
+void CallerAnswer::__set_refusal(const Refusal& val) {
+  this->refusal = val;
+__isset.refusal = true;
+}
+std::ostream& operator<<(std::ostream& out, const CallerAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallerAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->served.read(iprot);
+          this->__isset.served = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->refusal.read(iprot);
+          this->__isset.refusal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CallerAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallerAnswer");
+
+  if (this->__isset.served) {
+    xfer += oprot->writeFieldBegin("served", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->served.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.refusal) {
+    xfer += oprot->writeFieldBegin("refusal", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->refusal.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallerAnswer &a, CallerAnswer &b) {
+  using ::std::swap;
+  swap(a.served, b.served);
+  swap(a.refusal, b.refusal);
+  swap(a.__isset, b.__isset);
+}
+
+CallerAnswer::CallerAnswer(const CallerAnswer& other154) {
+  served = other154.served;
+  refusal = other154.refusal;
+  __isset = other154.__isset;
+}
+CallerAnswer::CallerAnswer(CallerAnswer&& other155) noexcept {
+  served = std::move(other155.served);
+  refusal = std::move(other155.refusal);
+  __isset = other155.__isset;
+}
+CallerAnswer& CallerAnswer::operator=(const CallerAnswer& other156) {
+  served = other156.served;
+  refusal = other156.refusal;
+  __isset = other156.__isset;
+  return *this;
+}
+CallerAnswer& CallerAnswer::operator=(CallerAnswer&& other157) noexcept {
+  served = std::move(other157.served);
+  refusal = std::move(other157.refusal);
+  __isset = other157.__isset;
+  return *this;
+}
+void CallerAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallerAnswer(";
+  out << "served="; (__isset.served ? (out << to_string(served)) : (out << "<null>"));
+  out << ", " << "refusal="; (__isset.refusal ? (out << to_string(refusal)) : (out << "<null>"));
+  out << ")";
+}
+
+
+LogPosition::~LogPosition() noexcept {
+}
+
+
+void LogPosition::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void LogPosition::__set_index(const int64_t val) {
+  this->index = val;
+}
+std::ostream& operator<<(std::ostream& out, const LogPosition& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LogPosition::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_term = false;
+  bool isset_index = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          isset_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          isset_index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_term)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_index)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t LogPosition::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LogPosition");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LogPosition &a, LogPosition &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.index, b.index);
+}
+
+LogPosition::LogPosition(const LogPosition& other158) noexcept {
+  term = other158.term;
+  index = other158.index;
+}
+LogPosition::LogPosition(LogPosition&& other159) noexcept {
+  term = other159.term;
+  index = other159.index;
+}
+LogPosition& LogPosition::operator=(const LogPosition& other160) noexcept {
+  term = other160.term;
+  index = other160.index;
+  return *this;
+}
+LogPosition& LogPosition::operator=(LogPosition&& other161) noexcept {
+  term = other161.term;
+  index = other161.index;
+  return *this;
+}
+void LogPosition::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LogPosition(";
+  out << "term=" << to_string(term);
+  out << ", " << "index=" << to_string(index);
+  out << ")";
+}
+
+
+TermLineage::~TermLineage() noexcept {
+}
+
+
+void TermLineage::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void TermLineage::__set_start_index(const int64_t val) {
+  this->start_index = val;
+}
+
+void TermLineage::__set_previous_term(const int64_t val) {
+  this->previous_term = val;
+}
+std::ostream& operator<<(std::ostream& out, const TermLineage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TermLineage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_term = false;
+  bool isset_start_index = false;
+  bool isset_previous_term = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          isset_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->start_index);
+          isset_start_index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->previous_term);
+          isset_previous_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_term)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_start_index)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_previous_term)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t TermLineage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TermLineage");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("start_index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->start_index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("previous_term", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->previous_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TermLineage &a, TermLineage &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.start_index, b.start_index);
+  swap(a.previous_term, b.previous_term);
+}
+
+TermLineage::TermLineage(const TermLineage& other162) noexcept {
+  term = other162.term;
+  start_index = other162.start_index;
+  previous_term = other162.previous_term;
+}
+TermLineage::TermLineage(TermLineage&& other163) noexcept {
+  term = other163.term;
+  start_index = other163.start_index;
+  previous_term = other163.previous_term;
+}
+TermLineage& TermLineage::operator=(const TermLineage& other164) noexcept {
+  term = other164.term;
+  start_index = other164.start_index;
+  previous_term = other164.previous_term;
+  return *this;
+}
+TermLineage& TermLineage::operator=(TermLineage&& other165) noexcept {
+  term = other165.term;
+  start_index = other165.start_index;
+  previous_term = other165.previous_term;
+  return *this;
+}
+void TermLineage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TermLineage(";
+  out << "term=" << to_string(term);
+  out << ", " << "start_index=" << to_string(start_index);
+  out << ", " << "previous_term=" << to_string(previous_term);
+  out << ")";
+}
+
+
+StatementDone::~StatementDone() noexcept {
+}
+
+
+void StatementDone::__set_columns(const std::vector<std::string> & val) {
+  this->columns = val;
+}
+
+void StatementDone::__set_rows(const std::vector<Row> & val) {
+  this->rows = val;
+}
+
+void StatementDone::__set_affected(const int64_t val) {
+  this->affected = val;
+}
+
+void StatementDone::__set_position(const LogPosition& val) {
+  this->position = val;
+}
+
+void StatementDone::__set_role(const int32_t val) {
+  this->role = val;
+}
+std::ostream& operator<<(std::ostream& out, const StatementDone& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StatementDone::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_columns = false;
+  bool isset_rows = false;
+  bool isset_affected = false;
+  bool isset_position = false;
+  bool isset_role = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->columns.clear();
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->columns.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
+            {
+              xfer += iprot->readString(this->columns[_i170]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_columns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size171;
+            ::apache::thrift::protocol::TType _etype174;
+            xfer += iprot->readListBegin(_etype174, _size171);
+            this->rows.resize(_size171);
+            uint32_t _i175;
+            for (_i175 = 0; _i175 < _size171; ++_i175)
+            {
+              {
+                this->rows[_i175].clear();
+                uint32_t _size176;
+                ::apache::thrift::protocol::TType _etype179;
+                xfer += iprot->readListBegin(_etype179, _size176);
+                this->rows[_i175].resize(_size176);
+                uint32_t _i180;
+                for (_i180 = 0; _i180 < _size176; ++_i180)
+                {
+                  xfer += this->rows[_i175][_i180].read(iprot);
+                }
+                xfer += iprot->readListEnd();
+              }
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->affected);
+          isset_affected = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->position.read(iprot);
+          isset_position = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->role);
+          isset_role = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_columns)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_rows)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_affected)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_position)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_role)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t StatementDone::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StatementDone");
+
+  xfer += oprot->writeFieldBegin("columns", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->columns.size()));
+    std::vector<std::string> ::const_iterator _iter181;
+    for (_iter181 = this->columns.begin(); _iter181 != this->columns.end(); ++_iter181)
+    {
+      xfer += oprot->writeString((*_iter181));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_LIST, static_cast<uint32_t>(this->rows.size()));
+    std::vector<Row> ::const_iterator _iter182;
+    for (_iter182 = this->rows.begin(); _iter182 != this->rows.end(); ++_iter182)
+    {
+      {
+        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*_iter182).size()));
+        std::vector<Cell> ::const_iterator _iter183;
+        for (_iter183 = (*_iter182).begin(); _iter183 != (*_iter182).end(); ++_iter183)
+        {
+          xfer += (*_iter183).write(oprot);
+        }
+        xfer += oprot->writeListEnd();
+      }
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("affected", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->affected);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->position.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("role", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->role);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StatementDone &a, StatementDone &b) {
+  using ::std::swap;
+  swap(a.columns, b.columns);
+  swap(a.rows, b.rows);
+  swap(a.affected, b.affected);
+  swap(a.position, b.position);
+  swap(a.role, b.role);
+}
+
+StatementDone::StatementDone(const StatementDone& other184) {
+  columns = other184.columns;
+  rows = other184.rows;
+  affected = other184.affected;
+  position = other184.position;
+  role = other184.role;
+}
+StatementDone::StatementDone(StatementDone&& other185) noexcept {
+  columns = std::move(other185.columns);
+  rows = std::move(other185.rows);
+  affected = other185.affected;
+  position = std::move(other185.position);
+  role = other185.role;
+}
+StatementDone& StatementDone::operator=(const StatementDone& other186) {
+  columns = other186.columns;
+  rows = other186.rows;
+  affected = other186.affected;
+  position = other186.position;
+  role = other186.role;
+  return *this;
+}
+StatementDone& StatementDone::operator=(StatementDone&& other187) noexcept {
+  columns = std::move(other187.columns);
+  rows = std::move(other187.rows);
+  affected = other187.affected;
+  position = std::move(other187.position);
+  role = other187.role;
+  return *this;
+}
+void StatementDone::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StatementDone(";
+  out << "columns=" << to_string(columns);
+  out << ", " << "rows=" << to_string(rows);
+  out << ", " << "affected=" << to_string(affected);
+  out << ", " << "position=" << to_string(position);
+  out << ", " << "role=" << to_string(role);
+  out << ")";
+}
+
+
+StatementRejected::~StatementRejected() noexcept {
+}
+
+
+void StatementRejected::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void StatementRejected::__set_sqlstate(const std::string& val) {
+  this->sqlstate = val;
+}
+
+void StatementRejected::__set_message(const std::string& val) {
+  this->message = val;
+}
+std::ostream& operator<<(std::ostream& out, const StatementRejected& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StatementRejected::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_kind = false;
+  bool isset_sqlstate = false;
+  bool isset_message = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          isset_kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->sqlstate);
+          isset_sqlstate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->message);
+          isset_message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_kind)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_sqlstate)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_message)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t StatementRejected::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StatementRejected");
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sqlstate", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->sqlstate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->message);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StatementRejected &a, StatementRejected &b) {
+  using ::std::swap;
+  swap(a.kind, b.kind);
+  swap(a.sqlstate, b.sqlstate);
+  swap(a.message, b.message);
+}
+
+StatementRejected::StatementRejected(const StatementRejected& other188) {
+  kind = other188.kind;
+  sqlstate = other188.sqlstate;
+  message = other188.message;
+}
+StatementRejected::StatementRejected(StatementRejected&& other189) noexcept {
+  kind = other189.kind;
+  sqlstate = std::move(other189.sqlstate);
+  message = std::move(other189.message);
+}
+StatementRejected& StatementRejected::operator=(const StatementRejected& other190) {
+  kind = other190.kind;
+  sqlstate = other190.sqlstate;
+  message = other190.message;
+  return *this;
+}
+StatementRejected& StatementRejected::operator=(StatementRejected&& other191) noexcept {
+  kind = other191.kind;
+  sqlstate = std::move(other191.sqlstate);
+  message = std::move(other191.message);
+  return *this;
+}
+void StatementRejected::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StatementRejected(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "sqlstate=" << to_string(sqlstate);
+  out << ", " << "message=" << to_string(message);
+  out << ")";
+}
+
+
+StatementLost::~StatementLost() noexcept {
+}
+
+
+void StatementLost::__set_sent(const bool val) {
+  this->sent = val;
+}
+std::ostream& operator<<(std::ostream& out, const StatementLost& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StatementLost::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_sent = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->sent);
+          isset_sent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_sent)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t StatementLost::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StatementLost");
+
+  xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->sent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StatementLost &a, StatementLost &b) {
+  using ::std::swap;
+  swap(a.sent, b.sent);
+}
+
+StatementLost::StatementLost(const StatementLost& other192) noexcept {
+  sent = other192.sent;
+}
+StatementLost::StatementLost(StatementLost&& other193) noexcept {
+  sent = other193.sent;
+}
+StatementLost& StatementLost::operator=(const StatementLost& other194) noexcept {
+  sent = other194.sent;
+  return *this;
+}
+StatementLost& StatementLost::operator=(StatementLost&& other195) noexcept {
+  sent = other195.sent;
+  return *this;
+}
+void StatementLost::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StatementLost(";
+  out << "sent=" << to_string(sent);
+  out << ")";
+}
+
+
+StatementOutcome::~StatementOutcome() noexcept {
+}
+
+
+void StatementOutcome::__set_statement_done(const StatementDone& val) {
+  this->statement_done = val;
+__isset.statement_done = true;
+}
+
+void StatementOutcome::__set_statement_rejected(const StatementRejected& val) {
+  this->statement_rejected = val;
+__isset.statement_rejected = true;
+}
+
+void StatementOutcome::__set_statement_lost(const StatementLost& val) {
+  this->statement_lost = val;
+__isset.statement_lost = true;
+}
+std::ostream& operator<<(std::ostream& out, const StatementOutcome& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StatementOutcome::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->statement_done.read(iprot);
+          this->__isset.statement_done = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->statement_rejected.read(iprot);
+          this->__isset.statement_rejected = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->statement_lost.read(iprot);
+          this->__isset.statement_lost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StatementOutcome::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StatementOutcome");
+
+  if (this->__isset.statement_done) {
+    xfer += oprot->writeFieldBegin("statement_done", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->statement_done.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.statement_rejected) {
+    xfer += oprot->writeFieldBegin("statement_rejected", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->statement_rejected.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.statement_lost) {
+    xfer += oprot->writeFieldBegin("statement_lost", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->statement_lost.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StatementOutcome &a, StatementOutcome &b) {
+  using ::std::swap;
+  swap(a.statement_done, b.statement_done);
+  swap(a.statement_rejected, b.statement_rejected);
+  swap(a.statement_lost, b.statement_lost);
+  swap(a.__isset, b.__isset);
+}
+
+StatementOutcome::StatementOutcome(const StatementOutcome& other196) {
+  statement_done = other196.statement_done;
+  statement_rejected = other196.statement_rejected;
+  statement_lost = other196.statement_lost;
+  __isset = other196.__isset;
+}
+StatementOutcome::StatementOutcome(StatementOutcome&& other197) noexcept {
+  statement_done = std::move(other197.statement_done);
+  statement_rejected = std::move(other197.statement_rejected);
+  statement_lost = std::move(other197.statement_lost);
+  __isset = other197.__isset;
+}
+StatementOutcome& StatementOutcome::operator=(const StatementOutcome& other198) {
+  statement_done = other198.statement_done;
+  statement_rejected = other198.statement_rejected;
+  statement_lost = other198.statement_lost;
+  __isset = other198.__isset;
+  return *this;
+}
+StatementOutcome& StatementOutcome::operator=(StatementOutcome&& other199) noexcept {
+  statement_done = std::move(other199.statement_done);
+  statement_rejected = std::move(other199.statement_rejected);
+  statement_lost = std::move(other199.statement_lost);
+  __isset = other199.__isset;
+  return *this;
+}
+void StatementOutcome::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StatementOutcome(";
+  out << "statement_done="; (__isset.statement_done ? (out << to_string(statement_done)) : (out << "<null>"));
+  out << ", " << "statement_rejected="; (__isset.statement_rejected ? (out << to_string(statement_rejected)) : (out << "<null>"));
+  out << ", " << "statement_lost="; (__isset.statement_lost ? (out << to_string(statement_lost)) : (out << "<null>"));
+  out << ")";
+}
+
+
+MemberStatus::~MemberStatus() noexcept {
+}
+
+
+void MemberStatus::__set_granted_term(const int64_t val) {
+  this->granted_term = val;
+}
+
+void MemberStatus::__set_received(const LogPosition& val) {
+  this->received = val;
+}
+
+void MemberStatus::__set_applied_index(const int64_t val) {
+  this->applied_index = val;
+}
+
+void MemberStatus::__set_lineage(const TermLineage& val) {
+  this->lineage = val;
+}
+
+void MemberStatus::__set_role(const int32_t val) {
+  this->role = val;
+}
+
+void MemberStatus::__set_data_age_us(const int64_t val) {
+  this->data_age_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const MemberStatus& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t MemberStatus::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_granted_term = false;
+  bool isset_received = false;
+  bool isset_applied_index = false;
+  bool isset_lineage = false;
+  bool isset_role = false;
+  bool isset_data_age_us = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->granted_term);
+          isset_granted_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->received.read(iprot);
+          isset_received = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->applied_index);
+          isset_applied_index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->lineage.read(iprot);
+          isset_lineage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->role);
+          isset_role = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->data_age_us);
+          isset_data_age_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_granted_term)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_received)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_applied_index)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_lineage)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_role)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_data_age_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t MemberStatus::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("MemberStatus");
+
+  xfer += oprot->writeFieldBegin("granted_term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->granted_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("received", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->received.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("applied_index", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->applied_index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lineage", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->lineage.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("role", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->role);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data_age_us", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->data_age_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(MemberStatus &a, MemberStatus &b) {
+  using ::std::swap;
+  swap(a.granted_term, b.granted_term);
+  swap(a.received, b.received);
+  swap(a.applied_index, b.applied_index);
+  swap(a.lineage, b.lineage);
+  swap(a.role, b.role);
+  swap(a.data_age_us, b.data_age_us);
+}
+
+MemberStatus::MemberStatus(const MemberStatus& other200) noexcept {
+  granted_term = other200.granted_term;
+  received = other200.received;
+  applied_index = other200.applied_index;
+  lineage = other200.lineage;
+  role = other200.role;
+  data_age_us = other200.data_age_us;
+}
+MemberStatus::MemberStatus(MemberStatus&& other201) noexcept {
+  granted_term = other201.granted_term;
+  received = std::move(other201.received);
+  applied_index = other201.applied_index;
+  lineage = std::move(other201.lineage);
+  role = other201.role;
+  data_age_us = other201.data_age_us;
+}
+MemberStatus& MemberStatus::operator=(const MemberStatus& other202) noexcept {
+  granted_term = other202.granted_term;
+  received = other202.received;
+  applied_index = other202.applied_index;
+  lineage = other202.lineage;
+  role = other202.role;
+  data_age_us = other202.data_age_us;
+  return *this;
+}
+MemberStatus& MemberStatus::operator=(MemberStatus&& other203) noexcept {
+  granted_term = other203.granted_term;
+  received = std::move(other203.received);
+  applied_index = other203.applied_index;
+  lineage = std::move(other203.lineage);
+  role = other203.role;
+  data_age_us = other203.data_age_us;
+  return *this;
+}
+void MemberStatus::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "MemberStatus(";
+  out << "granted_term=" << to_string(granted_term);
+  out << ", " << "received=" << to_string(received);
+  out << ", " << "applied_index=" << to_string(applied_index);
+  out << ", " << "lineage=" << to_string(lineage);
+  out << ", " << "role=" << to_string(role);
+  out << ", " << "data_age_us=" << to_string(data_age_us);
+  out << ")";
+}
+
+
+GrantAnswer::~GrantAnswer() noexcept {
+}
+
+
+void GrantAnswer::__set_granted(const bool val) {
+  this->granted = val;
+}
+
+void GrantAnswer::__set_granted_term(const int64_t val) {
+  this->granted_term = val;
+}
+
+void GrantAnswer::__set_received(const LogPosition& val) {
+  this->received = val;
+}
+std::ostream& operator<<(std::ostream& out, const GrantAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GrantAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_granted = false;
+  bool isset_granted_term = false;
+  bool isset_received = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          isset_granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->granted_term);
+          isset_granted_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->received.read(iprot);
+          isset_received = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_granted)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_granted_term)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_received)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GrantAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GrantAnswer");
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted_term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->granted_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("received", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->received.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GrantAnswer &a, GrantAnswer &b) {
+  using ::std::swap;
+  swap(a.granted, b.granted);
+  swap(a.granted_term, b.granted_term);
+  swap(a.received, b.received);
+}
+
+GrantAnswer::GrantAnswer(const GrantAnswer& other204) noexcept {
+  granted = other204.granted;
+  granted_term = other204.granted_term;
+  received = other204.received;
+}
+GrantAnswer::GrantAnswer(GrantAnswer&& other205) noexcept {
+  granted = other205.granted;
+  granted_term = other205.granted_term;
+  received = std::move(other205.received);
+}
+GrantAnswer& GrantAnswer::operator=(const GrantAnswer& other206) noexcept {
+  granted = other206.granted;
+  granted_term = other206.granted_term;
+  received = other206.received;
+  return *this;
+}
+GrantAnswer& GrantAnswer::operator=(GrantAnswer&& other207) noexcept {
+  granted = other207.granted;
+  granted_term = other207.granted_term;
+  received = std::move(other207.received);
+  return *this;
+}
+void GrantAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GrantAnswer(";
+  out << "granted=" << to_string(granted);
+  out << ", " << "granted_term=" << to_string(granted_term);
+  out << ", " << "received=" << to_string(received);
+  out << ")";
+}
+
+
+StatusWanted::~StatusWanted() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const StatusWanted& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StatusWanted::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StatusWanted::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StatusWanted");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StatusWanted &a, StatusWanted &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+StatusWanted::StatusWanted(const StatusWanted& other208) noexcept {
+  (void) other208;
+}
+StatusWanted::StatusWanted(StatusWanted&& other209) noexcept {
+  (void) other209;
+}
+StatusWanted& StatusWanted::operator=(const StatusWanted& other210) noexcept {
+  (void) other210;
+  return *this;
+}
+StatusWanted& StatusWanted::operator=(StatusWanted&& other211) noexcept {
+  (void) other211;
+  return *this;
+}
+void StatusWanted::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StatusWanted(";
+  out << ")";
+}
+
+
+GrantWanted::~GrantWanted() noexcept {
+}
+
+
+void GrantWanted::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void GrantWanted::__set_candidate(const std::string& val) {
+  this->candidate = val;
+}
+std::ostream& operator<<(std::ostream& out, const GrantWanted& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GrantWanted::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_term = false;
+  bool isset_candidate = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          isset_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->candidate);
+          isset_candidate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_term)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_candidate)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GrantWanted::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GrantWanted");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("candidate", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->candidate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GrantWanted &a, GrantWanted &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.candidate, b.candidate);
+}
+
+GrantWanted::GrantWanted(const GrantWanted& other212) {
+  term = other212.term;
+  candidate = other212.candidate;
+}
+GrantWanted::GrantWanted(GrantWanted&& other213) noexcept {
+  term = other213.term;
+  candidate = std::move(other213.candidate);
+}
+GrantWanted& GrantWanted::operator=(const GrantWanted& other214) {
+  term = other214.term;
+  candidate = other214.candidate;
+  return *this;
+}
+GrantWanted& GrantWanted::operator=(GrantWanted&& other215) noexcept {
+  term = other215.term;
+  candidate = std::move(other215.candidate);
+  return *this;
+}
+void GrantWanted::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GrantWanted(";
+  out << "term=" << to_string(term);
+  out << ", " << "candidate=" << to_string(candidate);
+  out << ")";
+}
+
+
+PromotionWanted::~PromotionWanted() noexcept {
+}
+
+
+void PromotionWanted::__set_term(const int64_t val) {
+  this->term = val;
+}
+std::ostream& operator<<(std::ostream& out, const PromotionWanted& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PromotionWanted::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_term = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          isset_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_term)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t PromotionWanted::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PromotionWanted");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PromotionWanted &a, PromotionWanted &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+}
+
+PromotionWanted::PromotionWanted(const PromotionWanted& other216) noexcept {
+  term = other216.term;
+}
+PromotionWanted::PromotionWanted(PromotionWanted&& other217) noexcept {
+  term = other217.term;
+}
+PromotionWanted& PromotionWanted::operator=(const PromotionWanted& other218) noexcept {
+  term = other218.term;
+  return *this;
+}
+PromotionWanted& PromotionWanted::operator=(PromotionWanted&& other219) noexcept {
+  term = other219.term;
+  return *this;
+}
+void PromotionWanted::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PromotionWanted(";
+  out << "term=" << to_string(term);
+  out << ")";
+}
+
+
+FollowWanted::~FollowWanted() noexcept {
+}
+
+
+void FollowWanted::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void FollowWanted::__set_primary(const std::string& val) {
+  this->primary = val;
+}
+std::ostream& operator<<(std::ostream& out, const FollowWanted& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FollowWanted::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_term = false;
+  bool isset_primary = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          isset_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->primary);
+          isset_primary = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_term)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_primary)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t FollowWanted::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FollowWanted");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("primary", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->primary);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FollowWanted &a, FollowWanted &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.primary, b.primary);
+}
+
+FollowWanted::FollowWanted(const FollowWanted& other220) {
+  term = other220.term;
+  primary = other220.primary;
+}
+FollowWanted::FollowWanted(FollowWanted&& other221) noexcept {
+  term = other221.term;
+  primary = std::move(other221.primary);
+}
+FollowWanted& FollowWanted::operator=(const FollowWanted& other222) {
+  term = other222.term;
+  primary = other222.primary;
+  return *this;
+}
+FollowWanted& FollowWanted::operator=(FollowWanted&& other223) noexcept {
+  term = other223.term;
+  primary = std::move(other223.primary);
+  return *this;
+}
+void FollowWanted::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FollowWanted(";
+  out << "term=" << to_string(term);
+  out << ", " << "primary=" << to_string(primary);
+  out << ")";
+}
+
+
+ControlRequest::~ControlRequest() noexcept {
+}
+
+
+void ControlRequest::__set_status_wanted(const StatusWanted& val) {
+  this->status_wanted = val;
+__isset.status_wanted = true;
+}
+
+void ControlRequest::__set_grant_wanted(const GrantWanted& val) {
+  this->grant_wanted = val;
+__isset.grant_wanted = true;
+}
+
+void ControlRequest::__set_promotion_wanted(const PromotionWanted& val) {
+  this->promotion_wanted = val;
+__isset.promotion_wanted = true;
+}
+
+void ControlRequest::__set_follow_wanted(const FollowWanted& val) {
+  this->follow_wanted = val;
+__isset.follow_wanted = true;
+}
+std::ostream& operator<<(std::ostream& out, const ControlRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ControlRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->status_wanted.read(iprot);
+          this->__isset.status_wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->grant_wanted.read(iprot);
+          this->__isset.grant_wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->promotion_wanted.read(iprot);
+          this->__isset.promotion_wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->follow_wanted.read(iprot);
+          this->__isset.follow_wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlRequest");
+
+  if (this->__isset.status_wanted) {
+    xfer += oprot->writeFieldBegin("status_wanted", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->status_wanted.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.grant_wanted) {
+    xfer += oprot->writeFieldBegin("grant_wanted", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->grant_wanted.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.promotion_wanted) {
+    xfer += oprot->writeFieldBegin("promotion_wanted", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->promotion_wanted.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.follow_wanted) {
+    xfer += oprot->writeFieldBegin("follow_wanted", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->follow_wanted.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ControlRequest &a, ControlRequest &b) {
+  using ::std::swap;
+  swap(a.status_wanted, b.status_wanted);
+  swap(a.grant_wanted, b.grant_wanted);
+  swap(a.promotion_wanted, b.promotion_wanted);
+  swap(a.follow_wanted, b.follow_wanted);
+  swap(a.__isset, b.__isset);
+}
+
+ControlRequest::ControlRequest(const ControlRequest& other224) {
+  status_wanted = other224.status_wanted;
+  grant_wanted = other224.grant_wanted;
+  promotion_wanted = other224.promotion_wanted;
+  follow_wanted = other224.follow_wanted;
+  __isset = other224.__isset;
+}
+ControlRequest::ControlRequest(ControlRequest&& other225) noexcept {
+  status_wanted = std::move(other225.status_wanted);
+  grant_wanted = std::move(other225.grant_wanted);
+  promotion_wanted = std::move(other225.promotion_wanted);
+  follow_wanted = std::move(other225.follow_wanted);
+  __isset = other225.__isset;
+}
+ControlRequest& ControlRequest::operator=(const ControlRequest& other226) {
+  status_wanted = other226.status_wanted;
+  grant_wanted = other226.grant_wanted;
+  promotion_wanted = other226.promotion_wanted;
+  follow_wanted = other226.follow_wanted;
+  __isset = other226.__isset;
+  return *this;
+}
+ControlRequest& ControlRequest::operator=(ControlRequest&& other227) noexcept {
+  status_wanted = std::move(other227.status_wanted);
+  grant_wanted = std::move(other227.grant_wanted);
+  promotion_wanted = std::move(other227.promotion_wanted);
+  follow_wanted = std::move(other227.follow_wanted);
+  __isset = other227.__isset;
+  return *this;
+}
+void ControlRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ControlRequest(";
+  out << "status_wanted="; (__isset.status_wanted ? (out << to_string(status_wanted)) : (out << "<null>"));
+  out << ", " << "grant_wanted="; (__isset.grant_wanted ? (out << to_string(grant_wanted)) : (out << "<null>"));
+  out << ", " << "promotion_wanted="; (__isset.promotion_wanted ? (out << to_string(promotion_wanted)) : (out << "<null>"));
+  out << ", " << "follow_wanted="; (__isset.follow_wanted ? (out << to_string(follow_wanted)) : (out << "<null>"));
+  out << ")";
+}
+
+
+ControlDone::~ControlDone() noexcept {
+}
+
+
+void ControlDone::__set_done(const bool val) {
+  this->done = val;
+}
+std::ostream& operator<<(std::ostream& out, const ControlDone& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ControlDone::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_done = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->done);
+          isset_done = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_done)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ControlDone::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlDone");
+
+  xfer += oprot->writeFieldBegin("done", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->done);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ControlDone &a, ControlDone &b) {
+  using ::std::swap;
+  swap(a.done, b.done);
+}
+
+ControlDone::ControlDone(const ControlDone& other228) noexcept {
+  done = other228.done;
+}
+ControlDone::ControlDone(ControlDone&& other229) noexcept {
+  done = other229.done;
+}
+ControlDone& ControlDone::operator=(const ControlDone& other230) noexcept {
+  done = other230.done;
+  return *this;
+}
+ControlDone& ControlDone::operator=(ControlDone&& other231) noexcept {
+  done = other231.done;
+  return *this;
+}
+void ControlDone::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ControlDone(";
+  out << "done=" << to_string(done);
+  out << ")";
+}
+
+
+ControlFailed::~ControlFailed() noexcept {
+}
+
+
+void ControlFailed::__set_refused(const bool val) {
+  this->refused = val;
+}
+
+void ControlFailed::__set_asked(const bool val) {
+  this->asked = val;
+}
+std::ostream& operator<<(std::ostream& out, const ControlFailed& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ControlFailed::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_refused = false;
+  bool isset_asked = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->refused);
+          isset_refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->asked);
+          isset_asked = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_refused)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_asked)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ControlFailed::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlFailed");
+
+  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->refused);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asked", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->asked);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ControlFailed &a, ControlFailed &b) {
+  using ::std::swap;
+  swap(a.refused, b.refused);
+  swap(a.asked, b.asked);
+}
+
+ControlFailed::ControlFailed(const ControlFailed& other232) noexcept {
+  refused = other232.refused;
+  asked = other232.asked;
+}
+ControlFailed::ControlFailed(ControlFailed&& other233) noexcept {
+  refused = other233.refused;
+  asked = other233.asked;
+}
+ControlFailed& ControlFailed::operator=(const ControlFailed& other234) noexcept {
+  refused = other234.refused;
+  asked = other234.asked;
+  return *this;
+}
+ControlFailed& ControlFailed::operator=(ControlFailed&& other235) noexcept {
+  refused = other235.refused;
+  asked = other235.asked;
+  return *this;
+}
+void ControlFailed::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ControlFailed(";
+  out << "refused=" << to_string(refused);
+  out << ", " << "asked=" << to_string(asked);
+  out << ")";
+}
+
+
+ControlAnswer::~ControlAnswer() noexcept {
+}
+
+
+void ControlAnswer::__set_member_status(const MemberStatus& val) {
+  this->member_status = val;
+__isset.member_status = true;
+}
+
+void ControlAnswer::__set_grant_answer(const GrantAnswer& val) {
+  this->grant_answer = val;
+__isset.grant_answer = true;
+}
+
+void ControlAnswer::__set_control_done(const ControlDone& val) {
+  this->control_done = val;
+__isset.control_done = true;
+}
+
+void ControlAnswer::__set_control_failed(const ControlFailed& val) {
+  this->control_failed = val;
+__isset.control_failed = true;
+}
+std::ostream& operator<<(std::ostream& out, const ControlAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ControlAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->member_status.read(iprot);
+          this->__isset.member_status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->grant_answer.read(iprot);
+          this->__isset.grant_answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->control_done.read(iprot);
+          this->__isset.control_done = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->control_failed.read(iprot);
+          this->__isset.control_failed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlAnswer");
+
+  if (this->__isset.member_status) {
+    xfer += oprot->writeFieldBegin("member_status", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->member_status.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.grant_answer) {
+    xfer += oprot->writeFieldBegin("grant_answer", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->grant_answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.control_done) {
+    xfer += oprot->writeFieldBegin("control_done", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->control_done.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.control_failed) {
+    xfer += oprot->writeFieldBegin("control_failed", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->control_failed.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ControlAnswer &a, ControlAnswer &b) {
+  using ::std::swap;
+  swap(a.member_status, b.member_status);
+  swap(a.grant_answer, b.grant_answer);
+  swap(a.control_done, b.control_done);
+  swap(a.control_failed, b.control_failed);
+  swap(a.__isset, b.__isset);
+}
+
+ControlAnswer::ControlAnswer(const ControlAnswer& other236) noexcept {
+  member_status = other236.member_status;
+  grant_answer = other236.grant_answer;
+  control_done = other236.control_done;
+  control_failed = other236.control_failed;
+  __isset = other236.__isset;
+}
+ControlAnswer::ControlAnswer(ControlAnswer&& other237) noexcept {
+  member_status = std::move(other237.member_status);
+  grant_answer = std::move(other237.grant_answer);
+  control_done = std::move(other237.control_done);
+  control_failed = std::move(other237.control_failed);
+  __isset = other237.__isset;
+}
+ControlAnswer& ControlAnswer::operator=(const ControlAnswer& other238) noexcept {
+  member_status = other238.member_status;
+  grant_answer = other238.grant_answer;
+  control_done = other238.control_done;
+  control_failed = other238.control_failed;
+  __isset = other238.__isset;
+  return *this;
+}
+ControlAnswer& ControlAnswer::operator=(ControlAnswer&& other239) noexcept {
+  member_status = std::move(other239.member_status);
+  grant_answer = std::move(other239.grant_answer);
+  control_done = std::move(other239.control_done);
+  control_failed = std::move(other239.control_failed);
+  __isset = other239.__isset;
+  return *this;
+}
+void ControlAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ControlAnswer(";
+  out << "member_status="; (__isset.member_status ? (out << to_string(member_status)) : (out << "<null>"));
+  out << ", " << "grant_answer="; (__isset.grant_answer ? (out << to_string(grant_answer)) : (out << "<null>"));
+  out << ", " << "control_done="; (__isset.control_done ? (out << to_string(control_done)) : (out << "<null>"));
+  out << ", " << "control_failed="; (__isset.control_failed ? (out << to_string(control_failed)) : (out << "<null>"));
+  out << ")";
+}
+
+
+RequestReceived::~RequestReceived() noexcept {
+}
+
+
+void RequestReceived::__set_request(const int64_t val) {
+  this->request = val;
+}
+
+void RequestReceived::__set_body(const CallerRequest& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const RequestReceived& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RequestReceived::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_request = false;
+  bool isset_body = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request);
+          isset_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->body.read(iprot);
+          isset_body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_request)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_body)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t RequestReceived::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RequestReceived");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->body.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RequestReceived &a, RequestReceived &b) {
+  using ::std::swap;
+  swap(a.request, b.request);
+  swap(a.body, b.body);
+}
+
+RequestReceived::RequestReceived(const RequestReceived& other240) {
+  request = other240.request;
+  body = other240.body;
+}
+RequestReceived::RequestReceived(RequestReceived&& other241) noexcept {
+  request = other241.request;
+  body = std::move(other241.body);
+}
+RequestReceived& RequestReceived::operator=(const RequestReceived& other242) {
+  request = other242.request;
+  body = other242.body;
+  return *this;
+}
+RequestReceived& RequestReceived::operator=(RequestReceived&& other243) noexcept {
+  request = other243.request;
+  body = std::move(other243.body);
+  return *this;
+}
+void RequestReceived::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RequestReceived(";
+  out << "request=" << to_string(request);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
+CallerGone::~CallerGone() noexcept {
+}
+
+
+void CallerGone::__set_request(const int64_t val) {
+  this->request = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallerGone& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallerGone::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_request = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request);
+          isset_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_request)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t CallerGone::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallerGone");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallerGone &a, CallerGone &b) {
+  using ::std::swap;
+  swap(a.request, b.request);
+}
+
+CallerGone::CallerGone(const CallerGone& other244) noexcept {
+  request = other244.request;
+}
+CallerGone::CallerGone(CallerGone&& other245) noexcept {
+  request = other245.request;
+}
+CallerGone& CallerGone::operator=(const CallerGone& other246) noexcept {
+  request = other246.request;
+  return *this;
+}
+CallerGone& CallerGone::operator=(CallerGone&& other247) noexcept {
+  request = other247.request;
+  return *this;
+}
+void CallerGone::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallerGone(";
+  out << "request=" << to_string(request);
+  out << ")";
+}
+
+
+ConnectionOpened::~ConnectionOpened() noexcept {
+}
+
+
+void ConnectionOpened::__set_connection(const int64_t val) {
+  this->connection = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConnectionOpened& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConnectionOpened::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_connection = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->connection);
+          isset_connection = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_connection)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ConnectionOpened::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConnectionOpened");
+
+  xfer += oprot->writeFieldBegin("connection", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->connection);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConnectionOpened &a, ConnectionOpened &b) {
+  using ::std::swap;
+  swap(a.connection, b.connection);
+}
+
+ConnectionOpened::ConnectionOpened(const ConnectionOpened& other248) noexcept {
+  connection = other248.connection;
+}
+ConnectionOpened::ConnectionOpened(ConnectionOpened&& other249) noexcept {
+  connection = other249.connection;
+}
+ConnectionOpened& ConnectionOpened::operator=(const ConnectionOpened& other250) noexcept {
+  connection = other250.connection;
+  return *this;
+}
+ConnectionOpened& ConnectionOpened::operator=(ConnectionOpened&& other251) noexcept {
+  connection = other251.connection;
+  return *this;
+}
+void ConnectionOpened::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConnectionOpened(";
+  out << "connection=" << to_string(connection);
+  out << ")";
+}
+
+
+ConnectionClosed::~ConnectionClosed() noexcept {
+}
+
+
+void ConnectionClosed::__set_connection(const int64_t val) {
+  this->connection = val;
+}
+
+void ConnectionClosed::__set_refused(const bool val) {
+  this->refused = val;
+}
+
+void ConnectionClosed::__set_is_full(const bool val) {
+  this->is_full = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConnectionClosed& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConnectionClosed::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_connection = false;
+  bool isset_refused = false;
+  bool isset_is_full = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->connection);
+          isset_connection = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->refused);
+          isset_refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_full);
+          isset_is_full = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_connection)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_refused)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_is_full)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ConnectionClosed::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConnectionClosed");
+
+  xfer += oprot->writeFieldBegin("connection", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->connection);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->refused);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("is_full", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->is_full);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConnectionClosed &a, ConnectionClosed &b) {
+  using ::std::swap;
+  swap(a.connection, b.connection);
+  swap(a.refused, b.refused);
+  swap(a.is_full, b.is_full);
+}
+
+ConnectionClosed::ConnectionClosed(const ConnectionClosed& other252) noexcept {
+  connection = other252.connection;
+  refused = other252.refused;
+  is_full = other252.is_full;
+}
+ConnectionClosed::ConnectionClosed(ConnectionClosed&& other253) noexcept {
+  connection = other253.connection;
+  refused = other253.refused;
+  is_full = other253.is_full;
+}
+ConnectionClosed& ConnectionClosed::operator=(const ConnectionClosed& other254) noexcept {
+  connection = other254.connection;
+  refused = other254.refused;
+  is_full = other254.is_full;
+  return *this;
+}
+ConnectionClosed& ConnectionClosed::operator=(ConnectionClosed&& other255) noexcept {
+  connection = other255.connection;
+  refused = other255.refused;
+  is_full = other255.is_full;
+  return *this;
+}
+void ConnectionClosed::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConnectionClosed(";
+  out << "connection=" << to_string(connection);
+  out << ", " << "refused=" << to_string(refused);
+  out << ", " << "is_full=" << to_string(is_full);
+  out << ")";
+}
+
+
+StatementFinished::~StatementFinished() noexcept {
+}
+
+
+void StatementFinished::__set_connection(const int64_t val) {
+  this->connection = val;
+}
+
+void StatementFinished::__set_outcome(const StatementOutcome& val) {
+  this->outcome = val;
+}
+std::ostream& operator<<(std::ostream& out, const StatementFinished& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StatementFinished::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_connection = false;
+  bool isset_outcome = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->connection);
