+          isset_connection = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->outcome.read(iprot);
+          isset_outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_connection)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_outcome)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t StatementFinished::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StatementFinished");
+
+  xfer += oprot->writeFieldBegin("connection", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->connection);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->outcome.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StatementFinished &a, StatementFinished &b) {
+  using ::std::swap;
+  swap(a.connection, b.connection);
+  swap(a.outcome, b.outcome);
+}
+
+StatementFinished::StatementFinished(const StatementFinished& other256) {
+  connection = other256.connection;
+  outcome = other256.outcome;
+}
+StatementFinished::StatementFinished(StatementFinished&& other257) noexcept {
+  connection = other257.connection;
+  outcome = std::move(other257.outcome);
+}
+StatementFinished& StatementFinished::operator=(const StatementFinished& other258) {
+  connection = other258.connection;
+  outcome = other258.outcome;
+  return *this;
+}
+StatementFinished& StatementFinished::operator=(StatementFinished&& other259) noexcept {
+  connection = other259.connection;
+  outcome = std::move(other259.outcome);
+  return *this;
+}
+void StatementFinished::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StatementFinished(";
+  out << "connection=" << to_string(connection);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ")";
+}
+
+
+ControlAnswered::~ControlAnswered() noexcept {
+}
+
+
+void ControlAnswered::__set_call(const int64_t val) {
+  this->call = val;
+}
+
+void ControlAnswered::__set_answer(const ControlAnswer& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const ControlAnswered& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ControlAnswered::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_call = false;
+  bool isset_answer = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call);
+          isset_call = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer.read(iprot);
+          isset_answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_call)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_answer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ControlAnswered::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlAnswered");
+
+  xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->call);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->answer.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ControlAnswered &a, ControlAnswered &b) {
+  using ::std::swap;
+  swap(a.call, b.call);
+  swap(a.answer, b.answer);
+}
+
+ControlAnswered::ControlAnswered(const ControlAnswered& other260) noexcept {
+  call = other260.call;
+  answer = other260.answer;
+}
+ControlAnswered::ControlAnswered(ControlAnswered&& other261) noexcept {
+  call = other261.call;
+  answer = std::move(other261.answer);
+}
+ControlAnswered& ControlAnswered::operator=(const ControlAnswered& other262) noexcept {
+  call = other262.call;
+  answer = other262.answer;
+  return *this;
+}
+ControlAnswered& ControlAnswered::operator=(ControlAnswered&& other263) noexcept {
+  call = other263.call;
+  answer = std::move(other263.answer);
+  return *this;
+}
+void ControlAnswered::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ControlAnswered(";
+  out << "call=" << to_string(call);
+  out << ", " << "answer=" << to_string(answer);
+  out << ")";
+}
+
+
+PlatformAnswered::~PlatformAnswered() noexcept {
+}
+
+
+void PlatformAnswered::__set_call(const int64_t val) {
+  this->call = val;
+}
+
+void PlatformAnswered::__set_answer(const PlatformAnswer& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlatformAnswered& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlatformAnswered::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_call = false;
+  bool isset_answer = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call);
+          isset_call = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer.read(iprot);
+          isset_answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_call)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_answer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t PlatformAnswered::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlatformAnswered");
+
+  xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->call);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->answer.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlatformAnswered &a, PlatformAnswered &b) {
+  using ::std::swap;
+  swap(a.call, b.call);
+  swap(a.answer, b.answer);
+}
+
+PlatformAnswered::PlatformAnswered(const PlatformAnswered& other264) {
+  call = other264.call;
+  answer = other264.answer;
+}
+PlatformAnswered::PlatformAnswered(PlatformAnswered&& other265) noexcept {
+  call = other265.call;
+  answer = std::move(other265.answer);
+}
+PlatformAnswered& PlatformAnswered::operator=(const PlatformAnswered& other266) {
+  call = other266.call;
+  answer = other266.answer;
+  return *this;
+}
+PlatformAnswered& PlatformAnswered::operator=(PlatformAnswered&& other267) noexcept {
+  call = other267.call;
+  answer = std::move(other267.answer);
+  return *this;
+}
+void PlatformAnswered::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlatformAnswered(";
+  out << "call=" << to_string(call);
+  out << ", " << "answer=" << to_string(answer);
+  out << ")";
+}
+
+
+PeerSender::~PeerSender() noexcept {
+}
+
+
+void PeerSender::__set_instance(const std::string& val) {
+  this->instance = val;
+}
+
+void PeerSender::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+std::ostream& operator<<(std::ostream& out, const PeerSender& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PeerSender::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_instance = false;
+  bool isset_incarnation = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance);
+          isset_instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          isset_incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_instance)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_incarnation)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t PeerSender::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PeerSender");
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PeerSender &a, PeerSender &b) {
+  using ::std::swap;
+  swap(a.instance, b.instance);
+  swap(a.incarnation, b.incarnation);
+}
+
+PeerSender::PeerSender(const PeerSender& other268) {
+  instance = other268.instance;
+  incarnation = other268.incarnation;
+}
+PeerSender::PeerSender(PeerSender&& other269) noexcept {
+  instance = std::move(other269.instance);
+  incarnation = other269.incarnation;
+}
+PeerSender& PeerSender::operator=(const PeerSender& other270) {
+  instance = other270.instance;
+  incarnation = other270.incarnation;
+  return *this;
+}
+PeerSender& PeerSender::operator=(PeerSender&& other271) noexcept {
+  instance = std::move(other271.instance);
+  incarnation = other271.incarnation;
+  return *this;
+}
+void PeerSender::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PeerSender(";
+  out << "instance=" << to_string(instance);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ")";
+}
+
+
+PeerMessageReceived::~PeerMessageReceived() noexcept {
+}
+
+
+void PeerMessageReceived::__set_sender(const PeerSender& val) {
+  this->sender = val;
+}
+
+void PeerMessageReceived::__set_message(const PeerMessage& val) {
+  this->message = val;
+}
+std::ostream& operator<<(std::ostream& out, const PeerMessageReceived& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PeerMessageReceived::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_sender = false;
+  bool isset_message = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sender.read(iprot);
+          isset_sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->message.read(iprot);
+          isset_message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_sender)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_message)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t PeerMessageReceived::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PeerMessageReceived");
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->sender.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->message.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PeerMessageReceived &a, PeerMessageReceived &b) {
+  using ::std::swap;
+  swap(a.sender, b.sender);
+  swap(a.message, b.message);
+}
+
+PeerMessageReceived::PeerMessageReceived(const PeerMessageReceived& other272) {
+  sender = other272.sender;
+  message = other272.message;
+}
+PeerMessageReceived::PeerMessageReceived(PeerMessageReceived&& other273) noexcept {
+  sender = std::move(other273.sender);
+  message = std::move(other273.message);
+}
+PeerMessageReceived& PeerMessageReceived::operator=(const PeerMessageReceived& other274) {
+  sender = other274.sender;
+  message = other274.message;
+  return *this;
+}
+PeerMessageReceived& PeerMessageReceived::operator=(PeerMessageReceived&& other275) noexcept {
+  sender = std::move(other275.sender);
+  message = std::move(other275.message);
+  return *this;
+}
+void PeerMessageReceived::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PeerMessageReceived(";
+  out << "sender=" << to_string(sender);
+  out << ", " << "message=" << to_string(message);
+  out << ")";
+}
+
+
+PeerUnreachable::~PeerUnreachable() noexcept {
+}
+
+
+void PeerUnreachable::__set_peer(const std::string& val) {
+  this->peer = val;
+}
+
+void PeerUnreachable::__set_refused(const bool val) {
+  this->refused = val;
+}
+
+void PeerUnreachable::__set_number(const int64_t val) {
+  this->number = val;
+}
+std::ostream& operator<<(std::ostream& out, const PeerUnreachable& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PeerUnreachable::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_peer = false;
+  bool isset_refused = false;
+  bool isset_number = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->peer);
+          isset_peer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->refused);
+          isset_refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          isset_number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_peer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_refused)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_number)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t PeerUnreachable::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PeerUnreachable");
+
+  xfer += oprot->writeFieldBegin("peer", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->peer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->refused);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PeerUnreachable &a, PeerUnreachable &b) {
+  using ::std::swap;
+  swap(a.peer, b.peer);
+  swap(a.refused, b.refused);
+  swap(a.number, b.number);
+}
+
+PeerUnreachable::PeerUnreachable(const PeerUnreachable& other276) {
+  peer = other276.peer;
+  refused = other276.refused;
+  number = other276.number;
+}
+PeerUnreachable::PeerUnreachable(PeerUnreachable&& other277) noexcept {
+  peer = std::move(other277.peer);
+  refused = other277.refused;
+  number = other277.number;
+}
+PeerUnreachable& PeerUnreachable::operator=(const PeerUnreachable& other278) {
+  peer = other278.peer;
+  refused = other278.refused;
+  number = other278.number;
+  return *this;
+}
+PeerUnreachable& PeerUnreachable::operator=(PeerUnreachable&& other279) noexcept {
+  peer = std::move(other279.peer);
+  refused = other279.refused;
+  number = other279.number;
+  return *this;
+}
+void PeerUnreachable::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PeerUnreachable(";
+  out << "peer=" << to_string(peer);
+  out << ", " << "refused=" << to_string(refused);
+  out << ", " << "number=" << to_string(number);
+  out << ")";
+}
+
+
+Tick::~Tick() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const Tick& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Tick::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Tick::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Tick");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Tick &a, Tick &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+Tick::Tick(const Tick& other280) noexcept {
+  (void) other280;
+}
+Tick::Tick(Tick&& other281) noexcept {
+  (void) other281;
+}
+Tick& Tick::operator=(const Tick& other282) noexcept {
+  (void) other282;
+  return *this;
+}
+Tick& Tick::operator=(Tick&& other283) noexcept {
+  (void) other283;
+  return *this;
+}
+void Tick::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Tick(";
+  out << ")";
+}
+
+
+ShutdownRequested::~ShutdownRequested() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const ShutdownRequested& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ShutdownRequested::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ShutdownRequested::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ShutdownRequested");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ShutdownRequested &a, ShutdownRequested &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+ShutdownRequested::ShutdownRequested(const ShutdownRequested& other284) noexcept {
+  (void) other284;
+}
+ShutdownRequested::ShutdownRequested(ShutdownRequested&& other285) noexcept {
+  (void) other285;
+}
+ShutdownRequested& ShutdownRequested::operator=(const ShutdownRequested& other286) noexcept {
+  (void) other286;
+  return *this;
+}
+ShutdownRequested& ShutdownRequested::operator=(ShutdownRequested&& other287) noexcept {
+  (void) other287;
+  return *this;
+}
+void ShutdownRequested::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ShutdownRequested(";
+  out << ")";
+}
+
+
+SwitchoverRequested::~SwitchoverRequested() noexcept {
+}
+
+
+void SwitchoverRequested::__set_database(const std::string& val) {
+  this->database = val;
+}
+
+void SwitchoverRequested::__set_successor(const std::string& val) {
+  this->successor = val;
+}
+std::ostream& operator<<(std::ostream& out, const SwitchoverRequested& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SwitchoverRequested::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_database = false;
+  bool isset_successor = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->database);
+          isset_database = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->successor);
+          isset_successor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_database)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_successor)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t SwitchoverRequested::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SwitchoverRequested");
+
+  xfer += oprot->writeFieldBegin("database", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->database);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("successor", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->successor);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SwitchoverRequested &a, SwitchoverRequested &b) {
+  using ::std::swap;
+  swap(a.database, b.database);
+  swap(a.successor, b.successor);
+}
+
+SwitchoverRequested::SwitchoverRequested(const SwitchoverRequested& other288) {
+  database = other288.database;
+  successor = other288.successor;
+}
+SwitchoverRequested::SwitchoverRequested(SwitchoverRequested&& other289) noexcept {
+  database = std::move(other289.database);
+  successor = std::move(other289.successor);
+}
+SwitchoverRequested& SwitchoverRequested::operator=(const SwitchoverRequested& other290) {
+  database = other290.database;
+  successor = other290.successor;
+  return *this;
+}
+SwitchoverRequested& SwitchoverRequested::operator=(SwitchoverRequested&& other291) noexcept {
+  database = std::move(other291.database);
+  successor = std::move(other291.successor);
+  return *this;
+}
+void SwitchoverRequested::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SwitchoverRequested(";
+  out << "database=" << to_string(database);
+  out << ", " << "successor=" << to_string(successor);
+  out << ")";
+}
+
+
+Event::~Event() noexcept {
+}
+
+
+void Event::__set_request_received(const RequestReceived& val) {
+  this->request_received = val;
+__isset.request_received = true;
+}
+
+void Event::__set_caller_gone(const CallerGone& val) {
+  this->caller_gone = val;
+__isset.caller_gone = true;
+}
+
+void Event::__set_connection_opened(const ConnectionOpened& val) {
+  this->connection_opened = val;
+__isset.connection_opened = true;
+}
+
+void Event::__set_connection_closed(const ConnectionClosed& val) {
+  this->connection_closed = val;
+__isset.connection_closed = true;
+}
+
+void Event::__set_statement_finished(const StatementFinished& val) {
+  this->statement_finished = val;
+__isset.statement_finished = true;
+}
+
+void Event::__set_control_answered(const ControlAnswered& val) {
+  this->control_answered = val;
+__isset.control_answered = true;
+}
+
+void Event::__set_platform_answered(const PlatformAnswered& val) {
+  this->platform_answered = val;
+__isset.platform_answered = true;
+}
+
+void Event::__set_peer_message_received(const PeerMessageReceived& val) {
+  this->peer_message_received = val;
+__isset.peer_message_received = true;
+}
+
+void Event::__set_peer_unreachable(const PeerUnreachable& val) {
+  this->peer_unreachable = val;
+__isset.peer_unreachable = true;
+}
+
+void Event::__set_tick(const Tick& val) {
+  this->tick = val;
+__isset.tick = true;
+}
+
+void Event::__set_shutdown_requested(const ShutdownRequested& val) {
+  this->shutdown_requested = val;
+__isset.shutdown_requested = true;
+}
+
+void Event::__set_switchover_requested(const SwitchoverRequested& val) {
+  this->switchover_requested = val;
+__isset.switchover_requested = true;
+}
+std::ostream& operator<<(std::ostream& out, const Event& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Event::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request_received.read(iprot);
+          this->__isset.request_received = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->caller_gone.read(iprot);
+          this->__isset.caller_gone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->connection_opened.read(iprot);
+          this->__isset.connection_opened = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->connection_closed.read(iprot);
+          this->__isset.connection_closed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->statement_finished.read(iprot);
+          this->__isset.statement_finished = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->control_answered.read(iprot);
+          this->__isset.control_answered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->platform_answered.read(iprot);
+          this->__isset.platform_answered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->peer_message_received.read(iprot);
+          this->__isset.peer_message_received = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->peer_unreachable.read(iprot);
+          this->__isset.peer_unreachable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->tick.read(iprot);
+          this->__isset.tick = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->shutdown_requested.read(iprot);
+          this->__isset.shutdown_requested = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->switchover_requested.read(iprot);
+          this->__isset.switchover_requested = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Event::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Event");
+
+  if (this->__isset.request_received) {
+    xfer += oprot->writeFieldBegin("request_received", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->request_received.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.caller_gone) {
+    xfer += oprot->writeFieldBegin("caller_gone", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->caller_gone.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.connection_opened) {
+    xfer += oprot->writeFieldBegin("connection_opened", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->connection_opened.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.connection_closed) {
+    xfer += oprot->writeFieldBegin("connection_closed", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->connection_closed.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.statement_finished) {
+    xfer += oprot->writeFieldBegin("statement_finished", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->statement_finished.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.control_answered) {
+    xfer += oprot->writeFieldBegin("control_answered", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->control_answered.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.platform_answered) {
+    xfer += oprot->writeFieldBegin("platform_answered", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->platform_answered.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.peer_message_received) {
+    xfer += oprot->writeFieldBegin("peer_message_received", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->peer_message_received.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.peer_unreachable) {
+    xfer += oprot->writeFieldBegin("peer_unreachable", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->peer_unreachable.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.tick) {
+    xfer += oprot->writeFieldBegin("tick", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->tick.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.shutdown_requested) {
+    xfer += oprot->writeFieldBegin("shutdown_requested", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->shutdown_requested.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.switchover_requested) {
+    xfer += oprot->writeFieldBegin("switchover_requested", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->switchover_requested.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Event &a, Event &b) {
+  using ::std::swap;
+  swap(a.request_received, b.request_received);
+  swap(a.caller_gone, b.caller_gone);
+  swap(a.connection_opened, b.connection_opened);
+  swap(a.connection_closed, b.connection_closed);
+  swap(a.statement_finished, b.statement_finished);
+  swap(a.control_answered, b.control_answered);
+  swap(a.platform_answered, b.platform_answered);
+  swap(a.peer_message_received, b.peer_message_received);
+  swap(a.peer_unreachable, b.peer_unreachable);
+  swap(a.tick, b.tick);
+  swap(a.shutdown_requested, b.shutdown_requested);
+  swap(a.switchover_requested, b.switchover_requested);
+  swap(a.__isset, b.__isset);
+}
+
+Event::Event(const Event& other292) {
+  request_received = other292.request_received;
+  caller_gone = other292.caller_gone;
+  connection_opened = other292.connection_opened;
+  connection_closed = other292.connection_closed;
+  statement_finished = other292.statement_finished;
+  control_answered = other292.control_answered;
+  platform_answered = other292.platform_answered;
+  peer_message_received = other292.peer_message_received;
+  peer_unreachable = other292.peer_unreachable;
+  tick = other292.tick;
+  shutdown_requested = other292.shutdown_requested;
+  switchover_requested = other292.switchover_requested;
+  __isset = other292.__isset;
+}
+Event::Event(Event&& other293) noexcept {
+  request_received = std::move(other293.request_received);
+  caller_gone = std::move(other293.caller_gone);
+  connection_opened = std::move(other293.connection_opened);
+  connection_closed = std::move(other293.connection_closed);
+  statement_finished = std::move(other293.statement_finished);
+  control_answered = std::move(other293.control_answered);
+  platform_answered = std::move(other293.platform_answered);
+  peer_message_received = std::move(other293.peer_message_received);
+  peer_unreachable = std::move(other293.peer_unreachable);
+  tick = std::move(other293.tick);
+  shutdown_requested = std::move(other293.shutdown_requested);
+  switchover_requested = std::move(other293.switchover_requested);
+  __isset = other293.__isset;
+}
+Event& Event::operator=(const Event& other294) {
+  request_received = other294.request_received;
+  caller_gone = other294.caller_gone;
+  connection_opened = other294.connection_opened;
+  connection_closed = other294.connection_closed;
+  statement_finished = other294.statement_finished;
+  control_answered = other294.control_answered;
+  platform_answered = other294.platform_answered;
+  peer_message_received = other294.peer_message_received;
+  peer_unreachable = other294.peer_unreachable;
+  tick = other294.tick;
+  shutdown_requested = other294.shutdown_requested;
+  switchover_requested = other294.switchover_requested;
+  __isset = other294.__isset;
+  return *this;
+}
+Event& Event::operator=(Event&& other295) noexcept {
+  request_received = std::move(other295.request_received);
+  caller_gone = std::move(other295.caller_gone);
+  connection_opened = std::move(other295.connection_opened);
+  connection_closed = std::move(other295.connection_closed);
+  statement_finished = std::move(other295.statement_finished);
+  control_answered = std::move(other295.control_answered);
+  platform_answered = std::move(other295.platform_answered);
+  peer_message_received = std::move(other295.peer_message_received);
+  peer_unreachable = std::move(other295.peer_unreachable);
+  tick = std::move(other295.tick);
+  shutdown_requested = std::move(other295.shutdown_requested);
+  switchover_requested = std::move(other295.switchover_requested);
+  __isset = other295.__isset;
+  return *this;
+}
+void Event::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Event(";
+  out << "request_received="; (__isset.request_received ? (out << to_string(request_received)) : (out << "<null>"));
+  out << ", " << "caller_gone="; (__isset.caller_gone ? (out << to_string(caller_gone)) : (out << "<null>"));
+  out << ", " << "connection_opened="; (__isset.connection_opened ? (out << to_string(connection_opened)) : (out << "<null>"));
+  out << ", " << "connection_closed="; (__isset.connection_closed ? (out << to_string(connection_closed)) : (out << "<null>"));
+  out << ", " << "statement_finished="; (__isset.statement_finished ? (out << to_string(statement_finished)) : (out << "<null>"));
+  out << ", " << "control_answered="; (__isset.control_answered ? (out << to_string(control_answered)) : (out << "<null>"));
+  out << ", " << "platform_answered="; (__isset.platform_answered ? (out << to_string(platform_answered)) : (out << "<null>"));
+  out << ", " << "peer_message_received="; (__isset.peer_message_received ? (out << to_string(peer_message_received)) : (out << "<null>"));
+  out << ", " << "peer_unreachable="; (__isset.peer_unreachable ? (out << to_string(peer_unreachable)) : (out << "<null>"));
+  out << ", " << "tick="; (__isset.tick ? (out << to_string(tick)) : (out << "<null>"));
+  out << ", " << "shutdown_requested="; (__isset.shutdown_requested ? (out << to_string(shutdown_requested)) : (out << "<null>"));
+  out << ", " << "switchover_requested="; (__isset.switchover_requested ? (out << to_string(switchover_requested)) : (out << "<null>"));
+  out << ")";
+}
+
+
+AnswerRequest::~AnswerRequest() noexcept {
+}
+
+
+void AnswerRequest::__set_request(const int64_t val) {
+  this->request = val;
+}
+
+void AnswerRequest::__set_answer(const CallerAnswer& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const AnswerRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AnswerRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_request = false;
+  bool isset_answer = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request);
+          isset_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer.read(iprot);
+          isset_answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_request)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_answer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t AnswerRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AnswerRequest");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->answer.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AnswerRequest &a, AnswerRequest &b) {
+  using ::std::swap;
+  swap(a.request, b.request);
+  swap(a.answer, b.answer);
+}
+
+AnswerRequest::AnswerRequest(const AnswerRequest& other296) {
+  request = other296.request;
+  answer = other296.answer;
+}
+AnswerRequest::AnswerRequest(AnswerRequest&& other297) noexcept {
+  request = other297.request;
+  answer = std::move(other297.answer);
+}
+AnswerRequest& AnswerRequest::operator=(const AnswerRequest& other298) {
+  request = other298.request;
+  answer = other298.answer;
+  return *this;
+}
+AnswerRequest& AnswerRequest::operator=(AnswerRequest&& other299) noexcept {
+  request = other299.request;
+  answer = std::move(other299.answer);
+  return *this;
+}
+void AnswerRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AnswerRequest(";
+  out << "request=" << to_string(request);
+  out << ", " << "answer=" << to_string(answer);
+  out << ")";
+}
+
+
+Member::~Member() noexcept {
+}
+
+
+void Member::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void Member::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void Member::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+std::ostream& operator<<(std::ostream& out, const Member& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Member::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_id = false;
+  bool isset_address = false;
+  bool isset_zone = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          isset_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          isset_zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_address)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_zone)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t Member::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Member");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Member &a, Member &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.address, b.address);
+  swap(a.zone, b.zone);
+}
+
+Member::Member(const Member& other300) {
+  id = other300.id;
+  address = other300.address;
+  zone = other300.zone;
+}
+Member::Member(Member&& other301) noexcept {
+  id = std::move(other301.id);
+  address = std::move(other301.address);
+  zone = std::move(other301.zone);
+}
+Member& Member::operator=(const Member& other302) {
+  id = other302.id;
+  address = other302.address;
+  zone = other302.zone;
+  return *this;
+}
+Member& Member::operator=(Member&& other303) noexcept {
+  id = std::move(other303.id);
+  address = std::move(other303.address);
+  zone = std::move(other303.zone);
+  return *this;
+}
+void Member::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Member(";
+  out << "id=" << to_string(id);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "zone=" << to_string(zone);
+  out << ")";
+}
+
+
+OpenConnection::~OpenConnection() noexcept {
+}
+
+
+void OpenConnection::__set_connection(const int64_t val) {
+  this->connection = val;
+}
+
+void OpenConnection::__set_database(const std::string& val) {
+  this->database = val;
+}
+
+void OpenConnection::__set_member(const Member& val) {
+  this->member = val;
+}
+std::ostream& operator<<(std::ostream& out, const OpenConnection& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OpenConnection::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_connection = false;
+  bool isset_database = false;
+  bool isset_member = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->connection);
+          isset_connection = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->database);
+          isset_database = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->member.read(iprot);
+          isset_member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_connection)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_database)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_member)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t OpenConnection::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OpenConnection");
+
+  xfer += oprot->writeFieldBegin("connection", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->connection);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("database", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->database);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->member.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OpenConnection &a, OpenConnection &b) {
+  using ::std::swap;
+  swap(a.connection, b.connection);
+  swap(a.database, b.database);
+  swap(a.member, b.member);
+}
+
+OpenConnection::OpenConnection(const OpenConnection& other304) {
+  connection = other304.connection;
+  database = other304.database;
+  member = other304.member;
+}
+OpenConnection::OpenConnection(OpenConnection&& other305) noexcept {
+  connection = other305.connection;
+  database = std::move(other305.database);
+  member = std::move(other305.member);
+}
+OpenConnection& OpenConnection::operator=(const OpenConnection& other306) {
+  connection = other306.connection;
+  database = other306.database;
+  member = other306.member;
+  return *this;
+}
+OpenConnection& OpenConnection::operator=(OpenConnection&& other307) noexcept {
+  connection = other307.connection;
+  database = std::move(other307.database);
+  member = std::move(other307.member);
+  return *this;
+}
+void OpenConnection::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OpenConnection(";
+  out << "connection=" << to_string(connection);
+  out << ", " << "database=" << to_string(database);
+  out << ", " << "member=" << to_string(member);
+  out << ")";
+}
+
+
+CloseConnection::~CloseConnection() noexcept {
+}
+
+
+void CloseConnection::__set_connection(const int64_t val) {
+  this->connection = val;
+}
+std::ostream& operator<<(std::ostream& out, const CloseConnection& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CloseConnection::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_connection = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->connection);
+          isset_connection = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_connection)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t CloseConnection::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CloseConnection");
+
+  xfer += oprot->writeFieldBegin("connection", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->connection);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CloseConnection &a, CloseConnection &b) {
+  using ::std::swap;
+  swap(a.connection, b.connection);
+}
+
+CloseConnection::CloseConnection(const CloseConnection& other308) noexcept {
+  connection = other308.connection;
+}
+CloseConnection::CloseConnection(CloseConnection&& other309) noexcept {
+  connection = other309.connection;
+}
+CloseConnection& CloseConnection::operator=(const CloseConnection& other310) noexcept {
+  connection = other310.connection;
+  return *this;
+}
+CloseConnection& CloseConnection::operator=(CloseConnection&& other311) noexcept {
+  connection = other311.connection;
+  return *this;
+}
+void CloseConnection::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CloseConnection(";
+  out << "connection=" << to_string(connection);
+  out << ")";
+}
+
+
+RunStatement::~RunStatement() noexcept {
+}
+
+
+void RunStatement::__set_connection(const int64_t val) {
+  this->connection = val;
+}
+
+void RunStatement::__set_step(const int32_t val) {
+  this->step = val;
+}
+
+void RunStatement::__set_statement(const Statement& val) {
+  this->statement = val;
+}
+
+void RunStatement::__set_read_only(const bool val) {
+  this->read_only = val;
+}
+
+void RunStatement::__set_request_id(const std::string& val) {
+  this->request_id = val;
+}
+
+void RunStatement::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunStatement& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunStatement::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_connection = false;
+  bool isset_step = false;
+  bool isset_statement = false;
+  bool isset_read_only = false;
+  bool isset_request_id = false;
+  bool isset_customer = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->connection);
+          isset_connection = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->step);
+          isset_step = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->statement.read(iprot);
+          isset_statement = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->read_only);
+          isset_read_only = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->request_id);
+          isset_request_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          isset_customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_connection)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_step)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_statement)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_read_only)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_request_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_customer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t RunStatement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunStatement");
+
+  xfer += oprot->writeFieldBegin("connection", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->connection);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->step);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("statement", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->statement.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("read_only", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->read_only);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->request_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunStatement &a, RunStatement &b) {
+  using ::std::swap;
+  swap(a.connection, b.connection);
+  swap(a.step, b.step);
+  swap(a.statement, b.statement);
+  swap(a.read_only, b.read_only);
+  swap(a.request_id, b.request_id);
+  swap(a.customer, b.customer);
+}
+
+RunStatement::RunStatement(const RunStatement& other312) {
+  connection = other312.connection;
+  step = other312.step;
+  statement = other312.statement;
+  read_only = other312.read_only;
+  request_id = other312.request_id;
+  customer = other312.customer;
+}
+RunStatement::RunStatement(RunStatement&& other313) noexcept {
+  connection = other313.connection;
+  step = other313.step;
+  statement = std::move(other313.statement);
+  read_only = other313.read_only;
+  request_id = std::move(other313.request_id);
+  customer = std::move(other313.customer);
+}
+RunStatement& RunStatement::operator=(const RunStatement& other314) {
+  connection = other314.connection;
+  step = other314.step;
+  statement = other314.statement;
+  read_only = other314.read_only;
+  request_id = other314.request_id;
+  customer = other314.customer;
+  return *this;
+}
+RunStatement& RunStatement::operator=(RunStatement&& other315) noexcept {
+  connection = other315.connection;
+  step = other315.step;
+  statement = std::move(other315.statement);
+  read_only = other315.read_only;
+  request_id = std::move(other315.request_id);
+  customer = std::move(other315.customer);
+  return *this;
+}
+void RunStatement::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunStatement(";
+  out << "connection=" << to_string(connection);
+  out << ", " << "step=" << to_string(step);
+  out << ", " << "statement=" << to_string(statement);
+  out << ", " << "read_only=" << to_string(read_only);
+  out << ", " << "request_id=" << to_string(request_id);
+  out << ", " << "customer=" << to_string(customer);
+  out << ")";
+}
+
+
+CallMember::~CallMember() noexcept {
+}
+
+
+void CallMember::__set_call(const int64_t val) {
+  this->call = val;
+}
+
+void CallMember::__set_database(const std::string& val) {
+  this->database = val;
+}
+
+void CallMember::__set_member(const Member& val) {
+  this->member = val;
+}
+
+void CallMember::__set_connection(const int64_t val) {
+  this->connection = val;
+}
+
+void CallMember::__set_request(const ControlRequest& val) {
+  this->request = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallMember& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallMember::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_call = false;
+  bool isset_database = false;
+  bool isset_member = false;
+  bool isset_connection = false;
+  bool isset_request = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call);
+          isset_call = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->database);
+          isset_database = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->member.read(iprot);
+          isset_member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->connection);
+          isset_connection = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          isset_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_call)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_database)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_member)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_connection)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_request)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t CallMember::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallMember");
+
+  xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->call);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("database", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->database);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->member.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("connection", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->connection);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->request.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallMember &a, CallMember &b) {
+  using ::std::swap;
+  swap(a.call, b.call);
+  swap(a.database, b.database);
+  swap(a.member, b.member);
+  swap(a.connection, b.connection);
+  swap(a.request, b.request);
+}
+
+CallMember::CallMember(const CallMember& other316) {
+  call = other316.call;
+  database = other316.database;
+  member = other316.member;
+  connection = other316.connection;
+  request = other316.request;
+}
+CallMember::CallMember(CallMember&& other317) noexcept {
+  call = other317.call;
+  database = std::move(other317.database);
+  member = std::move(other317.member);
+  connection = other317.connection;
+  request = std::move(other317.request);
+}
+CallMember& CallMember::operator=(const CallMember& other318) {
+  call = other318.call;
+  database = other318.database;
+  member = other318.member;
+  connection = other318.connection;
+  request = other318.request;
+  return *this;
+}
+CallMember& CallMember::operator=(CallMember&& other319) noexcept {
+  call = other319.call;
+  database = std::move(other319.database);
+  member = std::move(other319.member);
+  connection = other319.connection;
+  request = std::move(other319.request);
+  return *this;
+}
+void CallMember::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallMember(";
+  out << "call=" << to_string(call);
+  out << ", " << "database=" << to_string(database);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "connection=" << to_string(connection);
+  out << ", " << "request=" << to_string(request);
+  out << ")";
+}
+
+
+CallPlatform::~CallPlatform() noexcept {
+}
+
+
+void CallPlatform::__set_call(const int64_t val) {
+  this->call = val;
+}
+
+void CallPlatform::__set_request(const PlatformRequest& val) {
+  this->request = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallPlatform& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallPlatform::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_call = false;
+  bool isset_request = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call);
+          isset_call = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          isset_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_call)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_request)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t CallPlatform::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallPlatform");
+
+  xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->call);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->request.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallPlatform &a, CallPlatform &b) {
+  using ::std::swap;
+  swap(a.call, b.call);
+  swap(a.request, b.request);
+}
+
+CallPlatform::CallPlatform(const CallPlatform& other320) {
+  call = other320.call;
+  request = other320.request;
+}
+CallPlatform::CallPlatform(CallPlatform&& other321) noexcept {
+  call = other321.call;
+  request = std::move(other321.request);
+}
+CallPlatform& CallPlatform::operator=(const CallPlatform& other322) {
+  call = other322.call;
+  request = other322.request;
+  return *this;
+}
+CallPlatform& CallPlatform::operator=(CallPlatform&& other323) noexcept {
+  call = other323.call;
+  request = std::move(other323.request);
+  return *this;
+}
+void CallPlatform::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallPlatform(";
+  out << "call=" << to_string(call);
+  out << ", " << "request=" << to_string(request);
+  out << ")";
+}
+
+
+SendToPeer::~SendToPeer() noexcept {
+}
+
+
+void SendToPeer::__set_peer(const std::string& val) {
+  this->peer = val;
+}
+
+void SendToPeer::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void SendToPeer::__set_message(const PeerMessage& val) {
+  this->message = val;
+}
+std::ostream& operator<<(std::ostream& out, const SendToPeer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SendToPeer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_peer = false;
+  bool isset_address = false;
+  bool isset_message = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->peer);
+          isset_peer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          isset_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->message.read(iprot);
+          isset_message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_peer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_address)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_message)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t SendToPeer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SendToPeer");
+
+  xfer += oprot->writeFieldBegin("peer", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->peer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->message.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SendToPeer &a, SendToPeer &b) {
+  using ::std::swap;
+  swap(a.peer, b.peer);
+  swap(a.address, b.address);
+  swap(a.message, b.message);
+}
+
+SendToPeer::SendToPeer(const SendToPeer& other324) {
+  peer = other324.peer;
+  address = other324.address;
+  message = other324.message;
+}
+SendToPeer::SendToPeer(SendToPeer&& other325) noexcept {
+  peer = std::move(other325.peer);
+  address = std::move(other325.address);
+  message = std::move(other325.message);
+}
+SendToPeer& SendToPeer::operator=(const SendToPeer& other326) {
+  peer = other326.peer;
+  address = other326.address;
+  message = other326.message;
+  return *this;
+}
+SendToPeer& SendToPeer::operator=(SendToPeer&& other327) noexcept {
+  peer = std::move(other327.peer);
+  address = std::move(other327.address);
+  message = std::move(other327.message);
+  return *this;
+}
+void SendToPeer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SendToPeer(";
+  out << "peer=" << to_string(peer);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "message=" << to_string(message);
+  out << ")";
+}
+
+
+TimelineEvent::~TimelineEvent() noexcept {
+}
+
+
+void TimelineEvent::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void TimelineEvent::__set_time_us(const int64_t val) {
+  this->time_us = val;
+}
+
+void TimelineEvent::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void TimelineEvent::__set_request(const int64_t val) {
+  this->request = val;
+}
+
+void TimelineEvent::__set_request_id(const std::string& val) {
+  this->request_id = val;
+}
+
+void TimelineEvent::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void TimelineEvent::__set_database(const std::string& val) {
+  this->database = val;
+}
+
+void TimelineEvent::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void TimelineEvent::__set_peer(const std::string& val) {
+  this->peer = val;
+}
+
+void TimelineEvent::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void TimelineEvent::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void TimelineEvent::__set_detail(const std::string& val) {
+  this->detail = val;
+}
+std::ostream& operator<<(std::ostream& out, const TimelineEvent& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TimelineEvent::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_sequence = false;
+  bool isset_time_us = false;
+  bool isset_kind = false;
+  bool isset_request = false;
+  bool isset_request_id = false;
+  bool isset_customer = false;
+  bool isset_database = false;
+  bool isset_zone = false;
+  bool isset_peer = false;
+  bool isset_term = false;
+  bool isset_revision = false;
+  bool isset_detail = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          isset_sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->time_us);
+          isset_time_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          isset_kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request);
+          isset_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->request_id);
+          isset_request_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          isset_customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->database);
+          isset_database = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          isset_zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->peer);
+          isset_peer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          isset_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          isset_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->detail);
+          isset_detail = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_sequence)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_time_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_kind)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_request)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_request_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_customer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_database)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_zone)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_peer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_term)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_revision)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_detail)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t TimelineEvent::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TimelineEvent");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("time_us", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->time_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->request_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("database", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->database);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("peer", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->peer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("detail", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeString(this->detail);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TimelineEvent &a, TimelineEvent &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.time_us, b.time_us);
+  swap(a.kind, b.kind);
+  swap(a.request, b.request);
+  swap(a.request_id, b.request_id);
+  swap(a.customer, b.customer);
+  swap(a.database, b.database);
+  swap(a.zone, b.zone);
+  swap(a.peer, b.peer);
+  swap(a.term, b.term);
+  swap(a.revision, b.revision);
+  swap(a.detail, b.detail);
+}
+
+TimelineEvent::TimelineEvent(const TimelineEvent& other328) {
+  sequence = other328.sequence;
+  time_us = other328.time_us;
+  kind = other328.kind;
+  request = other328.request;
+  request_id = other328.request_id;
+  customer = other328.customer;
+  database = other328.database;
+  zone = other328.zone;
+  peer = other328.peer;
+  term = other328.term;
+  revision = other328.revision;
+  detail = other328.detail;
+}
+TimelineEvent::TimelineEvent(TimelineEvent&& other329) noexcept {
+  sequence = other329.sequence;
+  time_us = other329.time_us;
+  kind = other329.kind;
+  request = other329.request;
+  request_id = std::move(other329.request_id);
+  customer = std::move(other329.customer);
+  database = std::move(other329.database);
+  zone = std::move(other329.zone);
+  peer = std::move(other329.peer);
+  term = other329.term;
+  revision = other329.revision;
+  detail = std::move(other329.detail);
+}
+TimelineEvent& TimelineEvent::operator=(const TimelineEvent& other330) {
+  sequence = other330.sequence;
+  time_us = other330.time_us;
+  kind = other330.kind;
+  request = other330.request;
+  request_id = other330.request_id;
+  customer = other330.customer;
+  database = other330.database;
+  zone = other330.zone;
+  peer = other330.peer;
+  term = other330.term;
+  revision = other330.revision;
+  detail = other330.detail;
+  return *this;
+}
+TimelineEvent& TimelineEvent::operator=(TimelineEvent&& other331) noexcept {
+  sequence = other331.sequence;
+  time_us = other331.time_us;
+  kind = other331.kind;
+  request = other331.request;
+  request_id = std::move(other331.request_id);
+  customer = std::move(other331.customer);
+  database = std::move(other331.database);
+  zone = std::move(other331.zone);
+  peer = std::move(other331.peer);
+  term = other331.term;
+  revision = other331.revision;
+  detail = std::move(other331.detail);
+  return *this;
+}
+void TimelineEvent::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TimelineEvent(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "time_us=" << to_string(time_us);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "request=" << to_string(request);
+  out << ", " << "request_id=" << to_string(request_id);
+  out << ", " << "customer=" << to_string(customer);
+  out << ", " << "database=" << to_string(database);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "peer=" << to_string(peer);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "detail=" << to_string(detail);
+  out << ")";
+}
+
+
+RecordEvent::~RecordEvent() noexcept {
+}
+
+
+void RecordEvent::__set_event(const TimelineEvent& val) {
+  this->event = val;
+}
+std::ostream& operator<<(std::ostream& out, const RecordEvent& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RecordEvent::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_event = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->event.read(iprot);
+          isset_event = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_event)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t RecordEvent::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RecordEvent");
+
+  xfer += oprot->writeFieldBegin("event", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->event.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RecordEvent &a, RecordEvent &b) {
+  using ::std::swap;
+  swap(a.event, b.event);
+}
+
+RecordEvent::RecordEvent(const RecordEvent& other332) {
+  event = other332.event;
+}
+RecordEvent::RecordEvent(RecordEvent&& other333) noexcept {
+  event = std::move(other333.event);
+}
+RecordEvent& RecordEvent::operator=(const RecordEvent& other334) {
+  event = other334.event;
+  return *this;
+}
+RecordEvent& RecordEvent::operator=(RecordEvent&& other335) noexcept {
+  event = std::move(other335.event);
+  return *this;
+}
+void RecordEvent::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RecordEvent(";
+  out << "event=" << to_string(event);
+  out << ")";
+}
+
+
+SetReadiness::~SetReadiness() noexcept {
+}
+
+
+void SetReadiness::__set_ready(const bool val) {
+  this->ready = val;
+}
+std::ostream& operator<<(std::ostream& out, const SetReadiness& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SetReadiness::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_ready = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ready);
+          isset_ready = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_ready)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t SetReadiness::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SetReadiness");
+
+  xfer += oprot->writeFieldBegin("ready", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->ready);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SetReadiness &a, SetReadiness &b) {
+  using ::std::swap;
+  swap(a.ready, b.ready);
+}
+
+SetReadiness::SetReadiness(const SetReadiness& other336) noexcept {
+  ready = other336.ready;
+}
+SetReadiness::SetReadiness(SetReadiness&& other337) noexcept {
+  ready = other337.ready;
+}
+SetReadiness& SetReadiness::operator=(const SetReadiness& other338) noexcept {
+  ready = other338.ready;
+  return *this;
+}
+SetReadiness& SetReadiness::operator=(SetReadiness&& other339) noexcept {
+  ready = other339.ready;
+  return *this;
+}
+void SetReadiness::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SetReadiness(";
+  out << "ready=" << to_string(ready);
+  out << ")";
+}
+
+
+StopProcess::~StopProcess() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const StopProcess& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StopProcess::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StopProcess::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StopProcess");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StopProcess &a, StopProcess &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+StopProcess::StopProcess(const StopProcess& other340) noexcept {
+  (void) other340;
+}
+StopProcess::StopProcess(StopProcess&& other341) noexcept {
+  (void) other341;
+}
+StopProcess& StopProcess::operator=(const StopProcess& other342) noexcept {
+  (void) other342;
+  return *this;
+}
+StopProcess& StopProcess::operator=(StopProcess&& other343) noexcept {
+  (void) other343;
+  return *this;
+}
+void StopProcess::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StopProcess(";
+  out << ")";
+}
+
+
+Action::~Action() noexcept {
+}
+
+
+void Action::__set_answer_request(const AnswerRequest& val) {
+  this->answer_request = val;
+__isset.answer_request = true;
+}
+
+void Action::__set_open_connection(const OpenConnection& val) {
+  this->open_connection = val;
+__isset.open_connection = true;
+}
+
+void Action::__set_close_connection(const CloseConnection& val) {
+  this->close_connection = val;
+__isset.close_connection = true;
+}
+
+void Action::__set_run_statement(const RunStatement& val) {
+  this->run_statement = val;
+__isset.run_statement = true;
+}
+
+void Action::__set_call_member(const CallMember& val) {
+  this->call_member = val;
+__isset.call_member = true;
+}
+
+void Action::__set_call_platform(const CallPlatform& val) {
+  this->call_platform = val;
+__isset.call_platform = true;
+}
+
+void Action::__set_send_to_peer(const SendToPeer& val) {
+  this->send_to_peer = val;
+__isset.send_to_peer = true;
+}
+
+void Action::__set_record_event(const RecordEvent& val) {
+  this->record_event = val;
+__isset.record_event = true;
+}
+
+void Action::__set_set_readiness(const SetReadiness& val) {
+  this->set_readiness = val;
+__isset.set_readiness = true;
+}
+
+void Action::__set_stop_process(const StopProcess& val) {
+  this->stop_process = val;
+__isset.stop_process = true;
+}
+std::ostream& operator<<(std::ostream& out, const Action& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Action::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer_request.read(iprot);
+          this->__isset.answer_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->open_connection.read(iprot);
+          this->__isset.open_connection = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->close_connection.read(iprot);
+          this->__isset.close_connection = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->run_statement.read(iprot);
+          this->__isset.run_statement = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->call_member.read(iprot);
+          this->__isset.call_member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->call_platform.read(iprot);
+          this->__isset.call_platform = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->send_to_peer.read(iprot);
+          this->__isset.send_to_peer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->record_event.read(iprot);
+          this->__isset.record_event = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->set_readiness.read(iprot);
+          this->__isset.set_readiness = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->stop_process.read(iprot);
+          this->__isset.stop_process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Action::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Action");
+
+  if (this->__isset.answer_request) {
+    xfer += oprot->writeFieldBegin("answer_request", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->answer_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.open_connection) {
+    xfer += oprot->writeFieldBegin("open_connection", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->open_connection.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.close_connection) {
+    xfer += oprot->writeFieldBegin("close_connection", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->close_connection.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.run_statement) {
+    xfer += oprot->writeFieldBegin("run_statement", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->run_statement.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.call_member) {
+    xfer += oprot->writeFieldBegin("call_member", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->call_member.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.call_platform) {
+    xfer += oprot->writeFieldBegin("call_platform", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->call_platform.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.send_to_peer) {
+    xfer += oprot->writeFieldBegin("send_to_peer", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->send_to_peer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.record_event) {
+    xfer += oprot->writeFieldBegin("record_event", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->record_event.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.set_readiness) {
+    xfer += oprot->writeFieldBegin("set_readiness", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->set_readiness.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.stop_process) {
+    xfer += oprot->writeFieldBegin("stop_process", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->stop_process.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Action &a, Action &b) {
+  using ::std::swap;
+  swap(a.answer_request, b.answer_request);
+  swap(a.open_connection, b.open_connection);
+  swap(a.close_connection, b.close_connection);
+  swap(a.run_statement, b.run_statement);
+  swap(a.call_member, b.call_member);
+  swap(a.call_platform, b.call_platform);
+  swap(a.send_to_peer, b.send_to_peer);
+  swap(a.record_event, b.record_event);
+  swap(a.set_readiness, b.set_readiness);
+  swap(a.stop_process, b.stop_process);
+  swap(a.__isset, b.__isset);
+}
+
+Action::Action(const Action& other344) {
+  answer_request = other344.answer_request;
+  open_connection = other344.open_connection;
+  close_connection = other344.close_connection;
+  run_statement = other344.run_statement;
+  call_member = other344.call_member;
+  call_platform = other344.call_platform;
+  send_to_peer = other344.send_to_peer;
+  record_event = other344.record_event;
+  set_readiness = other344.set_readiness;
+  stop_process = other344.stop_process;
+  __isset = other344.__isset;
+}
+Action::Action(Action&& other345) noexcept {
+  answer_request = std::move(other345.answer_request);
+  open_connection = std::move(other345.open_connection);
+  close_connection = std::move(other345.close_connection);
+  run_statement = std::move(other345.run_statement);
+  call_member = std::move(other345.call_member);
+  call_platform = std::move(other345.call_platform);
+  send_to_peer = std::move(other345.send_to_peer);
+  record_event = std::move(other345.record_event);
+  set_readiness = std::move(other345.set_readiness);
+  stop_process = std::move(other345.stop_process);
+  __isset = other345.__isset;
+}
+Action& Action::operator=(const Action& other346) {
+  answer_request = other346.answer_request;
+  open_connection = other346.open_connection;
+  close_connection = other346.close_connection;
+  run_statement = other346.run_statement;
+  call_member = other346.call_member;
+  call_platform = other346.call_platform;
+  send_to_peer = other346.send_to_peer;
+  record_event = other346.record_event;
+  set_readiness = other346.set_readiness;
+  stop_process = other346.stop_process;
+  __isset = other346.__isset;
+  return *this;
+}
+Action& Action::operator=(Action&& other347) noexcept {
+  answer_request = std::move(other347.answer_request);
+  open_connection = std::move(other347.open_connection);
+  close_connection = std::move(other347.close_connection);
+  run_statement = std::move(other347.run_statement);
+  call_member = std::move(other347.call_member);
+  call_platform = std::move(other347.call_platform);
+  send_to_peer = std::move(other347.send_to_peer);
+  record_event = std::move(other347.record_event);
+  set_readiness = std::move(other347.set_readiness);
+  stop_process = std::move(other347.stop_process);
+  __isset = other347.__isset;
+  return *this;
+}
+void Action::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Action(";
+  out << "answer_request="; (__isset.answer_request ? (out << to_string(answer_request)) : (out << "<null>"));
+  out << ", " << "open_connection="; (__isset.open_connection ? (out << to_string(open_connection)) : (out << "<null>"));
+  out << ", " << "close_connection="; (__isset.close_connection ? (out << to_string(close_connection)) : (out << "<null>"));
+  out << ", " << "run_statement="; (__isset.run_statement ? (out << to_string(run_statement)) : (out << "<null>"));
+  out << ", " << "call_member="; (__isset.call_member ? (out << to_string(call_member)) : (out << "<null>"));
+  out << ", " << "call_platform="; (__isset.call_platform ? (out << to_string(call_platform)) : (out << "<null>"));
+  out << ", " << "send_to_peer="; (__isset.send_to_peer ? (out << to_string(send_to_peer)) : (out << "<null>"));
+  out << ", " << "record_event="; (__isset.record_event ? (out << to_string(record_event)) : (out << "<null>"));
+  out << ", " << "set_readiness="; (__isset.set_readiness ? (out << to_string(set_readiness)) : (out << "<null>"));
+  out << ", " << "stop_process="; (__isset.stop_process ? (out << to_string(stop_process)) : (out << "<null>"));
+  out << ")";
+}
+
 }}} // namespace
