--- a/src/wire/gen/core_messages_types.h
+++ b/src/wire/gen/core_messages_types.h
@@ -21,22 +21,164 @@
 
 namespace jasminelug { namespace wire { namespace generated {
 
-enum ObjectKind {
-  PROFILE = 0,
-  CUSTOMER = 1,
-  KEY = 2,
-  ZONE = 3,
-  DATABASE = 4,
-  INSTANCE = 5,
-  SHARE = 6,
-  GROUP = 7
+struct ObjectKind {
+  enum type {
+    PROFILE = 0,
+    CUSTOMER = 1,
+    KEY = 2,
+    ZONE = 3,
+    DATABASE = 4,
+    INSTANCE = 5,
+    SHARE = 6,
+    GROUP = 7
+  };
 };
 
 extern const std::map<int, const char*> _ObjectKind_VALUES_TO_NAMES;
 
-std::ostream& operator<<(std::ostream& out, const ObjectKind val);
+std::ostream& operator<<(std::ostream& out, const ObjectKind::type& val);
 
-std::string to_string(const ObjectKind val);
+std::string to_string(const ObjectKind::type& val);
+
+struct Operation {
+  enum type {
+    STATEMENT = 0,
+    BEGIN_TRANSACTION = 1,
+    COMMIT = 2,
+    ROLLBACK = 3
+  };
+};
+
+extern const std::map<int, const char*> _Operation_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const Operation::type& val);
+
+std::string to_string(const Operation::type& val);
+
+struct Effect {
+  enum type {
+    NOT_RUN = 0,
+    UNKNOWN = 1
+  };
+};
+
+extern const std::map<int, const char*> _Effect_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const Effect::type& val);
+
+std::string to_string(const Effect::type& val);
+
+struct RefusalCode {
+  enum type {
+    INVALID_REQUEST = 0,
+    KEY_MISSING = 1,
+    KEY_UNKNOWN = 2,
+    KEY_WITHDRAWN = 3,
+    KEY_UNCONFIRMED = 4,
+    NOT_ALLOWED = 5,
+    UNKNOWN_DATABASE = 6,
+    UNKNOWN_PROFILE = 7,
+    UNKNOWN_TRANSACTION = 8,
+    DATABASE_LEAVING = 9,
+    RATE_EXCEEDED = 10,
+    OVERLOADED = 11,
+    UNAVAILABLE = 12,
+    ZONE_OUT = 13,
+    SHUTTING_DOWN = 14,
+    DEADLINE_EXCEEDED = 15,
+    REJECTED_BY_DATABASE = 16,
+    TRANSACTION_ABORTED = 17,
+    OUTCOME_UNKNOWN = 18
+  };
+};
+
+extern const std::map<int, const char*> _RefusalCode_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const RefusalCode::type& val);
+
+std::string to_string(const RefusalCode::type& val);
+
+struct MemberRole {
+  enum type {
+    PRIMARY = 0,
+    REPLICA = 1
+  };
+};
+
+extern const std::map<int, const char*> _MemberRole_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const MemberRole::type& val);
+
+std::string to_string(const MemberRole::type& val);
+
+struct RejectionKind {
+  enum type {
+    STATEMENT = 0,
+    DUPLICATE_REQUEST = 1,
+    NOT_PRIMARY = 2
+  };
+};
+
+extern const std::map<int, const char*> _RejectionKind_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const RejectionKind::type& val);
+
+std::string to_string(const RejectionKind::type& val);
+
+struct TransactionStep {
+  enum type {
+    AUTOCOMMIT = 0,
+    BEGIN_TRANSACTION = 1,
+    IN_TRANSACTION = 2,
+    COMMIT = 3,
+    ROLLBACK = 4
+  };
+};
+
+extern const std::map<int, const char*> _TransactionStep_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const TransactionStep::type& val);
+
+std::string to_string(const TransactionStep::type& val);
+
+struct TimelineKind {
+  enum type {
+    REQUEST_RECEIVED = 0,
+    REQUEST_ANSWERED = 1,
+    REQUEST_REFUSED = 2,
+    PRIMARY_SUSPECTED = 3,
+    TERM_GRANTED = 4,
+    TERM_REFUSED = 5,
+    PRIMARY_PROMOTED = 6,
+    PRIMARY_LEARNED = 7,
+    CONFIGURATION_INSTALLED = 8,
+    CONFIGURATION_REFUSED = 9,
+    PLATFORM_LOST = 10,
+    PLATFORM_REACHED = 11,
+    LEASE_RENEWED = 12,
+    LEASE_LAPSED = 13,
+    LEASE_RECLAIMED = 14,
+    SHARE_CHANGED = 15,
+    CREDIT_LENT = 16,
+    CREDIT_RECEIVED = 17,
+    CONNECTION_OPENED = 18,
+    CONNECTION_CLOSED = 19,
+    ZONE_LEFT = 20,
+    ZONE_RETURNED = 21,
+    SHUTDOWN_STARTED = 22,
+    SHUTDOWN_FINISHED = 23,
+    PEER_LOST = 24,
+    PEER_REACHED = 25
+  };
+};
+
+extern const std::map<int, const char*> _TimelineKind_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const TimelineKind::type& val);
+
+std::string to_string(const TimelineKind::type& val);
+
+typedef std::vector<class Cell>  Row;
 
 class ObjectKey;
 
@@ -70,6 +212,124 @@
 
 class PeerMessage;
 
+class ListObjects;
+
+class WatchObjects;
+
+class GetObject;
+
+class PutObject;
+
+class DeleteObject;
+
+class PlatformRequest;
+
+class ObjectAnswer;
+
+class VersionConflict;
+
+class PlatformFailure;
+
+class PlatformAnswer;
+
+class Cell;
+
+class Statement;
+
+class CallerRequest;
+
+class Refusal;
+
+class Served;
+
+class CallerAnswer;
+
+class LogPosition;
+
+class TermLineage;
+
+class StatementDone;
+
+class StatementRejected;
+
+class StatementLost;
+
+class StatementOutcome;
+
+class MemberStatus;
+
+class GrantAnswer;
+
+class StatusWanted;
+
+class GrantWanted;
+
+class PromotionWanted;
+
+class FollowWanted;
+
+class ControlRequest;
+
+class ControlDone;
+
+class ControlFailed;
+
+class ControlAnswer;
+
+class RequestReceived;
+
+class CallerGone;
+
+class ConnectionOpened;
+
+class ConnectionClosed;
+
+class StatementFinished;
+
+class ControlAnswered;
+
+class PlatformAnswered;
+
+class PeerSender;
+
+class PeerMessageReceived;
+
+class PeerUnreachable;
+
+class Tick;
+
+class ShutdownRequested;
+
+class SwitchoverRequested;
+
+class Event;
+
+class AnswerRequest;
+
+class Member;
+
+class OpenConnection;
+
+class CloseConnection;
+
+class RunStatement;
+
+class CallMember;
+
+class CallPlatform;
+
+class SendToPeer;
+
+class TimelineEvent;
+
+class RecordEvent;
+
+class SetReadiness;
+
+class StopProcess;
+
+class Action;
+
 
 class ObjectKey : public virtual ::apache::thrift::TBase {
  public:
@@ -79,19 +339,15 @@
   ObjectKey& operator=(const ObjectKey&);
   ObjectKey& operator=(ObjectKey&&) noexcept;
   ObjectKey() noexcept
-            : kind(static_cast<ObjectKind>(0)),
+            : kind(0),
               name() {
   }
 
   virtual ~ObjectKey() noexcept;
-  /**
-   * 
-   * @see ObjectKind
-   */
-  ObjectKind kind;
+  int32_t kind;
   std::string name;
 
-  void __set_kind(const ObjectKind val);
+  void __set_kind(const int32_t val);
 
   void __set_name(const std::string& val);
 
@@ -1000,6 +1256,3162 @@
 
 std::ostream& operator<<(std::ostream& out, const PeerMessage& obj);
 
+
+class ListObjects : public virtual ::apache::thrift::TBase {
+ public:
+
+  ListObjects(const ListObjects&) noexcept;
+  ListObjects(ListObjects&&) noexcept;
+  ListObjects& operator=(const ListObjects&) noexcept;
+  ListObjects& operator=(ListObjects&&) noexcept;
+  ListObjects() noexcept {
+  }
+
+  virtual ~ListObjects() noexcept;
+
+  bool operator == (const ListObjects & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const ListObjects &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ListObjects & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ListObjects &a, ListObjects &b);
+
+std::ostream& operator<<(std::ostream& out, const ListObjects& obj);
+
+
+class WatchObjects : public virtual ::apache::thrift::TBase {
+ public:
+
+  WatchObjects(const WatchObjects&) noexcept;
+  WatchObjects(WatchObjects&&) noexcept;
+  WatchObjects& operator=(const WatchObjects&) noexcept;
+  WatchObjects& operator=(WatchObjects&&) noexcept;
+  WatchObjects() noexcept
+               : since(0),
+                 wait_us(0) {
+  }
+
+  virtual ~WatchObjects() noexcept;
+  int64_t since;
+  int64_t wait_us;
+
+  void __set_since(const int64_t val);
+
+  void __set_wait_us(const int64_t val);
+
+  bool operator == (const WatchObjects & rhs) const
+  {
+    if (!(since == rhs.since))
+      return false;
+    if (!(wait_us == rhs.wait_us))
+      return false;
+    return true;
+  }
+  bool operator != (const WatchObjects &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WatchObjects & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WatchObjects &a, WatchObjects &b);
+
+std::ostream& operator<<(std::ostream& out, const WatchObjects& obj);
+
+
+class GetObject : public virtual ::apache::thrift::TBase {
+ public:
+
+  GetObject(const GetObject&);
+  GetObject(GetObject&&) noexcept;
+  GetObject& operator=(const GetObject&);
+  GetObject& operator=(GetObject&&) noexcept;
+  GetObject() noexcept {
+  }
+
+  virtual ~GetObject() noexcept;
+  ObjectKey key;
+
+  void __set_key(const ObjectKey& val);
+
+  bool operator == (const GetObject & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    return true;
+  }
+  bool operator != (const GetObject &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GetObject & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GetObject &a, GetObject &b);
+
+std::ostream& operator<<(std::ostream& out, const GetObject& obj);
+
+
+class PutObject : public virtual ::apache::thrift::TBase {
+ public:
+
+  PutObject(const PutObject&);
+  PutObject(PutObject&&) noexcept;
+  PutObject& operator=(const PutObject&);
+  PutObject& operator=(PutObject&&) noexcept;
+  PutObject() noexcept
+            : expected_version(0),
+              value(),
+              write_id() {
+  }
+
+  virtual ~PutObject() noexcept;
+  ObjectKey key;
+  int64_t expected_version;
+  std::string value;
+  std::string write_id;
+
+  void __set_key(const ObjectKey& val);
+
+  void __set_expected_version(const int64_t val);
+
+  void __set_value(const std::string& val);
+
+  void __set_write_id(const std::string& val);
+
+  bool operator == (const PutObject & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(expected_version == rhs.expected_version))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    if (!(write_id == rhs.write_id))
+      return false;
+    return true;
+  }
+  bool operator != (const PutObject &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PutObject & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PutObject &a, PutObject &b);
+
+std::ostream& operator<<(std::ostream& out, const PutObject& obj);
+
+
+class DeleteObject : public virtual ::apache::thrift::TBase {
+ public:
+
+  DeleteObject(const DeleteObject&);
+  DeleteObject(DeleteObject&&) noexcept;
+  DeleteObject& operator=(const DeleteObject&);
+  DeleteObject& operator=(DeleteObject&&) noexcept;
+  DeleteObject() noexcept
+               : expected_version(0),
+                 write_id() {
+  }
+
+  virtual ~DeleteObject() noexcept;
+  ObjectKey key;
+  int64_t expected_version;
+  std::string write_id;
+
+  void __set_key(const ObjectKey& val);
+
+  void __set_expected_version(const int64_t val);
+
+  void __set_write_id(const std::string& val);
+
+  bool operator == (const DeleteObject & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(expected_version == rhs.expected_version))
+      return false;
+    if (!(write_id == rhs.write_id))
+      return false;
+    return true;
+  }
+  bool operator != (const DeleteObject &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DeleteObject & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DeleteObject &a, DeleteObject &b);
+
+std::ostream& operator<<(std::ostream& out, const DeleteObject& obj);
+
+typedef struct _PlatformRequest__isset {
+  _PlatformRequest__isset() : list_objects(false), watch_objects(false), get_object(false), put_object(false), delete_object(false) {}
+  bool list_objects :1;
+  bool watch_objects :1;
+  bool get_object :1;
+  bool put_object :1;
+  bool delete_object :1;
+} _PlatformRequest__isset;
+
+class PlatformRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlatformRequest(const PlatformRequest&);
+  PlatformRequest(PlatformRequest&&) noexcept;
+  PlatformRequest& operator=(const PlatformRequest&);
+  PlatformRequest& operator=(PlatformRequest&&) noexcept;
+  PlatformRequest() noexcept {
+  }
+
+  virtual ~PlatformRequest() noexcept;
+  ListObjects list_objects;
+  WatchObjects watch_objects;
+  GetObject get_object;
+  PutObject put_object;
+  DeleteObject delete_object;
+
+  _PlatformRequest__isset __isset;
+
+  void __set_list_objects(const ListObjects& val);
+
+  void __set_watch_objects(const WatchObjects& val);
+
+  void __set_get_object(const GetObject& val);
+
+  void __set_put_object(const PutObject& val);
+
+  void __set_delete_object(const DeleteObject& val);
+
+  bool operator == (const PlatformRequest & rhs) const
+  {
+    if (__isset.list_objects != rhs.__isset.list_objects)
+      return false;
+    else if (__isset.list_objects && !(list_objects == rhs.list_objects))
+      return false;
+    if (__isset.watch_objects != rhs.__isset.watch_objects)
+      return false;
+    else if (__isset.watch_objects && !(watch_objects == rhs.watch_objects))
+      return false;
+    if (__isset.get_object != rhs.__isset.get_object)
+      return false;
+    else if (__isset.get_object && !(get_object == rhs.get_object))
+      return false;
+    if (__isset.put_object != rhs.__isset.put_object)
+      return false;
+    else if (__isset.put_object && !(put_object == rhs.put_object))
+      return false;
+    if (__isset.delete_object != rhs.__isset.delete_object)
+      return false;
+    else if (__isset.delete_object && !(delete_object == rhs.delete_object))
+      return false;
+    return true;
+  }
+  bool operator != (const PlatformRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlatformRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlatformRequest &a, PlatformRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const PlatformRequest& obj);
+
+
+class ObjectAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  ObjectAnswer(const ObjectAnswer&);
+  ObjectAnswer(ObjectAnswer&&) noexcept;
+  ObjectAnswer& operator=(const ObjectAnswer&);
+  ObjectAnswer& operator=(ObjectAnswer&&) noexcept;
+  ObjectAnswer() noexcept {
+  }
+
+  virtual ~ObjectAnswer() noexcept;
+  Object object;
+
+  void __set_object(const Object& val);
+
+  bool operator == (const ObjectAnswer & rhs) const
+  {
+    if (!(object == rhs.object))
+      return false;
+    return true;
+  }
+  bool operator != (const ObjectAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ObjectAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ObjectAnswer &a, ObjectAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const ObjectAnswer& obj);
+
+
+class VersionConflict : public virtual ::apache::thrift::TBase {
+ public:
+
+  VersionConflict(const VersionConflict&);
+  VersionConflict(VersionConflict&&) noexcept;
+  VersionConflict& operator=(const VersionConflict&);
+  VersionConflict& operator=(VersionConflict&&) noexcept;
+  VersionConflict() noexcept {
+  }
+
+  virtual ~VersionConflict() noexcept;
+  Object current;
+
+  void __set_current(const Object& val);
+
+  bool operator == (const VersionConflict & rhs) const
+  {
+    if (!(current == rhs.current))
+      return false;
+    return true;
+  }
+  bool operator != (const VersionConflict &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const VersionConflict & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(VersionConflict &a, VersionConflict &b);
+
+std::ostream& operator<<(std::ostream& out, const VersionConflict& obj);
+
+
+class PlatformFailure : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlatformFailure(const PlatformFailure&) noexcept;
+  PlatformFailure(PlatformFailure&&) noexcept;
+  PlatformFailure& operator=(const PlatformFailure&) noexcept;
+  PlatformFailure& operator=(PlatformFailure&&) noexcept;
+  PlatformFailure() noexcept
+                  : outcome_unknown(0) {
+  }
+
+  virtual ~PlatformFailure() noexcept;
+  bool outcome_unknown;
+
+  void __set_outcome_unknown(const bool val);
+
+  bool operator == (const PlatformFailure & rhs) const
+  {
+    if (!(outcome_unknown == rhs.outcome_unknown))
+      return false;
+    return true;
+  }
+  bool operator != (const PlatformFailure &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlatformFailure & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlatformFailure &a, PlatformFailure &b);
+
+std::ostream& operator<<(std::ostream& out, const PlatformFailure& obj);
+
+typedef struct _PlatformAnswer__isset {
+  _PlatformAnswer__isset() : object_batch(false), object_answer(false), version_conflict(false), platform_failure(false) {}
+  bool object_batch :1;
+  bool object_answer :1;
+  bool version_conflict :1;
+  bool platform_failure :1;
+} _PlatformAnswer__isset;
+
+class PlatformAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlatformAnswer(const PlatformAnswer&);
+  PlatformAnswer(PlatformAnswer&&) noexcept;
+  PlatformAnswer& operator=(const PlatformAnswer&);
+  PlatformAnswer& operator=(PlatformAnswer&&) noexcept;
+  PlatformAnswer() noexcept {
+  }
+
+  virtual ~PlatformAnswer() noexcept;
+  ObjectBatch object_batch;
+  ObjectAnswer object_answer;
+  VersionConflict version_conflict;
+  PlatformFailure platform_failure;
+
+  _PlatformAnswer__isset __isset;
+
+  void __set_object_batch(const ObjectBatch& val);
+
+  void __set_object_answer(const ObjectAnswer& val);
+
+  void __set_version_conflict(const VersionConflict& val);
+
+  void __set_platform_failure(const PlatformFailure& val);
+
+  bool operator == (const PlatformAnswer & rhs) const
+  {
+    if (__isset.object_batch != rhs.__isset.object_batch)
+      return false;
+    else if (__isset.object_batch && !(object_batch == rhs.object_batch))
+      return false;
+    if (__isset.object_answer != rhs.__isset.object_answer)
+      return false;
+    else if (__isset.object_answer && !(object_answer == rhs.object_answer))
+      return false;
+    if (__isset.version_conflict != rhs.__isset.version_conflict)
+      return false;
+    else if (__isset.version_conflict && !(version_conflict == rhs.version_conflict))
+      return false;
+    if (__isset.platform_failure != rhs.__isset.platform_failure)
+      return false;
+    else if (__isset.platform_failure && !(platform_failure == rhs.platform_failure))
+      return false;
+    return true;
+  }
+  bool operator != (const PlatformAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlatformAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlatformAnswer &a, PlatformAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const PlatformAnswer& obj);
+
+typedef struct _Cell__isset {
+  _Cell__isset() : text(false) {}
+  bool text :1;
+} _Cell__isset;
+
+class Cell : public virtual ::apache::thrift::TBase {
+ public:
+
+  Cell(const Cell&);
+  Cell(Cell&&) noexcept;
+  Cell& operator=(const Cell&);
+  Cell& operator=(Cell&&) noexcept;
+  Cell() noexcept
+       : text() {
+  }
+
+  virtual ~Cell() noexcept;
+  std::string text;
+
+  _Cell__isset __isset;
+
+  void __set_text(const std::string& val);
+
+  bool operator == (const Cell & rhs) const
+  {
+    if (__isset.text != rhs.__isset.text)
+      return false;
+    else if (__isset.text && !(text == rhs.text))
+      return false;
+    return true;
+  }
+  bool operator != (const Cell &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Cell & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Cell &a, Cell &b);
+
+std::ostream& operator<<(std::ostream& out, const Cell& obj);
+
+
+class Statement : public virtual ::apache::thrift::TBase {
+ public:
+
+  Statement(const Statement&);
+  Statement(Statement&&) noexcept;
+  Statement& operator=(const Statement&);
+  Statement& operator=(Statement&&) noexcept;
+  Statement() noexcept
+            : sql() {
+  }
+
+  virtual ~Statement() noexcept;
+  std::string sql;
+  std::vector<Cell>  parameters;
+
+  void __set_sql(const std::string& val);
+
+  void __set_parameters(const std::vector<Cell> & val);
+
+  bool operator == (const Statement & rhs) const
+  {
+    if (!(sql == rhs.sql))
+      return false;
+    if (!(parameters == rhs.parameters))
+      return false;
+    return true;
+  }
+  bool operator != (const Statement &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Statement & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Statement &a, Statement &b);
+
+std::ostream& operator<<(std::ostream& out, const Statement& obj);
+
+typedef struct _CallerRequest__isset {
+  _CallerRequest__isset() : deadline_us(false), sequence(false), max_staleness_us(false) {}
+  bool deadline_us :1;
+  bool sequence :1;
+  bool max_staleness_us :1;
+} _CallerRequest__isset;
+
+class CallerRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  CallerRequest(const CallerRequest&);
+  CallerRequest(CallerRequest&&) noexcept;
+  CallerRequest& operator=(const CallerRequest&);
+  CallerRequest& operator=(CallerRequest&&) noexcept;
+  CallerRequest() noexcept
+                : operation(0),
+                  key(),
+                  database(),
+                  profile(),
+                  read_only(0),
+                  transaction(),
+                  deadline_us(0),
+                  request_id(),
+                  idempotent(0),
+                  session(),
+                  sequence(0),
+                  max_staleness_us(0) {
+  }
+
+  virtual ~CallerRequest() noexcept;
+  int32_t operation;
+  std::string key;
+  std::string database;
+  std::string profile;
+  Statement statement;
+  bool read_only;
+  std::string transaction;
+  int64_t deadline_us;
+  std::string request_id;
+  bool idempotent;
+  std::string session;
+  int64_t sequence;
+  int64_t max_staleness_us;
+
+  _CallerRequest__isset __isset;
+
+  void __set_operation(const int32_t val);
+
+  void __set_key(const std::string& val);
+
+  void __set_database(const std::string& val);
+
+  void __set_profile(const std::string& val);
+
+  void __set_statement(const Statement& val);
+
+  void __set_read_only(const bool val);
+
+  void __set_transaction(const std::string& val);
+
+  void __set_deadline_us(const int64_t val);
+
+  void __set_request_id(const std::string& val);
+
+  void __set_idempotent(const bool val);
+
+  void __set_session(const std::string& val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_max_staleness_us(const int64_t val);
+
+  bool operator == (const CallerRequest & rhs) const
+  {
+    if (!(operation == rhs.operation))
+      return false;
+    if (!(key == rhs.key))
+      return false;
+    if (!(database == rhs.database))
+      return false;
+    if (!(profile == rhs.profile))
+      return false;
+    if (!(statement == rhs.statement))
+      return false;
+    if (!(read_only == rhs.read_only))
+      return false;
+    if (!(transaction == rhs.transaction))
+      return false;
+    if (__isset.deadline_us != rhs.__isset.deadline_us)
+      return false;
+    else if (__isset.deadline_us && !(deadline_us == rhs.deadline_us))
+      return false;
+    if (!(request_id == rhs.request_id))
+      return false;
+    if (!(idempotent == rhs.idempotent))
+      return false;
+    if (!(session == rhs.session))
+      return false;
+    if (__isset.sequence != rhs.__isset.sequence)
+      return false;
+    else if (__isset.sequence && !(sequence == rhs.sequence))
+      return false;
+    if (__isset.max_staleness_us != rhs.__isset.max_staleness_us)
+      return false;
+    else if (__isset.max_staleness_us && !(max_staleness_us == rhs.max_staleness_us))
+      return false;
+    return true;
+  }
+  bool operator != (const CallerRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CallerRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CallerRequest &a, CallerRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const CallerRequest& obj);
+
+typedef struct _Refusal__isset {
+  _Refusal__isset() : retry_after_us(false) {}
+  bool retry_after_us :1;
+} _Refusal__isset;
+
+class Refusal : public virtual ::apache::thrift::TBase {
+ public:
+
+  Refusal(const Refusal&);
+  Refusal(Refusal&&) noexcept;
+  Refusal& operator=(const Refusal&);
+  Refusal& operator=(Refusal&&) noexcept;
+  Refusal() noexcept
+          : code(0),
+            effect(0),
+            message(),
+            field(),
+            retry_after_us(0),
+            session() {
+  }
+
+  virtual ~Refusal() noexcept;
+  int32_t code;
+  int32_t effect;
+  std::string message;
+  std::string field;
+  int64_t retry_after_us;
+  std::string session;
+
+  _Refusal__isset __isset;
+
+  void __set_code(const int32_t val);
+
+  void __set_effect(const int32_t val);
+
+  void __set_message(const std::string& val);
+
+  void __set_field(const std::string& val);
+
+  void __set_retry_after_us(const int64_t val);
+
+  void __set_session(const std::string& val);
+
+  bool operator == (const Refusal & rhs) const
+  {
+    if (!(code == rhs.code))
+      return false;
+    if (!(effect == rhs.effect))
+      return false;
+    if (!(message == rhs.message))
+      return false;
+    if (!(field == rhs.field))
+      return false;
+    if (__isset.retry_after_us != rhs.__isset.retry_after_us)
+      return false;
+    else if (__isset.retry_after_us && !(retry_after_us == rhs.retry_after_us))
+      return false;
+    if (!(session == rhs.session))
+      return false;
+    return true;
+  }
+  bool operator != (const Refusal &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Refusal & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Refusal &a, Refusal &b);
+
+std::ostream& operator<<(std::ostream& out, const Refusal& obj);
+
+
+class Served : public virtual ::apache::thrift::TBase {
+ public:
+
+  Served(const Served&);
+  Served(Served&&) noexcept;
+  Served& operator=(const Served&);
+  Served& operator=(Served&&) noexcept;
+  Served() noexcept
+         : affected(0),
+           session(),
+           transaction(),
+           instance(),
+           member(),
+           role(0),
+           replayed(0) {
+  }
+
+  virtual ~Served() noexcept;
+  std::vector<std::string>  columns;
+  std::vector<Row>  rows;
+  int64_t affected;
+  std::string session;
+  std::string transaction;
+  std::string instance;
+  std::string member;
+  int32_t role;
+  bool replayed;
+
+  void __set_columns(const std::vector<std::string> & val);
+
+  void __set_rows(const std::vector<Row> & val);
+
+  void __set_affected(const int64_t val);
+
+  void __set_session(const std::string& val);
+
+  void __set_transaction(const std::string& val);
+
+  void __set_instance(const std::string& val);
+
+  void __set_member(const std::string& val);
+
+  void __set_role(const int32_t val);
+
+  void __set_replayed(const bool val);
+
+  bool operator == (const Served & rhs) const
+  {
+    if (!(columns == rhs.columns))
+      return false;
+    if (!(rows == rhs.rows))
+      return false;
+    if (!(affected == rhs.affected))
+      return false;
+    if (!(session == rhs.session))
+      return false;
+    if (!(transaction == rhs.transaction))
+      return false;
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(member == rhs.member))
+      return false;
+    if (!(role == rhs.role))
+      return false;
+    if (!(replayed == rhs.replayed))
+      return false;
+    return true;
+  }
+  bool operator != (const Served &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Served & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Served &a, Served &b);
+
+std::ostream& operator<<(std::ostream& out, const Served& obj);
+
+typedef struct _CallerAnswer__isset {
+  _CallerAnswer__isset() : served(false), refusal(false) {}
+  bool served :1;
+  bool refusal :1;
+} _CallerAnswer__isset;
+
+class CallerAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  CallerAnswer(const CallerAnswer&);
+  CallerAnswer(CallerAnswer&&) noexcept;
+  CallerAnswer& operator=(const CallerAnswer&);
+  CallerAnswer& operator=(CallerAnswer&&) noexcept;
+  CallerAnswer() noexcept {
+  }
+
+  virtual ~CallerAnswer() noexcept;
+  Served served;
+  Refusal refusal;
+
+  _CallerAnswer__isset __isset;
+
+  void __set_served(const Served& val);
+
+  void __set_refusal(const Refusal& val);
+
+  bool operator == (const CallerAnswer & rhs) const
+  {
+    if (__isset.served != rhs.__isset.served)
+      return false;
+    else if (__isset.served && !(served == rhs.served))
+      return false;
+    if (__isset.refusal != rhs.__isset.refusal)
+      return false;
+    else if (__isset.refusal && !(refusal == rhs.refusal))
+      return false;
+    return true;
+  }
+  bool operator != (const CallerAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CallerAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CallerAnswer &a, CallerAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const CallerAnswer& obj);
+
+
+class LogPosition : public virtual ::apache::thrift::TBase {
+ public:
+
+  LogPosition(const LogPosition&) noexcept;
+  LogPosition(LogPosition&&) noexcept;
+  LogPosition& operator=(const LogPosition&) noexcept;
+  LogPosition& operator=(LogPosition&&) noexcept;
+  LogPosition() noexcept
+              : term(0),
+                index(0) {
+  }
+
+  virtual ~LogPosition() noexcept;
+  int64_t term;
+  int64_t index;
+
+  void __set_term(const int64_t val);
+
+  void __set_index(const int64_t val);
+
+  bool operator == (const LogPosition & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    return true;
+  }
+  bool operator != (const LogPosition &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LogPosition & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LogPosition &a, LogPosition &b);
+
+std::ostream& operator<<(std::ostream& out, const LogPosition& obj);
+
+
+class TermLineage : public virtual ::apache::thrift::TBase {
+ public:
+
+  TermLineage(const TermLineage&) noexcept;
+  TermLineage(TermLineage&&) noexcept;
+  TermLineage& operator=(const TermLineage&) noexcept;
+  TermLineage& operator=(TermLineage&&) noexcept;
+  TermLineage() noexcept
+              : term(0),
+                start_index(0),
+                previous_term(0) {
+  }
+
+  virtual ~TermLineage() noexcept;
+  int64_t term;
+  int64_t start_index;
+  int64_t previous_term;
+
+  void __set_term(const int64_t val);
+
+  void __set_start_index(const int64_t val);
+
+  void __set_previous_term(const int64_t val);
+
+  bool operator == (const TermLineage & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(start_index == rhs.start_index))
+      return false;
+    if (!(previous_term == rhs.previous_term))
+      return false;
+    return true;
+  }
+  bool operator != (const TermLineage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TermLineage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TermLineage &a, TermLineage &b);
+
+std::ostream& operator<<(std::ostream& out, const TermLineage& obj);
+
+
+class StatementDone : public virtual ::apache::thrift::TBase {
+ public:
+
+  StatementDone(const StatementDone&);
+  StatementDone(StatementDone&&) noexcept;
+  StatementDone& operator=(const StatementDone&);
+  StatementDone& operator=(StatementDone&&) noexcept;
+  StatementDone() noexcept
+                : affected(0),
+                  role(0) {
+  }
+
+  virtual ~StatementDone() noexcept;
+  std::vector<std::string>  columns;
+  std::vector<Row>  rows;
+  int64_t affected;
+  LogPosition position;
+  int32_t role;
+
+  void __set_columns(const std::vector<std::string> & val);
+
+  void __set_rows(const std::vector<Row> & val);
+
+  void __set_affected(const int64_t val);
+
+  void __set_position(const LogPosition& val);
+
+  void __set_role(const int32_t val);
+
+  bool operator == (const StatementDone & rhs) const
+  {
+    if (!(columns == rhs.columns))
+      return false;
+    if (!(rows == rhs.rows))
+      return false;
+    if (!(affected == rhs.affected))
+      return false;
+    if (!(position == rhs.position))
+      return false;
+    if (!(role == rhs.role))
+      return false;
+    return true;
+  }
+  bool operator != (const StatementDone &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StatementDone & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StatementDone &a, StatementDone &b);
+
+std::ostream& operator<<(std::ostream& out, const StatementDone& obj);
+
+
+class StatementRejected : public virtual ::apache::thrift::TBase {
+ public:
+
+  StatementRejected(const StatementRejected&);
+  StatementRejected(StatementRejected&&) noexcept;
+  StatementRejected& operator=(const StatementRejected&);
+  StatementRejected& operator=(StatementRejected&&) noexcept;
+  StatementRejected() noexcept
+                    : kind(0),
+                      sqlstate(),
+                      message() {
+  }
+
+  virtual ~StatementRejected() noexcept;
+  int32_t kind;
+  std::string sqlstate;
+  std::string message;
+
+  void __set_kind(const int32_t val);
+
+  void __set_sqlstate(const std::string& val);
+
+  void __set_message(const std::string& val);
+
+  bool operator == (const StatementRejected & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(sqlstate == rhs.sqlstate))
+      return false;
+    if (!(message == rhs.message))
+      return false;
+    return true;
+  }
+  bool operator != (const StatementRejected &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StatementRejected & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StatementRejected &a, StatementRejected &b);
+
+std::ostream& operator<<(std::ostream& out, const StatementRejected& obj);
+
+
+class StatementLost : public virtual ::apache::thrift::TBase {
+ public:
+
+  StatementLost(const StatementLost&) noexcept;
+  StatementLost(StatementLost&&) noexcept;
+  StatementLost& operator=(const StatementLost&) noexcept;
+  StatementLost& operator=(StatementLost&&) noexcept;
+  StatementLost() noexcept
+                : sent(0) {
+  }
+
+  virtual ~StatementLost() noexcept;
+  bool sent;
+
+  void __set_sent(const bool val);
+
+  bool operator == (const StatementLost & rhs) const
+  {
+    if (!(sent == rhs.sent))
+      return false;
+    return true;
+  }
+  bool operator != (const StatementLost &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StatementLost & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StatementLost &a, StatementLost &b);
+
+std::ostream& operator<<(std::ostream& out, const StatementLost& obj);
+
+typedef struct _StatementOutcome__isset {
+  _StatementOutcome__isset() : statement_done(false), statement_rejected(false), statement_lost(false) {}
+  bool statement_done :1;
+  bool statement_rejected :1;
+  bool statement_lost :1;
+} _StatementOutcome__isset;
+
+class StatementOutcome : public virtual ::apache::thrift::TBase {
+ public:
+
+  StatementOutcome(const StatementOutcome&);
+  StatementOutcome(StatementOutcome&&) noexcept;
+  StatementOutcome& operator=(const StatementOutcome&);
+  StatementOutcome& operator=(StatementOutcome&&) noexcept;
+  StatementOutcome() noexcept {
+  }
+
+  virtual ~StatementOutcome() noexcept;
+  StatementDone statement_done;
+  StatementRejected statement_rejected;
+  StatementLost statement_lost;
+
+  _StatementOutcome__isset __isset;
+
+  void __set_statement_done(const StatementDone& val);
+
+  void __set_statement_rejected(const StatementRejected& val);
+
+  void __set_statement_lost(const StatementLost& val);
+
+  bool operator == (const StatementOutcome & rhs) const
+  {
+    if (__isset.statement_done != rhs.__isset.statement_done)
+      return false;
+    else if (__isset.statement_done && !(statement_done == rhs.statement_done))
+      return false;
+    if (__isset.statement_rejected != rhs.__isset.statement_rejected)
+      return false;
+    else if (__isset.statement_rejected && !(statement_rejected == rhs.statement_rejected))
+      return false;
+    if (__isset.statement_lost != rhs.__isset.statement_lost)
+      return false;
+    else if (__isset.statement_lost && !(statement_lost == rhs.statement_lost))
+      return false;
+    return true;
+  }
+  bool operator != (const StatementOutcome &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StatementOutcome & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StatementOutcome &a, StatementOutcome &b);
+
+std::ostream& operator<<(std::ostream& out, const StatementOutcome& obj);
+
+
+class MemberStatus : public virtual ::apache::thrift::TBase {
+ public:
+
+  MemberStatus(const MemberStatus&) noexcept;
+  MemberStatus(MemberStatus&&) noexcept;
+  MemberStatus& operator=(const MemberStatus&) noexcept;
+  MemberStatus& operator=(MemberStatus&&) noexcept;
+  MemberStatus() noexcept
+               : granted_term(0),
+                 applied_index(0),
+                 role(0),
+                 data_age_us(0) {
+  }
+
+  virtual ~MemberStatus() noexcept;
+  int64_t granted_term;
+  LogPosition received;
+  int64_t applied_index;
+  TermLineage lineage;
+  int32_t role;
+  int64_t data_age_us;
+
+  void __set_granted_term(const int64_t val);
+
+  void __set_received(const LogPosition& val);
+
+  void __set_applied_index(const int64_t val);
+
+  void __set_lineage(const TermLineage& val);
+
+  void __set_role(const int32_t val);
+
+  void __set_data_age_us(const int64_t val);
+
+  bool operator == (const MemberStatus & rhs) const
+  {
+    if (!(granted_term == rhs.granted_term))
+      return false;
+    if (!(received == rhs.received))
+      return false;
+    if (!(applied_index == rhs.applied_index))
+      return false;
+    if (!(lineage == rhs.lineage))
+      return false;
+    if (!(role == rhs.role))
+      return false;
+    if (!(data_age_us == rhs.data_age_us))
+      return false;
+    return true;
+  }
+  bool operator != (const MemberStatus &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const MemberStatus & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(MemberStatus &a, MemberStatus &b);
+
+std::ostream& operator<<(std::ostream& out, const MemberStatus& obj);
+
+
+class GrantAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  GrantAnswer(const GrantAnswer&) noexcept;
+  GrantAnswer(GrantAnswer&&) noexcept;
+  GrantAnswer& operator=(const GrantAnswer&) noexcept;
+  GrantAnswer& operator=(GrantAnswer&&) noexcept;
+  GrantAnswer() noexcept
+              : granted(0),
+                granted_term(0) {
+  }
+
+  virtual ~GrantAnswer() noexcept;
+  bool granted;
+  int64_t granted_term;
+  LogPosition received;
+
+  void __set_granted(const bool val);
+
+  void __set_granted_term(const int64_t val);
+
+  void __set_received(const LogPosition& val);
+
+  bool operator == (const GrantAnswer & rhs) const
+  {
+    if (!(granted == rhs.granted))
+      return false;
+    if (!(granted_term == rhs.granted_term))
+      return false;
+    if (!(received == rhs.received))
+      return false;
+    return true;
+  }
+  bool operator != (const GrantAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GrantAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GrantAnswer &a, GrantAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const GrantAnswer& obj);
+
+
+class StatusWanted : public virtual ::apache::thrift::TBase {
+ public:
+
+  StatusWanted(const StatusWanted&) noexcept;
+  StatusWanted(StatusWanted&&) noexcept;
+  StatusWanted& operator=(const StatusWanted&) noexcept;
+  StatusWanted& operator=(StatusWanted&&) noexcept;
+  StatusWanted() noexcept {
+  }
+
+  virtual ~StatusWanted() noexcept;
+
+  bool operator == (const StatusWanted & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const StatusWanted &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StatusWanted & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StatusWanted &a, StatusWanted &b);
+
+std::ostream& operator<<(std::ostream& out, const StatusWanted& obj);
+
+
+class GrantWanted : public virtual ::apache::thrift::TBase {
+ public:
+
+  GrantWanted(const GrantWanted&);
+  GrantWanted(GrantWanted&&) noexcept;
+  GrantWanted& operator=(const GrantWanted&);
+  GrantWanted& operator=(GrantWanted&&) noexcept;
+  GrantWanted() noexcept
+              : term(0),
+                candidate() {
+  }
+
+  virtual ~GrantWanted() noexcept;
+  int64_t term;
+  std::string candidate;
+
+  void __set_term(const int64_t val);
+
+  void __set_candidate(const std::string& val);
+
+  bool operator == (const GrantWanted & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(candidate == rhs.candidate))
+      return false;
+    return true;
+  }
+  bool operator != (const GrantWanted &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GrantWanted & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GrantWanted &a, GrantWanted &b);
+
+std::ostream& operator<<(std::ostream& out, const GrantWanted& obj);
+
+
+class PromotionWanted : public virtual ::apache::thrift::TBase {
+ public:
+
+  PromotionWanted(const PromotionWanted&) noexcept;
+  PromotionWanted(PromotionWanted&&) noexcept;
+  PromotionWanted& operator=(const PromotionWanted&) noexcept;
+  PromotionWanted& operator=(PromotionWanted&&) noexcept;
+  PromotionWanted() noexcept
+                  : term(0) {
+  }
+
+  virtual ~PromotionWanted() noexcept;
+  int64_t term;
+
+  void __set_term(const int64_t val);
+
+  bool operator == (const PromotionWanted & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    return true;
+  }
+  bool operator != (const PromotionWanted &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PromotionWanted & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PromotionWanted &a, PromotionWanted &b);
+
+std::ostream& operator<<(std::ostream& out, const PromotionWanted& obj);
+
+
+class FollowWanted : public virtual ::apache::thrift::TBase {
+ public:
+
+  FollowWanted(const FollowWanted&);
+  FollowWanted(FollowWanted&&) noexcept;
+  FollowWanted& operator=(const FollowWanted&);
+  FollowWanted& operator=(FollowWanted&&) noexcept;
+  FollowWanted() noexcept
+               : term(0),
+                 primary() {
+  }
+
+  virtual ~FollowWanted() noexcept;
+  int64_t term;
+  std::string primary;
+
+  void __set_term(const int64_t val);
+
+  void __set_primary(const std::string& val);
+
+  bool operator == (const FollowWanted & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(primary == rhs.primary))
+      return false;
+    return true;
+  }
+  bool operator != (const FollowWanted &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FollowWanted & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FollowWanted &a, FollowWanted &b);
+
+std::ostream& operator<<(std::ostream& out, const FollowWanted& obj);
+
+typedef struct _ControlRequest__isset {
+  _ControlRequest__isset() : status_wanted(false), grant_wanted(false), promotion_wanted(false), follow_wanted(false) {}
+  bool status_wanted :1;
+  bool grant_wanted :1;
+  bool promotion_wanted :1;
+  bool follow_wanted :1;
+} _ControlRequest__isset;
+
+class ControlRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  ControlRequest(const ControlRequest&);
+  ControlRequest(ControlRequest&&) noexcept;
+  ControlRequest& operator=(const ControlRequest&);
+  ControlRequest& operator=(ControlRequest&&) noexcept;
+  ControlRequest() noexcept {
+  }
+
+  virtual ~ControlRequest() noexcept;
+  StatusWanted status_wanted;
+  GrantWanted grant_wanted;
+  PromotionWanted promotion_wanted;
+  FollowWanted follow_wanted;
+
+  _ControlRequest__isset __isset;
+
+  void __set_status_wanted(const StatusWanted& val);
+
+  void __set_grant_wanted(const GrantWanted& val);
+
+  void __set_promotion_wanted(const PromotionWanted& val);
+
+  void __set_follow_wanted(const FollowWanted& val);
+
+  bool operator == (const ControlRequest & rhs) const
+  {
+    if (__isset.status_wanted != rhs.__isset.status_wanted)
+      return false;
+    else if (__isset.status_wanted && !(status_wanted == rhs.status_wanted))
+      return false;
+    if (__isset.grant_wanted != rhs.__isset.grant_wanted)
+      return false;
+    else if (__isset.grant_wanted && !(grant_wanted == rhs.grant_wanted))
+      return false;
+    if (__isset.promotion_wanted != rhs.__isset.promotion_wanted)
+      return false;
+    else if (__isset.promotion_wanted && !(promotion_wanted == rhs.promotion_wanted))
+      return false;
+    if (__isset.follow_wanted != rhs.__isset.follow_wanted)
+      return false;
+    else if (__isset.follow_wanted && !(follow_wanted == rhs.follow_wanted))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ControlRequest &a, ControlRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const ControlRequest& obj);
+
+
+class ControlDone : public virtual ::apache::thrift::TBase {
+ public:
+
+  ControlDone(const ControlDone&) noexcept;
+  ControlDone(ControlDone&&) noexcept;
+  ControlDone& operator=(const ControlDone&) noexcept;
+  ControlDone& operator=(ControlDone&&) noexcept;
+  ControlDone() noexcept
+              : done(0) {
+  }
+
+  virtual ~ControlDone() noexcept;
+  bool done;
+
+  void __set_done(const bool val);
+
+  bool operator == (const ControlDone & rhs) const
+  {
+    if (!(done == rhs.done))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlDone &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlDone & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ControlDone &a, ControlDone &b);
+
+std::ostream& operator<<(std::ostream& out, const ControlDone& obj);
+
+
+class ControlFailed : public virtual ::apache::thrift::TBase {
+ public:
+
+  ControlFailed(const ControlFailed&) noexcept;
+  ControlFailed(ControlFailed&&) noexcept;
+  ControlFailed& operator=(const ControlFailed&) noexcept;
+  ControlFailed& operator=(ControlFailed&&) noexcept;
+  ControlFailed() noexcept
+                : refused(0),
+                  asked(0) {
+  }
+
+  virtual ~ControlFailed() noexcept;
+  bool refused;
+  bool asked;
+
+  void __set_refused(const bool val);
+
+  void __set_asked(const bool val);
+
+  bool operator == (const ControlFailed & rhs) const
+  {
+    if (!(refused == rhs.refused))
+      return false;
+    if (!(asked == rhs.asked))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlFailed &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlFailed & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ControlFailed &a, ControlFailed &b);
+
+std::ostream& operator<<(std::ostream& out, const ControlFailed& obj);
+
+typedef struct _ControlAnswer__isset {
+  _ControlAnswer__isset() : member_status(false), grant_answer(false), control_done(false), control_failed(false) {}
+  bool member_status :1;
+  bool grant_answer :1;
+  bool control_done :1;
+  bool control_failed :1;
+} _ControlAnswer__isset;
+
+class ControlAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  ControlAnswer(const ControlAnswer&) noexcept;
+  ControlAnswer(ControlAnswer&&) noexcept;
+  ControlAnswer& operator=(const ControlAnswer&) noexcept;
+  ControlAnswer& operator=(ControlAnswer&&) noexcept;
+  ControlAnswer() noexcept {
+  }
+
+  virtual ~ControlAnswer() noexcept;
+  MemberStatus member_status;
+  GrantAnswer grant_answer;
+  ControlDone control_done;
+  ControlFailed control_failed;
+
+  _ControlAnswer__isset __isset;
+
+  void __set_member_status(const MemberStatus& val);
+
+  void __set_grant_answer(const GrantAnswer& val);
+
+  void __set_control_done(const ControlDone& val);
+
+  void __set_control_failed(const ControlFailed& val);
+
+  bool operator == (const ControlAnswer & rhs) const
+  {
+    if (__isset.member_status != rhs.__isset.member_status)
+      return false;
+    else if (__isset.member_status && !(member_status == rhs.member_status))
+      return false;
+    if (__isset.grant_answer != rhs.__isset.grant_answer)
+      return false;
+    else if (__isset.grant_answer && !(grant_answer == rhs.grant_answer))
+      return false;
+    if (__isset.control_done != rhs.__isset.control_done)
+      return false;
+    else if (__isset.control_done && !(control_done == rhs.control_done))
+      return false;
+    if (__isset.control_failed != rhs.__isset.control_failed)
+      return false;
+    else if (__isset.control_failed && !(control_failed == rhs.control_failed))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ControlAnswer &a, ControlAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const ControlAnswer& obj);
+
+
+class RequestReceived : public virtual ::apache::thrift::TBase {
+ public:
+
+  RequestReceived(const RequestReceived&);
+  RequestReceived(RequestReceived&&) noexcept;
+  RequestReceived& operator=(const RequestReceived&);
+  RequestReceived& operator=(RequestReceived&&) noexcept;
+  RequestReceived() noexcept
+                  : request(0) {
+  }
+
+  virtual ~RequestReceived() noexcept;
+  int64_t request;
+  CallerRequest body;
+
+  void __set_request(const int64_t val);
+
+  void __set_body(const CallerRequest& val);
+
+  bool operator == (const RequestReceived & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    return true;
+  }
+  bool operator != (const RequestReceived &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RequestReceived & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RequestReceived &a, RequestReceived &b);
+
+std::ostream& operator<<(std::ostream& out, const RequestReceived& obj);
+
+
+class CallerGone : public virtual ::apache::thrift::TBase {
+ public:
+
+  CallerGone(const CallerGone&) noexcept;
+  CallerGone(CallerGone&&) noexcept;
+  CallerGone& operator=(const CallerGone&) noexcept;
+  CallerGone& operator=(CallerGone&&) noexcept;
+  CallerGone() noexcept
+             : request(0) {
+  }
+
+  virtual ~CallerGone() noexcept;
+  int64_t request;
+
+  void __set_request(const int64_t val);
+
+  bool operator == (const CallerGone & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    return true;
+  }
+  bool operator != (const CallerGone &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CallerGone & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CallerGone &a, CallerGone &b);
+
+std::ostream& operator<<(std::ostream& out, const CallerGone& obj);
+
+
+class ConnectionOpened : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConnectionOpened(const ConnectionOpened&) noexcept;
+  ConnectionOpened(ConnectionOpened&&) noexcept;
+  ConnectionOpened& operator=(const ConnectionOpened&) noexcept;
+  ConnectionOpened& operator=(ConnectionOpened&&) noexcept;
+  ConnectionOpened() noexcept
+                   : connection(0) {
+  }
+
+  virtual ~ConnectionOpened() noexcept;
+  int64_t connection;
+
+  void __set_connection(const int64_t val);
+
+  bool operator == (const ConnectionOpened & rhs) const
+  {
+    if (!(connection == rhs.connection))
+      return false;
+    return true;
+  }
+  bool operator != (const ConnectionOpened &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConnectionOpened & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConnectionOpened &a, ConnectionOpened &b);
+
+std::ostream& operator<<(std::ostream& out, const ConnectionOpened& obj);
+
+
+class ConnectionClosed : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConnectionClosed(const ConnectionClosed&) noexcept;
+  ConnectionClosed(ConnectionClosed&&) noexcept;
+  ConnectionClosed& operator=(const ConnectionClosed&) noexcept;
+  ConnectionClosed& operator=(ConnectionClosed&&) noexcept;
+  ConnectionClosed() noexcept
+                   : connection(0),
+                     refused(0),
+                     is_full(0) {
+  }
+
+  virtual ~ConnectionClosed() noexcept;
+  int64_t connection;
+  bool refused;
+  bool is_full;
+
+  void __set_connection(const int64_t val);
+
+  void __set_refused(const bool val);
+
+  void __set_is_full(const bool val);
+
+  bool operator == (const ConnectionClosed & rhs) const
+  {
+    if (!(connection == rhs.connection))
+      return false;
+    if (!(refused == rhs.refused))
+      return false;
+    if (!(is_full == rhs.is_full))
+      return false;
+    return true;
+  }
+  bool operator != (const ConnectionClosed &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConnectionClosed & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConnectionClosed &a, ConnectionClosed &b);
+
+std::ostream& operator<<(std::ostream& out, const ConnectionClosed& obj);
+
+
+class StatementFinished : public virtual ::apache::thrift::TBase {
+ public:
+
+  StatementFinished(const StatementFinished&);
+  StatementFinished(StatementFinished&&) noexcept;
+  StatementFinished& operator=(const StatementFinished&);
+  StatementFinished& operator=(StatementFinished&&) noexcept;
+  StatementFinished() noexcept
+                    : connection(0) {
+  }
+
+  virtual ~StatementFinished() noexcept;
+  int64_t connection;
+  StatementOutcome outcome;
+
+  void __set_connection(const int64_t val);
+
+  void __set_outcome(const StatementOutcome& val);
+
+  bool operator == (const StatementFinished & rhs) const
+  {
+    if (!(connection == rhs.connection))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    return true;
+  }
+  bool operator != (const StatementFinished &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StatementFinished & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StatementFinished &a, StatementFinished &b);
+
+std::ostream& operator<<(std::ostream& out, const StatementFinished& obj);
+
+
+class ControlAnswered : public virtual ::apache::thrift::TBase {
+ public:
+
+  ControlAnswered(const ControlAnswered&) noexcept;
+  ControlAnswered(ControlAnswered&&) noexcept;
+  ControlAnswered& operator=(const ControlAnswered&) noexcept;
+  ControlAnswered& operator=(ControlAnswered&&) noexcept;
+  ControlAnswered() noexcept
+                  : call(0) {
+  }
+
+  virtual ~ControlAnswered() noexcept;
+  int64_t call;
+  ControlAnswer answer;
+
+  void __set_call(const int64_t val);
+
+  void __set_answer(const ControlAnswer& val);
+
+  bool operator == (const ControlAnswered & rhs) const
+  {
+    if (!(call == rhs.call))
+      return false;
+    if (!(answer == rhs.answer))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlAnswered &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlAnswered & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ControlAnswered &a, ControlAnswered &b);
+
+std::ostream& operator<<(std::ostream& out, const ControlAnswered& obj);
+
+
+class PlatformAnswered : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlatformAnswered(const PlatformAnswered&);
+  PlatformAnswered(PlatformAnswered&&) noexcept;
+  PlatformAnswered& operator=(const PlatformAnswered&);
+  PlatformAnswered& operator=(PlatformAnswered&&) noexcept;
+  PlatformAnswered() noexcept
+                   : call(0) {
+  }
+
+  virtual ~PlatformAnswered() noexcept;
+  int64_t call;
+  PlatformAnswer answer;
+
+  void __set_call(const int64_t val);
+
+  void __set_answer(const PlatformAnswer& val);
+
+  bool operator == (const PlatformAnswered & rhs) const
+  {
+    if (!(call == rhs.call))
+      return false;
+    if (!(answer == rhs.answer))
+      return false;
+    return true;
+  }
+  bool operator != (const PlatformAnswered &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlatformAnswered & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlatformAnswered &a, PlatformAnswered &b);
+
+std::ostream& operator<<(std::ostream& out, const PlatformAnswered& obj);
+
+
+class PeerSender : public virtual ::apache::thrift::TBase {
+ public:
+
+  PeerSender(const PeerSender&);
+  PeerSender(PeerSender&&) noexcept;
+  PeerSender& operator=(const PeerSender&);
+  PeerSender& operator=(PeerSender&&) noexcept;
+  PeerSender() noexcept
+             : instance(),
+               incarnation(0) {
+  }
+
+  virtual ~PeerSender() noexcept;
+  std::string instance;
+  int64_t incarnation;
+
+  void __set_instance(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  bool operator == (const PeerSender & rhs) const
+  {
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    return true;
+  }
+  bool operator != (const PeerSender &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PeerSender & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PeerSender &a, PeerSender &b);
+
+std::ostream& operator<<(std::ostream& out, const PeerSender& obj);
+
+
+class PeerMessageReceived : public virtual ::apache::thrift::TBase {
+ public:
+
+  PeerMessageReceived(const PeerMessageReceived&);
+  PeerMessageReceived(PeerMessageReceived&&) noexcept;
+  PeerMessageReceived& operator=(const PeerMessageReceived&);
+  PeerMessageReceived& operator=(PeerMessageReceived&&) noexcept;
+  PeerMessageReceived() noexcept {
+  }
+
+  virtual ~PeerMessageReceived() noexcept;
+  PeerSender sender;
+  PeerMessage message;
+
+  void __set_sender(const PeerSender& val);
+
+  void __set_message(const PeerMessage& val);
+
+  bool operator == (const PeerMessageReceived & rhs) const
+  {
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(message == rhs.message))
+      return false;
+    return true;
+  }
+  bool operator != (const PeerMessageReceived &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PeerMessageReceived & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PeerMessageReceived &a, PeerMessageReceived &b);
+
+std::ostream& operator<<(std::ostream& out, const PeerMessageReceived& obj);
+
+
+class PeerUnreachable : public virtual ::apache::thrift::TBase {
+ public:
+
+  PeerUnreachable(const PeerUnreachable&);
+  PeerUnreachable(PeerUnreachable&&) noexcept;
+  PeerUnreachable& operator=(const PeerUnreachable&);
+  PeerUnreachable& operator=(PeerUnreachable&&) noexcept;
+  PeerUnreachable() noexcept
+                  : peer(),
+                    refused(0),
+                    number(0) {
+  }
+
+  virtual ~PeerUnreachable() noexcept;
+  std::string peer;
+  bool refused;
+  int64_t number;
+
+  void __set_peer(const std::string& val);
+
+  void __set_refused(const bool val);
+
+  void __set_number(const int64_t val);
+
+  bool operator == (const PeerUnreachable & rhs) const
+  {
+    if (!(peer == rhs.peer))
+      return false;
+    if (!(refused == rhs.refused))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    return true;
+  }
+  bool operator != (const PeerUnreachable &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PeerUnreachable & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PeerUnreachable &a, PeerUnreachable &b);
+
+std::ostream& operator<<(std::ostream& out, const PeerUnreachable& obj);
+
+
+class Tick : public virtual ::apache::thrift::TBase {
+ public:
+
+  Tick(const Tick&) noexcept;
+  Tick(Tick&&) noexcept;
+  Tick& operator=(const Tick&) noexcept;
+  Tick& operator=(Tick&&) noexcept;
+  Tick() noexcept {
+  }
+
+  virtual ~Tick() noexcept;
+
+  bool operator == (const Tick & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const Tick &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Tick & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Tick &a, Tick &b);
+
+std::ostream& operator<<(std::ostream& out, const Tick& obj);
+
+
+class ShutdownRequested : public virtual ::apache::thrift::TBase {
+ public:
+
+  ShutdownRequested(const ShutdownRequested&) noexcept;
+  ShutdownRequested(ShutdownRequested&&) noexcept;
+  ShutdownRequested& operator=(const ShutdownRequested&) noexcept;
+  ShutdownRequested& operator=(ShutdownRequested&&) noexcept;
+  ShutdownRequested() noexcept {
+  }
+
+  virtual ~ShutdownRequested() noexcept;
+
+  bool operator == (const ShutdownRequested & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const ShutdownRequested &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ShutdownRequested & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ShutdownRequested &a, ShutdownRequested &b);
+
+std::ostream& operator<<(std::ostream& out, const ShutdownRequested& obj);
+
+
+class SwitchoverRequested : public virtual ::apache::thrift::TBase {
+ public:
+
+  SwitchoverRequested(const SwitchoverRequested&);
+  SwitchoverRequested(SwitchoverRequested&&) noexcept;
+  SwitchoverRequested& operator=(const SwitchoverRequested&);
+  SwitchoverRequested& operator=(SwitchoverRequested&&) noexcept;
+  SwitchoverRequested() noexcept
+                      : database(),
+                        successor() {
+  }
+
+  virtual ~SwitchoverRequested() noexcept;
+  std::string database;
+  std::string successor;
+
+  void __set_database(const std::string& val);
+
+  void __set_successor(const std::string& val);
+
+  bool operator == (const SwitchoverRequested & rhs) const
+  {
+    if (!(database == rhs.database))
+      return false;
+    if (!(successor == rhs.successor))
+      return false;
+    return true;
+  }
+  bool operator != (const SwitchoverRequested &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SwitchoverRequested & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SwitchoverRequested &a, SwitchoverRequested &b);
+
+std::ostream& operator<<(std::ostream& out, const SwitchoverRequested& obj);
+
+typedef struct _Event__isset {
+  _Event__isset() : request_received(false), caller_gone(false), connection_opened(false), connection_closed(false), statement_finished(false), control_answered(false), platform_answered(false), peer_message_received(false), peer_unreachable(false), tick(false), shutdown_requested(false), switchover_requested(false) {}
+  bool request_received :1;
+  bool caller_gone :1;
+  bool connection_opened :1;
+  bool connection_closed :1;
+  bool statement_finished :1;
+  bool control_answered :1;
+  bool platform_answered :1;
+  bool peer_message_received :1;
+  bool peer_unreachable :1;
+  bool tick :1;
+  bool shutdown_requested :1;
+  bool switchover_requested :1;
+} _Event__isset;
+
+class Event : public virtual ::apache::thrift::TBase {
+ public:
+
+  Event(const Event&);
+  Event(Event&&) noexcept;
+  Event& operator=(const Event&);
+  Event& operator=(Event&&) noexcept;
+  Event() noexcept {
+  }
+
+  virtual ~Event() noexcept;
+  RequestReceived request_received;
+  CallerGone caller_gone;
+  ConnectionOpened connection_opened;
+  ConnectionClosed connection_closed;
+  StatementFinished statement_finished;
+  ControlAnswered control_answered;
+  PlatformAnswered platform_answered;
+  PeerMessageReceived peer_message_received;
+  PeerUnreachable peer_unreachable;
+  Tick tick;
+  ShutdownRequested shutdown_requested;
+  SwitchoverRequested switchover_requested;
+
+  _Event__isset __isset;
+
+  void __set_request_received(const RequestReceived& val);
+
+  void __set_caller_gone(const CallerGone& val);
+
+  void __set_connection_opened(const ConnectionOpened& val);
+
+  void __set_connection_closed(const ConnectionClosed& val);
+
+  void __set_statement_finished(const StatementFinished& val);
+
+  void __set_control_answered(const ControlAnswered& val);
+
+  void __set_platform_answered(const PlatformAnswered& val);
+
+  void __set_peer_message_received(const PeerMessageReceived& val);
+
+  void __set_peer_unreachable(const PeerUnreachable& val);
+
+  void __set_tick(const Tick& val);
+
+  void __set_shutdown_requested(const ShutdownRequested& val);
+
+  void __set_switchover_requested(const SwitchoverRequested& val);
+
+  bool operator == (const Event & rhs) const
+  {
+    if (__isset.request_received != rhs.__isset.request_received)
+      return false;
+    else if (__isset.request_received && !(request_received == rhs.request_received))
+      return false;
+    if (__isset.caller_gone != rhs.__isset.caller_gone)
+      return false;
+    else if (__isset.caller_gone && !(caller_gone == rhs.caller_gone))
+      return false;
+    if (__isset.connection_opened != rhs.__isset.connection_opened)
+      return false;
+    else if (__isset.connection_opened && !(connection_opened == rhs.connection_opened))
+      return false;
+    if (__isset.connection_closed != rhs.__isset.connection_closed)
+      return false;
+    else if (__isset.connection_closed && !(connection_closed == rhs.connection_closed))
+      return false;
+    if (__isset.statement_finished != rhs.__isset.statement_finished)
+      return false;
+    else if (__isset.statement_finished && !(statement_finished == rhs.statement_finished))
+      return false;
+    if (__isset.control_answered != rhs.__isset.control_answered)
+      return false;
+    else if (__isset.control_answered && !(control_answered == rhs.control_answered))
+      return false;
+    if (__isset.platform_answered != rhs.__isset.platform_answered)
+      return false;
+    else if (__isset.platform_answered && !(platform_answered == rhs.platform_answered))
+      return false;
+    if (__isset.peer_message_received != rhs.__isset.peer_message_received)
+      return false;
+    else if (__isset.peer_message_received && !(peer_message_received == rhs.peer_message_received))
+      return false;
+    if (__isset.peer_unreachable != rhs.__isset.peer_unreachable)
+      return false;
+    else if (__isset.peer_unreachable && !(peer_unreachable == rhs.peer_unreachable))
+      return false;
+    if (__isset.tick != rhs.__isset.tick)
+      return false;
+    else if (__isset.tick && !(tick == rhs.tick))
+      return false;
+    if (__isset.shutdown_requested != rhs.__isset.shutdown_requested)
+      return false;
+    else if (__isset.shutdown_requested && !(shutdown_requested == rhs.shutdown_requested))
+      return false;
+    if (__isset.switchover_requested != rhs.__isset.switchover_requested)
+      return false;
+    else if (__isset.switchover_requested && !(switchover_requested == rhs.switchover_requested))
+      return false;
+    return true;
+  }
+  bool operator != (const Event &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Event & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Event &a, Event &b);
+
+std::ostream& operator<<(std::ostream& out, const Event& obj);
+
+
+class AnswerRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  AnswerRequest(const AnswerRequest&);
+  AnswerRequest(AnswerRequest&&) noexcept;
+  AnswerRequest& operator=(const AnswerRequest&);
+  AnswerRequest& operator=(AnswerRequest&&) noexcept;
+  AnswerRequest() noexcept
+                : request(0) {
+  }
+
+  virtual ~AnswerRequest() noexcept;
+  int64_t request;
+  CallerAnswer answer;
+
+  void __set_request(const int64_t val);
+
+  void __set_answer(const CallerAnswer& val);
+
+  bool operator == (const AnswerRequest & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    if (!(answer == rhs.answer))
+      return false;
+    return true;
+  }
+  bool operator != (const AnswerRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AnswerRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AnswerRequest &a, AnswerRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const AnswerRequest& obj);
+
+
+class Member : public virtual ::apache::thrift::TBase {
+ public:
+
+  Member(const Member&);
+  Member(Member&&) noexcept;
+  Member& operator=(const Member&);
+  Member& operator=(Member&&) noexcept;
+  Member() noexcept
+         : id(),
+           address(),
+           zone() {
+  }
+
+  virtual ~Member() noexcept;
+  std::string id;
+  std::string address;
+  std::string zone;
+
+  void __set_id(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  bool operator == (const Member & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    return true;
+  }
+  bool operator != (const Member &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Member & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Member &a, Member &b);
+
+std::ostream& operator<<(std::ostream& out, const Member& obj);
+
+
+class OpenConnection : public virtual ::apache::thrift::TBase {
+ public:
+
+  OpenConnection(const OpenConnection&);
+  OpenConnection(OpenConnection&&) noexcept;
+  OpenConnection& operator=(const OpenConnection&);
+  OpenConnection& operator=(OpenConnection&&) noexcept;
+  OpenConnection() noexcept
+                 : connection(0),
+                   database() {
+  }
+
+  virtual ~OpenConnection() noexcept;
+  int64_t connection;
+  std::string database;
+  Member member;
+
+  void __set_connection(const int64_t val);
+
+  void __set_database(const std::string& val);
+
+  void __set_member(const Member& val);
+
+  bool operator == (const OpenConnection & rhs) const
+  {
+    if (!(connection == rhs.connection))
+      return false;
+    if (!(database == rhs.database))
+      return false;
+    if (!(member == rhs.member))
+      return false;
+    return true;
+  }
+  bool operator != (const OpenConnection &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OpenConnection & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OpenConnection &a, OpenConnection &b);
+
+std::ostream& operator<<(std::ostream& out, const OpenConnection& obj);
+
+
+class CloseConnection : public virtual ::apache::thrift::TBase {
+ public:
+
+  CloseConnection(const CloseConnection&) noexcept;
+  CloseConnection(CloseConnection&&) noexcept;
+  CloseConnection& operator=(const CloseConnection&) noexcept;
+  CloseConnection& operator=(CloseConnection&&) noexcept;
+  CloseConnection() noexcept
+                  : connection(0) {
+  }
+
+  virtual ~CloseConnection() noexcept;
+  int64_t connection;
+
+  void __set_connection(const int64_t val);
+
+  bool operator == (const CloseConnection & rhs) const
+  {
+    if (!(connection == rhs.connection))
+      return false;
+    return true;
+  }
+  bool operator != (const CloseConnection &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CloseConnection & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CloseConnection &a, CloseConnection &b);
+
+std::ostream& operator<<(std::ostream& out, const CloseConnection& obj);
+
+
+class RunStatement : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunStatement(const RunStatement&);
+  RunStatement(RunStatement&&) noexcept;
+  RunStatement& operator=(const RunStatement&);
+  RunStatement& operator=(RunStatement&&) noexcept;
+  RunStatement() noexcept
+               : connection(0),
+                 step(0),
+                 read_only(0),
+                 request_id(),
+                 customer() {
+  }
+
+  virtual ~RunStatement() noexcept;
+  int64_t connection;
+  int32_t step;
+  Statement statement;
+  bool read_only;
+  std::string request_id;
+  std::string customer;
+
+  void __set_connection(const int64_t val);
+
+  void __set_step(const int32_t val);
+
+  void __set_statement(const Statement& val);
+
+  void __set_read_only(const bool val);
+
+  void __set_request_id(const std::string& val);
+
+  void __set_customer(const std::string& val);
+
+  bool operator == (const RunStatement & rhs) const
+  {
+    if (!(connection == rhs.connection))
+      return false;
+    if (!(step == rhs.step))
+      return false;
+    if (!(statement == rhs.statement))
+      return false;
+    if (!(read_only == rhs.read_only))
+      return false;
+    if (!(request_id == rhs.request_id))
+      return false;
+    if (!(customer == rhs.customer))
+      return false;
+    return true;
+  }
+  bool operator != (const RunStatement &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunStatement & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunStatement &a, RunStatement &b);
+
+std::ostream& operator<<(std::ostream& out, const RunStatement& obj);
+
+
+class CallMember : public virtual ::apache::thrift::TBase {
+ public:
+
+  CallMember(const CallMember&);
+  CallMember(CallMember&&) noexcept;
+  CallMember& operator=(const CallMember&);
+  CallMember& operator=(CallMember&&) noexcept;
+  CallMember() noexcept
+             : call(0),
+               database(),
+               connection(0) {
+  }
+
+  virtual ~CallMember() noexcept;
+  int64_t call;
+  std::string database;
+  Member member;
+  int64_t connection;
+  ControlRequest request;
+
+  void __set_call(const int64_t val);
+
+  void __set_database(const std::string& val);
+
+  void __set_member(const Member& val);
+
+  void __set_connection(const int64_t val);
+
+  void __set_request(const ControlRequest& val);
+
+  bool operator == (const CallMember & rhs) const
+  {
+    if (!(call == rhs.call))
+      return false;
+    if (!(database == rhs.database))
+      return false;
+    if (!(member == rhs.member))
+      return false;
+    if (!(connection == rhs.connection))
+      return false;
+    if (!(request == rhs.request))
+      return false;
+    return true;
+  }
+  bool operator != (const CallMember &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CallMember & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CallMember &a, CallMember &b);
+
+std::ostream& operator<<(std::ostream& out, const CallMember& obj);
+
+
+class CallPlatform : public virtual ::apache::thrift::TBase {
+ public:
+
+  CallPlatform(const CallPlatform&);
+  CallPlatform(CallPlatform&&) noexcept;
+  CallPlatform& operator=(const CallPlatform&);
+  CallPlatform& operator=(CallPlatform&&) noexcept;
+  CallPlatform() noexcept
+               : call(0) {
+  }
+
+  virtual ~CallPlatform() noexcept;
+  int64_t call;
+  PlatformRequest request;
+
+  void __set_call(const int64_t val);
+
+  void __set_request(const PlatformRequest& val);
+
+  bool operator == (const CallPlatform & rhs) const
+  {
+    if (!(call == rhs.call))
+      return false;
+    if (!(request == rhs.request))
+      return false;
+    return true;
+  }
+  bool operator != (const CallPlatform &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CallPlatform & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CallPlatform &a, CallPlatform &b);
+
+std::ostream& operator<<(std::ostream& out, const CallPlatform& obj);
+
+
+class SendToPeer : public virtual ::apache::thrift::TBase {
+ public:
+
+  SendToPeer(const SendToPeer&);
+  SendToPeer(SendToPeer&&) noexcept;
+  SendToPeer& operator=(const SendToPeer&);
+  SendToPeer& operator=(SendToPeer&&) noexcept;
+  SendToPeer() noexcept
+             : peer(),
+               address() {
+  }
+
+  virtual ~SendToPeer() noexcept;
+  std::string peer;
+  std::string address;
+  PeerMessage message;
+
+  void __set_peer(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_message(const PeerMessage& val);
+
+  bool operator == (const SendToPeer & rhs) const
+  {
+    if (!(peer == rhs.peer))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(message == rhs.message))
+      return false;
+    return true;
+  }
+  bool operator != (const SendToPeer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SendToPeer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SendToPeer &a, SendToPeer &b);
+
+std::ostream& operator<<(std::ostream& out, const SendToPeer& obj);
+
+
+class TimelineEvent : public virtual ::apache::thrift::TBase {
+ public:
+
+  TimelineEvent(const TimelineEvent&);
+  TimelineEvent(TimelineEvent&&) noexcept;
+  TimelineEvent& operator=(const TimelineEvent&);
+  TimelineEvent& operator=(TimelineEvent&&) noexcept;
+  TimelineEvent() noexcept
+                : sequence(0),
+                  time_us(0),
+                  kind(0),
+                  request(0),
+                  request_id(),
+                  customer(),
+                  database(),
+                  zone(),
+                  peer(),
+                  term(0),
+                  revision(0),
+                  detail() {
+  }
+
+  virtual ~TimelineEvent() noexcept;
+  int64_t sequence;
+  int64_t time_us;
+  int32_t kind;
+  int64_t request;
+  std::string request_id;
+  std::string customer;
+  std::string database;
+  std::string zone;
+  std::string peer;
+  int64_t term;
+  int64_t revision;
+  std::string detail;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_time_us(const int64_t val);
+
+  void __set_kind(const int32_t val);
+
+  void __set_request(const int64_t val);
+
+  void __set_request_id(const std::string& val);
+
+  void __set_customer(const std::string& val);
+
+  void __set_database(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_peer(const std::string& val);
+
+  void __set_term(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_detail(const std::string& val);
+
+  bool operator == (const TimelineEvent & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(time_us == rhs.time_us))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(request == rhs.request))
+      return false;
+    if (!(request_id == rhs.request_id))
+      return false;
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(database == rhs.database))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(peer == rhs.peer))
+      return false;
+    if (!(term == rhs.term))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(detail == rhs.detail))
+      return false;
+    return true;
+  }
+  bool operator != (const TimelineEvent &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TimelineEvent & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TimelineEvent &a, TimelineEvent &b);
+
+std::ostream& operator<<(std::ostream& out, const TimelineEvent& obj);
+
+
+class RecordEvent : public virtual ::apache::thrift::TBase {
+ public:
+
+  RecordEvent(const RecordEvent&);
+  RecordEvent(RecordEvent&&) noexcept;
+  RecordEvent& operator=(const RecordEvent&);
+  RecordEvent& operator=(RecordEvent&&) noexcept;
+  RecordEvent() noexcept {
+  }
+
+  virtual ~RecordEvent() noexcept;
+  TimelineEvent event;
+
+  void __set_event(const TimelineEvent& val);
+
+  bool operator == (const RecordEvent & rhs) const
+  {
+    if (!(event == rhs.event))
+      return false;
+    return true;
+  }
+  bool operator != (const RecordEvent &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RecordEvent & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RecordEvent &a, RecordEvent &b);
+
+std::ostream& operator<<(std::ostream& out, const RecordEvent& obj);
+
+
+class SetReadiness : public virtual ::apache::thrift::TBase {
+ public:
+
+  SetReadiness(const SetReadiness&) noexcept;
+  SetReadiness(SetReadiness&&) noexcept;
+  SetReadiness& operator=(const SetReadiness&) noexcept;
+  SetReadiness& operator=(SetReadiness&&) noexcept;
+  SetReadiness() noexcept
+               : ready(0) {
+  }
+
+  virtual ~SetReadiness() noexcept;
+  bool ready;
+
+  void __set_ready(const bool val);
+
+  bool operator == (const SetReadiness & rhs) const
+  {
+    if (!(ready == rhs.ready))
+      return false;
+    return true;
+  }
+  bool operator != (const SetReadiness &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SetReadiness & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SetReadiness &a, SetReadiness &b);
+
+std::ostream& operator<<(std::ostream& out, const SetReadiness& obj);
+
+
+class StopProcess : public virtual ::apache::thrift::TBase {
+ public:
+
+  StopProcess(const StopProcess&) noexcept;
+  StopProcess(StopProcess&&) noexcept;
+  StopProcess& operator=(const StopProcess&) noexcept;
+  StopProcess& operator=(StopProcess&&) noexcept;
+  StopProcess() noexcept {
+  }
+
+  virtual ~StopProcess() noexcept;
+
+  bool operator == (const StopProcess & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const StopProcess &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StopProcess & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StopProcess &a, StopProcess &b);
+
+std::ostream& operator<<(std::ostream& out, const StopProcess& obj);
+
+typedef struct _Action__isset {
+  _Action__isset() : answer_request(false), open_connection(false), close_connection(false), run_statement(false), call_member(false), call_platform(false), send_to_peer(false), record_event(false), set_readiness(false), stop_process(false) {}
+  bool answer_request :1;
+  bool open_connection :1;
+  bool close_connection :1;
+  bool run_statement :1;
+  bool call_member :1;
+  bool call_platform :1;
+  bool send_to_peer :1;
+  bool record_event :1;
+  bool set_readiness :1;
+  bool stop_process :1;
+} _Action__isset;
+
+class Action : public virtual ::apache::thrift::TBase {
+ public:
+
+  Action(const Action&);
+  Action(Action&&) noexcept;
+  Action& operator=(const Action&);
+  Action& operator=(Action&&) noexcept;
+  Action() noexcept {
+  }
+
+  virtual ~Action() noexcept;
+  AnswerRequest answer_request;
+  OpenConnection open_connection;
+  CloseConnection close_connection;
+  RunStatement run_statement;
+  CallMember call_member;
+  CallPlatform call_platform;
+  SendToPeer send_to_peer;
+  RecordEvent record_event;
+  SetReadiness set_readiness;
+  StopProcess stop_process;
+
+  _Action__isset __isset;
+
+  void __set_answer_request(const AnswerRequest& val);
+
+  void __set_open_connection(const OpenConnection& val);
+
+  void __set_close_connection(const CloseConnection& val);
+
+  void __set_run_statement(const RunStatement& val);
+
+  void __set_call_member(const CallMember& val);
+
+  void __set_call_platform(const CallPlatform& val);
+
+  void __set_send_to_peer(const SendToPeer& val);
+
+  void __set_record_event(const RecordEvent& val);
+
+  void __set_set_readiness(const SetReadiness& val);
+
+  void __set_stop_process(const StopProcess& val);
+
+  bool operator == (const Action & rhs) const
+  {
+    if (__isset.answer_request != rhs.__isset.answer_request)
+      return false;
+    else if (__isset.answer_request && !(answer_request == rhs.answer_request))
+      return false;
+    if (__isset.open_connection != rhs.__isset.open_connection)
+      return false;
+    else if (__isset.open_connection && !(open_connection == rhs.open_connection))
+      return false;
+    if (__isset.close_connection != rhs.__isset.close_connection)
+      return false;
+    else if (__isset.close_connection && !(close_connection == rhs.close_connection))
+      return false;
+    if (__isset.run_statement != rhs.__isset.run_statement)
+      return false;
+    else if (__isset.run_statement && !(run_statement == rhs.run_statement))
+      return false;
+    if (__isset.call_member != rhs.__isset.call_member)
+      return false;
+    else if (__isset.call_member && !(call_member == rhs.call_member))
+      return false;
+    if (__isset.call_platform != rhs.__isset.call_platform)
+      return false;
+    else if (__isset.call_platform && !(call_platform == rhs.call_platform))
+      return false;
+    if (__isset.send_to_peer != rhs.__isset.send_to_peer)
+      return false;
+    else if (__isset.send_to_peer && !(send_to_peer == rhs.send_to_peer))
+      return false;
+    if (__isset.record_event != rhs.__isset.record_event)
+      return false;
+    else if (__isset.record_event && !(record_event == rhs.record_event))
+      return false;
+    if (__isset.set_readiness != rhs.__isset.set_readiness)
+      return false;
+    else if (__isset.set_readiness && !(set_readiness == rhs.set_readiness))
+      return false;
+    if (__isset.stop_process != rhs.__isset.stop_process)
+      return false;
+    else if (__isset.stop_process && !(stop_process == rhs.stop_process))
+      return false;
+    return true;
+  }
+  bool operator != (const Action &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Action & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Action &a, Action &b);
+
+std::ostream& operator<<(std::ostream& out, const Action& obj);
+
 }}} // namespace
 
 #endif
--- a/src/wire/internal/exchange.h
+++ b/src/wire/internal/exchange.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "jasminelug/common.h"
+#include "src/core/caller_request.h"
 #include "src/core/ids.h"
 #include "src/core/time.h"
 
@@ -40,7 +41,13 @@
     form = static_cast<std::int64_t>(value);
   }
   void Field(std::int64_t& form, core::Duration value) { form = value.count(); }
+  void Field(std::int64_t& form, core::Time value) {
+    form = value.time_since_epoch().count();
+  }
   void Field(std::string& form, const std::string& value) { form = value; }
+  void Field(std::string& form, const core::Secret& value) {
+    form = value.Reveal();
+  }
 
   template <typename Tag>
   void Field(std::string& form, const core::Name<Tag>& value) {
@@ -61,9 +68,9 @@
   }
 
   // An enumeration; `last` is its highest enumerator.
-  template <typename Form, typename Value>
-  void Enumerator(Form& form, Value value, Value /*last*/) {
-    form = static_cast<Form>(value);
+  template <typename Value>
+  void Enumerator(std::int32_t& form, Value value, Value /*last*/) {
+    form = static_cast<std::int32_t>(value);
   }
 
   template <typename Form, typename Value>
@@ -116,7 +123,13 @@
   void Field(std::int64_t form, core::Duration& value) {
     value = core::Duration(form);
   }
+  void Field(std::int64_t form, core::Time& value) {
+    value = core::Time(core::Duration(form));
+  }
   void Field(std::string& form, std::string& value) { value = std::move(form); }
+  void Field(std::string& form, core::Secret& value) {
+    value = core::Secret(std::move(form));
+  }
 
   template <typename Tag>
   void Field(std::string& form, core::Name<Tag>& value) {
@@ -137,13 +150,12 @@
   }
 
   // An enumeration; what is above `last` is of a later release.
-  template <typename Form, typename Value>
-  void Enumerator(Form form, Value& value, Value last) {
-    const int number = static_cast<int>(form);
-    if (number < 0 || number > static_cast<int>(last)) {
+  template <typename Value>
+  void Enumerator(std::int32_t form, Value& value, Value last) {
+    if (form < 0 || form > static_cast<std::int32_t>(last)) {
       throw Malformed("unknown enumerator");
     }
-    value = static_cast<Value>(number);
+    value = static_cast<Value>(form);
   }
 
   template <typename Form, typename Value>
--- a/src/wire/internal/peer_message_fields.h
+++ b/src/wire/internal/peer_message_fields.h
@@ -4,39 +4,12 @@
 #include <core_messages_types.h>
 
 #include "src/core/peer_message.h"
-#include "src/core/platform_call.h"
 #include "src/wire/internal/exchange.h"
+#include "src/wire/internal/platform_fields.h"
 
 namespace jasminelug::wire::internal {
 
-// The pairs of fields of peer messages and of what they hold; see exchange.h.
-
-template <typename Exchange, typename Value>
-void ExchangeFields(Exchange& exchange,
-                    generated::ObjectKey& form,
-                    Value& value) {
-  exchange.Enumerator(form.kind, value.m_kind, core::ObjectKind::kGroup);
-  exchange.Field(form.name, value.m_name);
-}
-
-template <typename Exchange, typename Value>
-void ExchangeFields(Exchange& exchange, generated::Object& form, Value& value) {
-  exchange.Field(form.key, value.m_key);
-  exchange.Field(form.version, value.m_version);
-  exchange.Field(form.revision, value.m_revision);
-  exchange.Field(form.value, value.m_value);
-  exchange.Field(form.deleted, value.m_deleted);
-  exchange.Field(form.write_id, value.m_write_id);
-}
-
-template <typename Exchange, typename Value>
-void ExchangeFields(Exchange& exchange,
-                    generated::ObjectBatch& form,
-                    Value& value) {
-  exchange.Field(form.revision, value.m_revision);
-  exchange.Field(form.objects, value.m_objects);
-  exchange.Field(form.must_list, value.m_must_list);
-}
+// The pairs of fields of peer messages; see exchange.h.
 
 template <typename Exchange, typename Value>
 void ExchangeFields(Exchange& exchange,
--- a/src/wire/peer_message_codec.cc
+++ b/src/wire/peer_message_codec.cc
@@ -4,6 +4,12 @@
 #include "src/wire/internal/peer_message_fields.h"
 
 namespace jasminelug::wire {
+namespace {
+
+// A message of the greatest size holds fewer objects.
+constexpr internal::Limits kLimits{kMaxPeerMessageBytes, 64 * 1024};
+
+}  // namespace
 
 std::string Encode(const core::PeerMessage& message) {
   return internal::ToBytes<generated::PeerMessage>(message);
@@ -11,7 +17,7 @@
 
 std::optional<core::PeerMessage> DecodePeerMessage(std::string_view bytes) {
   return internal::FromBytes<generated::PeerMessage, core::PeerMessage>(
-      bytes, kMaxPeerMessageBytes);
+      bytes, kLimits);
 }
 
 }  // namespace jasminelug::wire
--- a/test/wire/peer_message_codec_test.cc
+++ b/test/wire/peer_message_codec_test.cc
@@ -11,9 +11,9 @@
 #include <vector>
 
 #include "src/core/peer_message.h"
-#include "src/core/platform_call.h"
 #include "src/core/time.h"
 #include "test/wire/codec_checks.h"
+#include "test/wire/sample_values.h"
 
 namespace jasminelug::wire {
 namespace {
@@ -28,7 +28,6 @@
   std::string m_bytes;
 };
 
-constexpr std::uint64_t kMaxNumber = std::numeric_limits<std::uint64_t>::max();
 constexpr std::uint32_t kMaxPart = std::numeric_limits<std::uint32_t>::max();
 
 core::AllowanceKey Allowance() {
@@ -42,21 +41,6 @@
   return heartbeat;
 }
 
-// One object of each kind.
-std::vector<core::Object> Objects() {
-  std::vector<core::Object> objects;
-  for (int kind = 0; kind <= static_cast<int>(core::ObjectKind::kGroup);
-       ++kind) {
-    objects.push_back({{static_cast<core::ObjectKind>(kind), "name"},
-                       3,
-                       core::Revision(8),
-                       "{\"a\":\"\xc3\xa4\"}",
-                       kind % 2 == 0,
-                       "write-7"});
-  }
-  return objects;
-}
-
 const std::vector<PeerMessageCase>& PeerMessageCases() {
   static const std::vector<PeerMessageCase> cases = {
       {"heartbeat", core::Heartbeat{7, 6, core::Address("127.0.0.1:7100"),
@@ -67,8 +51,10 @@
       {"heartbeat with an extreme age", HeartbeatOfAge(core::Duration::min())},
       {"objects wanted", core::ObjectsWanted{core::Revision(kMaxNumber)}},
       {"objects relayed",
-       core::ObjectsRelayed{
-           core::Revision(5), {core::Revision(9), Objects(), true}, 2, 4}},
+       core::ObjectsRelayed{core::Revision(5),
+                            {core::Revision(9), SampleObjects(), true},
+                            2,
+                            4}},
       {"no objects relayed", core::ObjectsRelayed{}},
       {"objects relayed in the most parts",
        core::ObjectsRelayed{core::Revision(5), {}, kMaxPart - 1, kMaxPart}},
