jasminelugctl: tests against the platform's stand-in, and the operators' page

Faults are set between two calls by watching the stand-in's counts, not by sleeping. Writing the values of a conflict in the file's order was ruled out: the platform does not keep it.

--- /dev/null
+++ b/test/ctl/ctl_fixture.h
@@ -0,0 +1,184 @@
+#ifndef TEST_CTL_CTL_FIXTURE_H_
+#define TEST_CTL_CTL_FIXTURE_H_
+
+#include <cppunit/TestAssert.h>
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <future>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "apps/jasminelugctl/platform_session.h"
+#include "apps/jasminelugctl/program.h"
+#include "jasminelug/operators.h"
+#include "test/fake_platform/fake_platform.h"
+
+namespace jasminelug::ctl {
+
+// What one command line printed and exited with.
+struct RunResult {
+  ExitCode m_code = ExitCode::kDone;
+  std::string m_out;
+  std::string m_err;
+};
+
+// The platform's stand-in and one instance's operators' listener, both on a
+// thread of their own, and the client that talks to them.
+class CtlFixture {
+ public:
+  CtlFixture()
+      : m_work(asio::make_work_guard(m_io_context)),
+        m_platform(m_io_context, {}),
+        m_admin(m_io_context, {}, MakeHooks()) {
+    CPPUNIT_ASSERT(IsOk(m_platform.Start()));
+    CPPUNIT_ASSERT(IsOk(m_admin.Start()));
+    m_thread = std::thread([this] { m_io_context.run(); });
+  }
+
+  ~CtlFixture() {
+    m_io_context.stop();
+    m_thread.join();
+  }
+
+  CtlFixture(const CtlFixture&) = delete;
+  CtlFixture& operator=(const CtlFixture&) = delete;
+
+  // Runs the program with the platform's address and `words`.
+  RunResult Run(const std::vector<std::string>& words) {
+    std::vector<std::string> all = {"--platform", ToString(Platform())};
+    all.insert(all.end(), words.begin(), words.end());
+    return RunRaw(all);
+  }
+
+  static RunResult RunRaw(const std::vector<std::string>& words) {
+    std::vector<const char*> argv = {"jasminelugctl"};
+    for (const std::string& word : words) {
+      argv.push_back(word.c_str());
+    }
+    const int argc = static_cast<int>(argv.size());
+    argv.push_back(nullptr);
+    std::ostringstream out;
+    std::ostringstream err;
+    const ExitCode code = RunProgram(argc, argv.data(), out, err);
+    return {code, out.str(), err.str()};
+  }
+
+  Endpoint Platform() const { return {"127.0.0.1", m_platform.Port()}; }
+  std::string Admin() const { return ToString({"127.0.0.1", m_admin.Port()}); }
+
+  void SetFault(const fake_platform::Fault& fault) {
+    OnServerThread([&] { m_platform.SetFault(fault); });
+  }
+
+  void SetRevision(std::uint64_t revision) {
+    OnServerThread([&] { m_revision = revision; });
+  }
+
+  void SetSwitchover(const Result<operators::SwitchoverOutcome,
+                                  operators::AdminError>& result) {
+    OnServerThread([&] { m_switchover = result; });
+  }
+
+  std::int64_t Puts() {
+    std::int64_t puts = 0;
+    OnServerThread([&] { puts = m_platform.Counts().m_put; });
+    return puts;
+  }
+
+  std::int64_t Lists() {
+    std::int64_t lists = 0;
+    OnServerThread([&] { lists = m_platform.Counts().m_list; });
+    return lists;
+  }
+
+  // Returns all objects of `kind`, of all kinds if it is empty.
+  std::vector<platform::Object> Objects(const std::string& kind = "") {
+    PlatformSession session(Platform());
+    return GetValue(session.List(kind)).m_objects;
+  }
+
+  platform::Object Put(const platform::PutRequest& request) {
+    PlatformSession session(Platform());
+    return GetValue(session.Put(request));
+  }
+
+ private:
+  template <typename F>
+  void OnServerThread(const F& function) {
+    std::promise<void> done;
+    asio::post(m_io_context, [&] {
+      function();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  operators::AdminHooks MakeHooks() {
+    operators::AdminHooks hooks;
+    hooks.m_on_status =
+        [this](const operators::Reply<operators::StatusReport>& reply) {
+          operators::StatusReport report;
+          report.m_instance = "i1";
+          report.m_revision = m_revision;
+          reply(report);
+        };
+    hooks.m_on_timeline =
+        [](const operators::TimelineQuery& query,
+           const operators::Reply<operators::TimelineEntries>& reply) {
+          operators::TimelineEntry entry;
+          entry.m_instance = "i1";
+          entry.m_kind = "request_received";
+          entry.m_customer = query.m_customer;
+          reply(operators::TimelineEntries{entry});
+        };
+    hooks.m_on_metrics =
+        [](const operators::Reply<operators::MetricsReport>& reply) {
+          reply(operators::MetricsReport{"i1", {{"reads", "c", "d", 2.5}}});
+        };
+    hooks.m_on_switchover =
+        [this](const operators::SwitchoverRequest&,
+               const operators::Reply<operators::SwitchoverOutcome>& reply) {
+          reply(m_switchover);
+        };
+    return hooks;
+  }
+
+  asio::io_context m_io_context;
+  asio::executor_work_guard<asio::io_context::executor_type> m_work;
+  std::uint64_t m_revision = 0;
+  Result<operators::SwitchoverOutcome, operators::AdminError> m_switchover;
+  fake_platform::FakePlatform m_platform;
+  operators::AdminListener m_admin;
+  std::thread m_thread;
+};
+
+// A file that is removed with this object.
+class TemporaryFile {
+ public:
+  explicit TemporaryFile(const std::string& text) {
+    const int file = mkstemp(m_path.data());
+    CPPUNIT_ASSERT(file >= 0);
+    close(file);
+    std::ofstream(m_path) << text;
+  }
+  ~TemporaryFile() { std::remove(m_path.c_str()); }
+  TemporaryFile(const TemporaryFile&) = delete;
+  TemporaryFile& operator=(const TemporaryFile&) = delete;
+
+  const std::string& Path() const { return m_path; }
+
+ private:
+  std::string m_path = "ctl_test_XXXXXX";
+};
+
+}  // namespace jasminelug::ctl
+
+#endif  // TEST_CTL_CTL_FIXTURE_H_
