--- a/apps/jasminelugctl/admin_session.cc
+++ b/apps/jasminelugctl/admin_session.cc
@@ -49,6 +49,7 @@
   std::vector<AdminAnswer<std::string>> answers;
   std::vector<std::unique_ptr<http2::Client>> clients;
   std::size_t waiting = endpoints.size();
+  answers.reserve(endpoints.size());
   for (const Endpoint& endpoint : endpoints) {
     answers.push_back({endpoint, std::string()});
   }
