--- a/test/fake_database/group_member.cc
+++ b/test/fake_database/group_member.cc
@@ -87,9 +87,8 @@
   status.m_last_contact =
       IsPrimary() ? std::chrono::milliseconds(0) : m_applied->Age();
   status.m_term_start = m_log.LastTermStart();
-  status.m_previous_term = status.m_term_start > 1
-                               ? m_log.TermAt(status.m_term_start - 1)
-                               : 0;
+  status.m_previous_term =
+      status.m_term_start > 1 ? m_log.TermAt(status.m_term_start - 1) : 0;
   status.m_connections = m_connections;
   return status;
 }
