--- a/test/soak/caller_load.cc
+++ b/test/soak/caller_load.cc
@@ -109,7 +109,7 @@
   session.m_instance = m_world->Below(m_fleet->instances().size());
   session.m_is_rush = true;
   Send(&session, Kind::kRead);
-  m_world->After(std::chrono::seconds(1) / m_shape.m_rush_per_second,
+  m_world->After(Duration(std::chrono::seconds(1)) / m_shape.m_rush_per_second,
                  [this] { Rush(); });
 }
 
