--- a/apps/jasminelugd/daemon.cc
+++ b/apps/jasminelugd/daemon.cc
@@ -226,7 +226,7 @@
 
   void ConnectChannels() {
     asio::io_context& decision = m_decision->thread().io();
-    const auto handle = [this](core::Event event) {
+    const auto handle = [this](const core::Event& event) {
       m_decision->Handle(event);
     };
     m_from_callers.Connect(&m_callers->thread().io(), &decision, handle);
--- a/apps/jasminelugd/duty.h
+++ b/apps/jasminelugd/duty.h
@@ -73,10 +73,8 @@
 
   // Producer's thread only.
   void Push(T value) {
-    if (!m_overflow.empty() || !m_ring.TryPush(std::move(value))) {
-      m_overflow.push_back(std::move(value));
-      ScheduleFlush();
-    }
+    m_overflow.push_back(std::move(value));
+    Flush();
   }
 
  private:
--- a/apps/jasminelugd/peer_duty.cc
+++ b/apps/jasminelugd/peer_duty.cc
@@ -32,8 +32,7 @@
   hooks.m_on_unreachable = [this](const peers::PeerAddress& peer) {
     OnFailure(peer, false);
   };
-  auto listening =
-      peers::PeerNetwork::Listen(m_thread.io(), options, std::move(hooks));
+  auto listening = peers::PeerNetwork::Listen(m_thread.io(), options, hooks);
   if (!IsOk(listening)) {
     return GetError(listening);
   }
