--- a/test/soak/measures_main.cc
+++ b/test/soak/measures_main.cc
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -68,9 +69,12 @@
   return static_cast<double>(duration.count()) / 1e6;
 }
 
-// Longest time without an acknowledged write after the primary was killed, for
-// each seed.
-std::vector<double> FailoverGaps(const FleetShape& shape, bool platform_down) {
+// Longest time without an acknowledged write after the primary was killed, so
+// that its address refuses connections, or frozen, so that it does not answer;
+// for each seed.
+std::vector<double> FailoverGaps(const FleetShape& shape,
+                                 bool platform_down,
+                                 bool is_frozen) {
   std::vector<double> gaps;
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     RunOptions options = OptionsFor(shape, seed);
@@ -84,7 +88,11 @@
     run.RunFor(2s);
     run.load().ResetGaps();
     FakeGroup* group = run.fleet().groups().front().get();
-    group->Kill(group->Leader());
+    if (is_frozen) {
+      group->Leader()->m_is_paused = true;
+    } else {
+      group->Kill(group->Leader());
+    }
     run.RunFor(15s);
     gaps.push_back(Seconds(run.load().LongestGap(group->database().m_name)));
     run.fleet().store().SetDown(false);
@@ -159,13 +167,23 @@
   return worst;
 }
 
+void MeasureFrozenPrimary(const FleetShape& shape) {
+  const std::vector<double> gaps = FailoverGaps(shape, false, true);
+  const std::vector<double> plain = FailoverGaps(Baseline(shape), false, true);
+  PrintMeasure(shape.m_name, "failover gap, worst seed, s, primary frozen",
+               gaps.back(), kWorstGapSeconds, true, plain.back());
+  PrintMeasure(shape.m_name, "failover gap, median, s, primary frozen",
+               gaps[gaps.size() / 2], kMedianGapSeconds, true,
+               plain[plain.size() / 2]);
+}
+
 void MeasureFailover(const FleetShape& shape) {
   for (const bool platform_down : {false, true}) {
     const std::string suffix =
         platform_down ? ", platform down" : ", platform up";
-    const std::vector<double> gaps = FailoverGaps(shape, platform_down);
+    const std::vector<double> gaps = FailoverGaps(shape, platform_down, false);
     const std::vector<double> plain =
-        FailoverGaps(Baseline(shape), platform_down);
+        FailoverGaps(Baseline(shape), platform_down, false);
     PrintMeasure(shape.m_name, "failover gap, worst seed, s" + suffix,
                  gaps.back(), kWorstGapSeconds, true, plain.back());
     PrintMeasure(shape.m_name, "failover gap, median, s" + suffix,
@@ -283,6 +301,7 @@
   for (const FleetShape& shape : {CaroniShape(), VindkastShape()}) {
     if (is_chosen("failover")) {
       MeasureFailover(shape);
+      MeasureFrozenPrimary(shape);
     }
     if (is_chosen("refusals")) {
       MeasureRefusals(shape);
