--- a/test/daemon/settings_test.cc
+++ b/test/daemon/settings_test.cc
@@ -3,7 +3,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
-#include <vector>
 
 namespace jasminelug::daemon {
 namespace {
@@ -25,7 +24,7 @@
   const char* m_field;
 };
 
-const std::vector<BadCase> kBadCases = {
+constexpr BadCase kBadCases[] = {
     {"\"entry-1\"", "\"entry/1\"", "instance"},
     {"\"entry-1\"", "7", "instance"},
     {"\"zone\": \"Port of Spain\",", "", "zone"},
--- a/test/soak/caller_load.cc
+++ b/test/soak/caller_load.cc
@@ -84,11 +84,10 @@
   if (m_world->Chance(m_shape.m_roam)) {
     session.m_instance = m_world->Below(m_fleet->instances().size());
   }
-  if (!session.m_repeat_id.empty()) {
-    Send(&session, Kind::kWrite);
-  } else if (m_world->Chance(m_shape.m_transaction_part)) {
+  const bool is_repeat = !session.m_repeat_id.empty();
+  if (!is_repeat && m_world->Chance(m_shape.m_transaction_part)) {
     Send(&session, Kind::kBegin);
-  } else if (m_world->Chance(m_shape.m_write_part)) {
+  } else if (is_repeat || m_world->Chance(m_shape.m_write_part)) {
     Send(&session, Kind::kWrite);
   } else {
     Send(&session, Kind::kRead);
--- a/test/soak/fake_group.cc
+++ b/test/soak/fake_group.cc
@@ -129,7 +129,7 @@
   execution.m_statement = statement;
   execution.m_connection = id;
   execution.m_time = m_world->Now();
-  const core::StatementOutcome outcome = RunStep(&connection, statement);
+  core::StatementOutcome outcome = RunStep(&connection, statement);
   if (!std::holds_alternative<StatementRejected>(outcome)) {
     m_hooks.m_on_execution(execution);
   }
--- a/test/soak/fake_store.cc
+++ b/test/soak/fake_store.cc
@@ -16,7 +16,8 @@
 
 }  // namespace
 
-void FakeStore::Serve(const core::PlatformRequest& request, Answer answer) {
+void FakeStore::Serve(const core::PlatformRequest& request,
+                      const Answer& answer) {
   ++m_calls;
   if (m_is_down) {
     // Half of the calls fail at once, half hang.
--- a/test/soak/fake_store.h
+++ b/test/soak/fake_store.h
@@ -22,7 +22,7 @@
   explicit FakeStore(World* world) : m_world(world) {}
 
   // Serves a call that has arrived. The answer may be withheld for ever.
-  void Serve(const core::PlatformRequest& request, Answer answer);
+  void Serve(const core::PlatformRequest& request, const Answer& answer);
 
   // An operator's conditional write; returns false on a conflict or an outage.
   bool Write(const core::ObjectKey& key,
--- a/test/soak/fault_script.cc
+++ b/test/soak/fault_script.cc
@@ -26,7 +26,7 @@
 constexpr Duration kCycle = 90s;
 constexpr Duration kStormy = 50s;
 
-const std::string kPlatformNode = "platform";
+constexpr const char* kPlatformNode = "platform";
 
 }  // namespace
 
--- a/test/soak/fault_script.h
+++ b/test/soak/fault_script.h
@@ -85,7 +85,6 @@
   std::map<std::string, Time> m_zones_out;
   std::map<core::DatabaseName, Time> m_leaving;
   uint64_t m_last_write_id = 0;
-  uint64_t m_in_force_checks = 0;
 };
 
 }  // namespace jasminelug::soak
--- a/test/soak/instance_host.cc
+++ b/test/soak/instance_host.cc
@@ -12,7 +12,7 @@
 constexpr Duration kConnectTime = std::chrono::milliseconds(10);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(800);
 constexpr Duration kPlatformTimeout = std::chrono::seconds(2);
-const std::string kPlatformNode = "platform";
+constexpr const char* kPlatformNode = "platform";
 
 // Peer messages are lost or repeated with these probabilities.
 constexpr double kPeerLoss = 0.002;
@@ -118,7 +118,7 @@
   m_world->After(core::kTickInterval, [this, life] { Tick(life); });
 }
 
-void InstanceHost::Perform(std::vector<core::Action> actions) {
+void InstanceHost::Perform(const std::vector<core::Action>& actions) {
   for (const core::Action& action : actions) {
     if (!IsUp()) {
       return;
@@ -345,7 +345,7 @@
   const bool is_write =
       std::holds_alternative<core::PutObject>(action.m_request) ||
       std::holds_alternative<core::DeleteObject>(action.m_request);
-  const auto answer = [=, this](core::PlatformAnswer result) {
+  const auto answer = [=, this](const core::PlatformAnswer& result) {
     m_world->After(way, [=, this] {
       if (!*is_answered && !m_world->IsCut(kPlatformNode, Node())) {
         *is_answered = true;
--- a/test/soak/instance_host.h
+++ b/test/soak/instance_host.h
@@ -66,7 +66,7 @@
   };
 
   void Tick(uint64_t life);
-  void Perform(std::vector<core::Action> actions);
+  void Perform(const std::vector<core::Action>& actions);
   void Do(const core::AnswerRequest& action);
   void Do(const core::OpenConnection& action);
   void Do(const core::CloseConnection& action);
--- a/test/soak/sabotage.cc
+++ b/test/soak/sabotage.cc
@@ -6,7 +6,7 @@
 namespace jasminelug::soak {
 
 std::optional<Sabotage> ParseSabotage(const std::string& name) {
-  static const std::array<std::pair<const char*, Sabotage>, 15> kNames = {{
+  static constexpr std::array<std::pair<const char*, Sabotage>, 15> kNames = {{
       {"none", Sabotage::kNone},
       {"forget_sessions", Sabotage::kForgetSessions},
       {"claim_everything_held", Sabotage::kClaimEverythingHeld},
