--- a/apps/jasminelugd/platform_duty.cc
+++ b/apps/jasminelugd/platform_duty.cc
@@ -44,14 +44,7 @@
 }
 
 void PlatformDuty::Call(core::CallId call, const core::GetObject& request) {
-  m_client.Get(FromCore(request.m_key),
-               [this, call, key = request.m_key](
-                   const Result<platform::Object, platform::Error>& result) {
-                 Answer(call, IsOk(result)
-                                  ? core::PlatformAnswer(core::ObjectAnswer{
-                                        ToCore(GetValue(result))})
-                                  : ToCore(key, GetError(result)));
-               });
+  m_client.Get(FromCore(request.m_key), AnswerWithObject(call, request.m_key));
 }
 
 void PlatformDuty::Call(core::CallId call, const core::PutObject& request) {
@@ -61,13 +54,7 @@
       static_cast<std::int64_t>(request.m_expected_version);
   put.m_value = request.m_value;
   put.m_write_id = request.m_write_id;
-  m_client.Put(
-      put, [this, call, key = request.m_key](
-               const Result<platform::Object, platform::Error>& result) {
-        Answer(call, IsOk(result) ? core::PlatformAnswer(core::ObjectAnswer{
-                                        ToCore(GetValue(result))})
-                                  : ToCore(key, GetError(result)));
-      });
+  m_client.Put(put, AnswerWithObject(call, request.m_key));
 }
 
 void PlatformDuty::Call(core::CallId call, const core::DeleteObject& request) {
@@ -91,6 +78,19 @@
   });
 }
 
+platform::ResultHook<platform::Object> PlatformDuty::AnswerWithObject(
+    core::CallId call,
+    const core::ObjectKey& key) {
+  return [this, call,
+          key](const Result<platform::Object, platform::Error>& result) {
+    if (IsOk(result)) {
+      Answer(call, core::ObjectAnswer{ToCore(GetValue(result))});
+    } else {
+      Answer(call, ToCore(key, GetError(result)));
+    }
+  };
+}
+
 void PlatformDuty::Answer(core::CallId call, core::PlatformAnswer answer) {
   m_events->Push(core::PlatformAnswered{call, std::move(answer)});
 }
--- a/apps/jasminelugd/platform_duty.h
+++ b/apps/jasminelugd/platform_duty.h
@@ -31,6 +31,10 @@
   void Call(core::CallId call, const core::GetObject& request);
   void Call(core::CallId call, const core::PutObject& request);
   void Call(core::CallId call, const core::DeleteObject& request);
+  // Answers a call whose result is one object.
+  platform::ResultHook<platform::Object> AnswerWithObject(
+      core::CallId call,
+      const core::ObjectKey& key);
   void Answer(core::CallId call, core::PlatformAnswer answer);
 
   DutyThread m_thread;
