--- a/src/core/engine.cc
+++ b/src/core/engine.cc
@@ -193,9 +193,7 @@
                                                uint32_t share) {
     m_pool->ShrinkTo(database, share, m_context);
   };
-  hooks.m_on_credit = [this](const AllowanceKey& allowance) {
-    m_router->OnCredit(allowance);
-  };
+  // Requests that wait for credit try again with each tick.
   hooks.m_connections_at_most = [this](const DatabaseName& database,
                                        uint32_t share) {
     return m_pool->ShrinkTo(database, share, m_context);
--- a/src/core/request_router.h
+++ b/src/core/request_router.h
@@ -84,9 +84,6 @@
                  Context& context);
   void OnPrimaryChanged(const DatabaseName& database, Context& context);
 
-  // Credit of an allowance has come; requests are tried with the next tick.
-  void OnCredit(const AllowanceKey& allowance);
-
   // Starts what waits for connections to `database`.
   void Pump(const DatabaseName& database, Context& context);
 
--- a/src/core/request_router_admission.cc
+++ b/src/core/request_router_admission.cc
@@ -273,7 +273,4 @@
   }
 }
 
-// ServeCreditWaiters() runs with the next tick, outside the share manager.
-void RequestRouter::OnCredit(const AllowanceKey& /*allowance*/) {}
-
 }  // namespace jasminelug::core
