--- /dev/null
+++ b/apps/gateway/gateway_process.cc
@@ -0,0 +1,421 @@
+#include "apps/gateway/gateway_process.h"
+
+#include <csignal>
+#include <cstdint>
+#include <set>
+#include <utility>
+
+#include "apps/gateway/clock.h"
+#include "platform/endpoint.h"
+
+namespace jasminelug::gateway_app {
+namespace {
+
+using gateway::StoreKind;
+using gateway::operator""ms;
+using gateway::operator""s;
+
+// How long a watch without a change waits: it bounds the age of the proofs of
+// contact, and each return is a call that the platform charges.
+constexpr gateway::Duration kConfigurationWait = 1200ms;
+constexpr gateway::Duration kFleetWait = 1500ms;
+constexpr gateway::Duration kSlowKindWait = 15s;
+// An instance whose keys are proved less recently takes no new callers.
+constexpr gateway::Duration kReadyProofLimit = 3s;
+// After the order to stop, callers are still sent here for a while.
+constexpr gateway::Duration kLeastShutdownTime = 2300ms;
+// Time kept for the exit itself.
+constexpr gateway::Duration kExitTime = 500ms;
+// Part of the withdrawal limit within which keys are used, as a fraction.
+constexpr int kKeyProofNumerator = 9;
+constexpr int kKeyProofDenominator = 10;
+
+gateway::EngineOptions MakeEngineOptions(const Settings& settings) {
+  gateway::EngineOptions options;
+  options.m_zone = gateway::ZoneName(settings.m_zone);
+  options.m_key_proof_limit = gateway::Duration(
+      settings.m_key_withdrawal_limit) * kKeyProofNumerator /
+      kKeyProofDenominator;
+  options.m_shutdown_transaction_limit =
+      gateway::Duration(settings.m_shutdown_limit) / 2;
+  return options;
+}
+
+gateway::InstanceEntry MakeEntry(const Settings& settings) {
+  gateway::InstanceEntry entry;
+  entry.m_id = gateway::InstanceId(settings.m_instance);
+  entry.m_incarnation = gateway::Incarnation(
+      static_cast<std::uint64_t>(std::chrono::duration_cast<
+          std::chrono::microseconds>(
+          std::chrono::system_clock::now().time_since_epoch()).count()));
+  entry.m_peer_address = gateway::Address(
+      settings.m_peer_address + ":" + std::to_string(settings.m_peer_port));
+  return entry;
+}
+
+const char* NameOf(StoreKind kind) {
+  switch (kind) {
+    case StoreKind::kConfiguration:
+      return "configuration";
+    case StoreKind::kMembers:
+      return "members";
+    case StoreKind::kEvacuations:
+      return "evacuations";
+    case StoreKind::kFleet:
+      return "fleet";
+  }
+  return "";
+}
+
+}  // namespace
+
+GatewayProcess::GatewayProcess(Settings settings, ReloadHook reload)
+    : m_settings(std::move(settings)),
+      m_reload(std::move(reload)),
+      m_logger(log4cplus::Logger::getInstance("gateway")),
+      m_io(1),
+      m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
+      m_timer(m_io),
+      m_random(std::random_device()()),
+      m_statement_log(log4cplus::Logger::getInstance("statements")),
+      m_engine(MakeEngineOptions(m_settings), MakeEngineHooks()),
+      m_members(m_io, MakeMemberHooks()),
+      m_writer(m_io, *adapter::ParseEndpoint(m_settings.m_store)),
+      m_registrar(MakeEntry(m_settings), MakeRegistrarHooks()) {}
+
+gateway::EngineHooks GatewayProcess::MakeEngineHooks() {
+  gateway::EngineHooks hooks;
+  hooks.m_answer = [this](gateway::SessionId id,
+                          const gateway::Answer& answer) {
+    m_callers->Answer(id, answer);
+  };
+  hooks.m_close_session = [this](gateway::SessionId id) {
+    m_callers->CloseSession(id);
+  };
+  hooks.m_open_connection = [this](gateway::ConnectionId id,
+                                   const gateway::Member& member,
+                                   const gateway::CustomerName& customer) {
+    m_members.Open(id, member, customer);
+  };
+  hooks.m_send =
+      [this](gateway::ConnectionId id,
+             const std::vector<gateway::MemberStatement>& statements) {
+        m_members.Send(id, statements);
+      };
+  hooks.m_close_connection = [this](gateway::ConnectionId id) {
+    m_members.Close(id);
+  };
+  hooks.m_report = [this](const gateway::StatementEnd& end) {
+    (end.m_completed ? m_completed : m_refused) += 1;
+    m_statement_log.Add(end, Now());
+  };
+  return hooks;
+}
+
+adapter::CallerListener::Hooks GatewayProcess::MakeCallerHooks() {
+  adapter::CallerListener::Hooks hooks;
+  hooks.m_start = [this](gateway::SessionId id,
+                         const adapter::SessionStart& start) {
+    return m_engine.OnSessionStart(id, start.m_database, start.m_key, Now());
+  };
+  hooks.m_statement = [this](gateway::SessionId id,
+                             gateway::Statement statement) {
+    m_engine.OnStatement(id, std::move(statement), Now());
+  };
+  hooks.m_end = [this](gateway::SessionId id) {
+    m_engine.OnSessionEnd(id, Now());
+  };
+  hooks.m_unreadable = [this](const std::string& reason) {
+    Log(m_logger, log4cplus::WARN_LOG_LEVEL, "disconnected a caller",
+        {{"reason", reason}});
+  };
+  return hooks;
+}
+
+adapter::MemberLinks::Hooks GatewayProcess::MakeMemberHooks() {
+  adapter::MemberLinks::Hooks hooks;
+  hooks.m_opened = [this](gateway::ConnectionId id,
+                          const std::optional<gateway::LogPosition>& position) {
+    m_engine.OnConnectionOpened(id, position, Now());
+  };
+  hooks.m_answer = [this](gateway::ConnectionId id,
+                          const gateway::Answer& answer) {
+    m_engine.OnMemberAnswer(id, answer, Now());
+  };
+  hooks.m_closed = [this](gateway::ConnectionId id,
+                          std::optional<gateway::ErrorCode> code,
+                          const std::string& reason) {
+    Log(m_logger, log4cplus::DEBUG_LOG_LEVEL, "lost a member connection",
+        {{"reason", reason}});
+    m_engine.OnConnectionClosed(id, code, Now());
+  };
+  return hooks;
+}
+
+gateway::InstanceRegistrar::Hooks GatewayProcess::MakeRegistrarHooks() {
+  gateway::InstanceRegistrar::Hooks hooks;
+  hooks.m_write = [this](const std::string& name,
+                         const gateway::InstanceEntry& entry,
+                         std::optional<gateway::Revision> expected) {
+    m_writer.Write(StoreKind::kFleet, name, entry, expected,
+                   [this](const auto& result) {
+                     if (!IsOk(result)) {
+                       Log(m_logger, log4cplus::WARN_LOG_LEVEL,
+                           "could not register",
+                           {{"reason", GetError(result).m_message}});
+                     }
+                     m_registrar.OnWritten(result, Now());
+                   });
+  };
+  hooks.m_delete = [this](const std::string& name) {
+    m_writer.Delete(StoreKind::kFleet, name, std::nullopt,
+                    [this](const auto& result) {
+                      Log(m_logger, log4cplus::INFO_LOG_LEVEL,
+                          "deregistered",
+                          {{"done", IsOk(result)}});
+                    });
+  };
+  hooks.m_abandon = [this] { m_writer.Abandon(); };
+  return hooks;
+}
+
+std::unique_ptr<StoreLink> GatewayProcess::MakeStoreLink(
+    StoreKind kind,
+    gateway::Duration wait,
+    std::function<void(const gateway::StoreObjects&)> changed,
+    std::function<void(gateway::Time)> proved) {
+  StoreLink::Hooks hooks;
+  hooks.m_changed = std::move(changed);
+  hooks.m_proved = std::move(proved);
+  hooks.m_lost = [this, kind](const std::string& reason) {
+    Log(m_logger, log4cplus::WARN_LOG_LEVEL, "lost contact with the store",
+        {{"kind", std::string(NameOf(kind))}, {"reason", reason}});
+  };
+  hooks.m_regained = [this, kind] {
+    Log(m_logger, log4cplus::INFO_LOG_LEVEL, "regained contact with the store",
+        {{"kind", std::string(NameOf(kind))}});
+  };
+  hooks.m_random = [this] {
+    return std::uniform_real_distribution<double>(0, 1)(m_random);
+  };
+  gateway::StoreFollowerOptions options;
+  options.m_watch_wait = wait;
+  return std::make_unique<StoreLink>(
+      m_io, *adapter::ParseEndpoint(m_settings.m_store), kind, options,
+      std::move(hooks));
+}
+
+void GatewayProcess::OnConfiguration(const gateway::StoreObjects& objects) {
+  const auto found = objects.find("main");
+  if (found == objects.end()) {
+    return;
+  }
+  const auto* read =
+      std::get_if<std::shared_ptr<const gateway::Configuration>>(
+          &found->second.m_value);
+  if (!read) {
+    Log(m_logger, log4cplus::ERROR_LOG_LEVEL, "unreadable configuration",
+        {{"reason", std::get<gateway::UnreadableObject>(found->second.m_value)
+                        .m_reason}});
+    return;
+  }
+  const gateway::Configuration* before = m_engine.configuration();
+  if (before && (*read)->m_revision <= before->m_revision) {
+    return;
+  }
+  m_engine.SetConfiguration(*read, Now());
+  Log(m_logger, log4cplus::INFO_LOG_LEVEL, "configuration in force",
+      {{"version", (*read)->m_version},
+       {"routes", static_cast<std::int64_t>((*read)->m_routes.size())},
+       {"customers", static_cast<std::int64_t>((*read)->m_customers.size())}});
+}
+
+void GatewayProcess::OnMembers(const gateway::StoreObjects& objects) {
+  for (const auto& [name, object] : objects) {
+    if (const auto* bad =
+            std::get_if<gateway::UnreadableObject>(&object.m_value)) {
+      Log(m_logger, log4cplus::WARN_LOG_LEVEL, "ignored an unreadable member",
+          {{"name", name}, {"reason", bad->m_reason}});
+    }
+  }
+  const gateway::Time now = Now();
+  if (m_directory.OnEntries(objects, now)) {
+    m_engine.SetMembers(m_directory.Members(), now);
+    UpdatePrimaries(now);
+  }
+}
+
+void GatewayProcess::OnEvacuations(const gateway::StoreObjects& objects) {
+  std::set<gateway::ZoneName> zones;
+  for (const auto& [name, object] : objects) {
+    zones.emplace(name);
+    Log(m_logger, log4cplus::INFO_LOG_LEVEL, "availability zone evacuated",
+        {{"zone", name}});
+  }
+  m_engine.SetEvacuatedZones(zones, Now());
+}
+
+void GatewayProcess::OnFleet(const gateway::StoreObjects& objects) {
+  int instances = 0;
+  for (const auto& [name, object] : objects) {
+    instances +=
+        std::holds_alternative<gateway::InstanceEntry>(object.m_value) ? 1 : 0;
+  }
+  const gateway::Time now = Now();
+  m_engine.SetInstanceCount(instances);
+  m_engine.limiter().SetDefaultShare(1.0 / std::max(instances, 1), now);
+  m_registrar.OnEntries(objects, now);
+}
+
+void GatewayProcess::UpdatePrimaries(gateway::Time now) {
+  const gateway::Configuration* configuration = m_engine.configuration();
+  if (!configuration) {
+    return;
+  }
+  for (const auto& [group, limits] : configuration->m_groups) {
+    gateway::PrimaryView view;
+    view.m_member = m_engine.members().SelfDeclaredPrimary(group);
+    view.m_usable = view.m_member.has_value();
+    m_engine.SetPrimary(group, view, /*abandon=*/false, now);
+  }
+}
+
+bool GatewayProcess::IsReady() const {
+  for (const std::unique_ptr<StoreLink>& link : m_links) {
+    if (!link || !link->is_listed()) {
+      return false;
+    }
+  }
+  return !m_stopping_since && m_engine.configuration() != nullptr &&
+         m_registrar.is_registered() &&
+         const_cast<gateway::Engine&>(m_engine).key_contact().IsFresh(
+             Now(), kReadyProofLimit);
+}
+
+void GatewayProcess::ScheduleTick() {
+  m_timer.expires_after(gateway::Engine::kTickInterval);
+  m_timer.async_wait([this](std::error_code error) {
+    if (!error) {
+      OnTick();
+      ScheduleTick();
+    }
+  });
+}
+
+void GatewayProcess::OnTick() {
+  const gateway::Time now = Now();
+  for (const std::unique_ptr<StoreLink>& link : m_links) {
+    link->OnTick(now);
+  }
+  m_registrar.OnTick(now);
+  if (m_directory.OnTick(now)) {
+    m_engine.SetMembers(m_directory.Members(), now);
+  }
+  UpdatePrimaries(now);
+  m_engine.OnTick(now);
+  if (IsReady() != m_was_ready) {
+    m_was_ready = !m_was_ready;
+    Log(m_logger, log4cplus::INFO_LOG_LEVEL,
+        m_was_ready ? "ready" : "not ready");
+  }
+  if (!m_stopping_since) {
+    return;
+  }
+  const gateway::Duration stopping = now - *m_stopping_since;
+  const gateway::Duration limit =
+      gateway::Duration(m_settings.m_shutdown_limit) - kExitTime;
+  const bool idle =
+      m_engine.session_count() == 0 && stopping >= kLeastShutdownTime;
+  if (idle || stopping >= limit) {
+    m_io.stop();
+  }
+}
+
+void GatewayProcess::AwaitSignal() {
+  m_signals.async_wait([this](std::error_code error, int signal) {
+    if (!error) {
+      OnSignal(signal);
+      AwaitSignal();
+    }
+  });
+}
+
+void GatewayProcess::OnSignal(int signal) {
+  if (signal != SIGHUP) {
+    BeginShutdown();
+    return;
+  }
+  const Result<Settings, FieldErrors> settings = m_reload();
+  if (!IsOk(settings)) {
+    Log(m_logger, log4cplus::ERROR_LOG_LEVEL, "wrong settings, not reloaded",
+        {{"reason", FormatFieldErrors(GetError(settings))}});
+    return;
+  }
+  const bool same = GetValue(settings) == m_settings;
+  Log(m_logger, log4cplus::INFO_LOG_LEVEL,
+      same ? "settings unchanged" : "settings changed; in force at restart");
+}
+
+void GatewayProcess::BeginShutdown() {
+  if (m_stopping_since) {
+    return;
+  }
+  const gateway::Time now = Now();
+  m_stopping_since = now;
+  Log(m_logger, log4cplus::INFO_LOG_LEVEL, "stopping",
+      {{"sessions", static_cast<std::int64_t>(m_engine.session_count())}});
+  m_engine.BeginShutdown(now);
+  m_registrar.Stop(now);
+}
+
+std::string GatewayProcess::Metrics() const {
+  std::string text;
+  text += "jasminelug_statements_completed_total " +
+          std::to_string(m_completed) + "\n";
+  text += "jasminelug_statements_refused_total " + std::to_string(m_refused) +
+          "\n";
+  text += "jasminelug_sessions " + std::to_string(m_engine.session_count()) +
+          "\n";
+  text += "jasminelug_member_connections " +
+          std::to_string(m_engine.connection_count()) + "\n";
+  return text;
+}
+
+int GatewayProcess::Run() {
+  Log(m_logger, log4cplus::INFO_LOG_LEVEL, "starting",
+      {{"zone", m_settings.m_zone}, {"store", m_settings.m_store}});
+  const gateway::Time now = Now();
+  m_links[0] = MakeStoreLink(
+      StoreKind::kConfiguration, kConfigurationWait,
+      [this](const auto& objects) { OnConfiguration(objects); },
+      [this](gateway::Time sent) { m_engine.key_contact().Prove(sent); });
+  m_links[1] = MakeStoreLink(
+      StoreKind::kFleet, kFleetWait,
+      [this](const auto& objects) { OnFleet(objects); },
+      [this](gateway::Time sent) { m_engine.primary_contact().Prove(sent); });
+  m_links[2] = MakeStoreLink(
+      StoreKind::kMembers, kSlowKindWait,
+      [this](const auto& objects) { OnMembers(objects); },
+      [](gateway::Time) {});
+  m_links[3] = MakeStoreLink(
+      StoreKind::kEvacuations, kSlowKindWait,
+      [this](const auto& objects) { OnEvacuations(objects); },
+      [](gateway::Time) {});
+  m_callers = std::make_unique<adapter::CallerListener>(
+      m_io, *adapter::ParseEndpoint(m_settings.m_callers), MakeCallerHooks());
+  m_status = std::make_unique<adapter::StatusListener>(
+      m_io, *adapter::ParseEndpoint(m_settings.m_status),
+      adapter::StatusListener::Hooks{[this] { return IsReady(); },
+                                     [this] { return Metrics(); }});
+  for (const std::unique_ptr<StoreLink>& link : m_links) {
+    link->Start(now);
+  }
+  AwaitSignal();
+  ScheduleTick();
+  m_io.run();
+  Log(m_logger, log4cplus::INFO_LOG_LEVEL, "stopped",
+      {{"sessions", static_cast<std::int64_t>(m_engine.session_count())}});
+  return 0;
+}
+
+}  // namespace jasminelug::gateway_app
--- /dev/null
+++ b/apps/gateway/gateway_process.h
@@ -0,0 +1,89 @@
+#ifndef APPS_GATEWAY_GATEWAY_PROCESS_H_
+#define APPS_GATEWAY_GATEWAY_PROCESS_H_
+
+#include <log4cplus/logger.h>
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "apps/gateway/settings.h"
+#include "apps/gateway/statement_log.h"
+#include "apps/gateway/store_link.h"
+#include "jasminelug/gateway.h"
+#include "platform/caller_listener.h"
+#include "platform/member_links.h"
+#include "platform/status_listener.h"
+
+namespace jasminelug::gateway_app {
+
+// A gateway in one process: joins the engine with its callers, its members, the
+// store and its peers on one event loop.
+//
+// One loop in place of a thread for each duty: its instances have a quarter of
+// a core, and each hand-over between threads costs a wake-up.
+class GatewayProcess {
+ public:
+  // Reads the settings anew; called on SIGHUP.
+  using ReloadHook = std::function<Result<Settings, FieldErrors>()>;
+
+  GatewayProcess(Settings settings, ReloadHook reload);
+
+  // Serves until it is told to stop; returns the exit code.
+  int Run();
+
+ private:
+  gateway::EngineHooks MakeEngineHooks();
+  adapter::CallerListener::Hooks MakeCallerHooks();
+  adapter::MemberLinks::Hooks MakeMemberHooks();
+  gateway::InstanceRegistrar::Hooks MakeRegistrarHooks();
+  std::unique_ptr<StoreLink> MakeStoreLink(
+      gateway::StoreKind kind,
+      gateway::Duration wait,
+      std::function<void(const gateway::StoreObjects&)> changed,
+      std::function<void(gateway::Time)> proved);
+
+  void OnConfiguration(const gateway::StoreObjects& objects);
+  void OnMembers(const gateway::StoreObjects& objects);
+  void OnEvacuations(const gateway::StoreObjects& objects);
+  void OnFleet(const gateway::StoreObjects& objects);
+  void UpdatePrimaries(gateway::Time now);
+  void ScheduleTick();
+  void OnTick();
+  void AwaitSignal();
+  void OnSignal(int signal);
+  void BeginShutdown();
+  bool IsReady() const;
+  std::string Metrics() const;
+
+  const Settings m_settings;
+  const ReloadHook m_reload;
+  log4cplus::Logger m_logger;
+  asio::io_context m_io;
+  asio::signal_set m_signals;
+  asio::steady_timer m_timer;
+  std::mt19937_64 m_random;
+  StatementLog m_statement_log;
+  gateway::Engine m_engine;
+  gateway::MemberDirectory m_directory;
+  adapter::MemberLinks m_members;
+  adapter::StoreClient m_writer;
+  gateway::InstanceRegistrar m_registrar;
+  std::array<std::unique_ptr<StoreLink>, 4> m_links;
+  std::unique_ptr<adapter::CallerListener> m_callers;
+  std::unique_ptr<adapter::StatusListener> m_status;
+  std::optional<gateway::Time> m_stopping_since;
+  std::uint64_t m_completed = 0;
+  std::uint64_t m_refused = 0;
+  bool m_was_ready = false;
+};
+
+}  // namespace jasminelug::gateway_app
+
+#endif  // APPS_GATEWAY_GATEWAY_PROCESS_H_
--- /dev/null
+++ b/apps/gateway/statement_log.cc
@@ -0,0 +1,63 @@
+#include "apps/gateway/statement_log.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "jasminelug/common.h"
+
+namespace jasminelug::gateway_app {
+namespace {
+
+using std::chrono::milliseconds;
+
+std::int64_t ToMilliseconds(gateway::Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+}  // namespace
+
+StatementLog::StatementLog(log4cplus::Logger logger)
+    : m_logger(std::move(logger)) {}
+
+void StatementLog::BeginSecond(gateway::Time now) {
+  const int left_out = std::max(m_refusals - kRefusalsPerSecond, 0) +
+                       std::max(m_completed - kCompletedPerSecond, 0);
+  if (left_out > 0) {
+    Log(m_logger, log4cplus::INFO_LOG_LEVEL, "statements left out of the log",
+        {{"refused", std::int64_t{m_refusals}},
+         {"completed", std::int64_t{m_completed}},
+         {"left_out", std::int64_t{left_out}}});
+  }
+  m_second_began = now;
+  m_refusals = 0;
+  m_completed = 0;
+}
+
+void StatementLog::Add(const gateway::StatementEnd& end, gateway::Time now) {
+  if (now - m_second_began >= std::chrono::seconds(1)) {
+    BeginSecond(now);
+  }
+  int& count = end.m_completed ? m_completed : m_refusals;
+  const int limit = end.m_completed ? kCompletedPerSecond : kRefusalsPerSecond;
+  count += 1;
+  if (count > limit) {
+    return;
+  }
+  LogFields fields = {{"statement", end.m_statement_id},
+                      {"database", end.m_database.str()},
+                      {"customer", end.m_customer.str()},
+                      {"member", end.m_member.str()},
+                      {"attempts", std::int64_t{end.m_attempts}},
+                      {"took_ms", ToMilliseconds(end.m_time)},
+                      {"objective_ms", ToMilliseconds(end.m_objective)}};
+  if (!end.m_completed) {
+    fields.push_back({"code", std::string(gateway::NameOf(end.m_code))});
+    fields.push_back({"reason", end.m_reason});
+  }
+  Log(m_logger, log4cplus::INFO_LOG_LEVEL,
+      end.m_completed ? "statement completed" : "statement refused", fields);
+}
+
+}  // namespace jasminelug::gateway_app
--- /dev/null
+++ b/apps/gateway/store_link.h
@@ -0,0 +1,44 @@
+#ifndef APPS_GATEWAY_STORE_LINK_H_
+#define APPS_GATEWAY_STORE_LINK_H_
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <functional>
+
+#include "jasminelug/gateway.h"
+#include "platform/store_client.h"
+
+namespace jasminelug::gateway_app {
+
+// Follows one kind of the store's objects over a connection of its own.
+class StoreLink {
+ public:
+  struct Hooks {
+    std::function<void(const gateway::StoreObjects&)> m_changed;
+    std::function<void(gateway::Time sent)> m_proved;
+    std::function<void(const std::string& reason)> m_lost;
+    std::function<void()> m_regained;
+    std::function<double()> m_random;
+  };
+
+  StoreLink(asio::io_context& io,
+            const asio::ip::tcp::endpoint& store,
+            gateway::StoreKind kind,
+            const gateway::StoreFollowerOptions& options,
+            Hooks hooks);
+
+  void Start(gateway::Time now) { m_follower.Start(now); }
+  void OnTick(gateway::Time now) { m_follower.OnTick(now); }
+  bool is_listed() const { return m_follower.is_listed(); }
+
+ private:
+  gateway::StoreFollower::Hooks FollowerHooks(Hooks hooks);
+
+  adapter::StoreClient m_client;
+  const gateway::StoreKind m_kind;
+  gateway::StoreFollower m_follower;
+};
+
+}  // namespace jasminelug::gateway_app
+
+#endif  // APPS_GATEWAY_STORE_LINK_H_
--- /dev/null
+++ b/jasminelug/gateway.h
@@ -0,0 +1,23 @@
+#ifndef JASMINELUG_GATEWAY_H_
+#define JASMINELUG_GATEWAY_H_
+
+// Sessions over a statement protocol: which member runs a statement, on which
+// connection, and when a statement is refused. No part of it does I/O.
+
+#include "src/gateway/answer.h"
+#include "src/gateway/configuration.h"
+#include "src/gateway/customer_limiter.h"
+#include "src/gateway/engine.h"
+#include "src/gateway/engine_hooks.h"
+#include "src/gateway/freshness_floor.h"
+#include "src/gateway/ids.h"
+#include "src/gateway/instance_registrar.h"
+#include "src/gateway/member.h"
+#include "src/gateway/member_directory.h"
+#include "src/gateway/promotion.h"
+#include "src/gateway/statement.h"
+#include "src/gateway/store_contact.h"
+#include "src/gateway/store_follower.h"
+#include "src/gateway/store_object.h"
+
+#endif  // JASMINELUG_GATEWAY_H_
--- a/src/common/logging.h
+++ b/src/common/logging.h
@@ -11,7 +11,10 @@
 
 namespace jasminelug {
 
-// What SetUpLogging needs to know.
+// Where log lines go.
+enum class LogStream { kStandardError, kStandardOutput };
+
+// What Logging needs to know.
 struct LogOptions {
   bool operator==(const LogOptions&) const = default;
 
@@ -19,10 +22,11 @@
   std::string m_instance;
   // Events below this level are not written.
   log4cplus::LogLevel m_level = log4cplus::INFO_LOG_LEVEL;
+  LogStream m_stream = LogStream::kStandardError;
 };
 
 // Keeps log4cplus running: made first in main, it writes all events as JSON
-// lines to the standard error stream until it is destroyed.
+// lines to the chosen stream until it is destroyed.
 class Logging {
  public:
   explicit Logging(const LogOptions& options);
--- /dev/null
+++ b/src/gateway/admission.h
@@ -0,0 +1,36 @@
+#ifndef SRC_GATEWAY_ADMISSION_H_
+#define SRC_GATEWAY_ADMISSION_H_
+
+#include <cstddef>
+
+#include "src/gateway/ids.h"
+
+namespace jasminelug::gateway {
+
+// What stands before a statement that asks to wait.
+struct LineLoad {
+  friend bool operator==(const LineLoad&, const LineLoad&) = default;
+
+  // Statements that wait for the same members.
+  std::size_t m_waiting = 0;
+  // Connections to these members, and those in use.
+  int m_connections = 0;
+  int m_busy = 0;
+  // From sending to answer, smoothed over these members.
+  Duration m_turnaround{0};
+};
+
+// Returns the expected time until a statement that joins now is answered.
+Duration ExpectedAnswerTime(const LineLoad& load);
+
+// Returns whether a statement may wait: it is expected to be answered within
+// `limit`.
+//
+// Answers overload, and the retries that it brings: what could not be answered
+// in time is refused at once, while the caller can still go elsewhere, and the
+// line never grows longer than the objective.
+bool MayWait(const LineLoad& load, Duration limit);
+
+}  // namespace jasminelug::gateway
+
+#endif  // SRC_GATEWAY_ADMISSION_H_
--- /dev/null
+++ b/src/gateway/connection_table.cc
@@ -0,0 +1,74 @@
+#include "src/gateway/connection_table.h"
+
+namespace jasminelug::gateway {
+
+Connection* ConnectionTable::Add(const MemberId& member,
+                                 const GroupName& group,
+                                 const CustomerName& customer,
+                                 Time now) {
+  auto connection = std::make_unique<Connection>();
+  connection->m_id = ConnectionId(m_next_id++);
+  connection->m_member = member;
+  connection->m_group = group;
+  connection->m_customer = customer;
+  connection->m_opened = now;
+  connection->m_last_used = now;
+  Connection* added = connection.get();
+  m_connections.emplace(added->m_id, std::move(connection));
+  return added;
+}
+
+Connection* ConnectionTable::Find(ConnectionId id) {
+  const auto found = m_connections.find(id);
+  return found == m_connections.end() ? nullptr : found->second.get();
+}
+
+Connection* ConnectionTable::FindIdle(const MemberId& member,
+                                      const CustomerName& customer) {
+  Connection* best = nullptr;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection->m_stage != Connection::Stage::kIdle ||
+        connection->m_member != member ||
+        connection->m_customer != customer) {
+      continue;
+    }
+    if (!best || connection->m_last_used > best->m_last_used) {
+      best = connection.get();
+    }
+  }
+  return best;
+}
+
+Connection* ConnectionTable::FindOldestIdle(const MemberId& member) {
+  Connection* oldest = nullptr;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection->m_stage != Connection::Stage::kIdle ||
+        connection->m_member != member) {
+      continue;
+    }
+    if (!oldest || connection->m_last_used < oldest->m_last_used) {
+      oldest = connection.get();
+    }
+  }
+  return oldest;
+}
+
+std::vector<ConnectionId> ConnectionTable::All() const {
+  std::vector<ConnectionId> ids;
+  for (const auto& [id, connection] : m_connections) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+std::vector<ConnectionId> ConnectionTable::AllOf(const MemberId& member) const {
+  std::vector<ConnectionId> ids;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection->m_member == member) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+}  // namespace jasminelug::gateway
--- /dev/null
+++ b/src/gateway/engine.h
@@ -0,0 +1,248 @@
+#ifndef SRC_GATEWAY_ENGINE_H_
+#define SRC_GATEWAY_ENGINE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "src/gateway/admission.h"
+#include "src/gateway/answer.h"
+#include "src/gateway/configuration.h"
+#include "src/gateway/connection_table.h"
+#include "src/gateway/customer_limiter.h"
+#include "src/gateway/engine_hooks.h"
+#include "src/gateway/freshness_floor.h"
+#include "src/gateway/member_table.h"
+#include "src/gateway/placement.h"
+#include "src/gateway/session.h"
+#include "src/gateway/store_contact.h"
+#include "src/gateway/waiting_line.h"
+
+namespace jasminelug::gateway {
+
+// What the engine needs to know of its instance.
+struct EngineOptions {
+  friend bool operator==(const EngineOptions&, const EngineOptions&) = default;
+
+  ZoneName m_zone;
+  // A request with a key is refused when the proof that the key is still valid
+  // is older than this.
+  Duration m_key_proof_limit = 4s;
+  // A primary is not used when the proof of its role is older than this.
+  Duration m_primary_proof_limit = 3s;
+  // Of a transaction that is open at shutdown.
+  Duration m_shutdown_transaction_limit = 3s;
+};
+
+// The primary of a group as this instance may use it.
+struct PrimaryView {
+  friend bool operator==(const PrimaryView&, const PrimaryView&) = default;
+
+  std::optional<MemberId> m_member;
+  // No replacement has begun.
+  bool m_usable = false;
+};
+
+// Serves callers' sessions from the members of database groups.
+//
+// One thread calls it; time is an argument of each call and comes from a clock
+// that counts suspensions. It does no I/O: see EngineHooks.
+class Engine {
+ public:
+  Engine(EngineOptions options, EngineHooks hooks);
+
+  // --- What the store says. ---
+
+  // Puts a configuration in force. It is never older than the one before.
+  void SetConfiguration(std::shared_ptr<const Configuration> configuration,
+                        Time now);
+  void SetMembers(const std::vector<Member>& members, Time now);
+  void SetEvacuatedZones(const std::set<ZoneName>& zones, Time now);
+  // Sets among how many instances the members' connections are divided.
+  void SetInstanceCount(int count);
+  // Sets the primary of a group. Statements in flight to a primary that is no
+  // longer usable end as in a lost connection where `abandon` is set.
+  void SetPrimary(const GroupName& group,
+                  const PrimaryView& primary,
+                  bool abandon,
+                  Time now);
+  // Proofs of contact: of the keys in the configuration, and of the primaries.
+  StoreContact& key_contact() { return m_key_contact; }
+  StoreContact& primary_contact() { return m_primary_contact; }
+
+  // --- Callers. ---
+
+  // Opens a session, or says why not; it is then not known to the engine.
+  std::optional<Refused> OnSessionStart(SessionId id,
+                                        const DatabaseName& database,
+                                        const CallerKey& key,
+                                        Time now);
+  void OnStatement(SessionId id, Statement statement, Time now);
+  // The caller has gone.
+  void OnSessionEnd(SessionId id, Time now);
+
+  // --- Members. ---
+
+  void OnConnectionOpened(ConnectionId id,
+                          const std::optional<LogPosition>& position,
+                          Time now);
+  void OnMemberAnswer(ConnectionId id, const Answer& answer, Time now);
+  // The connection was lost or refused; `code` says why, if the member did.
+  void OnConnectionClosed(ConnectionId id,
+                          std::optional<ErrorCode> code,
+                          Time now);
+
+  // --- Time. ---
+
+  // Ends what has waited too long; to be called every kTickInterval.
+  void OnTick(Time now);
+  static constexpr Duration kTickInterval = 20ms;
+
+  // Begins a graceful shutdown: sessions are closed as they become idle.
+  void BeginShutdown(Time now);
+
+  // --- What others ask. ---
+
+  CustomerLimiter& limiter() { return m_limiter; }
+  MemberTable& members() { return m_members; }
+  const Configuration* configuration() const { return m_configuration.get(); }
+  std::size_t session_count() const { return m_sessions.size(); }
+  std::size_t connection_count() const { return m_connections.size(); }
+  // Whether no statement is in flight to the primary of `group`.
+  bool IsPrimaryQuiet(const GroupName& group) const;
+  // The newest sample of the primary's log, for other instances.
+  std::optional<FreshnessSample> NewestSample(const GroupName& group) const;
+  // Adds a sample that another instance has taken.
+  void AddSample(const GroupName& group,
+                 const FreshnessSample& sample,
+                 Time now);
+  // Since when every attempt to reach the group's primary has failed.
+  std::optional<Time> PrimaryFailingSince(const GroupName& group) const;
+
+ private:
+  struct Group {
+    PrimaryView m_primary;
+    FreshnessFloor m_floor;
+    WaitingLine m_line;
+    Duration m_turnaround = 25ms;
+    std::optional<Time> m_primary_failing_since;
+  };
+
+  // Sessions (engine_sessions.cc).
+  void StartStatement(Session* session, Statement statement, Time now);
+  void ContinueSession(Session* session, Time now);
+  void AnswerLocally(Session* session, const Statement& statement, Time now);
+  void BeginTransaction(Session* session, const Statement& s, Time now);
+  void RollBackTransaction(Session* session, Time now);
+  void SubmitToMember(Session* session, Statement statement, Time now);
+  std::optional<Refused> CheckCaller(const Session& session, Time now) const;
+  std::optional<Refused> BeginOperation(Session* session, Time now);
+  std::optional<Refused> CheckAdmission(const Session& session, Time now) const;
+  bool IsForMember(const Session& session, const Statement& statement) const;
+  bool WritesData(const Session& session, const Statement& statement) const;
+  TransactionState StateOf(const Session& session) const;
+  void FailTransaction(Session* session, Time now);
+  void EndActive(Session* session, const Outcome& outcome, Time now);
+  void Refuse(Session* session,
+              ErrorCode code,
+              const std::string& message,
+              Time now);
+  void Reply(Session* session, const Outcome& outcome);
+  void CloseIfShuttingDown(Session* session);
+
+  // Placement (engine_dispatch.cc).
+  void JoinLine(Session* session, Time now);
+  void LeaveLine(Session* session);
+  void RetryLater(Session* session, Duration delay, Time now);
+  void Dispatch(const GroupName& group, Time now);
+  bool TryPlace(Session* session, Time now);
+  std::vector<PlacementOption> OptionsFor(Session* session, Time now);
+  std::optional<PlacementOption> OptionAt(const Session& session,
+                                          MemberState* state,
+                                          bool is_primary,
+                                          Time now);
+  std::optional<FreshnessSample> FloorOf(const Session& session,
+                                         Time now) const;
+  bool IsPrimaryUsable(const Group& group, Time now) const;
+  int BudgetOf(const MemberState& state) const;
+  LineLoad LoadFor(const Session& session, Time now) const;
+  void Place(Session* session, const PlacementOption& option, Time now);
+  void SendStatement(Session* session, Connection* connection, Time now);
+  void SendBegin(Session* session, Connection* connection, Time now);
+  std::vector<MemberStatement> SetupFor(const Session& session,
+                                        Connection* connection,
+                                        Time now);
+  MemberStatement ForwardOf(const Session& session,
+                            const Connection& connection) const;
+  void Send(Connection* connection,
+            const std::vector<MemberStatement>& statements,
+            SentPurpose last_purpose,
+            Time now);
+
+  // Answers (engine_answers.cc).
+  void OnStatementAnswer(Session* session,
+                         Connection* connection,
+                         const SentStatement& sent,
+                         const Answer& answer,
+                         Time now);
+  void OnCompleted(Session* session,
+                   Connection* connection,
+                   const Answer& answer,
+                   Time now);
+  void OnRefused(Session* session,
+                 Connection* connection,
+                 const Refused& refused,
+                 Time now);
+  void OnBeginAnswer(Session* session,
+                     Connection* connection,
+                     const Answer& answer,
+                     Time now);
+  bool RetryNotRun(Session* session,
+                   Connection* connection,
+                   ErrorCode code,
+                   Time now);
+  void LoseStatement(Session* session, Time now);
+  void TakeSample(Connection* connection,
+                  const SentStatement& sent,
+                  const Answer& answer,
+                  Time now);
+  // Gives back a connection that no session uses any more, whatever its state.
+  void Leave(Connection* connection, Time now);
+  void Release(Connection* connection, Time now);
+  void RollBackConnection(Connection* connection, Time now);
+  void Detach(Session* session);
+  void DropConnection(Connection* connection, Time now);
+  void ForgetConnection(Connection* connection);
+  void NotePrimaryReached(const Connection& connection, bool reached, Time now);
+
+  // Time (engine.cc).
+  void EndOverdue(Session* session, Time now);
+
+  Session* FindSession(SessionId id);
+  Group& GroupOf(const GroupName& name) { return m_groups[name]; }
+  const Group* FindGroup(const GroupName& name) const;
+
+  const EngineOptions m_options;
+  const EngineHooks m_hooks;
+  std::shared_ptr<const Configuration> m_configuration;
+  StoreContact m_key_contact;
+  StoreContact m_primary_contact;
+  CustomerLimiter m_limiter;
+  MemberTable m_members;
+  ConnectionTable m_connections;
+  std::map<GroupName, Group> m_groups;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Session>> m_sessions;
+  int m_instance_count = 1;
+  std::optional<Time> m_shutdown_since;
+  // Idle sessions that may still be closed in this tick.
+  std::size_t m_closings_left = 0;
+};
+
+}  // namespace jasminelug::gateway
+
+#endif  // SRC_GATEWAY_ENGINE_H_
--- /dev/null
+++ b/src/gateway/engine_answers.cc
@@ -0,0 +1,370 @@
+// Answers of members, and what the Engine concludes from them and from lost
+// connections.
+
+#include <utility>
+
+#include "src/gateway/engine.h"
+
+namespace jasminelug::gateway {
+namespace {
+
+// Pause before a statement goes to a primary that may just have changed.
+constexpr Duration kReadOnlyRetryDelay = 40ms;
+// Pause before a statement is tried again after a refusal for capacity.
+constexpr Duration kBusyRetryDelay = 25ms;
+// Weight of a new answer in the group's smoothed turnaround, as a divisor.
+constexpr int kSmoothing = 16;
+
+}  // namespace
+
+void Engine::Detach(Session* session) {
+  if (!session->m_connection) {
+    return;
+  }
+  Connection* connection = m_connections.Find(*session->m_connection);
+  if (connection) {
+    connection->m_session.reset();
+  }
+  session->m_connection.reset();
+}
+
+void Engine::ForgetConnection(Connection* connection) {
+  MemberState* state = m_members.Find(connection->m_member);
+  if (state) {
+    const bool busy = connection->m_stage != Connection::Stage::kIdle;
+    state->m_connections = std::max(state->m_connections - 1, 0);
+    state->m_busy = std::max(state->m_busy - (busy ? 1 : 0), 0);
+  }
+  m_connections.Remove(connection->m_id);
+}
+
+void Engine::DropConnection(Connection* connection, Time) {
+  const ConnectionId id = connection->m_id;
+  ForgetConnection(connection);
+  m_hooks.m_close_connection(id);
+}
+
+void Engine::Release(Connection* connection, Time now) {
+  const GroupName group = connection->m_group;
+  MemberState* state = m_members.Find(connection->m_member);
+  if (state && connection->m_stage != Connection::Stage::kIdle) {
+    state->m_busy = std::max(state->m_busy - 1, 0);
+  }
+  connection->m_stage = Connection::Stage::kIdle;
+  connection->m_in_transaction = false;
+  connection->m_session.reset();
+  connection->m_last_used = now;
+  const bool over_budget =
+      !state || state->m_connections > BudgetOf(*state) ||
+      !m_members.TakesWork(state->m_member);
+  if (over_budget) {
+    DropConnection(connection, now);
+  }
+  Dispatch(group, now);
+}
+
+void Engine::Leave(Connection* connection, Time now) {
+  if (connection->m_stage == Connection::Stage::kOpening) {
+    return;  // OnConnectionOpened() releases it.
+  }
+  if (!connection->m_sent.empty()) {
+    DropConnection(connection, now);
+    return;
+  }
+  if (connection->m_in_transaction) {
+    RollBackConnection(connection, now);
+    return;
+  }
+  Release(connection, now);
+}
+
+void Engine::RollBackConnection(Connection* connection, Time now) {
+  connection->m_stage = Connection::Stage::kRollingBack;
+  connection->m_session.reset();
+  MemberStatement rollback;
+  rollback.m_verb = MemberVerb::kRollback;
+  Send(connection, {rollback}, SentPurpose::kRollback, now);
+}
+
+void Engine::NotePrimaryReached(const Connection& connection,
+                                bool reached,
+                                Time now) {
+  Group& group = GroupOf(connection.m_group);
+  if (group.m_primary.m_member != connection.m_member) {
+    return;
+  }
+  if (reached) {
+    group.m_primary_failing_since.reset();
+  } else if (!group.m_primary_failing_since) {
+    group.m_primary_failing_since = now;
+  }
+}
+
+void Engine::OnConnectionOpened(ConnectionId id,
+                                const std::optional<LogPosition>&,
+                                Time now) {
+  Connection* connection = m_connections.Find(id);
+  if (!connection) {
+    return;
+  }
+  NotePrimaryReached(*connection, true, now);
+  connection->m_stage = Connection::Stage::kInUse;
+  MemberState* state = m_members.Find(connection->m_member);
+  if (state) {
+    state->m_failures = 0;
+  }
+  Session* session = connection->m_session
+                         ? FindSession(*connection->m_session)
+                         : nullptr;
+  if (!session || !session->m_active) {
+    Release(connection, now);
+    return;
+  }
+  SendStatement(session, connection, now);
+}
+
+void Engine::TakeSample(Connection* connection,
+                        const SentStatement& sent,
+                        const Answer& answer,
+                        Time now) {
+  Group& group = GroupOf(connection->m_group);
+  const bool is_primary = sent.m_to_primary &&
+                          group.m_primary.m_member == connection->m_member &&
+                          IsPrimaryUsable(group, now);
+  const bool ran = std::holds_alternative<Completed>(answer.m_outcome) &&
+                   sent.m_purpose == SentPurpose::kStatement;
+  if (is_primary && ran && answer.m_position) {
+    group.m_floor.Add({sent.m_sent, *answer.m_position}, now);
+  }
+}
+
+void Engine::OnMemberAnswer(ConnectionId id, const Answer& answer, Time now) {
+  Connection* connection = m_connections.Find(id);
+  if (!connection) {
+    return;
+  }
+  if (connection->m_sent.empty()) {
+    m_hooks.m_close_connection(id);
+    OnConnectionClosed(id, std::nullopt, now);
+    return;
+  }
+  const SentStatement sent = connection->m_sent.front();
+  connection->m_sent.pop_front();
+  NotePrimaryReached(*connection, true, now);
+  TakeSample(connection, sent, answer, now);
+  connection->m_in_transaction = answer.m_state != TransactionState::kNone;
+  const bool failed = std::holds_alternative<Refused>(answer.m_outcome);
+  Session* session = connection->m_session
+                         ? FindSession(*connection->m_session)
+                         : nullptr;
+  switch (sent.m_purpose) {
+    case SentPurpose::kSetup:
+      if (failed) {
+        m_hooks.m_close_connection(id);
+        OnConnectionClosed(id, std::nullopt, now);
+      }
+      return;
+    case SentPurpose::kRollback:
+      if (failed || connection->m_in_transaction) {
+        DropConnection(connection, now);
+        return;
+      }
+      Release(connection, now);
+      return;
+    case SentPurpose::kCommand:
+      return;
+    case SentPurpose::kBegin:
+    case SentPurpose::kStatement:
+      break;
+  }
+  if (!session || !session->m_active) {
+    Leave(connection, now);
+    return;
+  }
+  if (sent.m_purpose == SentPurpose::kBegin) {
+    OnBeginAnswer(session, connection, answer, now);
+    return;
+  }
+  OnStatementAnswer(session, connection, sent, answer, now);
+}
+
+void Engine::OnBeginAnswer(Session* session,
+                           Connection* connection,
+                           const Answer& answer,
+                           Time now) {
+  const Refused* refused = std::get_if<Refused>(&answer.m_outcome);
+  if (!refused) {
+    session->m_transaction->m_begun = true;
+    connection->m_in_transaction = true;
+    SendStatement(session, connection, now);
+    return;
+  }
+  if (!RetryNotRun(session, connection, refused->m_code, now)) {
+    Refuse(session, refused->m_code, refused->m_message, now);
+  }
+}
+
+void Engine::OnStatementAnswer(Session* session,
+                               Connection* connection,
+                               const SentStatement& sent,
+                               const Answer& answer,
+                               Time now) {
+  const Refused* refused = std::get_if<Refused>(&answer.m_outcome);
+  if (refused) {
+    OnRefused(session, connection, *refused, now);
+    return;
+  }
+  const Duration turnaround = now - sent.m_sent;
+  m_members.NoteAnswer(connection->m_member, turnaround);
+  Group& group = GroupOf(connection->m_group);
+  group.m_turnaround += (turnaround - group.m_turnaround) / kSmoothing;
+  OnCompleted(session, connection, answer, now);
+}
+
+void Engine::OnCompleted(Session* session,
+                         Connection* connection,
+                         const Answer& answer,
+                         Time now) {
+  const bool commits =
+      session->m_active->m_statement.m_kind == StatementKind::kCommit;
+  const bool wrote =
+      commits ? session->m_transaction->m_wrote : session->m_active->m_writes;
+  const bool ends = commits || !session->m_transaction;
+  if (ends && wrote && answer.m_position) {
+    session->m_last_commit = FreshnessSample{now, *answer.m_position};
+  }
+  if (!ends) {
+    session->m_transaction->m_answered_statements += 1;
+    EndActive(session, answer.m_outcome, now);
+    return;
+  }
+  session->m_transaction.reset();
+  Detach(session);
+  Leave(connection, now);
+  EndActive(session, answer.m_outcome, now);
+}
+
+bool Engine::RetryNotRun(Session* session,
+                         Connection* connection,
+                         ErrorCode code,
+                         Time now) {
+  const bool may_restart = !session->m_transaction ||
+                           session->m_transaction->m_answered_statements == 0;
+  const bool not_run =
+      ProvesNothingKept(code) || code == ErrorCode::kUnknownStatement;
+  if (!may_restart || !not_run || code == ErrorCode::kAborted) {
+    return false;
+  }
+  ActiveStatement& active = *session->m_active;
+  Duration delay{0};
+  const MemberId member = connection->m_member;
+  if (code == ErrorCode::kLagging) {
+    active.m_lacking.insert(member);
+    if (active.m_floor) {
+      m_members.NoteLagging(member, now - active.m_floor->m_sent, now);
+    }
+  } else if (code == ErrorCode::kReadOnly) {
+    delay = kReadOnlyRetryDelay;
+  } else if (code == ErrorCode::kBusy) {
+    m_members.NoteBusy(member, now);
+    delay = active.m_needs_primary ? kBusyRetryDelay : Duration::zero();
+  }
+  if (session->m_transaction) {
+    session->m_transaction->m_begun = false;
+    session->m_transaction->m_wrote = false;
+  }
+  Detach(session);
+  if (code == ErrorCode::kUnknownStatement) {
+    DropConnection(connection, now);
+  } else {
+    Leave(connection, now);
+  }
+  RetryLater(session, delay, now);
+  return true;
+}
+
+void Engine::OnRefused(Session* session,
+                       Connection* connection,
+                       const Refused& refused,
+                       Time now) {
+  const bool commits =
+      session->m_active->m_statement.m_kind == StatementKind::kCommit;
+  if (!commits && RetryNotRun(session, connection, refused.m_code, now)) {
+    return;
+  }
+  Refuse(session, refused.m_code, refused.m_message, now);
+}
+
+void Engine::OnConnectionClosed(ConnectionId id,
+                                std::optional<ErrorCode> code,
+                                Time now) {
+  Connection* connection = m_connections.Find(id);
+  if (!connection) {
+    return;
+  }
+  const MemberId member = connection->m_member;
+  const GroupName group = connection->m_group;
+  const bool opening = connection->m_stage == Connection::Stage::kOpening;
+  if (opening && code != ErrorCode::kConnectionLimit) {
+    NotePrimaryReached(*connection, code.has_value(), now);
+  }
+  if (opening) {
+    m_members.NoteFailure(member, now);
+  }
+  Session* session = connection->m_session
+                         ? FindSession(*connection->m_session)
+                         : nullptr;
+  ForgetConnection(connection);
+  if (session) {
+    session->m_connection.reset();
+    if (session->m_active) {
+      LoseStatement(session, now);
+    } else if (session->m_transaction) {
+      session->m_transaction->m_failed = true;
+    }
+  }
+  Dispatch(group, now);
+}
+
+void Engine::LoseStatement(Session* session, Time now) {
+  ActiveStatement& active = *session->m_active;
+  Connection* connection =
+      session->m_connection ? m_connections.Find(*session->m_connection)
+                            : nullptr;
+  Detach(session);
+  if (connection) {
+    DropConnection(connection, now);
+  }
+  const bool commits = active.m_statement.m_kind == StatementKind::kCommit;
+  const bool overdue = now >= active.m_deadline;
+  if (!session->m_transaction) {
+    if (active.m_sent && active.m_writes) {
+      Refuse(session, ErrorCode::kInDoubt, "the answer to a write was lost",
+             now);
+      return;
+    }
+    if (overdue) {
+      Refuse(session, active.m_sent ? ErrorCode::kTimeout : ErrorCode::kBusy,
+             "no answer in time", now);
+      return;
+    }
+    RetryLater(session, Duration::zero(), now);
+    return;
+  }
+  OpenTransaction& transaction = *session->m_transaction;
+  if (commits && active.m_sent && transaction.m_wrote) {
+    session->m_transaction.reset();
+    Refuse(session, ErrorCode::kInDoubt, "the answer to a commit was lost",
+           now);
+    return;
+  }
+  if (transaction.m_answered_statements == 0 && !overdue) {
+    transaction.m_begun = false;
+    transaction.m_wrote = false;
+    RetryLater(session, Duration::zero(), now);
+    return;
+  }
+  Refuse(session, ErrorCode::kAborted, "the transaction was lost", now);
+}
+
+}  // namespace jasminelug::gateway
--- /dev/null
+++ b/src/gateway/engine_dispatch.cc
@@ -0,0 +1,346 @@
+// Placement of the Engine: which member and which connection run a statement,
+// and what is sent before it.
+
+#include <algorithm>
+#include <utility>
+
+#include "src/gateway/engine.h"
+
+namespace jasminelug::gateway {
+namespace {
+
+// Members that one statement is offered to, at most.
+constexpr int kMaxAttempts = 8;
+
+}  // namespace
+
+void Engine::JoinLine(Session* session, Time now) {
+  ActiveStatement& active = *session->m_active;
+  Group& group = GroupOf(session->m_route.m_group);
+  if (!TryPlace(session, now)) {
+    active.m_waiting = true;
+    group.m_line.Add(
+        {active.m_objective_at, session->m_id, active.m_needs_primary});
+  }
+}
+
+void Engine::LeaveLine(Session* session) {
+  if (!session->m_active || !session->m_active->m_waiting) {
+    return;
+  }
+  ActiveStatement& active = *session->m_active;
+  GroupOf(session->m_route.m_group)
+      .m_line.Remove(
+          {active.m_objective_at, session->m_id, active.m_needs_primary});
+  active.m_waiting = false;
+}
+
+void Engine::RetryLater(Session* session, Duration delay, Time now) {
+  ActiveStatement& active = *session->m_active;
+  active.m_sent = false;
+  if (active.m_attempts >= kMaxAttempts ||
+      now + delay >= active.m_deadline) {
+    Refuse(session, ErrorCode::kBusy, "no member could run it", now);
+    return;
+  }
+  active.m_not_before = now + delay;
+  JoinLine(session, now);
+}
+
+void Engine::Dispatch(const GroupName& name, Time now) {
+  Group& group = GroupOf(name);
+  if (group.m_line.empty()) {
+    return;
+  }
+  for (const Waiter& waiter : group.m_line.InOrder(now)) {
+    Session* session = FindSession(waiter.m_session);
+    if (!session || !session->m_active || !session->m_active->m_waiting) {
+      continue;
+    }
+    if (TryPlace(session, now)) {
+      LeaveLine(session);
+    }
+  }
+}
+
+bool Engine::IsPrimaryUsable(const Group& group, Time now) const {
+  return group.m_primary.m_member && group.m_primary.m_usable &&
+         m_primary_contact.IsFresh(now, m_options.m_primary_proof_limit);
+}
+
+std::optional<FreshnessSample> Engine::FloorOf(const Session& session,
+                                               Time now) const {
+  const Group* group = FindGroup(session.m_route.m_group);
+  std::optional<FreshnessSample> floor =
+      group->m_floor.Find(now, session.m_route.m_max_staleness);
+  if (!floor) {
+    return std::nullopt;
+  }
+  const bool own =
+      session.m_route.m_consistency == Consistency::kReadYourWrites &&
+      session.m_last_commit &&
+      session.m_last_commit->m_position > floor->m_position;
+  return own ? session.m_last_commit : floor;
+}
+
+int Engine::BudgetOf(const MemberState& state) const {
+  if (!m_configuration) {
+    return 1;
+  }
+  const auto limits = m_configuration->m_groups.find(state.m_member.m_group);
+  if (limits == m_configuration->m_groups.end()) {
+    return 1;
+  }
+  return std::max(limits->second.m_max_connections / m_instance_count, 1);
+}
+
+std::optional<PlacementOption> Engine::OptionAt(const Session& session,
+                                                MemberState* state,
+                                                bool is_primary,
+                                                Time now) {
+  const Member& member = state->m_member;
+  if (state->m_unavailable_until > now || !m_members.TakesWork(member)) {
+    return std::nullopt;
+  }
+  PlacementOption option;
+  option.m_member = member.m_id;
+  option.m_turnaround = state->m_turnaround;
+  option.m_busy = state->m_busy;
+  option.m_slots = member.m_slots;
+  option.m_same_zone = member.m_zone == m_options.m_zone;
+  option.m_spares_primary = !is_primary;
+  if (m_connections.FindIdle(member.m_id, session.m_customer)) {
+    option.m_source = ConnectionSource::kIdle;
+  } else if (state->m_connections < BudgetOf(*state)) {
+    option.m_source = ConnectionSource::kOpen;
+  } else if (m_connections.FindOldestIdle(member.m_id)) {
+    option.m_source = ConnectionSource::kReplace;
+  } else {
+    return std::nullopt;
+  }
+  return option;
+}
+
+std::vector<PlacementOption> Engine::OptionsFor(Session* session, Time now) {
+  ActiveStatement& active = *session->m_active;
+  const Group& group = GroupOf(session->m_route.m_group);
+  std::vector<PlacementOption> options;
+  active.m_floor.reset();
+  if (!active.m_needs_primary) {
+    active.m_floor = FloorOf(*session, now);
+  }
+  for (MemberState* state : m_members.MembersOf(session->m_route.m_group)) {
+    const bool is_primary = group.m_primary.m_member == state->m_member.m_id;
+    if (is_primary && !IsPrimaryUsable(group, now)) {
+      continue;
+    }
+    if (!is_primary) {
+      const bool lacks =
+          active.m_needs_primary || !active.m_floor ||
+          active.m_lacking.contains(state->m_member.m_id) ||
+          m_members.LikelyLacks(*state, now - active.m_floor->m_sent, now);
+      if (lacks) {
+        continue;
+      }
+    }
+    std::optional<PlacementOption> option =
+        OptionAt(*session, state, is_primary, now);
+    if (option) {
+      options.push_back(*option);
+    }
+  }
+  return options;
+}
+
+LineLoad Engine::LoadFor(const Session& session, Time now) const {
+  const Group* group = FindGroup(session.m_route.m_group);
+  LineLoad load;
+  if (!group) {
+    return load;
+  }
+  const bool needs_primary =
+      session.m_active
+          ? session.m_active->m_needs_primary
+          : session.m_route.m_consistency == Consistency::kPrimary ||
+                !session.m_transaction->m_read_only;
+  load.m_turnaround = group->m_turnaround;
+  load.m_waiting = group->m_line.CountWaiting(needs_primary);
+  for (const MemberState* state :
+       const_cast<MemberTable&>(m_members).MembersOf(session.m_route.m_group)) {
+    const bool is_primary = group->m_primary.m_member == state->m_member.m_id;
+    if ((needs_primary && !is_primary) ||
+        !m_members.TakesWork(state->m_member) ||
+        state->m_unavailable_until > now) {
+      continue;
+    }
+    load.m_connections += BudgetOf(*state);
+    load.m_busy += state->m_busy;
+  }
+  return load;
+}
+
+bool Engine::TryPlace(Session* session, Time now) {
+  if (session->m_active->m_not_before > now) {
+    return false;
+  }
+  const std::optional<PlacementOption> option =
+      ChoosePlacement(OptionsFor(session, now));
+  if (!option) {
+    return false;
+  }
+  Place(session, *option, now);
+  return true;
+}
+
+void Engine::Place(Session* session,
+                   const PlacementOption& option,
+                   Time now) {
+  ActiveStatement& active = *session->m_active;
+  active.m_attempts += 1;
+  active.m_member = option.m_member;
+  const Group& group = GroupOf(session->m_route.m_group);
+  if (group.m_primary.m_member == option.m_member) {
+    active.m_floor.reset();
+  }
+  MemberState* state = m_members.Find(option.m_member);
+  if (option.m_source == ConnectionSource::kIdle) {
+    Connection* connection =
+        m_connections.FindIdle(option.m_member, session->m_customer);
+    connection->m_stage = Connection::Stage::kInUse;
+    connection->m_session = session->m_id;
+    session->m_connection = connection->m_id;
+    state->m_busy += 1;
+    SendStatement(session, connection, now);
+    return;
+  }
+  if (option.m_source == ConnectionSource::kReplace) {
+    DropConnection(m_connections.FindOldestIdle(option.m_member), now);
+  }
+  Connection* connection =
+      m_connections.Add(option.m_member, session->m_route.m_group,
+                        session->m_customer, now);
+  connection->m_session = session->m_id;
+  session->m_connection = connection->m_id;
+  state->m_connections += 1;
+  state->m_busy += 1;
+  m_hooks.m_open_connection(connection->m_id, state->m_member,
+                            session->m_customer);
+}
+
+void Engine::SendStatement(Session* session,
+                           Connection* connection,
+                           Time now) {
+  ActiveStatement& active = *session->m_active;
+  if (session->m_transaction && !session->m_transaction->m_begun) {
+    SendBegin(session, connection, now);
+    return;
+  }
+  std::vector<MemberStatement> statements =
+      SetupFor(*session, connection, now);
+  statements.push_back(ForwardOf(*session, *connection));
+  active.m_sent = true;
+  if (session->m_transaction && active.m_writes) {
+    session->m_transaction->m_wrote = true;
+  }
+  Send(connection, statements, SentPurpose::kStatement, now);
+}
+
+void Engine::SendBegin(Session* session, Connection* connection, Time now) {
+  std::vector<MemberStatement> statements =
+      SetupFor(*session, connection, now);
+  MemberStatement begin;
+  begin.m_verb = session->m_transaction->m_read_only
+                     ? MemberVerb::kBeginReadOnly
+                     : MemberVerb::kBegin;
+  if (session->m_active->m_floor) {
+    begin.m_after = session->m_active->m_floor->m_position;
+  }
+  statements.push_back(begin);
+  Send(connection, statements, SentPurpose::kBegin, now);
+}
+
+MemberStatement Engine::ForwardOf(const Session& session,
+                                  const Connection& connection) const {
+  const Statement& statement = session.m_active->m_statement;
+  MemberStatement forward;
+  forward.m_id = statement.m_id;
+  forward.m_text = statement.m_text;
+  if (statement.m_kind == StatementKind::kExecute) {
+    forward.m_verb = MemberVerb::kExecute;
+    forward.m_name =
+        connection.m_prepared.at(session.m_prepared.at(statement.m_name));
+    forward.m_argument = statement.m_argument;
+  }
+  if (!session.m_transaction && session.m_active->m_floor) {
+    forward.m_after = session.m_active->m_floor->m_position;
+  }
+  return forward;
+}
+
+std::vector<MemberStatement> Engine::SetupFor(const Session& session,
+                                              Connection* connection,
+                                              Time) {
+  std::vector<MemberStatement> setup;
+  const bool foreign_value = std::any_of(
+      connection->m_values.begin(), connection->m_values.end(),
+      [&session](const auto& value) {
+        return !session.m_values.contains(value.first);
+      });
+  const bool reset = foreign_value || connection->m_values_uncertain;
+  if (reset && !connection->m_in_transaction) {
+    MemberStatement statement;
+    statement.m_verb = MemberVerb::kReset;
+    setup.push_back(statement);
+    connection->m_values.clear();
+    connection->m_prepared.clear();
+    connection->m_values_uncertain = false;
+  }
+  for (const auto& [name, value] : session.m_values) {
+    const auto held = connection->m_values.find(name);
+    if (held != connection->m_values.end() && held->second == value) {
+      continue;
+    }
+    MemberStatement statement;
+    statement.m_verb = MemberVerb::kSetValue;
+    statement.m_name = name;
+    statement.m_argument = value;
+    setup.push_back(statement);
+    connection->m_values[name] = value;
+    connection->m_values_uncertain |= connection->m_in_transaction;
+  }
+  const Statement& statement = session.m_active->m_statement;
+  if (statement.m_kind != StatementKind::kExecute) {
+    return setup;
+  }
+  const PreparedShape& shape = session.m_prepared.at(statement.m_name);
+  if (!connection->m_prepared.contains(shape)) {
+    MemberStatement prepare;
+    prepare.m_verb = MemberVerb::kPrepare;
+    prepare.m_name = "p" + std::to_string(connection->m_next_prepared++);
+    prepare.m_prepared = shape;
+    setup.push_back(prepare);
+    connection->m_prepared[shape] = prepare.m_name;
+    connection->m_values_uncertain |= connection->m_in_transaction;
+  }
+  return setup;
+}
+
+void Engine::Send(Connection* connection,
+                  const std::vector<MemberStatement>& statements,
+                  SentPurpose last_purpose,
+                  Time now) {
+  const Group& group = GroupOf(connection->m_group);
+  SentStatement sent;
+  sent.m_sent = now;
+  sent.m_to_primary = group.m_primary.m_member == connection->m_member &&
+                      IsPrimaryUsable(group, now);
+  for (std::size_t i = 0; i < statements.size(); ++i) {
+    const bool last = i + 1 == statements.size();
+    sent.m_purpose = last ? last_purpose : SentPurpose::kSetup;
+    connection->m_sent.push_back(sent);
+  }
+  connection->m_last_used = now;
+  m_hooks.m_send(connection->m_id, statements);
+}
+
+}  // namespace jasminelug::gateway
--- /dev/null
+++ b/src/gateway/engine_sessions.cc
@@ -0,0 +1,392 @@
+// Sessions of the Engine: which statements it answers by itself, and what is
+// checked before one goes to a member.
+
+#include <utility>
+
+#include "src/gateway/engine.h"
+
+namespace jasminelug::gateway {
+namespace {
+
+// Statements that a caller may send ahead of their answers.
+constexpr std::size_t kMaxQueuedStatements = 64;
+// The longest a rate-limited caller is told to wait is not known here: the
+// protocol carries no time.
+constexpr char kOverLimit[] = "the customer is over its rate";
+
+}  // namespace
+
+std::optional<Refused> Engine::OnSessionStart(SessionId id,
+                                              const DatabaseName& database,
+                                              const CallerKey& key,
+                                              Time now) {
+  auto session = std::make_unique<Session>();
+  session->m_id = id;
+  session->m_database = database;
+  session->m_key = key;
+  std::optional<Refused> refused = CheckCaller(*session, now);
+  if (refused) {
+    return refused;
+  }
+  m_sessions.emplace(id.value(), std::move(session));
+  return std::nullopt;
+}
+
+std::optional<Refused> Engine::CheckCaller(const Session& session,
+                                           Time now) const {
+  if (!m_configuration) {
+    return Refused{ErrorCode::kBusy, "no configuration yet"};
+  }
+  const auto route = m_configuration->m_routes.find(session.m_database);
+  const bool is_public =
+      route != m_configuration->m_routes.end() && route->second.m_public;
+  if (!is_public &&
+      !m_key_contact.IsFresh(now, m_options.m_key_proof_limit)) {
+    return Refused{ErrorCode::kBusy, "keys cannot be checked at present"};
+  }
+  if (route == m_configuration->m_routes.end()) {
+    return Refused{ErrorCode::kUnknownDatabase, "no such database"};
+  }
+  if (!is_public && !m_configuration->m_keys.contains(session.m_key)) {
+    return Refused{ErrorCode::kUnauthorized, "unknown key"};
+  }
+  return std::nullopt;
+}
+
+std::optional<Refused> Engine::BeginOperation(Session* session, Time now) {
+  session->m_route = m_configuration->m_routes.at(session->m_database);
+  const auto key = m_configuration->m_keys.find(session->m_key);
+  session->m_customer =
+      key == m_configuration->m_keys.end() ? CustomerName() : key->second;
+  std::optional<Refused> refused = CheckAdmission(*session, now);
+  if (refused) {
+    return refused;
+  }
+  if (!session->m_customer.empty() &&
+      !m_limiter.Take(session->m_customer, now)) {
+    return Refused{ErrorCode::kBusy, kOverLimit};
+  }
+  return std::nullopt;
+}
+
+std::optional<Refused> Engine::CheckAdmission(const Session& session,
+                                              Time now) const {
+  const LineLoad load = LoadFor(session, now);
+  if (!MayWait(load, session.m_route.m_objective)) {
+    return Refused{ErrorCode::kBusy, "members are at capacity"};
+  }
+  return std::nullopt;
+}
+
+TransactionState Engine::StateOf(const Session& session) const {
+  if (!session.m_transaction) {
+    return TransactionState::kNone;
+  }
+  return session.m_transaction->m_failed ? TransactionState::kFailed
+                                         : TransactionState::kOpen;
+}
+
+void Engine::OnStatement(SessionId id, Statement statement, Time now) {
+  Session* session = FindSession(id);
+  if (!session) {
+    return;
+  }
+  if (session->m_active || !session->m_next.empty()) {
+    if (session->m_next.size() >= kMaxQueuedStatements) {
+      OnSessionEnd(id, now);
+      m_hooks.m_close_session(id);
+      return;
+    }
+    session->m_next.push_back(std::move(statement));
+    return;
+  }
+  StartStatement(session, std::move(statement), now);
+  session = FindSession(id);
+  if (session) {
+    CloseIfShuttingDown(session);
+  }
+}
+
+void Engine::ContinueSession(Session* session, Time now) {
+  const SessionId id = session->m_id;
+  while (session && !session->m_active && !session->m_next.empty()) {
+    Statement statement = std::move(session->m_next.front());
+    session->m_next.pop_front();
+    StartStatement(session, std::move(statement), now);
+    session = FindSession(id);
+  }
+  if (session) {
+    CloseIfShuttingDown(session);
+  }
+}
+
+void Engine::StartStatement(Session* session, Statement statement, Time now) {
+  const StatementKind kind = statement.m_kind;
+  const bool failed = StateOf(*session) == TransactionState::kFailed;
+  const bool ends =
+      kind == StatementKind::kCommit || kind == StatementKind::kRollback;
+  if (failed && !ends) {
+    Reply(session, Refused{ErrorCode::kMalformed, "the transaction failed"});
+    return;
+  }
+  if (failed) {
+    session->m_transaction.reset();
+    if (kind == StatementKind::kRollback) {
+      Reply(session, Completed{});
+      return;
+    }
+    Reply(session, Refused{ErrorCode::kAborted, "the transaction failed"});
+    return;
+  }
+  if (IsForMember(*session, statement)) {
+    SubmitToMember(session, std::move(statement), now);
+    return;
+  }
+  AnswerLocally(session, statement, now);
+}
+
+bool Engine::IsForMember(const Session& session,
+                         const Statement& statement) const {
+  switch (statement.m_kind) {
+    case StatementKind::kRead:
+    case StatementKind::kWrite:
+      return true;
+    case StatementKind::kExecute:
+      return session.m_prepared.contains(statement.m_name);
+    case StatementKind::kCommit:
+      return session.m_transaction.has_value();
+    default:
+      return false;
+  }
+}
+
+bool Engine::WritesData(const Session& session,
+                        const Statement& statement) const {
+  if (statement.m_kind == StatementKind::kWrite) {
+    return true;
+  }
+  if (statement.m_kind != StatementKind::kExecute) {
+    return false;
+  }
+  const auto prepared = session.m_prepared.find(statement.m_name);
+  return prepared != session.m_prepared.end() &&
+         prepared->second.m_access == Access::kWrite;
+}
+
+void Engine::AnswerLocally(Session* session,
+                           const Statement& statement,
+                           Time now) {
+  switch (statement.m_kind) {
+    case StatementKind::kBegin:
+    case StatementKind::kBeginReadOnly:
+      BeginTransaction(session, statement, now);
+      return;
+    case StatementKind::kRollback:
+      RollBackTransaction(session, now);
+      return;
+    case StatementKind::kSetValue:
+      session->m_values[statement.m_name] = statement.m_argument;
+      break;
+    case StatementKind::kPrepare:
+      session->m_prepared[statement.m_name] = statement.m_prepared;
+      break;
+    case StatementKind::kRelease:
+      if (session->m_prepared.erase(statement.m_name) == 0) {
+        Reply(session,
+              Refused{ErrorCode::kUnknownStatement, statement.m_name});
+        return;
+      }
+      break;
+    case StatementKind::kExecute:
+      if (session->m_transaction) {
+        FailTransaction(session, now);
+      }
+      Reply(session, Refused{ErrorCode::kUnknownStatement, statement.m_name});
+      return;
+    default:
+      if (session->m_transaction) {
+        FailTransaction(session, now);
+      }
+      Reply(session, Refused{ErrorCode::kMalformed, "unknown statement"});
+      return;
+  }
+  if (session->m_transaction) {
+    session->m_transaction->m_last_activity = now;
+  }
+  Reply(session, Completed{});
+}
+
+void Engine::BeginTransaction(Session* session,
+                              const Statement& statement,
+                              Time now) {
+  if (session->m_transaction) {
+    FailTransaction(session, now);
+    Reply(session, Refused{ErrorCode::kMalformed, "already in a transaction"});
+    return;
+  }
+  std::optional<Refused> refused = CheckCaller(*session, now);
+  if (!refused) {
+    OpenTransaction transaction;
+    transaction.m_read_only = statement.m_kind == StatementKind::kBeginReadOnly;
+    transaction.m_last_activity = now;
+    session->m_transaction = transaction;
+    refused = BeginOperation(session, now);
+  }
+  if (refused) {
+    session->m_transaction.reset();
+    Reply(session, *refused);
+    return;
+  }
+  Reply(session, Completed{});
+}
+
+void Engine::RollBackTransaction(Session* session, Time now) {
+  if (!session->m_transaction) {
+    Reply(session, Refused{ErrorCode::kMalformed, "not in a transaction"});
+    return;
+  }
+  session->m_transaction.reset();
+  Connection* connection =
+      session->m_connection ? m_connections.Find(*session->m_connection)
+                            : nullptr;
+  Detach(session);
+  if (connection) {
+    RollBackConnection(connection, now);
+  }
+  Reply(session, Completed{});
+}
+
+void Engine::SubmitToMember(Session* session, Statement statement, Time now) {
+  ActiveStatement active;
+  active.m_received = now;
+  active.m_writes = WritesData(*session, statement);
+  active.m_statement = std::move(statement);
+  std::optional<Refused> refused = CheckCaller(*session, now);
+  if (!refused && !session->m_transaction) {
+    session->m_route = m_configuration->m_routes.at(session->m_database);
+  }
+  const Route& route = session->m_route;
+  const bool plain_transaction =
+      session->m_transaction && !session->m_transaction->m_read_only;
+  active.m_needs_primary = active.m_writes || plain_transaction ||
+                           route.m_consistency == Consistency::kPrimary;
+  active.m_objective_at = now + route.m_objective;
+  active.m_deadline = now + route.m_statement_timeout;
+  session->m_active = std::move(active);
+  if (!refused && !session->m_transaction) {
+    refused = BeginOperation(session, now);
+  }
+  if (refused) {
+    Refuse(session, refused->m_code, refused->m_message, now);
+    return;
+  }
+  Connection* connection =
+      session->m_connection ? m_connections.Find(*session->m_connection)
+                            : nullptr;
+  if (connection) {
+    SendStatement(session, connection, now);
+    return;
+  }
+  if (session->m_transaction && session->m_transaction->m_begun) {
+    Refuse(session, ErrorCode::kAborted, "the transaction was lost", now);
+    return;
+  }
+  JoinLine(session, now);
+}
+
+void Engine::FailTransaction(Session* session, Time now) {
+  session->m_transaction->m_failed = true;
+  Connection* connection =
+      session->m_connection ? m_connections.Find(*session->m_connection)
+                            : nullptr;
+  Detach(session);
+  if (connection) {
+    Leave(connection, now);
+  }
+}
+
+void Engine::Refuse(Session* session,
+                    ErrorCode code,
+                    const std::string& message,
+                    Time now) {
+  LeaveLine(session);
+  Connection* connection =
+      session->m_connection ? m_connections.Find(*session->m_connection)
+                            : nullptr;
+  Detach(session);
+  if (connection) {
+    Leave(connection, now);
+  }
+  if (session->m_transaction) {
+    FailTransaction(session, now);
+    const bool ended =
+        session->m_active &&
+        session->m_active->m_statement.m_kind == StatementKind::kCommit;
+    if (ended) {
+      session->m_transaction.reset();
+    }
+  }
+  EndActive(session, Refused{code, message}, now);
+}
+
+void Engine::EndActive(Session* session, const Outcome& outcome, Time now) {
+  StatementEnd end;
+  const ActiveStatement& active = *session->m_active;
+  end.m_statement_id = active.m_statement.m_id;
+  end.m_database = session->m_database;
+  end.m_customer = session->m_customer;
+  end.m_attempts = active.m_attempts;
+  end.m_time = now - active.m_received;
+  end.m_objective = session->m_route.m_objective;
+  end.m_member = active.m_member;
+  const Refused* refused = std::get_if<Refused>(&outcome);
+  end.m_completed = refused == nullptr;
+  if (refused) {
+    end.m_code = refused->m_code;
+    end.m_reason = refused->m_message;
+  }
+  session->m_active.reset();
+  if (session->m_transaction) {
+    session->m_transaction->m_last_activity = now;
+  }
+  m_hooks.m_report(end);
+  Reply(session, outcome);
+  ContinueSession(session, now);
+}
+
+void Engine::Reply(Session* session, const Outcome& outcome) {
+  Answer answer;
+  answer.m_outcome = outcome;
+  answer.m_state = StateOf(*session);
+  m_hooks.m_answer(session->m_id, answer);
+}
+
+void Engine::CloseIfShuttingDown(Session* session) {
+  const bool idle = !session->m_active && !session->m_transaction &&
+                    session->m_next.empty();
+  if (!m_shutdown_since || !idle) {
+    return;
+  }
+  const SessionId id = session->m_id;
+  m_sessions.erase(id.value());
+  m_hooks.m_close_session(id);
+}
+
+void Engine::OnSessionEnd(SessionId id, Time now) {
+  Session* session = FindSession(id);
+  if (!session) {
+    return;
+  }
+  LeaveLine(session);
+  Connection* connection =
+      session->m_connection ? m_connections.Find(*session->m_connection)
+                            : nullptr;
+  Detach(session);
+  // What is still unanswered comes to nobody; OnMemberAnswer() ends it.
+  if (connection && connection->m_sent.empty()) {
+    Leave(connection, now);
+  }
+  m_sessions.erase(id.value());
+}
+
+}  // namespace jasminelug::gateway
--- /dev/null
+++ b/src/gateway/freshness_floor.cc
@@ -0,0 +1,52 @@
+#include "src/gateway/freshness_floor.h"
+
+#include <algorithm>
+
+namespace jasminelug::gateway {
+namespace {
+
+// Samples older than any staleness limit in use are of no help.
+constexpr Duration kKeptFor = 10s;
+// Samples nearer to each other than this are kept as one.
+constexpr Duration kSpacing = 20ms;
+// For timers that fire late and the time until the read's first byte is sent.
+constexpr Duration kMargin = 100ms;
+
+}  // namespace
+
+void FreshnessFloor::Add(const FreshnessSample& sample, Time now) {
+  while (!m_samples.empty() && m_samples.front().m_sent < now - kKeptFor) {
+    m_samples.pop_front();
+  }
+  const auto after = std::upper_bound(
+      m_samples.begin(), m_samples.end(), sample.m_sent,
+      [](Time sent, const FreshnessSample& s) { return sent < s.m_sent; });
+  if (after != m_samples.begin()) {
+    const FreshnessSample& before = *(after - 1);
+    if (sample.m_sent - before.m_sent < kSpacing && after != m_samples.end()) {
+      return;
+    }
+  }
+  m_samples.insert(after, sample);
+}
+
+std::optional<FreshnessSample> FreshnessFloor::Find(
+    Time now, Duration max_staleness) const {
+  const Time oldest = now - max_staleness + kMargin;
+  const auto found = std::lower_bound(
+      m_samples.begin(), m_samples.end(), oldest,
+      [](const FreshnessSample& s, Time t) { return s.m_sent < t; });
+  if (found == m_samples.end()) {
+    return std::nullopt;
+  }
+  return *found;
+}
+
+std::optional<FreshnessSample> FreshnessFloor::Newest() const {
+  if (m_samples.empty()) {
+    return std::nullopt;
+  }
+  return m_samples.back();
+}
+
+}  // namespace jasminelug::gateway
--- /dev/null
+++ b/src/gateway/instance_registrar.cc
@@ -0,0 +1,75 @@
+#include "src/gateway/instance_registrar.h"
+
+#include <utility>
+
+namespace jasminelug::gateway {
+
+InstanceRegistrar::InstanceRegistrar(InstanceEntry entry, Hooks hooks)
+    : m_entry(std::move(entry)), m_hooks(std::move(hooks)) {}
+
+std::string InstanceRegistrar::NameOf(const InstanceId& id) {
+  return "instance." + id.str();
+}
+
+void InstanceRegistrar::OnEntries(const StoreObjects& objects, Time now) {
+  m_listed = true;
+  const auto own = objects.find(NameOf(m_entry.m_id));
+  m_registered = false;
+  m_revision.reset();
+  if (own != objects.end()) {
+    m_revision = own->second.m_revision;
+    const auto* entry = std::get_if<InstanceEntry>(&own->second.m_value);
+    m_registered = entry && *entry == m_entry;
+  }
+  if (!m_registered && !m_calling && !m_stopping) {
+    Write(now);
+  }
+}
+
+void InstanceRegistrar::Write(Time now) {
+  m_calling = true;
+  m_called = now;
+  m_hooks.m_write(NameOf(m_entry.m_id), m_entry, m_revision);
+}
+
+void InstanceRegistrar::OnWritten(
+    const Result<StoreObject, StoreError>& result,
+    Time now) {
+  m_calling = false;
+  if (m_stopping) {
+    return;
+  }
+  if (IsOk(result)) {
+    m_registered = true;
+    m_revision = GetValue(result).m_revision;
+    return;
+  }
+  // After a conflict or a lost answer the watch tells what the store holds.
+  m_next_call = now + kRetryDelay;
+}
+
+void InstanceRegistrar::OnTick(Time now) {
+  if (m_calling && now - m_called > kCallTimeout) {
+    m_hooks.m_abandon();
+    m_calling = false;
+    m_next_call = now + kRetryDelay;
+  }
+  const bool due = m_listed && !m_registered && !m_calling && !m_stopping;
+  if (due && now >= m_next_call) {
+    Write(now);
+  }
+}
+
+void InstanceRegistrar::Stop(Time) {
+  m_stopping = true;
+  if (m_calling) {
+    m_hooks.m_abandon();
+    m_calling = false;
+  }
+  if (m_registered) {
+    m_hooks.m_delete(NameOf(m_entry.m_id));
+  }
+  m_registered = false;
+}
+
+}  // namespace jasminelug::gateway
--- /dev/null
+++ b/src/gateway/placement.cc
@@ -0,0 +1,50 @@
+#include "src/gateway/placement.h"
+
+#include <algorithm>
+
+namespace jasminelug::gateway {
+namespace {
+
+// Expected turnaround of a member that has not answered yet.
+constexpr Duration kUnknownTurnaround = 25ms;
+// A new connection: its round trips and the slot that it takes.
+constexpr Duration kOpeningTime = 20ms;
+constexpr Duration kOtherZoneTime = 3ms;
+// Share of the turnaround added to reads on the primary, as a divisor.
+constexpr int kPrimaryReadPenaltyDivisor = 3;
+
+Duration ExpectedTime(const PlacementOption& option) {
+  Duration turnaround = option.m_turnaround;
+  if (turnaround == Duration::zero()) {
+    turnaround = kUnknownTurnaround;
+  }
+  const int slots = std::max(option.m_slots, 1);
+  Duration time = turnaround + turnaround * option.m_busy / slots;
+  if (option.m_source != ConnectionSource::kIdle) {
+    time += kOpeningTime;
+  }
+  if (!option.m_same_zone) {
+    time += kOtherZoneTime;
+  }
+  if (!option.m_spares_primary) {
+    time += turnaround / kPrimaryReadPenaltyDivisor;
+  }
+  return time;
+}
+
+}  // namespace
+
+std::optional<PlacementOption> ChoosePlacement(
+    const std::vector<PlacementOption>& options) {
+  const auto best = std::min_element(
+      options.begin(), options.end(),
+      [](const PlacementOption& a, const PlacementOption& b) {
+        return ExpectedTime(a) < ExpectedTime(b);
+      });
+  if (best == options.end()) {
+    return std::nullopt;
+  }
+  return *best;
+}
+
+}  // namespace jasminelug::gateway
--- /dev/null
+++ b/src/gateway/session.h
@@ -0,0 +1,74 @@
+#ifndef SRC_GATEWAY_SESSION_H_
+#define SRC_GATEWAY_SESSION_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "src/gateway/configuration.h"
+#include "src/gateway/freshness_floor.h"
+#include "src/gateway/ids.h"
+#include "src/gateway/statement.h"
+
+namespace jasminelug::gateway {
+
+// A caller's statement that waits for a member or for its answer.
+struct ActiveStatement {
+  Statement m_statement;
+  Time m_received;
+  // Until when it meets its objective, and until when it may run.
+  Time m_objective_at;
+  Time m_deadline;
+  // Not to be placed before; set between two attempts.
+  Time m_not_before;
+  int m_attempts = 0;
+  // The member that was tried last.
+  MemberId m_member;
+  bool m_needs_primary = true;
+  bool m_writes = false;
+  // It stands in the waiting line of its group.
+  bool m_waiting = false;
+  // It has itself been sent, after all that prepares it.
+  bool m_sent = false;
+  // Replicas that lacked the position.
+  std::set<MemberId> m_lacking;
+  // What the replica must hold, where it runs on one.
+  std::optional<FreshnessSample> m_floor;
+};
+
+// A transaction that the caller has begun.
+struct OpenTransaction {
+  bool m_read_only = false;
+  // It was rolled back, or will be; the caller has still to end it.
+  bool m_failed = false;
+  bool m_wrote = false;
+  // Its opening statement was sent to a member and succeeded.
+  bool m_begun = false;
+  int m_answered_statements = 0;
+  Time m_last_activity;
+};
+
+// A caller's session: what its statements mean and what they must see.
+struct Session {
+  SessionId m_id;
+  DatabaseName m_database;
+  CallerKey m_key;
+  CustomerName m_customer;
+  // Route of the current operation; a change takes hold with the next one.
+  Route m_route;
+  std::map<std::string, std::string> m_values;
+  std::map<std::string, PreparedShape> m_prepared;
+  // The session's last commit, at the time of its acknowledgement.
+  std::optional<FreshnessSample> m_last_commit;
+  std::optional<OpenTransaction> m_transaction;
+  std::optional<ActiveStatement> m_active;
+  // Statements received while another one is active.
+  std::deque<Statement> m_next;
+  std::optional<ConnectionId> m_connection;
+};
+
+}  // namespace jasminelug::gateway
+
+#endif  // SRC_GATEWAY_SESSION_H_
--- /dev/null
+++ b/src/gateway/store_follower.cc
@@ -0,0 +1,139 @@
+#include "src/gateway/store_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jasminelug::gateway {
+namespace {
+
+constexpr int kMaxDelayDoublings = 4;
+
+}  // namespace
+
+StoreFollower::StoreFollower(StoreFollowerOptions options, Hooks hooks)
+    : m_options(options), m_hooks(std::move(hooks)) {}
+
+void StoreFollower::Start(Time now) {
+  m_list_began = now;
+  m_pages.clear();
+  List("", now);
+}
+
+void StoreFollower::List(const std::string& after, Time now) {
+  m_stage = Stage::kListing;
+  m_sent = now;
+  m_hooks.m_list(after);
+}
+
+void StoreFollower::Watch(Time now) {
+  m_stage = Stage::kWatching;
+  m_sent = now;
+  m_hooks.m_watch(m_revision, m_options.m_watch_wait);
+}
+
+void StoreFollower::Succeed() {
+  m_failures = 0;
+  if (m_lost) {
+    m_lost = false;
+    m_hooks.m_regained();
+  }
+}
+
+void StoreFollower::OnPage(const Result<StorePage, StoreError>& result,
+                           Time now) {
+  if (m_stage != Stage::kListing) {
+    return;
+  }
+  if (!IsOk(result)) {
+    Pause(GetError(result), now);
+    return;
+  }
+  const StorePage& page = GetValue(result);
+  for (const StoreObject& object : page.m_objects) {
+    m_pages.insert_or_assign(object.m_name, object);
+  }
+  if (page.m_more && !page.m_objects.empty()) {
+    // Changes between two pages come with the watch from the first page on.
+    if (m_pages.size() == page.m_objects.size()) {
+      m_revision = page.m_revision;
+    }
+    List(page.m_objects.back().m_name, now);
+    return;
+  }
+  if (m_pages.size() == page.m_objects.size()) {
+    m_revision = page.m_revision;
+  }
+  m_objects = std::exchange(m_pages, {});
+  m_listed = true;
+  m_list_next = false;
+  Succeed();
+  m_hooks.m_proved(m_list_began);
+  m_hooks.m_changed(m_objects);
+  Watch(now);
+}
+
+void StoreFollower::OnChanges(const Result<StoreChanges, StoreError>& result,
+                              Time now) {
+  if (m_stage != Stage::kWatching) {
+    return;
+  }
+  if (!IsOk(result)) {
+    m_list_next |= GetError(result).m_kind == StoreErrorKind::kHistoryGone;
+    Pause(GetError(result), now);
+    return;
+  }
+  const StoreChanges& changes = GetValue(result);
+  for (const StoreChange& change : changes.m_changes) {
+    if (change.m_removed) {
+      m_objects.erase(change.m_object.m_name);
+    } else {
+      m_objects.insert_or_assign(change.m_object.m_name, change.m_object);
+    }
+  }
+  m_revision = changes.m_revision;
+  Succeed();
+  m_hooks.m_proved(m_sent);
+  if (!changes.m_changes.empty()) {
+    m_hooks.m_changed(m_objects);
+  }
+  Watch(now);
+}
+
+void StoreFollower::Pause(const StoreError& error, Time now) {
+  m_stage = Stage::kPausing;
+  const bool history_gone = error.m_kind == StoreErrorKind::kHistoryGone;
+  if (!m_lost && !history_gone) {
+    m_lost = true;
+    m_hooks.m_lost(error.m_message);
+  }
+  const int doublings = std::min(m_failures, kMaxDelayDoublings);
+  Duration delay =
+      std::min(kFirstRetryDelay * (1 << doublings), kLongestRetryDelay);
+  m_failures += history_gone ? 0 : 1;
+  const double jitter = 0.5 + 0.5 * m_hooks.m_random();
+  delay = std::chrono::duration_cast<Duration>(delay * jitter);
+  m_resume_at = now + (history_gone ? Duration::zero() : delay);
+}
+
+void StoreFollower::OnTick(Time now) {
+  if (m_stage == Stage::kPausing && now >= m_resume_at) {
+    if (m_list_next) {
+      Start(now);
+    } else {
+      Watch(now);
+    }
+    return;
+  }
+  Duration limit = m_options.m_answer_timeout;
+  if (m_stage == Stage::kWatching) {
+    limit += m_options.m_watch_wait;
+  }
+  const bool calling =
+      m_stage == Stage::kListing || m_stage == Stage::kWatching;
+  if (calling && now - m_sent > limit) {
+    m_hooks.m_abandon();
+    Pause({StoreErrorKind::kUnknown, "no answer in time"}, now);
+  }
+}
+
+}  // namespace jasminelug::gateway
--- /dev/null
+++ b/src/gateway/store_follower.h
@@ -0,0 +1,92 @@
+#ifndef SRC_GATEWAY_STORE_FOLLOWER_H_
+#define SRC_GATEWAY_STORE_FOLLOWER_H_
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "jasminelug/common.h"
+#include "src/gateway/ids.h"
+#include "src/gateway/store_object.h"
+
+namespace jasminelug::gateway {
+
+// The objects of one kind, by name.
+using StoreObjects = std::map<std::string, StoreObject>;
+
+// How long a follower waits.
+struct StoreFollowerOptions {
+  friend bool operator==(const StoreFollowerOptions&,
+                         const StoreFollowerOptions&) = default;
+
+  // A watch without a change returns after this. Each return proves contact.
+  Duration m_watch_wait = 2s;
+  // Limit on a list, and on a watch beyond its own wait.
+  Duration m_answer_timeout = 700ms;
+};
+
+// Keeps a copy of one kind of the store's objects: lists them once, then
+// watches. Lists again when the store has forgotten the history.
+//
+// A lost or refused call is repeated after a delay that doubles up to
+// kLongestRetryDelay, from the last known revision.
+class StoreFollower {
+ public:
+  struct Hooks {
+    std::function<void(const std::string& after)> m_list;
+    std::function<void(Revision since, Duration wait)> m_watch;
+    // Drops the call that is under way.
+    std::function<void()> m_abandon;
+    // The objects have changed, or were listed for the first time.
+    std::function<void(const StoreObjects&)> m_changed;
+    // A call sent at this time returned: the copy is no older than that.
+    std::function<void(Time sent)> m_proved;
+    // Contact was lost, for the reason given, or regained.
+    std::function<void(const std::string& reason)> m_lost;
+    std::function<void()> m_regained;
+    // A random number below 1, for the jitter of retries.
+    std::function<double()> m_random;
+  };
+
+  static constexpr Duration kFirstRetryDelay = 60ms;
+  static constexpr Duration kLongestRetryDelay = 500ms;
+
+  StoreFollower(StoreFollowerOptions options, Hooks hooks);
+
+  // Begins to list.
+  void Start(Time now);
+
+  void OnPage(const Result<StorePage, StoreError>& result, Time now);
+  void OnChanges(const Result<StoreChanges, StoreError>& result, Time now);
+  void OnTick(Time now);
+
+  // Whether the objects were listed at least once.
+  bool is_listed() const { return m_listed; }
+  const StoreObjects& objects() const { return m_objects; }
+
+ private:
+  enum class Stage { kStopped, kListing, kWatching, kPausing };
+
+  void List(const std::string& after, Time now);
+  void Watch(Time now);
+  void Pause(const StoreError& error, Time now);
+  void Succeed();
+
+  const StoreFollowerOptions m_options;
+  const Hooks m_hooks;
+  Stage m_stage = Stage::kStopped;
+  StoreObjects m_objects;
+  StoreObjects m_pages;
+  Revision m_revision;
+  bool m_listed = false;
+  bool m_list_next = true;
+  bool m_lost = false;
+  int m_failures = 0;
+  Time m_sent;
+  Time m_list_began;
+  Time m_resume_at;
+};
+
+}  // namespace jasminelug::gateway
+
+#endif  // SRC_GATEWAY_STORE_FOLLOWER_H_
--- /dev/null
+++ b/src/gateway/waiting_line.h
@@ -0,0 +1,47 @@
+#ifndef SRC_GATEWAY_WAITING_LINE_H_
+#define SRC_GATEWAY_WAITING_LINE_H_
+
+#include <cstddef>
+#include <set>
+#include <vector>
+
+#include "src/gateway/ids.h"
+
+namespace jasminelug::gateway {
+
+// A session that waits for a connection to a group.
+struct Waiter {
+  friend auto operator<=>(const Waiter&, const Waiter&) = default;
+
+  // When its statement ceases to meet its objective.
+  Time m_objective_at;
+  SessionId m_session;
+  bool m_needs_primary = true;
+};
+
+// The order in which waiting statements of one group are placed.
+//
+// Answers a burst: first those that still meet their objective, the most urgent
+// first; those that have missed it come last, so that a backlog does not make
+// every further statement late as well.
+class WaitingLine {
+ public:
+  void Add(const Waiter& waiter) { m_waiters.insert(waiter); }
+  void Remove(const Waiter& waiter) { m_waiters.erase(waiter); }
+
+  // Returns all waiters in the order in which they are to be placed at `now`.
+  std::vector<Waiter> InOrder(Time now) const;
+
+  // Returns how many wait for the primary, or for any member.
+  std::size_t CountWaiting(bool needs_primary) const;
+
+  std::size_t size() const { return m_waiters.size(); }
+  bool empty() const { return m_waiters.empty(); }
+
+ private:
+  std::set<Waiter> m_waiters;
+};
+
+}  // namespace jasminelug::gateway
+
+#endif  // SRC_GATEWAY_WAITING_LINE_H_
