--- /dev/null
+++ b/apps/gateway/fleet_duty.cc
@@ -0,0 +1,345 @@
+#include "apps/gateway/fleet_duty.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <utility>
+
+#include "apps/gateway/clock.h"
+#include "platform/endpoint.h"
+
+namespace jasminelug::gateway_app {
+namespace {
+
+using gateway::StoreKind;
+using gateway::operator""ms;
+using gateway::operator""s;
+
+// Pause between two reports to the same peer.
+constexpr gateway::Duration kReportInterval = 200ms;
+// A coordinator acts only on a proof of contact younger than this.
+constexpr gateway::Duration kCoordinatorProofLimit = 2s;
+// A replacement that has begun is usually over after this.
+constexpr gateway::Duration kUsualReplacementTime = 1100ms;
+
+gateway::InstanceEntry MakeEntry(const Settings& settings) {
+  const auto since_epoch = std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  gateway::InstanceEntry entry;
+  entry.m_id = gateway::InstanceId(settings.m_instance);
+  entry.m_incarnation =
+      gateway::Incarnation(static_cast<std::uint64_t>(since_epoch.count()));
+  entry.m_peer_address = gateway::Address(
+      settings.m_peer_address + ":" + std::to_string(settings.m_peer_port));
+  return entry;
+}
+
+asio::ip::udp::endpoint ToDatagramEndpoint(
+    const asio::ip::tcp::endpoint& endpoint) {
+  return {endpoint.address(), endpoint.port()};
+}
+
+}  // namespace
+
+FleetDuty::FleetDuty(asio::io_context& io,
+                     const Settings& settings,
+                     gateway::Engine& engine)
+    : m_logger(log4cplus::Logger::getInstance("fleet")),
+      m_engine(engine),
+      m_entry(MakeEntry(settings)),
+      m_registrar_client(io, *adapter::ParseEndpoint(settings.m_store)),
+      m_record_client(io, *adapter::ParseEndpoint(settings.m_store)),
+      m_removal_client(io, *adapter::ParseEndpoint(settings.m_store)),
+      m_promotion_client(io, *adapter::ParseEndpoint(settings.m_promotion)),
+      m_registrar(m_entry, MakeRegistrarHooks()),
+      m_peers(m_entry.m_id, m_entry.m_incarnation),
+      m_coordinator(gateway::ReplacementOptions{m_entry.m_id},
+                    MakeCoordinatorHooks()),
+      m_datagrams(
+          io,
+          ToDatagramEndpoint(
+              *adapter::ParseEndpoint(m_entry.m_peer_address.str())),
+          [this](std::string_view bytes) { OnDatagram(bytes); }),
+      m_started(Now()) {}
+
+gateway::InstanceRegistrar::Hooks FleetDuty::MakeRegistrarHooks() {
+  gateway::InstanceRegistrar::Hooks hooks;
+  hooks.m_write = [this](const std::string& name,
+                         const gateway::InstanceEntry& entry,
+                         std::optional<gateway::Revision> expected) {
+    m_registrar_client.Write(
+        StoreKind::kFleet, name, entry, expected, [this](const auto& result) {
+          if (!IsOk(result)) {
+            Log(m_logger, log4cplus::WARN_LOG_LEVEL, "could not register",
+                {{"reason", GetError(result).m_message}});
+          }
+          m_registrar.OnWritten(result, Now());
+        });
+  };
+  hooks.m_delete = [this](const std::string& name) {
+    m_registrar_client.Delete(
+        StoreKind::kFleet, name, std::nullopt, [this](const auto& result) {
+          Log(m_logger, log4cplus::INFO_LOG_LEVEL, "deregistered",
+              {{"done", IsOk(result)}});
+        });
+  };
+  hooks.m_abandon = [this] { m_registrar_client.Abandon(); };
+  return hooks;
+}
+
+gateway::ReplacementCoordinator::Hooks FleetDuty::MakeCoordinatorHooks() {
+  gateway::ReplacementCoordinator::Hooks hooks;
+  hooks.m_write = [this](const gateway::ReplacementRecord& record,
+                         std::optional<gateway::Revision> expected) {
+    m_record_client.Write(StoreKind::kFleet,
+                          gateway::ReplacementCoordinator::kRecordName, record,
+                          expected, [this](const auto& result) {
+                            const gateway::Time now = Now();
+                            m_coordinator.OnWritten(result, now);
+                            UpdatePrimaries(now);
+                          });
+  };
+  hooks.m_promote = [this](const gateway::PromotionOrder& order) {
+    m_promotion_client.Promote(order, [this](gateway::PromotionResult result) {
+      Log(m_logger, log4cplus::INFO_LOG_LEVEL, "promotion answered",
+          {{"result", static_cast<std::int64_t>(result)}});
+      m_coordinator.OnPromoted(result, Now());
+    });
+  };
+  hooks.m_abandon_write = [this] { m_record_client.Abandon(); };
+  hooks.m_abandon_promotion = [this] { m_promotion_client.Abandon(); };
+  hooks.m_ask_status = [this](const gateway::MemberId& member) {
+    m_engine.AskStatus(member, Now());
+  };
+  hooks.m_report = [this](const std::string& event,
+                          const gateway::ReplacementIntent& intent) {
+    Log(m_logger, log4cplus::INFO_LOG_LEVEL, event,
+        {{"group", intent.m_group.str()},
+         {"old_primary", intent.m_old_primary.str()},
+         {"candidate", intent.m_candidate.str()},
+         {"planned", intent.m_planned},
+         {"revision",
+          static_cast<std::int64_t>(m_coordinator.revision().value())}});
+  };
+  return hooks;
+}
+
+void FleetDuty::OnEntries(const gateway::StoreObjects& objects,
+                          gateway::Time now) {
+  m_objects = objects;
+  std::vector<gateway::InstanceEntry> entries;
+  for (const auto& [name, object] : objects) {
+    if (const auto* entry =
+            std::get_if<gateway::InstanceEntry>(&object.m_value)) {
+      entries.push_back(*entry);
+    }
+  }
+  m_peers.SetInstances(entries, now);
+  m_engine.SetInstanceCount(m_peers.instance_count());
+  m_registrar.OnEntries(objects, now);
+  m_coordinator.OnEntries(objects, now);
+  UpdatePrimaries(now);
+  UpdateShares(now);
+  if (AcknowledgedRevision() != m_reported_revision) {
+    SendReports(now);
+  }
+}
+
+void FleetDuty::OnStatus(const gateway::MemberId& member,
+                         const gateway::MemberStatus& status,
+                         gateway::Time now) {
+  m_coordinator.OnStatus(member, status, now);
+}
+
+void FleetDuty::UpdatePrimaries(gateway::Time now) {
+  const gateway::Configuration* configuration = m_engine.configuration();
+  if (!configuration) {
+    return;
+  }
+  for (const auto& [group, limits] : configuration->m_groups) {
+    gateway::PrimaryView view;
+    view.m_member = m_coordinator.PrimaryOf(group);
+    if (!view.m_member) {
+      view.m_member = m_engine.members().SelfDeclaredPrimary(group);
+    }
+    if (!view.m_member) {
+      view.m_member = m_engine.PrimaryOf(group);
+    }
+    view.m_usable = view.m_member.has_value();
+    bool abandon = false;
+    const auto intent = m_coordinator.IntentFor(group);
+    if (intent) {
+      view.m_usable = false;
+      view.m_usable_from =
+          m_coordinator.intent_seen() + kUsualReplacementTime;
+      abandon = !intent->m_planned;
+    }
+    m_engine.SetPrimary(group, view, abandon, now);
+  }
+}
+
+gateway::Revision FleetDuty::AcknowledgedRevision() const {
+  const auto& intent = m_coordinator.record().m_intent;
+  if (intent && !m_engine.IsPrimaryQuiet(intent->m_group)) {
+    return gateway::Revision();
+  }
+  return m_coordinator.revision();
+}
+
+gateway::PeerReport FleetDuty::MakeReport(gateway::Time now) const {
+  gateway::PeerReport report;
+  report.m_demand = m_engine.limiter().Demand(now);
+  report.m_acknowledged = AcknowledgedRevision();
+  const gateway::Configuration* configuration = m_engine.configuration();
+  if (!configuration) {
+    return report;
+  }
+  for (const auto& [group, limits] : configuration->m_groups) {
+    const auto sample = m_engine.NewestSample(group);
+    if (sample) {
+      report.m_samples.push_back(
+          {group, now - sample->m_sent, sample->m_position});
+    }
+    if (m_engine.PrimaryFailingSince(group, now)) {
+      report.m_unreachable.push_back(group);
+    } else if (m_engine.IsPrimaryHeard(group, now)) {
+      report.m_reachable.push_back(group);
+    }
+  }
+  return report;
+}
+
+void FleetDuty::SendReports(gateway::Time now) {
+  m_reported = now;
+  gateway::PeerReport report = MakeReport(now);
+  m_reported_revision = report.m_acknowledged;
+  m_peers.Address(&report, now);
+  const std::string bytes = gossip::EncodeReport(report);
+  for (const gateway::InstanceEntry& peer : m_peers.Peers()) {
+    const auto endpoint = adapter::ParseEndpoint(peer.m_peer_address.str());
+    if (endpoint) {
+      m_datagrams.Send(ToDatagramEndpoint(*endpoint), bytes);
+    }
+  }
+}
+
+void FleetDuty::OnDatagram(std::string_view bytes) {
+  const auto report = gossip::DecodeReport(bytes);
+  if (!IsOk(report)) {
+    Log(m_logger, log4cplus::WARN_LOG_LEVEL, "ignored an unreadable report",
+        {{"reason", GetError(report).m_message}});
+    return;
+  }
+  const gateway::Time now = Now();
+  const gateway::PeerReport& read = GetValue(report);
+  if (!m_peers.OnReport(read, now)) {
+    return;
+  }
+  for (const gateway::PeerSample& sample : m_peers.SamplesOf(read.m_sender)) {
+    m_engine.AddSample(sample.m_group, {sample.m_sent, sample.m_position}, now);
+  }
+}
+
+void FleetDuty::UpdateShares(gateway::Time now) {
+  const gateway::Configuration* configuration = m_engine.configuration();
+  if (!configuration) {
+    return;
+  }
+  std::vector<gateway::CustomerName> customers;
+  for (const auto& [customer, limits] : configuration->m_customers) {
+    customers.push_back(customer);
+  }
+  const auto shares =
+      m_peers.Shares(m_engine.limiter().Demand(now), customers, now);
+  for (const auto& [customer, share] : shares) {
+    m_engine.limiter().SetShare(customer, share, now);
+  }
+}
+
+void FleetDuty::RemoveSilentPeers(gateway::Time now) {
+  if (m_removal_client.is_calling() || m_peers.Rank(now) != 0) {
+    return;
+  }
+  for (const gateway::InstanceId& silent : m_peers.SilentPeers(now)) {
+    const std::string name = gateway::InstanceRegistrar::NameOf(silent);
+    const auto object = m_objects.find(name);
+    if (object == m_objects.end()) {
+      continue;
+    }
+    Log(m_logger, log4cplus::INFO_LOG_LEVEL, "removing a silent instance",
+        {{"peer", silent.str()}});
+    m_removal_client.Delete(StoreKind::kFleet, name,
+                            object->second.m_revision,
+                            [](const auto&) {});
+    m_objects.erase(object);
+    return;
+  }
+}
+
+gateway::GroupCondition FleetDuty::ConditionOf(
+    const gateway::GroupName& group,
+    const gateway::GroupLimits& limits,
+    gateway::Time now) const {
+  gateway::GroupCondition condition;
+  condition.m_group = group;
+  condition.m_primary = m_engine.PrimaryOf(group);
+  condition.m_sync_replicas = limits.m_sync_replicas;
+  condition.m_failing_since = m_engine.PrimaryFailingSince(group, now);
+  condition.m_quiet = m_engine.IsPrimaryQuiet(group);
+  const gateway::PeerView::Opinions opinions = m_peers.OpinionsOf(group, now);
+  condition.m_others_unreachable = opinions.m_unreachable;
+  condition.m_others_reachable = opinions.m_reachable;
+  condition.m_primary_gone = true;
+  for (const gateway::MemberState* state : m_engine.members().MembersOf(group)) {
+    const gateway::Member& member = state->m_member;
+    const bool takes_work = m_engine.members().TakesWork(member);
+    if (condition.m_primary == member.m_id) {
+      condition.m_primary_gone = false;
+      condition.m_primary_leaves = !takes_work;
+    } else if (takes_work) {
+      condition.m_candidates.push_back(member.m_id);
+    }
+  }
+  return condition;
+}
+
+std::vector<gateway::GroupCondition> FleetDuty::GroupConditions(
+    gateway::Time now) const {
+  std::vector<gateway::GroupCondition> conditions;
+  const gateway::Configuration* configuration = m_engine.configuration();
+  if (!configuration) {
+    return conditions;
+  }
+  for (const auto& [group, limits] : configuration->m_groups) {
+    conditions.push_back(ConditionOf(group, limits, now));
+  }
+  return conditions;
+}
+
+void FleetDuty::OnTick(gateway::Time now) {
+  m_registrar.OnTick(now);
+  UpdatePrimaries(now);
+  gateway::FleetCondition fleet;
+  fleet.m_all_acknowledged = m_peers.AllAcknowledged(m_coordinator.revision());
+  fleet.m_rank = m_peers.Rank(now);
+  fleet.m_contact_fresh =
+      m_registrar.is_registered() &&
+      m_engine.primary_contact().IsFresh(now, kCoordinatorProofLimit);
+  fleet.m_coordinator_heard =
+      m_peers.IsHeard(m_coordinator.record().m_coordinator, now);
+  m_coordinator.OnTick(GroupConditions(now), fleet, now);
+  const bool acknowledges = AcknowledgedRevision() != m_reported_revision;
+  if (acknowledges || now - m_reported >= kReportInterval) {
+    SendReports(now);
+    UpdateShares(now);
+    RemoveSilentPeers(now);
+  }
+}
+
+void FleetDuty::Stop(gateway::Time now) {
+  m_coordinator.Stop();
+  m_registrar.Stop(now);
+}
+
+}  // namespace jasminelug::gateway_app
--- /dev/null
+++ b/apps/gateway/fleet_duty.h
@@ -0,0 +1,78 @@
+#ifndef APPS_GATEWAY_FLEET_DUTY_H_
+#define APPS_GATEWAY_FLEET_DUTY_H_
+
+#include <log4cplus/logger.h>
+
+#include <asio/io_context.hpp>
+#include <string>
+#include <vector>
+
+#include "apps/gateway/settings.h"
+#include "jasminelug/gateway.h"
+#include "jasminelug/gossip.h"
+#include "platform/promotion_client.h"
+#include "platform/store_client.h"
+
+namespace jasminelug::gateway_app {
+
+// What one instance does together with the others: it registers, exchanges
+// reports, takes its share of the customers' limits and of the members'
+// connections, and replaces primaries.
+class FleetDuty {
+ public:
+  FleetDuty(asio::io_context& io,
+            const Settings& settings,
+            gateway::Engine& engine);
+
+  // Takes the fleet's objects as the store holds them.
+  void OnEntries(const gateway::StoreObjects& objects, gateway::Time now);
+
+  // A member told its status.
+  void OnStatus(const gateway::MemberId& member,
+                const gateway::MemberStatus& status,
+                gateway::Time now);
+
+  // The members or the configuration have changed.
+  void UpdatePrimaries(gateway::Time now);
+
+  void OnTick(gateway::Time now);
+
+  // Deletes this instance's entry and begins nothing new.
+  void Stop(gateway::Time now);
+
+  bool is_registered() const { return m_registrar.is_registered(); }
+
+ private:
+  gateway::InstanceRegistrar::Hooks MakeRegistrarHooks();
+  gateway::ReplacementCoordinator::Hooks MakeCoordinatorHooks();
+  void OnDatagram(std::string_view bytes);
+  void SendReports(gateway::Time now);
+  gateway::PeerReport MakeReport(gateway::Time now) const;
+  gateway::Revision AcknowledgedRevision() const;
+  void UpdateShares(gateway::Time now);
+  void RemoveSilentPeers(gateway::Time now);
+  std::vector<gateway::GroupCondition> GroupConditions(gateway::Time now) const;
+  gateway::GroupCondition ConditionOf(const gateway::GroupName& group,
+                                      const gateway::GroupLimits& limits,
+                                      gateway::Time now) const;
+
+  log4cplus::Logger m_logger;
+  gateway::Engine& m_engine;
+  const gateway::InstanceEntry m_entry;
+  adapter::StoreClient m_registrar_client;
+  adapter::StoreClient m_record_client;
+  adapter::StoreClient m_removal_client;
+  adapter::PromotionClient m_promotion_client;
+  gateway::InstanceRegistrar m_registrar;
+  gateway::PeerView m_peers;
+  gateway::ReplacementCoordinator m_coordinator;
+  gossip::DatagramPeers m_datagrams;
+  gateway::StoreObjects m_objects;
+  gateway::Time m_reported;
+  gateway::Time m_started;
+  gateway::Revision m_reported_revision;
+};
+
+}  // namespace jasminelug::gateway_app
+
+#endif  // APPS_GATEWAY_FLEET_DUTY_H_
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -41,18 +41,6 @@
   return options;
 }
 
-gateway::InstanceEntry MakeEntry(const Settings& settings) {
-  gateway::InstanceEntry entry;
-  entry.m_id = gateway::InstanceId(settings.m_instance);
-  entry.m_incarnation = gateway::Incarnation(
-      static_cast<std::uint64_t>(std::chrono::duration_cast<
-          std::chrono::microseconds>(
-          std::chrono::system_clock::now().time_since_epoch()).count()));
-  entry.m_peer_address = gateway::Address(
-      settings.m_peer_address + ":" + std::to_string(settings.m_peer_port));
-  return entry;
-}
-
 const char* NameOf(StoreKind kind) {
   switch (kind) {
     case StoreKind::kConfiguration:
@@ -80,8 +68,7 @@
       m_statement_log(log4cplus::Logger::getInstance("statements")),
       m_engine(MakeEngineOptions(m_settings), MakeEngineHooks()),
       m_members(m_io, MakeMemberHooks()),
-      m_writer(m_io, *adapter::ParseEndpoint(m_settings.m_store)),
-      m_registrar(MakeEntry(m_settings), MakeRegistrarHooks()) {}
+      m_fleet(m_io, m_settings, m_engine) {}
 
 gateway::EngineHooks GatewayProcess::MakeEngineHooks() {
   gateway::EngineHooks hooks;
@@ -105,6 +92,13 @@
   hooks.m_close_connection = [this](gateway::ConnectionId id) {
     m_members.Close(id);
   };
+  hooks.m_read_status = [](const std::string& row) {
+    return adapter::ParseMemberStatus(row);
+  };
+  hooks.m_status = [this](const gateway::MemberId& member,
+                          const gateway::MemberStatus& status) {
+    m_fleet.OnStatus(member, status, Now());
+  };
   hooks.m_report = [this](const gateway::StatementEnd& end) {
     (end.m_completed ? m_completed : m_refused) += 1;
     m_statement_log.Add(end, Now());
@@ -152,33 +146,6 @@
   return hooks;
 }
 
-gateway::InstanceRegistrar::Hooks GatewayProcess::MakeRegistrarHooks() {
-  gateway::InstanceRegistrar::Hooks hooks;
-  hooks.m_write = [this](const std::string& name,
-                         const gateway::InstanceEntry& entry,
-                         std::optional<gateway::Revision> expected) {
-    m_writer.Write(StoreKind::kFleet, name, entry, expected,
-                   [this](const auto& result) {
-                     if (!IsOk(result)) {
-                       Log(m_logger, log4cplus::WARN_LOG_LEVEL,
-                           "could not register",
-                           {{"reason", GetError(result).m_message}});
-                     }
-                     m_registrar.OnWritten(result, Now());
-                   });
-  };
-  hooks.m_delete = [this](const std::string& name) {
-    m_writer.Delete(StoreKind::kFleet, name, std::nullopt,
-                    [this](const auto& result) {
-                      Log(m_logger, log4cplus::INFO_LOG_LEVEL,
-                          "deregistered",
-                          {{"done", IsOk(result)}});
-                    });
-  };
-  hooks.m_abandon = [this] { m_writer.Abandon(); };
-  return hooks;
-}
-
 std::unique_ptr<StoreLink> GatewayProcess::MakeStoreLink(
     StoreKind kind,
     gateway::Duration wait,
@@ -241,7 +208,7 @@
   const gateway::Time now = Now();
   if (m_directory.OnEntries(objects, now)) {
     m_engine.SetMembers(m_directory.Members(), now);
-    UpdatePrimaries(now);
+    m_fleet.UpdatePrimaries(now);
   }
 }
 
@@ -255,31 +222,6 @@
   m_engine.SetEvacuatedZones(zones, Now());
 }
 
-void GatewayProcess::OnFleet(const gateway::StoreObjects& objects) {
-  int instances = 0;
-  for (const auto& [name, object] : objects) {
-    instances +=
-        std::holds_alternative<gateway::InstanceEntry>(object.m_value) ? 1 : 0;
-  }
-  const gateway::Time now = Now();
-  m_engine.SetInstanceCount(instances);
-  m_engine.limiter().SetDefaultShare(1.0 / std::max(instances, 1), now);
-  m_registrar.OnEntries(objects, now);
-}
-
-void GatewayProcess::UpdatePrimaries(gateway::Time now) {
-  const gateway::Configuration* configuration = m_engine.configuration();
-  if (!configuration) {
-    return;
-  }
-  for (const auto& [group, limits] : configuration->m_groups) {
-    gateway::PrimaryView view;
-    view.m_member = m_engine.members().SelfDeclaredPrimary(group);
-    view.m_usable = view.m_member.has_value();
-    m_engine.SetPrimary(group, view, /*abandon=*/false, now);
-  }
-}
-
 bool GatewayProcess::IsReady() const {
   for (const std::unique_ptr<StoreLink>& link : m_links) {
     if (!link || !link->is_listed()) {
@@ -287,7 +229,7 @@
     }
   }
   return !m_stopping_since && m_engine.configuration() != nullptr &&
-         m_registrar.is_registered() &&
+         m_fleet.is_registered() &&
          const_cast<gateway::Engine&>(m_engine).key_contact().IsFresh(
              Now(), kReadyProofLimit);
 }
@@ -307,11 +249,10 @@
   for (const std::unique_ptr<StoreLink>& link : m_links) {
     link->OnTick(now);
   }
-  m_registrar.OnTick(now);
   if (m_directory.OnTick(now)) {
     m_engine.SetMembers(m_directory.Members(), now);
   }
-  UpdatePrimaries(now);
+  m_fleet.OnTick(now);
   m_engine.OnTick(now);
   if (IsReady() != m_was_ready) {
     m_was_ready = !m_was_ready;
@@ -365,7 +306,7 @@
   Log(m_logger, log4cplus::INFO_LOG_LEVEL, "stopping",
       {{"sessions", static_cast<std::int64_t>(m_engine.session_count())}});
   m_engine.BeginShutdown(now);
-  m_registrar.Stop(now);
+  m_fleet.Stop(now);
 }
 
 std::string GatewayProcess::Metrics() const {
@@ -391,7 +332,7 @@
       [this](gateway::Time sent) { m_engine.key_contact().Prove(sent); });
   m_links[1] = MakeStoreLink(
       StoreKind::kFleet, kFleetWait,
-      [this](const auto& objects) { OnFleet(objects); },
+      [this](const auto& objects) { m_fleet.OnEntries(objects, Now()); },
       [this](gateway::Time sent) { m_engine.primary_contact().Prove(sent); });
   m_links[2] = MakeStoreLink(
       StoreKind::kMembers, kSlowKindWait,
--- a/apps/gateway/gateway_process.h
+++ b/apps/gateway/gateway_process.h
@@ -13,6 +13,7 @@
 #include <random>
 #include <string>
 
+#include "apps/gateway/fleet_duty.h"
 #include "apps/gateway/settings.h"
 #include "apps/gateway/statement_log.h"
 #include "apps/gateway/store_link.h"
@@ -42,7 +43,6 @@
   gateway::EngineHooks MakeEngineHooks();
   adapter::CallerListener::Hooks MakeCallerHooks();
   adapter::MemberLinks::Hooks MakeMemberHooks();
-  gateway::InstanceRegistrar::Hooks MakeRegistrarHooks();
   std::unique_ptr<StoreLink> MakeStoreLink(
       gateway::StoreKind kind,
       gateway::Duration wait,
@@ -52,8 +52,6 @@
   void OnConfiguration(const gateway::StoreObjects& objects);
   void OnMembers(const gateway::StoreObjects& objects);
   void OnEvacuations(const gateway::StoreObjects& objects);
-  void OnFleet(const gateway::StoreObjects& objects);
-  void UpdatePrimaries(gateway::Time now);
   void ScheduleTick();
   void OnTick();
   void AwaitSignal();
@@ -73,8 +71,7 @@
   gateway::Engine m_engine;
   gateway::MemberDirectory m_directory;
   adapter::MemberLinks m_members;
-  adapter::StoreClient m_writer;
-  gateway::InstanceRegistrar m_registrar;
+  FleetDuty m_fleet;
   std::array<std::unique_ptr<StoreLink>, 4> m_links;
   std::unique_ptr<adapter::CallerListener> m_callers;
   std::unique_ptr<adapter::StatusListener> m_status;
--- a/src/gateway/connection_table.cc
+++ b/src/gateway/connection_table.cc
@@ -71,4 +71,24 @@
   return ids;
 }
 
+std::optional<Time> ConnectionTable::OldestUnanswered(
+    const MemberId& member) const {
+  std::optional<Time> oldest;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection->m_member != member) {
+      continue;
+    }
+    std::optional<Time> since;
+    if (connection->m_stage == Connection::Stage::kOpening) {
+      since = connection->m_opened;
+    } else if (!connection->m_sent.empty()) {
+      since = connection->m_sent.front().m_sent;
+    }
+    if (since && (!oldest || *since < *oldest)) {
+      oldest = since;
+    }
+  }
+  return oldest;
+}
+
 }  // namespace jasminelug::gateway
--- a/src/gateway/connection_table.h
+++ b/src/gateway/connection_table.h
@@ -50,6 +50,8 @@
   // Values were set inside a transaction that may have been rolled back.
   bool m_values_uncertain = false;
   bool m_in_transaction = false;
+  // Opened to ask the member for its status.
+  bool m_asks_status = false;
   std::deque<SentStatement> m_sent;
   std::uint64_t m_next_prepared = 1;
 };
@@ -79,6 +81,10 @@
   std::vector<ConnectionId> All() const;
   std::vector<ConnectionId> AllOf(const MemberId& member) const;
 
+  // Returns since when the member owes an answer, or an opening; nullopt where
+  // it owes none.
+  std::optional<Time> OldestUnanswered(const MemberId& member) const;
+
   std::size_t size() const { return m_connections.size(); }
 
  private:
--- a/src/gateway/engine.cc
+++ b/src/gateway/engine.cc
@@ -1,5 +1,6 @@
 #include "src/gateway/engine.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jasminelug::gateway {
@@ -10,8 +11,17 @@
 // At shutdown idle sessions are closed over this many ticks, so that their
 // callers do not all come back at once.
 constexpr std::size_t kClosingTicks = 25;
-// A rollback that is not answered within this time ends its connection.
-constexpr Duration kRollbackTimeout = 2s;
+// A connection whose answer nobody waits for is given up after this.
+constexpr Duration kAbandonedTimeout = 2500ms;
+// A primary that owes an answer and has said nothing for this long is silent.
+constexpr Duration kSilenceLimit = 400ms;
+// A primary that has answered within this time is reachable.
+constexpr Duration kHeardLately = 1500ms;
+// A read is run a second time after this many times the member's usual
+// turnaround, and not before kLeastPatience.
+constexpr int kPatienceFactor = 5;
+constexpr Duration kLeastPatience = 150ms;
+constexpr int kMaxSecondRuns = 2;
 
 }  // namespace
 
@@ -69,18 +79,19 @@
                         Time now) {
   Group& group = GroupOf(name);
   const PrimaryView before = group.m_primary;
-  if (before == primary && !abandon) {
+  if (before == primary) {
     return;
   }
   group.m_primary = primary;
-  if (before.m_member != primary.m_member) {
+  const bool replaced = before.m_member != primary.m_member;
+  if (replaced) {
     group.m_floor.Clear();
     group.m_primary_failing_since.reset();
   }
-  if (abandon && before.m_member) {
+  const bool withdrawn = before.m_usable && !primary.m_usable;
+  if (before.m_member && (replaced || (withdrawn && abandon))) {
     for (const ConnectionId id : m_connections.AllOf(*before.m_member)) {
-      Connection* connection = m_connections.Find(id);
-      if (connection) {
+      if (m_connections.Find(id)) {
         m_hooks.m_close_connection(id);
         OnConnectionClosed(id, std::nullopt, now);
       }
@@ -110,29 +121,62 @@
   GroupOf(name).m_floor.Add(sample, now);
 }
 
-std::optional<Time> Engine::PrimaryFailingSince(const GroupName& name) const {
+std::optional<MemberId> Engine::PrimaryOf(const GroupName& name) const {
   const Group* group = FindGroup(name);
-  return group ? group->m_primary_failing_since : std::nullopt;
+  return group ? group->m_primary.m_member : std::nullopt;
+}
+
+std::optional<Time> Engine::PrimaryFailingSince(const GroupName& name,
+                                                Time now) const {
+  const Group* group = FindGroup(name);
+  if (!group || !group->m_primary.m_member) {
+    return std::nullopt;
+  }
+  if (group->m_primary_failing_since) {
+    return group->m_primary_failing_since;
+  }
+  const MemberId& primary = *group->m_primary.m_member;
+  const MemberState* state = m_members.Find(primary);
+  const std::optional<Time> unanswered =
+      m_connections.OldestUnanswered(primary);
+  if (!state || !unanswered) {
+    return std::nullopt;
+  }
+  const Time silent_since = std::max(*unanswered, state->m_last_heard);
+  if (now - silent_since < kSilenceLimit) {
+    return std::nullopt;
+  }
+  return silent_since;
+}
+
+bool Engine::IsPrimaryHeard(const GroupName& name, Time now) const {
+  const std::optional<MemberId> primary = PrimaryOf(name);
+  const MemberState* state = primary ? m_members.Find(*primary) : nullptr;
+  return state && now - state->m_last_heard < kHeardLately &&
+         !PrimaryFailingSince(name, now);
 }
 
 void Engine::BeginShutdown(Time now) {
   m_shutdown_since = now;
 }
 
+void Engine::EndOverdueConnection(Connection* connection, Time now) {
+  const bool opening = connection->m_stage == Connection::Stage::kOpening &&
+                       now - connection->m_opened > kOpenTimeout;
+  const bool abandoned = !connection->m_session && !connection->m_sent.empty() &&
+                         now - connection->m_last_used > kAbandonedTimeout;
+  if (opening || abandoned) {
+    const ConnectionId id = connection->m_id;
+    m_hooks.m_close_connection(id);
+    OnConnectionClosed(id, std::nullopt, now);
+  }
+}
+
 void Engine::OnTick(Time now) {
   for (const ConnectionId id : m_connections.All()) {
     Connection* connection = m_connections.Find(id);
-    if (!connection) {
-      continue;
-    }
-    const bool opening = connection->m_stage == Connection::Stage::kOpening &&
-                         now - connection->m_opened > kOpenTimeout;
-    const bool rolling_back =
-        connection->m_stage == Connection::Stage::kRollingBack &&
-        now - connection->m_last_used > kRollbackTimeout;
-    if (opening || rolling_back) {
-      m_hooks.m_close_connection(id);
-      OnConnectionClosed(id, std::nullopt, now);
+    if (connection) {
+      EndOverdueConnection(connection, now);
     }
   }
   m_closings_left = m_sessions.size() / kClosingTicks + 1;
@@ -154,30 +198,11 @@
 
 void Engine::EndOverdue(Session* session, Time now) {
   if (session->m_active) {
-    const ActiveStatement& active = *session->m_active;
-    if (now < active.m_deadline) {
-      return;
-    }
-    if (!active.m_sent) {
-      Refuse(session, ErrorCode::kBusy, "no member was free in time", now);
-      return;
-    }
-    LoseStatement(session, now);
+    EndOverdueStatement(session, now);
     return;
   }
   if (session->m_transaction && !session->m_transaction->m_failed) {
-    Duration limit =
-        m_configuration ? m_configuration->m_transaction_idle_limit : 3s;
-    if (m_shutdown_since) {
-      limit = Duration::zero();
-    }
-    const bool overdue =
-        m_shutdown_since
-            ? now - *m_shutdown_since > m_options.m_shutdown_transaction_limit
-            : now - session->m_transaction->m_last_activity > limit;
-    if (overdue) {
-      FailTransaction(session, now);
-    }
+    EndOverdueTransaction(session, now);
     return;
   }
   if (m_shutdown_since && m_closings_left > 0) {
@@ -186,4 +211,58 @@
   }
 }
 
+void Engine::EndOverdueStatement(Session* session, Time now) {
+  ActiveStatement& active = *session->m_active;
+  if (now >= active.m_deadline) {
+    if (active.m_sent) {
+      LoseStatement(session, now);
+    } else {
+      Refuse(session, ErrorCode::kBusy, "no member was free in time", now);
+    }
+    return;
+  }
+  if (active.m_waiting) {
+    const std::optional<Refused> refused = CheckPrimary(*session, now);
+    if (refused) {
+      Refuse(session, refused->m_code, refused->m_message, now);
+    }
+    return;
+  }
+  if (!MayRunElsewhere(*session, now)) {
+    return;
+  }
+  // The first run goes on; its answer comes to nobody.
+  m_second_runs -= 1;
+  active.m_unanswered_runs += 1;
+  active.m_lacking.insert(active.m_member);
+  Detach(session);
+  RetryLater(session, Duration::zero(), now);
+}
+
+bool Engine::MayRunElsewhere(const Session& session, Time now) const {
+  const ActiveStatement& active = *session.m_active;
+  const bool single_read = active.m_sent && !active.m_writes &&
+                           !session.m_transaction;
+  if (!single_read || m_second_runs < 1 ||
+      active.m_unanswered_runs >= kMaxSecondRuns) {
+    return false;
+  }
+  const MemberState* state = m_members.Find(active.m_member);
+  const Duration usual = state ? state->m_turnaround : Duration::zero();
+  const Duration patience = std::max(kLeastPatience, usual * kPatienceFactor);
+  return now - active.m_placed > patience;
+}
+
+void Engine::EndOverdueTransaction(Session* session, Time now) {
+  const Duration idle = now - session->m_transaction->m_last_activity;
+  const Duration idle_limit =
+      m_configuration ? m_configuration->m_transaction_idle_limit : 3s;
+  const bool shut_down =
+      m_shutdown_since &&
+      now - *m_shutdown_since > m_options.m_shutdown_transaction_limit;
+  if (idle > idle_limit || shut_down) {
+    FailTransaction(session, now);
+  }
+}
+
 }  // namespace jasminelug::gateway
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -46,6 +46,8 @@
   std::optional<MemberId> m_member;
   // No replacement has begun.
   bool m_usable = false;
+  // When a replacement is expected to be over; unset where that is not known.
+  std::optional<Time> m_usable_from;
 };
 
 // Serves callers' sessions from the members of database groups.
@@ -65,8 +67,9 @@
   void SetEvacuatedZones(const std::set<ZoneName>& zones, Time now);
   // Sets among how many instances the members' connections are divided.
   void SetInstanceCount(int count);
-  // Sets the primary of a group. Statements in flight to a primary that is no
-  // longer usable end as in a lost connection where `abandon` is set.
+  // Sets the primary of a group. Where it is another one, or is no longer usable
+  // and `abandon` is set, the connections to the old one are dropped: what was
+  // in flight ends as in a lost connection.
   void SetPrimary(const GroupName& group,
                   const PrimaryView& primary,
                   bool abandon,
@@ -121,8 +124,17 @@
   void AddSample(const GroupName& group,
                  const FreshnessSample& sample,
                  Time now);
-  // Since when every attempt to reach the group's primary has failed.
-  std::optional<Time> PrimaryFailingSince(const GroupName& group) const;
+  // Since when the group's primary has refused connections or answered nothing;
+  // nullopt while it answers, or is not asked.
+  std::optional<Time> PrimaryFailingSince(const GroupName& group,
+                                          Time now) const;
+  // Whether the group's primary has answered lately.
+  bool IsPrimaryHeard(const GroupName& group, Time now) const;
+  // The primary that was set last.
+  std::optional<MemberId> PrimaryOf(const GroupName& group) const;
+  // Asks a member for its status; EngineHooks::m_status follows where a
+  // connection can be had and the member answers.
+  void AskStatus(const MemberId& member, Time now);
 
  private:
   struct Group {
@@ -218,10 +230,19 @@
   void Detach(Session* session);
   void DropConnection(Connection* connection, Time now);
   void ForgetConnection(Connection* connection);
-  void NotePrimaryReached(const Connection& connection, bool reached, Time now);
+  void NoteReached(const Connection& connection, bool reached, Time now);
+
+  void OnStatusAnswer(Connection* connection, const Answer& answer, Time now);
+  void SendStatus(Connection* connection, Time now);
 
   // Time (engine.cc).
   void EndOverdue(Session* session, Time now);
+  void EndOverdueStatement(Session* session, Time now);
+  void EndOverdueTransaction(Session* session, Time now);
+  void EndOverdueConnection(Connection* connection, Time now);
+  bool MayRunElsewhere(const Session& session, Time now) const;
+  std::optional<Refused> CheckPrimary(const Session& session, Time now) const;
+  bool NeedsPrimary(const Session& session, Time now) const;
 
   Session* FindSession(SessionId id);
   Group& GroupOf(const GroupName& name) { return m_groups[name]; }
@@ -241,6 +262,8 @@
   std::optional<Time> m_shutdown_since;
   // Idle sessions that may still be closed in this tick.
   std::size_t m_closings_left = 0;
+  // Reads that may still be run a second time; grows with each statement.
+  double m_second_runs = 0;
 };
 
 }  // namespace jasminelug::gateway
--- a/src/gateway/engine_answers.cc
+++ b/src/gateway/engine_answers.cc
@@ -1,6 +1,7 @@
 // Answers of members, and what the Engine concludes from them and from lost
 // connections.
 
+#include <algorithm>
 #include <utility>
 
 #include "src/gateway/engine.h"
@@ -86,10 +87,14 @@
   Send(connection, {rollback}, SentPurpose::kRollback, now);
 }
 
-void Engine::NotePrimaryReached(const Connection& connection,
+void Engine::NoteReached(const Connection& connection,
                                 bool reached,
                                 Time now) {
   Group& group = GroupOf(connection.m_group);
+  MemberState* state = m_members.Find(connection.m_member);
+  if (state && reached) {
+    state->m_last_heard = now;
+  }
   if (group.m_primary.m_member != connection.m_member) {
     return;
   }
@@ -107,12 +112,16 @@
   if (!connection) {
     return;
   }
-  NotePrimaryReached(*connection, true, now);
+  NoteReached(*connection, true, now);
   connection->m_stage = Connection::Stage::kInUse;
   MemberState* state = m_members.Find(connection->m_member);
   if (state) {
     state->m_failures = 0;
   }
+  if (connection->m_asks_status) {
+    SendStatus(connection, now);
+    return;
+  }
   Session* session = connection->m_session
                          ? FindSession(*connection->m_session)
                          : nullptr;
@@ -150,7 +159,7 @@
   }
   const SentStatement sent = connection->m_sent.front();
   connection->m_sent.pop_front();
-  NotePrimaryReached(*connection, true, now);
+  NoteReached(*connection, true, now);
   TakeSample(connection, sent, answer, now);
   connection->m_in_transaction = answer.m_state != TransactionState::kNone;
   const bool failed = std::holds_alternative<Refused>(answer.m_outcome);
@@ -172,6 +181,7 @@
       Release(connection, now);
       return;
     case SentPurpose::kCommand:
+      OnStatusAnswer(connection, answer, now);
       return;
     case SentPurpose::kBegin:
     case SentPurpose::kStatement:
@@ -188,6 +198,22 @@
   OnStatementAnswer(session, connection, sent, answer, now);
 }
 
+void Engine::OnStatusAnswer(Connection* connection,
+                            const Answer& answer,
+                            Time now) {
+  const MemberId member = connection->m_member;
+  Leave(connection, now);
+  const Completed* completed = std::get_if<Completed>(&answer.m_outcome);
+  if (!completed || completed->m_rows.empty()) {
+    return;
+  }
+  const std::optional<MemberStatus> status =
+      m_hooks.m_read_status(completed->m_rows.front());
+  if (status) {
+    m_hooks.m_status(member, *status);
+  }
+}
+
 void Engine::OnBeginAnswer(Session* session,
                            Connection* connection,
                            const Answer& answer,
@@ -306,7 +332,7 @@
   const GroupName group = connection->m_group;
   const bool opening = connection->m_stage == Connection::Stage::kOpening;
   if (opening && code != ErrorCode::kConnectionLimit) {
-    NotePrimaryReached(*connection, code.has_value(), now);
+    NoteReached(*connection, code.has_value(), now);
   }
   if (opening) {
     m_members.NoteFailure(member, now);
--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // Members that one statement is offered to, at most.
-constexpr int kMaxAttempts = 8;
+constexpr int kMaxAttempts = 24;
 
 }  // namespace
 
@@ -158,11 +158,7 @@
   if (!group) {
     return load;
   }
-  const bool needs_primary =
-      session.m_active
-          ? session.m_active->m_needs_primary
-          : session.m_route.m_consistency == Consistency::kPrimary ||
-                !session.m_transaction->m_read_only;
+  const bool needs_primary = NeedsPrimary(session, now);
   load.m_turnaround = group->m_turnaround;
   load.m_waiting = group->m_line.CountWaiting(needs_primary);
   for (const MemberState* state :
@@ -198,6 +194,7 @@
   ActiveStatement& active = *session->m_active;
   active.m_attempts += 1;
   active.m_member = option.m_member;
+  active.m_placed = now;
   const Group& group = GroupOf(session->m_route.m_group);
   if (group.m_primary.m_member == option.m_member) {
     active.m_floor.reset();
@@ -325,6 +322,38 @@
   return setup;
 }
 
+void Engine::AskStatus(const MemberId& member, Time now) {
+  MemberState* state = m_members.Find(member);
+  if (!state || !m_configuration || m_configuration->m_customers.empty()) {
+    return;
+  }
+  Connection* connection = m_connections.FindOldestIdle(member);
+  if (connection) {
+    connection->m_stage = Connection::Stage::kInUse;
+    state->m_busy += 1;
+    SendStatus(connection, now);
+    return;
+  }
+  if (state->m_connections >= BudgetOf(*state)) {
+    return;
+  }
+  connection = m_connections.Add(
+      member, state->m_member.m_group,
+      m_configuration->m_customers.begin()->first, now);
+  connection->m_asks_status = true;
+  state->m_connections += 1;
+  state->m_busy += 1;
+  m_hooks.m_open_connection(connection->m_id, state->m_member,
+                            connection->m_customer);
+}
+
+void Engine::SendStatus(Connection* connection, Time now) {
+  connection->m_asks_status = false;
+  MemberStatement status;
+  status.m_verb = MemberVerb::kStatus;
+  Send(connection, {status}, SentPurpose::kCommand, now);
+}
+
 void Engine::Send(Connection* connection,
                   const std::vector<MemberStatement>& statements,
                   SentPurpose last_purpose,
--- a/src/gateway/engine_hooks.h
+++ b/src/gateway/engine_hooks.h
@@ -2,12 +2,14 @@
 #define SRC_GATEWAY_ENGINE_HOOKS_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "src/gateway/answer.h"
 #include "src/gateway/ids.h"
 #include "src/gateway/member.h"
+#include "src/gateway/member_status.h"
 #include "src/gateway/statement.h"
 
 namespace jasminelug::gateway {
@@ -44,6 +46,11 @@
   std::function<void(ConnectionId, const std::vector<MemberStatement>&)> m_send;
   // Drops a connection; nothing more is heard of it.
   std::function<void(ConnectionId)> m_close_connection;
+  // Reads the row of a member's status; nullopt where it cannot be read.
+  std::function<std::optional<MemberStatus>(const std::string& row)>
+      m_read_status;
+  // Tells a member's status; see Engine::AskStatus().
+  std::function<void(const MemberId&, const MemberStatus&)> m_status;
   // Reports a statement's end.
   std::function<void(const StatementEnd&)> m_report;
 };
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -1,6 +1,7 @@
 // Sessions of the Engine: which statements it answers by itself, and what is
 // checked before one goes to a member.
 
+#include <algorithm>
 #include <utility>
 
 #include "src/gateway/engine.h"
@@ -10,8 +11,11 @@
 
 // Statements that a caller may send ahead of their answers.
 constexpr std::size_t kMaxQueuedStatements = 64;
-// The longest a rate-limited caller is told to wait is not known here: the
-// protocol carries no time.
+// A primary that refuses connections or is silent for longer is not waited for.
+constexpr Duration kFailingPatience = 100ms;
+// Reads that may be run a second time, for each statement, and at most at once.
+constexpr double kSecondRunsPerStatement = 0.05;
+constexpr double kMostSecondRuns = 10;
 constexpr char kOverLimit[] = "the customer is over its rate";
 
 }  // namespace
@@ -71,6 +75,10 @@
 
 std::optional<Refused> Engine::CheckAdmission(const Session& session,
                                               Time now) const {
+  const std::optional<Refused> refused = CheckPrimary(session, now);
+  if (refused) {
+    return refused;
+  }
   const LineLoad load = LoadFor(session, now);
   if (!MayWait(load, session.m_route.m_objective)) {
     return Refused{ErrorCode::kBusy, "members are at capacity"};
@@ -78,6 +86,43 @@
   return std::nullopt;
 }
 
+// Answers a lost primary, and an instance that is cut off from it: what only the
+// primary can run waits for a replacement that will be over in time, and is
+// refused at once otherwise, so that the caller can try another instance.
+std::optional<Refused> Engine::CheckPrimary(const Session& session,
+                                            Time now) const {
+  const Group* group = FindGroup(session.m_route.m_group);
+  if (!group || !NeedsPrimary(session, now)) {
+    return std::nullopt;
+  }
+  if (IsPrimaryUsable(*group, now)) {
+    const std::optional<Time> failing =
+        PrimaryFailingSince(session.m_route.m_group, now);
+    if (failing && now - *failing > kFailingPatience) {
+      return Refused{ErrorCode::kBusy, "the primary cannot be reached"};
+    }
+    return std::nullopt;
+  }
+  const std::optional<Time>& usable_from = group->m_primary.m_usable_from;
+  const Time limit = session.m_active
+                         ? session.m_active->m_deadline
+                         : now + session.m_route.m_statement_timeout;
+  if (!usable_from || *usable_from < now || *usable_from > limit) {
+    return Refused{ErrorCode::kBusy, "there is no primary at present"};
+  }
+  return std::nullopt;
+}
+
+bool Engine::NeedsPrimary(const Session& session, Time now) const {
+  if (session.m_active) {
+    return session.m_active->m_needs_primary || !FloorOf(session, now);
+  }
+  const bool reads_only =
+      session.m_transaction && session.m_transaction->m_read_only;
+  return session.m_route.m_consistency == Consistency::kPrimary ||
+         !reads_only || !FloorOf(session, now);
+}
+
 TransactionState Engine::StateOf(const Session& session) const {
   if (!session.m_transaction) {
     return TransactionState::kNone;
@@ -257,6 +302,8 @@
 }
 
 void Engine::SubmitToMember(Session* session, Statement statement, Time now) {
+  m_second_runs =
+      std::min(m_second_runs + kSecondRunsPerStatement, kMostSecondRuns);
   ActiveStatement active;
   active.m_received = now;
   active.m_writes = WritesData(*session, statement);
--- a/src/gateway/member_table.h
+++ b/src/gateway/member_table.h
@@ -26,6 +26,8 @@
   // This instance's connections, and those of them that are in use.
   int m_connections = 0;
   int m_busy = 0;
+  // When the member answered or accepted anything last.
+  Time m_last_heard;
 };
 
 // The members of all groups, as announced, with the load and the lag that this
--- /dev/null
+++ b/src/gateway/peer_report.h
@@ -0,0 +1,54 @@
+#ifndef SRC_GATEWAY_PEER_REPORT_H_
+#define SRC_GATEWAY_PEER_REPORT_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "src/gateway/customer_limiter.h"
+#include "src/gateway/ids.h"
+
+namespace jasminelug::gateway {
+
+// The newest report that the sender has from another instance, and how long
+// the sender has held it.
+struct ReportEcho {
+  friend bool operator==(const ReportEcho&, const ReportEcho&) = default;
+
+  InstanceId m_instance;
+  Incarnation m_incarnation;
+  std::uint64_t m_sequence = 0;
+  Duration m_held{0};
+};
+
+// A sample of a primary's log, by its age at the time of the report.
+struct AgedSample {
+  friend bool operator==(const AgedSample&, const AgedSample&) = default;
+
+  GroupName m_group;
+  Duration m_age{0};
+  LogPosition m_position;
+};
+
+// What an instance tells the others a few times a second.
+struct PeerReport {
+  friend bool operator==(const PeerReport&, const PeerReport&) = default;
+
+  InstanceId m_sender;
+  Incarnation m_incarnation;
+  // Grows with each report of one incarnation.
+  std::uint64_t m_sequence = 0;
+  std::vector<ReportEcho> m_echoes;
+  std::vector<CustomerDemand> m_demand;
+  std::vector<AgedSample> m_samples;
+  // Groups whose primary the sender cannot reach.
+  std::vector<GroupName> m_unreachable;
+  // Groups whose primary answered the sender lately.
+  std::vector<GroupName> m_reachable;
+  // The sender has stopped using the primary that the replacement record of
+  // this revision takes out of use.
+  Revision m_acknowledged;
+};
+
+}  // namespace jasminelug::gateway
+
+#endif  // SRC_GATEWAY_PEER_REPORT_H_
--- /dev/null
+++ b/src/gateway/peer_view.h
@@ -0,0 +1,116 @@
+#ifndef SRC_GATEWAY_PEER_VIEW_H_
+#define SRC_GATEWAY_PEER_VIEW_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "src/gateway/ids.h"
+#include "src/gateway/peer_report.h"
+#include "src/gateway/store_object.h"
+
+namespace jasminelug::gateway {
+
+// A peer's sample in this instance's own time.
+struct PeerSample {
+  friend bool operator==(const PeerSample&, const PeerSample&) = default;
+
+  GroupName m_group;
+  // The sample was taken no earlier than this.
+  Time m_sent;
+  LogPosition m_position;
+};
+
+// What the other instances say, and how old it is at most.
+//
+// Clocks are not compared: a report that echoes this instance's report number
+// n, held for h, was made no earlier than n was sent plus h. The bound holds
+// however long the report was on its way.
+class PeerView {
+ public:
+  // Reports older than this say nothing of the present.
+  static constexpr Duration kFreshFor = 900ms;
+  // An entry whose instance is silent for this long may be removed.
+  static constexpr Duration kDeadAfter = 8s;
+
+  PeerView(InstanceId self, Incarnation incarnation);
+
+  // Takes over the registered instances, this one included or not.
+  void SetInstances(const std::vector<InstanceEntry>& entries, Time now);
+
+  // Fills in who sends, the sequence and the echoes of a report that is sent at
+  // `now`.
+  void Address(PeerReport* report, Time now);
+
+  // Takes a report; false where it is old or of no registered instance.
+  bool OnReport(const PeerReport& report, Time now);
+
+  // Returns the samples of the newest report of `sender`.
+  std::vector<PeerSample> SamplesOf(const InstanceId& sender) const;
+
+  // Returns this instance's share of each customer's limits, given its own
+  // demand. The shares of all instances that hear each other add up to one; a
+  // silent peer keeps an equal part, or its last one where that was more.
+  //
+  // Answers callers that are spread unevenly over the instances, and a customer
+  // that moves its load from one instance to others.
+  std::map<CustomerName, double> Shares(
+      const std::vector<CustomerDemand>& own_demand,
+      const std::vector<CustomerName>& customers,
+      Time now) const;
+
+  // Whether every other registered instance has acknowledged the revision, in
+  // its present incarnation.
+  bool AllAcknowledged(Revision revision) const;
+
+  // Of the instances with an opinion, this one aside, how many cannot reach the
+  // group's primary, and how many can.
+  struct Opinions {
+    int m_unreachable = 0;
+    int m_reachable = 0;
+  };
+  Opinions OpinionsOf(const GroupName& group, Time now) const;
+
+  // Returns the peers that were not heard of for kDeadAfter.
+  std::vector<InstanceId> SilentPeers(Time now) const;
+
+  // Position of this instance among those that are heard, in order of names.
+  int Rank(Time now) const;
+
+  // Whether a peer's reports are fresh.
+  bool IsHeard(const InstanceId& id, Time now) const;
+
+  std::vector<InstanceEntry> Peers() const;
+  int instance_count() const { return static_cast<int>(m_peers.size()) + 1; }
+
+ private:
+  struct Peer {
+    InstanceEntry m_entry;
+    Time m_known_since;
+    std::optional<PeerReport> m_report;
+    Time m_received;
+    // The report was made no earlier than this.
+    std::optional<Time> m_made;
+  };
+
+  struct OwnReport {
+    std::uint64_t m_sequence = 0;
+    Time m_sent;
+  };
+
+  bool IsFresh(const Peer& peer, Time now) const;
+  std::optional<Time> SentTimeOf(std::uint64_t sequence) const;
+  double DemandOf(const Peer& peer, const CustomerName& customer) const;
+
+  const InstanceId m_self;
+  const Incarnation m_incarnation;
+  std::map<InstanceId, Peer> m_peers;
+  std::uint64_t m_sequence = 0;
+  std::deque<OwnReport> m_sent;
+};
+
+}  // namespace jasminelug::gateway
+
+#endif  // SRC_GATEWAY_PEER_VIEW_H_
--- /dev/null
+++ b/src/gateway/replacement_coordinator.cc
@@ -0,0 +1,351 @@
+#include "src/gateway/replacement_coordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jasminelug::gateway {
+namespace {
+
+// Pause after a write that was lost or in conflict.
+constexpr Duration kRetryDelay = 150ms;
+// Each instance waits this much longer than the one before it, so that the
+// first one's intent is usually read before the second would write.
+constexpr Duration kRankDelay = 60ms;
+// Added to the proof limit for timers that fire late.
+constexpr Duration kProofMargin = 200ms;
+// A candidate of a planned replacement may take this long to receive what the
+// old primary has committed.
+constexpr Duration kCatchUpLimit = 600ms;
+// Pause between two questions to the same members.
+constexpr Duration kAskInterval = 40ms;
+
+}  // namespace
+
+ReplacementCoordinator::ReplacementCoordinator(ReplacementOptions options,
+                                               Hooks hooks)
+    : m_options(std::move(options)), m_hooks(std::move(hooks)) {}
+
+std::optional<MemberId> ReplacementCoordinator::PrimaryOf(
+    const GroupName& group) const {
+  for (const ReplacedPrimary& replaced : m_record.m_primaries) {
+    if (replaced.m_group == group) {
+      return replaced.m_primary;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<ReplacementIntent> ReplacementCoordinator::IntentFor(
+    const GroupName& group) const {
+  if (m_record.m_intent && m_record.m_intent->m_group == group) {
+    return m_record.m_intent;
+  }
+  return std::nullopt;
+}
+
+bool ReplacementCoordinator::IsOwnIntent() const {
+  return m_record.m_intent && m_record.m_coordinator == m_options.m_self;
+}
+
+void ReplacementCoordinator::Reset() {
+  m_stage = Stage::kIdle;
+  m_promoted.reset();
+  m_statuses.clear();
+  m_refused.clear();
+  m_repeat = false;
+}
+
+void ReplacementCoordinator::OnEntries(const StoreObjects& objects, Time now) {
+  m_listed = true;
+  const auto found = objects.find(kRecordName);
+  if (found == objects.end()) {
+    return;
+  }
+  const auto* record =
+      std::get_if<ReplacementRecord>(&found->second.m_value);
+  const bool known = m_revision && found->second.m_revision <= *m_revision;
+  if (!record || known) {
+    return;
+  }
+  if (m_stage == Stage::kPromoting) {
+    m_hooks.m_abandon_promotion();
+  }
+  Reset();
+  m_record = *record;
+  m_revision = found->second.m_revision;
+  m_intent_seen = now;
+}
+
+void ReplacementCoordinator::OnWritten(
+    const Result<StoreObject, StoreError>& result,
+    Time now) {
+  m_writing = false;
+  m_next_try = now + kRetryDelay;
+  if (!IsOk(result)) {
+    return;
+  }
+  // The answer holds the record as it was stored.
+  StoreObjects objects;
+  StoreObject object = GetValue(result);
+  object.m_name = kRecordName;
+  objects.emplace(kRecordName, object);
+  OnEntries(objects, now);
+}
+
+void ReplacementCoordinator::Write(const ReplacementRecord& record, Time now) {
+  m_writing = true;
+  m_called = now;
+  m_hooks.m_write(record, m_revision);
+}
+
+bool ReplacementCoordinator::HasFailed(const ReplacementOptions& options,
+                                       const GroupCondition& group,
+                                       Time now) {
+  if (group.m_primary_gone) {
+    return true;
+  }
+  const bool failing = group.m_failing_since &&
+                       now - *group.m_failing_since > options.m_failure_limit;
+  return failing && group.m_others_unreachable + 1 > group.m_others_reachable;
+}
+
+void ReplacementCoordinator::OnTick(const std::vector<GroupCondition>& groups,
+                                    const FleetCondition& fleet,
+                                    Time now) {
+  if (m_writing && now - m_called > kCallTimeout) {
+    m_hooks.m_abandon_write();
+    m_writing = false;
+    m_next_try = now + kRetryDelay;
+  }
+  if (!m_listed || m_stopped || m_writing || !fleet.m_contact_fresh) {
+    return;
+  }
+  if (!m_record.m_intent) {
+    ConsiderProposals(groups, fleet, now);
+    return;
+  }
+  if (!IsOwnIntent()) {
+    ConsiderTakeOver(fleet, now);
+    return;
+  }
+  for (const GroupCondition& group : groups) {
+    if (group.m_group == m_record.m_intent->m_group) {
+      Advance(group, fleet, now);
+    }
+  }
+}
+
+void ReplacementCoordinator::ConsiderProposals(
+    const std::vector<GroupCondition>& groups,
+    const FleetCondition& fleet,
+    Time now) {
+  if (now < m_next_try + fleet.m_rank * kRankDelay) {
+    return;
+  }
+  for (const GroupCondition& group : groups) {
+    if (group.m_candidates.empty()) {
+      continue;
+    }
+    const bool failed = HasFailed(m_options, group, now);
+    if (failed || group.m_primary_leaves) {
+      Propose(group, !failed, now);
+      return;
+    }
+  }
+  // The wait by rank begins when there is something to do.
+  m_next_try = now;
+}
+
+void ReplacementCoordinator::Propose(const GroupCondition& group,
+                                     bool planned,
+                                     Time now) {
+  ReplacementRecord record = m_record;
+  record.m_coordinator = m_options.m_self;
+  ReplacementIntent intent;
+  intent.m_group = group.m_group;
+  intent.m_old_primary = group.m_primary.value_or(MemberId());
+  intent.m_candidate = group.m_candidates.front();
+  intent.m_planned = planned;
+  record.m_intent = intent;
+  m_hooks.m_report("proposing to replace a primary", intent);
+  Write(record, now);
+}
+
+void ReplacementCoordinator::ConsiderTakeOver(const FleetCondition& fleet,
+                                              Time now) {
+  const Duration limit = fleet.m_coordinator_heard ? kTakeOverAfter
+                                                   : kTakeOverSilentAfter;
+  if (now < m_next_try ||
+      now - m_intent_seen < limit + fleet.m_rank * kRankDelay) {
+    return;
+  }
+  ReplacementRecord record = m_record;
+  record.m_coordinator = m_options.m_self;
+  m_hooks.m_report("taking over a replacement", *record.m_intent);
+  Write(record, now);
+}
+
+void ReplacementCoordinator::Advance(const GroupCondition& group,
+                                     const FleetCondition& fleet,
+                                     Time now) {
+  if (m_promoted) {
+    if (now >= m_next_try) {
+      Finish(now);
+    }
+    return;
+  }
+  switch (m_stage) {
+    case Stage::kIdle: {
+      const bool lapsed =
+          now - m_intent_seen > m_options.m_proof_limit + kProofMargin;
+      const bool others_stopped = fleet.m_all_acknowledged || lapsed;
+      if (!others_stopped || !group.m_quiet || now < m_next_try) {
+        return;
+      }
+      if (m_repeat) {
+        Promote(m_candidate, now);
+      } else {
+        Ask(group, now);
+      }
+      return;
+    }
+    case Stage::kAsking:
+      if (MayChoose(group, now)) {
+        Choose(group, now);
+      } else if (now - m_asked > kAskInterval) {
+        Ask(group, now);
+      }
+      return;
+    case Stage::kPromoting:
+      if (now - m_called > kCallTimeout) {
+        m_hooks.m_abandon_promotion();
+        OnPromoted(PromotionResult::kUnknown, now);
+      }
+      return;
+  }
+}
+
+void ReplacementCoordinator::Ask(const GroupCondition& group, Time now) {
+  if (m_stage != Stage::kAsking) {
+    m_stage = Stage::kAsking;
+    m_asking_since = now;
+    m_statuses.clear();
+  }
+  m_asked = now;
+  for (const MemberId& candidate : group.m_candidates) {
+    m_hooks.m_ask_status(candidate);
+  }
+  if (m_record.m_intent->m_planned) {
+    m_hooks.m_ask_status(m_record.m_intent->m_old_primary);
+  }
+}
+
+void ReplacementCoordinator::OnStatus(const MemberId& member,
+                                      const MemberStatus& status,
+                                      Time) {
+  if (m_stage == Stage::kAsking) {
+    m_statuses.insert_or_assign(member, status);
+  }
+}
+
+bool ReplacementCoordinator::MayChoose(const GroupCondition& group,
+                                       Time now) const {
+  const Duration asking = now - m_asking_since;
+  const bool all_answered =
+      std::all_of(group.m_candidates.begin(), group.m_candidates.end(),
+                  [this](const MemberId& id) { return m_statuses.contains(id); });
+  if (group.m_sync_replicas > 0 && !all_answered) {
+    // An acknowledged commit may lie at any of them.
+    return false;
+  }
+  const auto old_primary = m_statuses.find(m_record.m_intent->m_old_primary);
+  if (m_record.m_intent->m_planned && old_primary != m_statuses.end()) {
+    const bool caught_up = std::any_of(
+        group.m_candidates.begin(), group.m_candidates.end(),
+        [&](const MemberId& id) {
+          const auto status = m_statuses.find(id);
+          return status != m_statuses.end() &&
+                 status->second.m_received >= old_primary->second.m_received;
+        });
+    return caught_up || asking > kCatchUpLimit;
+  }
+  return (all_answered && !m_record.m_intent->m_planned) ||
+         asking > kStatusTimeout;
+}
+
+void ReplacementCoordinator::Choose(const GroupCondition& group, Time now) {
+  std::optional<MemberId> best;
+  std::optional<LogPosition> best_position;
+  for (const MemberId& candidate : group.m_candidates) {
+    const bool refused = std::find(m_refused.begin(), m_refused.end(),
+                                   candidate) != m_refused.end();
+    const auto status = m_statuses.find(candidate);
+    if (refused) {
+      continue;
+    }
+    if (status == m_statuses.end()) {
+      best = best ? best : candidate;
+      continue;
+    }
+    if (!best_position || status->second.m_received > *best_position) {
+      best = candidate;
+      best_position = status->second.m_received;
+    }
+  }
+  if (!best) {
+    m_refused.clear();
+    m_stage = Stage::kIdle;
+    m_next_try = now + kRetryDelay;
+    return;
+  }
+  Promote(*best, now);
+}
+
+void ReplacementCoordinator::Promote(const MemberId& candidate, Time now) {
+  m_stage = Stage::kPromoting;
+  m_repeat = false;
+  m_candidate = candidate;
+  m_called = now;
+  ReplacementIntent intent = *m_record.m_intent;
+  intent.m_candidate = candidate;
+  m_hooks.m_report("promoting", intent);
+  m_hooks.m_promote(
+      {m_options.m_self, *m_revision, intent.m_group, candidate});
+}
+
+void ReplacementCoordinator::OnPromoted(PromotionResult result, Time now) {
+  if (m_stage != Stage::kPromoting) {
+    return;
+  }
+  m_next_try = now;
+  switch (result) {
+    case PromotionResult::kDone:
+      m_promoted = m_candidate;
+      Finish(now);
+      return;
+    case PromotionResult::kRefused:
+      m_refused.push_back(m_candidate);
+      m_stage = Stage::kIdle;
+      return;
+    case PromotionResult::kUnavailable:
+    case PromotionResult::kUnknown:
+      // The same promotion again changes nothing if it was carried out.
+      m_repeat = true;
+      m_next_try = now + kRetryDelay;
+      m_stage = Stage::kIdle;
+      return;
+  }
+}
+
+void ReplacementCoordinator::Finish(Time now) {
+  ReplacementRecord record = m_record;
+  const GroupName group = record.m_intent->m_group;
+  std::erase_if(record.m_primaries, [&group](const ReplacedPrimary& replaced) {
+    return replaced.m_group == group;
+  });
+  record.m_primaries.push_back({group, *m_promoted});
+  record.m_intent.reset();
+  Write(record, now);
+}
+
+}  // namespace jasminelug::gateway
--- /dev/null
+++ b/src/gateway/replacement_coordinator.h
@@ -0,0 +1,193 @@
+#ifndef SRC_GATEWAY_REPLACEMENT_COORDINATOR_H_
+#define SRC_GATEWAY_REPLACEMENT_COORDINATOR_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jasminelug/common.h"
+#include "src/gateway/ids.h"
+#include "src/gateway/member.h"
+#include "src/gateway/member_status.h"
+#include "src/gateway/promotion.h"
+#include "src/gateway/store_follower.h"
+#include "src/gateway/store_object.h"
+
+namespace jasminelug::gateway {
+
+// What the coordinator sees of one group at one moment.
+struct GroupCondition {
+  friend bool operator==(const GroupCondition&, const GroupCondition&) =
+      default;
+
+  GroupName m_group;
+  // The primary as the instances use it, or used it before the intent.
+  std::optional<MemberId> m_primary;
+  // Members that are announced and may take work, the primary aside.
+  std::vector<MemberId> m_candidates;
+  // The primary leaves, or its availability zone does.
+  bool m_primary_leaves = false;
+  // The primary is no longer announced.
+  bool m_primary_gone = false;
+  // Since when this instance has not reached the primary.
+  std::optional<Time> m_failing_since;
+  // What fresh reports of others say.
+  int m_others_unreachable = 0;
+  int m_others_reachable = 0;
+  // No statement of this instance is in flight to the primary.
+  bool m_quiet = true;
+  int m_sync_replicas = 0;
+};
+
+// What the coordinator sees of the fleet at one moment.
+struct FleetCondition {
+  friend bool operator==(const FleetCondition&, const FleetCondition&) =
+      default;
+
+  // Every other instance has acknowledged the record's revision.
+  bool m_all_acknowledged = false;
+  // This instance's place among those that are up, so that one acts first.
+  int m_rank = 0;
+  // This instance has proved contact with the store lately.
+  bool m_contact_fresh = false;
+  // The coordinator of the intent is up.
+  bool m_coordinator_heard = false;
+};
+
+// Times of the coordinator.
+struct ReplacementOptions {
+  friend bool operator==(const ReplacementOptions&, const ReplacementOptions&) =
+      default;
+
+  InstanceId m_self;
+  // Every instance that has not acknowledged has ceased by itself to use the
+  // old primary when its proof of contact is this old.
+  Duration m_proof_limit = 3s;
+  // A primary that is not reached for this long has failed.
+  Duration m_failure_limit = 500ms;
+};
+
+// Replaces primaries, with the platform's promotion call and a record in the
+// store that all instances follow.
+//
+// 1. An instance that sees a primary fail or leave writes an intent into the
+//    record, under the record's revision: one instance wins.
+// 2. Every instance that reads the intent stops using the old primary and
+//    acknowledges the revision. One that cannot read it stops when its proof of
+//    contact with the store is m_proof_limit old.
+// 3. The winner waits for all acknowledgements or for that limit, asks the
+//    candidates how far their logs are, and promotes the furthest. The fencing
+//    token is the revision of the intent, so it grows with every intent.
+// 4. It writes the new primary into the record and drops the intent.
+//
+// Others take an intent over when its coordinator is silent, by writing it again
+// under their own name. No two promotions overlap: the earlier coordinator
+// abandons its call before it acknowledges the new intent, and otherwise its
+// call, sent on a fresh proof of contact and dropped after kCallTimeout, is over
+// before the new coordinator's m_proof_limit ends.
+class ReplacementCoordinator {
+ public:
+  struct Hooks {
+    std::function<void(const ReplacementRecord& record,
+                       std::optional<Revision> expected)>
+        m_write;
+    std::function<void(const PromotionOrder& order)> m_promote;
+    // Drops the write or the promotion that is under way.
+    std::function<void()> m_abandon_write;
+    std::function<void()> m_abandon_promotion;
+    // Asks a member for its status; OnStatus() may follow.
+    std::function<void(const MemberId& member)> m_ask_status;
+    // Reports a step, for the log.
+    std::function<void(const std::string& event,
+                       const ReplacementIntent& intent)>
+        m_report;
+  };
+
+  static constexpr char kRecordName[] = "replacements";
+  static constexpr Duration kCallTimeout = 900ms;
+  // An intent is taken over after this, or sooner where its coordinator is
+  // silent.
+  static constexpr Duration kTakeOverAfter = 6s;
+  static constexpr Duration kTakeOverSilentAfter = 1200ms;
+  // How long candidates have to tell their position.
+  static constexpr Duration kStatusTimeout = 250ms;
+
+  ReplacementCoordinator(ReplacementOptions options, Hooks hooks);
+
+  // Takes the record as the store holds it.
+  void OnEntries(const StoreObjects& objects, Time now);
+  void OnWritten(const Result<StoreObject, StoreError>& result, Time now);
+  void OnPromoted(PromotionResult result, Time now);
+  void OnStatus(const MemberId& member, const MemberStatus& status, Time now);
+
+  // Looks at all groups; to be called often.
+  void OnTick(const std::vector<GroupCondition>& groups,
+              const FleetCondition& fleet,
+              Time now);
+
+  // Stops beginning anything new.
+  void Stop() { m_stopped = true; }
+
+  const ReplacementRecord& record() const { return m_record; }
+  // When this instance read the record as it is.
+  Time intent_seen() const { return m_intent_seen; }
+  Revision revision() const { return m_revision.value_or(Revision()); }
+
+  // Returns the primary that the record names for the group, if it names one.
+  std::optional<MemberId> PrimaryOf(const GroupName& group) const;
+
+  // Returns the intent for the group, if there is one.
+  std::optional<ReplacementIntent> IntentFor(const GroupName& group) const;
+
+ private:
+  enum class Stage { kIdle, kAsking, kPromoting };
+
+  bool IsOwnIntent() const;
+  static bool HasFailed(const ReplacementOptions& options,
+                        const GroupCondition& group,
+                        Time now);
+  void ConsiderProposals(const std::vector<GroupCondition>& groups,
+                         const FleetCondition& fleet,
+                         Time now);
+  void ConsiderTakeOver(const FleetCondition& fleet, Time now);
+  void Propose(const GroupCondition& group, bool planned, Time now);
+  void Write(const ReplacementRecord& record, Time now);
+  void Advance(const GroupCondition& group,
+               const FleetCondition& fleet,
+               Time now);
+  void Ask(const GroupCondition& group, Time now);
+  void Choose(const GroupCondition& group, Time now);
+  bool MayChoose(const GroupCondition& group, Time now) const;
+  void Promote(const MemberId& candidate, Time now);
+  void Finish(Time now);
+  void Reset();
+
+  const ReplacementOptions m_options;
+  const Hooks m_hooks;
+  ReplacementRecord m_record;
+  std::optional<Revision> m_revision;
+  bool m_listed = false;
+  bool m_stopped = false;
+  Stage m_stage = Stage::kIdle;
+  // When the current intent was first seen by this instance.
+  Time m_intent_seen;
+  Time m_called;
+  Time m_next_try;
+  bool m_writing = false;
+  // The member that the platform has promoted, until the record names it.
+  std::optional<MemberId> m_promoted;
+  // The member that is being promoted, and whether to order it once more.
+  MemberId m_candidate;
+  bool m_repeat = false;
+  Time m_asking_since;
+  Time m_asked;
+  std::map<MemberId, MemberStatus> m_statuses;
+  // Candidates that the platform refused.
+  std::vector<MemberId> m_refused;
+};
+
+}  // namespace jasminelug::gateway
+
+#endif  // SRC_GATEWAY_REPLACEMENT_COORDINATOR_H_
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -32,6 +32,10 @@
   bool m_waiting = false;
   // It has itself been sent, after all that prepares it.
   bool m_sent = false;
+  // When it was placed last.
+  Time m_placed;
+  // Runs that were given up because no answer came.
+  int m_unanswered_runs = 0;
   // Replicas that lacked the position.
   std::set<MemberId> m_lacking;
   // What the replica must hold, where it runs on one.
--- /dev/null
+++ b/src/gossip/datagram_peers.cc
@@ -0,0 +1,37 @@
+#include "src/gossip/datagram_peers.h"
+
+#include <asio/buffer.hpp>
+#include <utility>
+
+namespace jasminelug::gossip {
+
+DatagramPeers::DatagramPeers(asio::io_context& io,
+                             const asio::ip::udp::endpoint& endpoint,
+                             ReceiveHook hook)
+    : m_socket(io, endpoint), m_hook(std::move(hook)) {
+  m_socket.non_blocking(true);
+  Receive();
+}
+
+void DatagramPeers::Send(const asio::ip::udp::endpoint& peer,
+                         const std::string& bytes) {
+  std::error_code ignored;  // The next report makes up for a lost one.
+  m_socket.send_to(asio::buffer(bytes), peer, 0, ignored);
+}
+
+void DatagramPeers::Receive() {
+  m_socket.async_receive_from(
+      asio::buffer(m_buffer), m_sender,
+      [this](std::error_code error, std::size_t size) {
+        if (error == asio::error::operation_aborted) {
+          return;
+        }
+        // Other errors tell of an earlier datagram that nobody took.
+        if (!error) {
+          m_hook(std::string_view(m_buffer.data(), size));
+        }
+        Receive();
+      });
+}
+
+}  // namespace jasminelug::gossip
--- /dev/null
+++ b/src/gossip/report_codec.cc
@@ -0,0 +1,122 @@
+#include "src/gossip/report_codec.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <exception>
+#include <memory>
+
+#include "gossip_types.h"
+
+namespace jasminelug::gossip {
+namespace {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+using CompactProtocol = TCompactProtocolT<TMemoryBuffer>;
+
+// No report holds a longer text or list.
+constexpr std::int32_t kMaxTextBytes = 4096;
+constexpr std::int32_t kMaxListLength = 4096;
+
+wire::Report ToWire(const gateway::PeerReport& report) {
+  wire::Report out;
+  out.sender = report.m_sender.str();
+  out.incarnation = static_cast<std::int64_t>(report.m_incarnation.value());
+  out.sequence = static_cast<std::int64_t>(report.m_sequence);
+  for (const gateway::ReportEcho& echo : report.m_echoes) {
+    wire::Echo item;
+    item.instance = echo.m_instance.str();
+    item.incarnation = static_cast<std::int64_t>(echo.m_incarnation.value());
+    item.sequence = static_cast<std::int64_t>(echo.m_sequence);
+    item.held_us = echo.m_held.count();
+    out.echoes.push_back(item);
+  }
+  for (const gateway::CustomerDemand& demand : report.m_demand) {
+    wire::Demand item;
+    item.customer = demand.m_customer.str();
+    item.operations_per_second = demand.m_operations_per_second;
+    out.demand.push_back(item);
+  }
+  for (const gateway::AgedSample& sample : report.m_samples) {
+    wire::Sample item;
+    item.group = sample.m_group.str();
+    item.age_us = sample.m_age.count();
+    item.term = static_cast<std::int64_t>(sample.m_position.m_term.value());
+    item.index = static_cast<std::int64_t>(sample.m_position.m_index);
+    out.samples.push_back(item);
+  }
+  for (const gateway::GroupName& group : report.m_unreachable) {
+    out.unreachable.push_back(group.str());
+  }
+  for (const gateway::GroupName& group : report.m_reachable) {
+    out.reachable.push_back(group.str());
+  }
+  out.acknowledged = static_cast<std::int64_t>(report.m_acknowledged.value());
+  return out;
+}
+
+std::uint64_t ToUnsigned(std::int64_t number) {
+  return static_cast<std::uint64_t>(number);
+}
+
+gateway::PeerReport FromWire(const wire::Report& report) {
+  gateway::PeerReport out;
+  out.m_sender = gateway::InstanceId(report.sender);
+  out.m_incarnation = gateway::Incarnation(ToUnsigned(report.incarnation));
+  out.m_sequence = ToUnsigned(report.sequence);
+  for (const wire::Echo& echo : report.echoes) {
+    out.m_echoes.push_back(
+        {gateway::InstanceId(echo.instance),
+         gateway::Incarnation(ToUnsigned(echo.incarnation)),
+         ToUnsigned(echo.sequence), gateway::Duration(echo.held_us)});
+  }
+  for (const wire::Demand& demand : report.demand) {
+    out.m_demand.push_back({gateway::CustomerName(demand.customer),
+                            demand.operations_per_second});
+  }
+  for (const wire::Sample& sample : report.samples) {
+    out.m_samples.push_back(
+        {gateway::GroupName(sample.group), gateway::Duration(sample.age_us),
+         {gateway::Term(ToUnsigned(sample.term)), ToUnsigned(sample.index)}});
+  }
+  for (const std::string& group : report.unreachable) {
+    out.m_unreachable.emplace_back(group);
+  }
+  for (const std::string& group : report.reachable) {
+    out.m_reachable.emplace_back(group);
+  }
+  out.m_acknowledged = gateway::Revision(ToUnsigned(report.acknowledged));
+  return out;
+}
+
+// Throws what libthrift throws where the bytes are no report.
+wire::Report ReadWire(std::string_view bytes) {
+  // TMemoryBuffer takes a mutable pointer and only reads from it in this mode.
+  auto* data = reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data()));
+  const auto buffer = std::make_shared<TMemoryBuffer>(
+      data, static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
+  CompactProtocol protocol(buffer, kMaxTextBytes, kMaxListLength);
+  wire::Report report;
+  report.read(&protocol);
+  return report;
+}
+
+}  // namespace
+
+std::string EncodeReport(const gateway::PeerReport& report) {
+  const auto buffer = std::make_shared<TMemoryBuffer>();
+  CompactProtocol protocol(buffer);
+  ToWire(report).write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+Result<gateway::PeerReport, CodecError> DecodeReport(std::string_view bytes) {
+  try {
+    return FromWire(ReadWire(bytes));
+  } catch (const std::exception& error) {
+    return CodecError{error.what()};
+  }
+}
+
+}  // namespace jasminelug::gossip
