gateway: a promoted member is used only once it leads; a silent primary is probed

Acknowledgements did not reach a coordinator that is cut off from its peers, so that it waited out the limit. Ruled out: the freshness floor (all stale reads were at the new primary). Change: the coordinator confirms the lead before the record names the member; suspicion needs an unanswered probe; acknowledgements also go through the instance's entry in the store.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -293,6 +293,9 @@
   condition.m_primary_gone = true;
   for (const gateway::MemberState* state : m_engine.members().MembersOf(group)) {
     const gateway::Member& member = state->m_member;
+    if (member.m_role == gateway::MemberRole::kPrimary) {
+      condition.m_self_declared.push_back(member.m_id);
+    }
     const bool takes_work = m_engine.members().TakesWork(member);
     if (condition.m_primary == member.m_id) {
       condition.m_primary_gone = false;
@@ -329,6 +332,12 @@
   fleet.m_coordinator_heard =
       m_peers.IsHeard(m_coordinator.record().m_coordinator, now);
   m_coordinator.OnTick(GroupConditions(now), fleet, now);
+  const bool unheard =
+      m_coordinator.record().m_intent && !fleet.m_coordinator_heard &&
+      m_coordinator.record().m_coordinator != m_entry.m_id;
+  if (unheard) {
+    m_registrar.Acknowledge(AcknowledgedRevision(), now);
+  }
   const bool acknowledges = AcknowledgedRevision() != m_reported_revision;
   if (acknowledges || now - m_reported >= kReportInterval) {
     SendReports(now);
--- a/src/gateway/engine.cc
+++ b/src/gateway/engine.cc
@@ -13,8 +13,9 @@
 constexpr std::size_t kClosingTicks = 25;
 // A connection whose answer nobody waits for is given up after this.
 constexpr Duration kAbandonedTimeout = 2500ms;
-// A primary that owes an answer and has said nothing for this long is silent.
-constexpr Duration kSilenceLimit = 400ms;
+// A primary that owes an answer and has said nothing for this long is probed,
+// and is silent when the probe is not answered either.
+constexpr Duration kSilenceLimit = 300ms;
 // A primary that has answered within this time is reachable.
 constexpr Duration kHeardLately = 1500ms;
 // A read is run a second time after this many times the member's usual
@@ -142,11 +143,28 @@
   if (!state || !unanswered) {
     return std::nullopt;
   }
-  const Time silent_since = std::max(*unanswered, state->m_last_heard);
-  if (now - silent_since < kSilenceLimit) {
+  const bool probe_unanswered = state->m_probed > state->m_last_heard &&
+                                now - state->m_probed > kSilenceLimit;
+  if (!probe_unanswered) {
     return std::nullopt;
   }
-  return silent_since;
+  return std::max(*unanswered, state->m_last_heard);
+}
+
+void Engine::ProbeSilentPrimary(const Group& group, Time now) {
+  if (!group.m_primary.m_member) {
+    return;
+  }
+  MemberState* state = m_members.Find(*group.m_primary.m_member);
+  const std::optional<Time> unanswered =
+      m_connections.OldestUnanswered(*group.m_primary.m_member);
+  if (!state || !unanswered || state->m_probed > state->m_last_heard) {
+    return;
+  }
+  if (now - std::max(*unanswered, state->m_last_heard) > kSilenceLimit) {
+    state->m_probed = now;
+    AskStatus(*group.m_primary.m_member, now);
+  }
 }
 
 bool Engine::IsPrimaryHeard(const GroupName& name, Time now) const {
@@ -192,6 +210,7 @@
     }
   }
   for (auto& [name, group] : m_groups) {
+    ProbeSilentPrimary(group, now);
     Dispatch(name, now);
   }
 }
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -124,8 +124,9 @@
   void AddSample(const GroupName& group,
                  const FreshnessSample& sample,
                  Time now);
-  // Since when the group's primary has refused connections or answered nothing;
-  // nullopt while it answers, or is not asked.
+  // Since when the group's primary has refused connections, or has answered
+  // neither a statement nor the probe that followed; nullopt while it answers,
+  // or is not asked. One lost answer is no silence.
   std::optional<Time> PrimaryFailingSince(const GroupName& group,
                                           Time now) const;
   // Whether the group's primary has answered lately.
@@ -239,6 +240,7 @@
   void EndOverdue(Session* session, Time now);
   void EndOverdueStatement(Session* session, Time now);
   void EndOverdueTransaction(Session* session, Time now);
+  void ProbeSilentPrimary(const Group& group, Time now);
   void EndOverdueConnection(Connection* connection, Time now);
   bool MayRunElsewhere(const Session& session, Time now) const;
   std::optional<Refused> CheckPrimary(const Session& session, Time now) const;
--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -334,7 +334,8 @@
     SendStatus(connection, now);
     return;
   }
-  if (state->m_connections >= BudgetOf(*state)) {
+  // The budget may be exceeded by this one: all others may owe an answer.
+  if (state->m_connections > BudgetOf(*state)) {
     return;
   }
   connection = m_connections.Add(
--- a/src/gateway/instance_registrar.cc
+++ b/src/gateway/instance_registrar.cc
@@ -19,7 +19,8 @@
   if (own != objects.end()) {
     m_revision = own->second.m_revision;
     const auto* entry = std::get_if<InstanceEntry>(&own->second.m_value);
-    m_registered = entry && *entry == m_entry;
+    m_registered = entry && entry->IsSameRun(m_entry);
+    m_outdated = !entry || entry->m_acknowledged < m_entry.m_acknowledged;
   }
   if (!m_registered && !m_calling && !m_stopping) {
     Write(now);
@@ -41,6 +42,7 @@
   }
   if (IsOk(result)) {
     m_registered = true;
+    m_outdated = false;
     m_revision = GetValue(result).m_revision;
     return;
   }
@@ -54,12 +56,24 @@
     m_calling = false;
     m_next_call = now + kRetryDelay;
   }
-  const bool due = m_listed && !m_registered && !m_calling && !m_stopping;
+  const bool wanted = !m_registered || m_outdated;
+  const bool due = m_listed && wanted && !m_calling && !m_stopping;
   if (due && now >= m_next_call) {
     Write(now);
   }
 }
 
+void InstanceRegistrar::Acknowledge(Revision revision, Time now) {
+  if (revision <= m_entry.m_acknowledged) {
+    return;
+  }
+  m_entry.m_acknowledged = revision;
+  m_outdated = true;
+  if (m_listed && !m_calling && !m_stopping) {
+    Write(now);
+  }
+}
+
 void InstanceRegistrar::Stop(Time) {
   m_stopping = true;
   if (m_calling) {
--- a/src/gateway/instance_registrar.h
+++ b/src/gateway/instance_registrar.h
@@ -40,6 +40,9 @@
   void OnWritten(const Result<StoreObject, StoreError>& result, Time now);
   void OnTick(Time now);
 
+  // Notes in the entry that a replacement record was acknowledged.
+  void Acknowledge(Revision revision, Time now);
+
   // Begins to delete the entry.
   void Stop(Time now);
 
@@ -49,12 +52,14 @@
  private:
   void Write(Time now);
 
-  const InstanceEntry m_entry;
+  InstanceEntry m_entry;
   const Hooks m_hooks;
   std::optional<Revision> m_revision;
   bool m_listed = false;
   bool m_registered = false;
   bool m_calling = false;
+  // The store's entry lacks the newest acknowledgement.
+  bool m_outdated = false;
   bool m_stopping = false;
   Time m_called;
   Time m_next_call;
--- a/src/gateway/member_table.h
+++ b/src/gateway/member_table.h
@@ -28,6 +28,8 @@
   int m_busy = 0;
   // When the member answered or accepted anything last.
   Time m_last_heard;
+  // When it was asked for a sign of life, because it owed an answer.
+  Time m_probed;
 };
 
 // The members of all groups, as announced, with the load and the lag that this
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -30,7 +30,7 @@
     Peer peer;
     peer.m_known_since = now;
     const auto known = m_peers.find(entry.m_id);
-    if (known != m_peers.end() && known->second.m_entry == entry) {
+    if (known != m_peers.end() && known->second.m_entry.IsSameRun(entry)) {
       peer = known->second;
     }
     peer.m_entry = entry;
@@ -162,7 +162,8 @@
 bool PeerView::AllAcknowledged(Revision revision) const {
   return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& item) {
     const std::optional<PeerReport>& report = item.second.m_report;
-    return report && report->m_acknowledged >= revision;
+    return item.second.m_entry.m_acknowledged >= revision ||
+           (report && report->m_acknowledged >= revision);
   });
 }
 
--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -16,6 +16,8 @@
 // A candidate of a planned replacement may take this long to receive what the
 // old primary has committed.
 constexpr Duration kCatchUpLimit = 600ms;
+// A promoted member leads within this time, or has been lost.
+constexpr Duration kConfirmLimit = 3s;
 // Pause between two questions to the same members.
 constexpr Duration kAskInterval = 40ms;
 
@@ -188,12 +190,6 @@
 void ReplacementCoordinator::Advance(const GroupCondition& group,
                                      const FleetCondition& fleet,
                                      Time now) {
-  if (m_promoted) {
-    if (now >= m_next_try) {
-      Finish(now);
-    }
-    return;
-  }
   switch (m_stage) {
     case Stage::kIdle: {
       const bool lapsed =
@@ -222,6 +218,35 @@
         OnPromoted(PromotionResult::kUnknown, now);
       }
       return;
+    case Stage::kConfirming:
+      Confirm(group, now);
+      return;
+  }
+}
+
+void ReplacementCoordinator::Confirm(const GroupCondition& group, Time now) {
+  const auto status = m_statuses.find(*m_promoted);
+  const bool told = status != m_statuses.end() &&
+                    status->second.m_role == MemberRole::kPrimary;
+  const bool declared =
+      std::find(group.m_self_declared.begin(), group.m_self_declared.end(),
+                *m_promoted) != group.m_self_declared.end();
+  if (told || declared) {
+    if (now >= m_next_try) {
+      Finish(now);
+    }
+    return;
+  }
+  if (now - m_called > kConfirmLimit) {
+    // It was lost on its way: the replacement begins anew.
+    m_promoted.reset();
+    m_stage = Stage::kIdle;
+    m_next_try = now;
+    return;
+  }
+  if (now - m_asked > kAskInterval) {
+    m_asked = now;
+    m_hooks.m_ask_status(*m_promoted);
   }
 }
 
@@ -243,7 +268,7 @@
 void ReplacementCoordinator::OnStatus(const MemberId& member,
                                       const MemberStatus& status,
                                       Time) {
-  if (m_stage == Stage::kAsking) {
+  if (m_stage == Stage::kAsking || m_stage == Stage::kConfirming) {
     m_statuses.insert_or_assign(member, status);
   }
 }
@@ -321,7 +346,8 @@
   switch (result) {
     case PromotionResult::kDone:
       m_promoted = m_candidate;
-      Finish(now);
+      m_stage = Stage::kConfirming;
+      m_statuses.clear();
       return;
     case PromotionResult::kRefused:
       m_refused.push_back(m_candidate);
--- a/src/gateway/replacement_coordinator.h
+++ b/src/gateway/replacement_coordinator.h
@@ -39,6 +39,8 @@
   // No statement of this instance is in flight to the primary.
   bool m_quiet = true;
   int m_sync_replicas = 0;
+  // The members that say of themselves that they are the primary.
+  std::vector<MemberId> m_self_declared;
 };
 
 // What the coordinator sees of the fleet at one moment.
@@ -80,7 +82,9 @@
 // 3. The winner waits for all acknowledgements or for that limit, asks the
 //    candidates how far their logs are, and promotes the furthest. The fencing
 //    token is the revision of the intent, so it grows with every intent.
-// 4. It writes the new primary into the record and drops the intent.
+// 4. Once the new primary says of itself that it leads, the winner writes it into
+//    the record and drops the intent. Before that it is still a replica, and a
+//    read on it would be stale.
 //
 // Others take an intent over when its coordinator is silent, by writing it again
 // under their own name. No two promotions overlap: the earlier coordinator
@@ -142,7 +146,7 @@
   std::optional<ReplacementIntent> IntentFor(const GroupName& group) const;
 
  private:
-  enum class Stage { kIdle, kAsking, kPromoting };
+  enum class Stage { kIdle, kAsking, kPromoting, kConfirming };
 
   bool IsOwnIntent() const;
   static bool HasFailed(const ReplacementOptions& options,
@@ -161,6 +165,7 @@
   void Choose(const GroupCondition& group, Time now);
   bool MayChoose(const GroupCondition& group, Time now) const;
   void Promote(const MemberId& candidate, Time now);
+  void Confirm(const GroupCondition& group, Time now);
   void Finish(Time now);
   void Reset();
 
--- a/src/gateway/store_object.h
+++ b/src/gateway/store_object.h
@@ -32,6 +32,15 @@
   Incarnation m_incarnation;
   // Where its peers reach it, by datagrams.
   Address m_peer_address;
+  // The newest replacement record whose old primary the instance has stopped
+  // using. Kept here only while its reports do not reach the coordinator.
+  Revision m_acknowledged;
+
+  // Whether the entry is of the same run of the same instance.
+  bool IsSameRun(const InstanceEntry& other) const {
+    return m_id == other.m_id && m_incarnation == other.m_incarnation &&
+           m_peer_address == other.m_peer_address;
+  }
 };
 
 // The primary that a finished replacement left.
