gateway: headroom in members' connections, new buckets hold a little

Cause: after a power loss of all instances members hold the dead connections for 3 s and refuse new ones; empty buckets refused what came back at once. Ruled out: the start itself (ready 0.15 s after the restart). Change: instances use two thirds of a member's connections; a new bucket holds the lesser of half the burst and 0.35 s of the rate.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -24,14 +24,15 @@
 constexpr gateway::Duration kUsualReplacementTime = 1100ms;
 
 gateway::InstanceEntry MakeEntry(const Settings& settings) {
-  const auto since_epoch = std::chrono::duration_cast<std::chrono::microseconds>(
-      std::chrono::system_clock::now().time_since_epoch());
+  const auto since_epoch =
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::system_clock::now().time_since_epoch());
   gateway::InstanceEntry entry;
   entry.m_id = gateway::InstanceId(settings.m_instance);
   entry.m_incarnation =
       gateway::Incarnation(static_cast<std::uint64_t>(since_epoch.count()));
-  entry.m_peer_address = gateway::Address(
-      settings.m_peer_address + ":" + std::to_string(settings.m_peer_port));
+  entry.m_peer_address = gateway::Address(settings.m_peer_address + ":" +
+                                          std::to_string(settings.m_peer_port));
   return entry;
 }
 
@@ -56,11 +57,10 @@
       m_peers(m_entry.m_id, m_entry.m_incarnation),
       m_coordinator(gateway::ReplacementOptions{m_entry.m_id},
                     MakeCoordinatorHooks()),
-      m_datagrams(
-          io,
-          ToDatagramEndpoint(
-              *adapter::ParseEndpoint(m_entry.m_peer_address.str())),
-          [this](std::string_view bytes) { OnDatagram(bytes); }),
+      m_datagrams(io,
+                  ToDatagramEndpoint(
+                      *adapter::ParseEndpoint(m_entry.m_peer_address.str())),
+                  [this](std::string_view bytes) { OnDatagram(bytes); }),
       m_started(Now()) {}
 
 gateway::InstanceRegistrar::Hooks FleetDuty::MakeRegistrarHooks() {
@@ -78,11 +78,11 @@
         });
   };
   hooks.m_delete = [this](const std::string& name) {
-    m_registrar_client.Delete(
-        StoreKind::kFleet, name, std::nullopt, [this](const auto& result) {
-          Log(m_logger, log4cplus::INFO_LOG_LEVEL, "deregistered",
-              {{"done", IsOk(result)}});
-        });
+    m_registrar_client.Delete(StoreKind::kFleet, name, std::nullopt,
+                              [this](const auto& result) {
+                                Log(m_logger, log4cplus::INFO_LOG_LEVEL,
+                                    "deregistered", {{"done", IsOk(result)}});
+                              });
   };
   hooks.m_abandon = [this] { m_registrar_client.Abandon(); };
   return hooks;
@@ -171,8 +171,7 @@
     const auto intent = m_coordinator.IntentFor(group);
     if (intent) {
       view.m_usable = false;
-      view.m_usable_from =
-          m_coordinator.intent_seen() + kUsualReplacementTime;
+      view.m_usable_from = m_coordinator.intent_seen() + kUsualReplacementTime;
       abandon = !intent->m_planned;
     }
     m_engine.SetPrimary(group, view, abandon, now);
@@ -269,8 +268,7 @@
     }
     Log(m_logger, log4cplus::INFO_LOG_LEVEL, "removing a silent instance",
         {{"peer", silent.str()}});
-    m_removal_client.Delete(StoreKind::kFleet, name,
-                            object->second.m_revision,
+    m_removal_client.Delete(StoreKind::kFleet, name, object->second.m_revision,
                             [](const auto&) {});
     m_objects.erase(object);
     return;
@@ -291,7 +289,8 @@
   condition.m_others_unreachable = opinions.m_unreachable;
   condition.m_others_reachable = opinions.m_reachable;
   condition.m_primary_gone = true;
-  for (const gateway::MemberState* state : m_engine.members().MembersOf(group)) {
+  for (const gateway::MemberState* state :
+       m_engine.members().MembersOf(group)) {
     const gateway::Member& member = state->m_member;
     if (member.m_role == gateway::MemberRole::kPrimary) {
       condition.m_self_declared.push_back(member.m_id);
@@ -332,9 +331,9 @@
   fleet.m_coordinator_heard =
       m_peers.IsHeard(m_coordinator.record().m_coordinator, now);
   m_coordinator.OnTick(GroupConditions(now), fleet, now);
-  const bool unheard =
-      m_coordinator.record().m_intent && !fleet.m_coordinator_heard &&
-      m_coordinator.record().m_coordinator != m_entry.m_id;
+  const bool unheard = m_coordinator.record().m_intent &&
+                       !fleet.m_coordinator_heard &&
+                       m_coordinator.record().m_coordinator != m_entry.m_id;
   if (unheard) {
     m_registrar.Acknowledge(AcknowledgedRevision(), now);
   }
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -33,8 +33,8 @@
 gateway::EngineOptions MakeEngineOptions(const Settings& settings) {
   gateway::EngineOptions options;
   options.m_zone = gateway::ZoneName(settings.m_zone);
-  options.m_key_proof_limit = gateway::Duration(
-      settings.m_key_withdrawal_limit) * kKeyProofNumerator /
+  options.m_key_proof_limit =
+      gateway::Duration(settings.m_key_withdrawal_limit) * kKeyProofNumerator /
       kKeyProofDenominator;
   options.m_shutdown_transaction_limit =
       gateway::Duration(settings.m_shutdown_limit) / 2;
@@ -84,11 +84,11 @@
                                    const gateway::CustomerName& customer) {
     m_members.Open(id, member, customer);
   };
-  hooks.m_send =
-      [this](gateway::ConnectionId id,
-             const std::vector<gateway::MemberStatement>& statements) {
-        m_members.Send(id, statements);
-      };
+  hooks.m_send = [this](
+                     gateway::ConnectionId id,
+                     const std::vector<gateway::MemberStatement>& statements) {
+    m_members.Send(id, statements);
+  };
   hooks.m_close_connection = [this](gateway::ConnectionId id) {
     m_members.Close(id);
   };
@@ -177,9 +177,8 @@
   if (found == objects.end()) {
     return;
   }
-  const auto* read =
-      std::get_if<std::shared_ptr<const gateway::Configuration>>(
-          &found->second.m_value);
+  const auto* read = std::get_if<std::shared_ptr<const gateway::Configuration>>(
+      &found->second.m_value);
   if (!read) {
     Log(m_logger, log4cplus::ERROR_LOG_LEVEL, "unreadable configuration",
         {{"reason", std::get<gateway::UnreadableObject>(found->second.m_value)
@@ -313,10 +312,10 @@
   std::string text;
   text += "jasminelug_statements_completed_total " +
           std::to_string(m_completed) + "\n";
-  text += "jasminelug_statements_refused_total " + std::to_string(m_refused) +
-          "\n";
-  text += "jasminelug_sessions " + std::to_string(m_engine.session_count()) +
-          "\n";
+  text +=
+      "jasminelug_statements_refused_total " + std::to_string(m_refused) + "\n";
+  text +=
+      "jasminelug_sessions " + std::to_string(m_engine.session_count()) + "\n";
   text += "jasminelug_member_connections " +
           std::to_string(m_engine.connection_count()) + "\n";
   return text;
--- a/src/common/logging.cc
+++ b/src/common/logging.cc
@@ -10,10 +10,9 @@
 namespace jasminelug {
 
 Logging::Logging(const LogOptions& options) {
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(
-          /*logToStdErr=*/options.m_stream == LogStream::kStandardError,
-          /*immediateFlush=*/true));
+  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(
+      /*logToStdErr=*/options.m_stream == LogStream::kStandardError,
+      /*immediateFlush=*/true));
   appender->setLayout(std::make_unique<JsonLinesLayout>(options.m_instance));
   log4cplus::Logger root = log4cplus::Logger::getRoot();
   root.removeAllAppenders();
--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -47,7 +47,8 @@
 
 // What a customer may ask for, over all instances.
 struct CustomerLimits {
-  friend bool operator==(const CustomerLimits&, const CustomerLimits&) = default;
+  friend bool operator==(const CustomerLimits&,
+                         const CustomerLimits&) = default;
 
   double m_operations_per_second = 0;
   double m_burst_operations = 0;
--- a/src/gateway/connection_table.cc
+++ b/src/gateway/connection_table.cc
@@ -28,8 +28,7 @@
   Connection* best = nullptr;
   for (const auto& [id, connection] : m_connections) {
     if (connection->m_stage != Connection::Stage::kIdle ||
-        connection->m_member != member ||
-        connection->m_customer != customer) {
+        connection->m_member != member || connection->m_customer != customer) {
       continue;
     }
     if (!best || connection->m_last_used > best->m_last_used) {
--- a/src/gateway/customer_limiter.cc
+++ b/src/gateway/customer_limiter.cc
@@ -9,6 +9,12 @@
 
 // A share of a small burst still lets two callers in at once.
 constexpr double kLeastCapacityOperations = 2;
+// Tokens of a bucket that is new, in parts of the burst and of a second's rate;
+// the lesser counts. A restarted instance serves at once, and what all instances
+// grant by restarting at the same moment stays within the excess that customers
+// are allowed (a tenth of five seconds' rate and the burst).
+constexpr double kNewBucketBurstPart = 0.5;
+constexpr double kNewBucketRateSeconds = 0.35;
 // Time over which demand is averaged.
 constexpr Duration kDemandWindow = 1500ms;
 // Demand below this, in operations a second, is not reported.
@@ -50,6 +56,12 @@
       Refill(&bucket, now);
     }
     bucket.m_limits = limits;
+    if (known == m_buckets.end()) {
+      const double tokens =
+          std::min(limits.m_burst_operations * kNewBucketBurstPart,
+                   limits.m_operations_per_second * kNewBucketRateSeconds);
+      bucket.m_tokens = tokens * bucket.m_share;
+    }
     Refill(&bucket, now);
     buckets.emplace(customer, bucket);
   }
--- a/src/gateway/customer_limiter.h
+++ b/src/gateway/customer_limiter.h
@@ -11,7 +11,8 @@
 
 // How much of a customer's operations reached one instance lately.
 struct CustomerDemand {
-  friend bool operator==(const CustomerDemand&, const CustomerDemand&) = default;
+  friend bool operator==(const CustomerDemand&,
+                         const CustomerDemand&) = default;
 
   CustomerName m_customer;
   double m_operations_per_second = 0;
@@ -20,8 +21,8 @@
 // Keeps each customer within this instance's share of its rate and burst.
 //
 // A token bucket for each customer holds the share; the shares of all instances
-// add up to one, so the fleet as a whole keeps the limit. Buckets start empty:
-// a restart makes no tokens.
+// add up to one, so the fleet as a whole keeps the limit. A new bucket holds
+// little, so that restarts make few tokens.
 //
 // Answers the load of one customer that sends many times its rate: what is
 // beyond the limit is refused before it takes any capacity.
--- a/src/gateway/engine.cc
+++ b/src/gateway/engine.cc
@@ -181,7 +181,8 @@
 void Engine::EndOverdueConnection(Connection* connection, Time now) {
   const bool opening = connection->m_stage == Connection::Stage::kOpening &&
                        now - connection->m_opened > kOpenTimeout;
-  const bool abandoned = !connection->m_session && !connection->m_sent.empty() &&
+  const bool abandoned = !connection->m_session &&
+                         !connection->m_sent.empty() &&
                          now - connection->m_last_used > kAbandonedTimeout;
   if (opening || abandoned) {
     const ConnectionId id = connection->m_id;
@@ -260,8 +261,8 @@
 
 bool Engine::MayRunElsewhere(const Session& session, Time now) const {
   const ActiveStatement& active = *session.m_active;
-  const bool single_read = active.m_sent && !active.m_writes &&
-                           !session.m_transaction;
+  const bool single_read =
+      active.m_sent && !active.m_writes && !session.m_transaction;
   if (!single_read || m_second_runs < 1 ||
       active.m_unanswered_runs >= kMaxSecondRuns) {
     return false;
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -67,9 +67,9 @@
   void SetEvacuatedZones(const std::set<ZoneName>& zones, Time now);
   // Sets among how many instances the members' connections are divided.
   void SetInstanceCount(int count);
-  // Sets the primary of a group. Where it is another one, or is no longer usable
-  // and `abandon` is set, the connections to the old one are dropped: what was
-  // in flight ends as in a lost connection.
+  // Sets the primary of a group. Where it is another one, or is no longer
+  // usable and `abandon` is set, the connections to the old one are dropped:
+  // what was in flight ends as in a lost connection.
   void SetPrimary(const GroupName& group,
                   const PrimaryView& primary,
                   bool abandon,
--- a/src/gateway/engine_answers.cc
+++ b/src/gateway/engine_answers.cc
@@ -55,9 +55,8 @@
   connection->m_in_transaction = false;
   connection->m_session.reset();
   connection->m_last_used = now;
-  const bool over_budget =
-      !state || state->m_connections > BudgetOf(*state) ||
-      !m_members.TakesWork(state->m_member);
+  const bool over_budget = !state || state->m_connections > BudgetOf(*state) ||
+                           !m_members.TakesWork(state->m_member);
   if (over_budget) {
     DropConnection(connection, now);
   }
@@ -87,9 +86,7 @@
   Send(connection, {rollback}, SentPurpose::kRollback, now);
 }
 
-void Engine::NoteReached(const Connection& connection,
-                                bool reached,
-                                Time now) {
+void Engine::NoteReached(const Connection& connection, bool reached, Time now) {
   Group& group = GroupOf(connection.m_group);
   MemberState* state = m_members.Find(connection.m_member);
   if (state && reached) {
@@ -122,9 +119,8 @@
     SendStatus(connection, now);
     return;
   }
-  Session* session = connection->m_session
-                         ? FindSession(*connection->m_session)
-                         : nullptr;
+  Session* session =
+      connection->m_session ? FindSession(*connection->m_session) : nullptr;
   if (!session || !session->m_active) {
     Release(connection, now);
     return;
@@ -163,9 +159,8 @@
   TakeSample(connection, sent, answer, now);
   connection->m_in_transaction = answer.m_state != TransactionState::kNone;
   const bool failed = std::holds_alternative<Refused>(answer.m_outcome);
-  Session* session = connection->m_session
-                         ? FindSession(*connection->m_session)
-                         : nullptr;
+  Session* session =
+      connection->m_session ? FindSession(*connection->m_session) : nullptr;
   switch (sent.m_purpose) {
     case SentPurpose::kSetup:
       if (failed) {
@@ -337,9 +332,8 @@
   if (opening) {
     m_members.NoteFailure(member, now);
   }
-  Session* session = connection->m_session
-                         ? FindSession(*connection->m_session)
-                         : nullptr;
+  Session* session =
+      connection->m_session ? FindSession(*connection->m_session) : nullptr;
   ForgetConnection(connection);
   if (session) {
     session->m_connection.reset();
@@ -354,9 +348,9 @@
 
 void Engine::LoseStatement(Session* session, Time now) {
   ActiveStatement& active = *session->m_active;
-  Connection* connection =
-      session->m_connection ? m_connections.Find(*session->m_connection)
-                            : nullptr;
+  Connection* connection = session->m_connection
+                               ? m_connections.Find(*session->m_connection)
+                               : nullptr;
   Detach(session);
   if (connection) {
     DropConnection(connection, now);
--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -12,6 +12,12 @@
 // Members that one statement is offered to, at most.
 constexpr int kMaxAttempts = 24;
 
+// Part of a member's connections that the instances use. The rest is for
+// instances that start anew while the member still holds connections of theirs
+// whose far end is dark.
+constexpr int kUsedPartNumerator = 2;
+constexpr int kUsedPartDenominator = 3;
+
 }  // namespace
 
 void Engine::JoinLine(Session* session, Time now) {
@@ -38,8 +44,7 @@
 void Engine::RetryLater(Session* session, Duration delay, Time now) {
   ActiveStatement& active = *session->m_active;
   active.m_sent = false;
-  if (active.m_attempts >= kMaxAttempts ||
-      now + delay >= active.m_deadline) {
+  if (active.m_attempts >= kMaxAttempts || now + delay >= active.m_deadline) {
     Refuse(session, ErrorCode::kBusy, "no member could run it", now);
     return;
   }
@@ -91,7 +96,9 @@
   if (limits == m_configuration->m_groups.end()) {
     return 1;
   }
-  return std::max(limits->second.m_max_connections / m_instance_count, 1);
+  const int used = limits->second.m_max_connections * kUsedPartNumerator /
+                   kUsedPartDenominator;
+  return std::max(used / m_instance_count, 1);
 }
 
 std::optional<PlacementOption> Engine::OptionAt(const Session& session,
@@ -188,9 +195,7 @@
   return true;
 }
 
-void Engine::Place(Session* session,
-                   const PlacementOption& option,
-                   Time now) {
+void Engine::Place(Session* session, const PlacementOption& option, Time now) {
   ActiveStatement& active = *session->m_active;
   active.m_attempts += 1;
   active.m_member = option.m_member;
@@ -213,9 +218,8 @@
   if (option.m_source == ConnectionSource::kReplace) {
     DropConnection(m_connections.FindOldestIdle(option.m_member), now);
   }
-  Connection* connection =
-      m_connections.Add(option.m_member, session->m_route.m_group,
-                        session->m_customer, now);
+  Connection* connection = m_connections.Add(
+      option.m_member, session->m_route.m_group, session->m_customer, now);
   connection->m_session = session->m_id;
   session->m_connection = connection->m_id;
   state->m_connections += 1;
@@ -224,16 +228,13 @@
                             session->m_customer);
 }
 
-void Engine::SendStatement(Session* session,
-                           Connection* connection,
-                           Time now) {
+void Engine::SendStatement(Session* session, Connection* connection, Time now) {
   ActiveStatement& active = *session->m_active;
   if (session->m_transaction && !session->m_transaction->m_begun) {
     SendBegin(session, connection, now);
     return;
   }
-  std::vector<MemberStatement> statements =
-      SetupFor(*session, connection, now);
+  std::vector<MemberStatement> statements = SetupFor(*session, connection, now);
   statements.push_back(ForwardOf(*session, *connection));
   active.m_sent = true;
   if (session->m_transaction && active.m_writes) {
@@ -243,8 +244,7 @@
 }
 
 void Engine::SendBegin(Session* session, Connection* connection, Time now) {
-  std::vector<MemberStatement> statements =
-      SetupFor(*session, connection, now);
+  std::vector<MemberStatement> statements = SetupFor(*session, connection, now);
   MemberStatement begin;
   begin.m_verb = session->m_transaction->m_read_only
                      ? MemberVerb::kBeginReadOnly
@@ -278,11 +278,11 @@
                                               Connection* connection,
                                               Time) {
   std::vector<MemberStatement> setup;
-  const bool foreign_value = std::any_of(
-      connection->m_values.begin(), connection->m_values.end(),
-      [&session](const auto& value) {
-        return !session.m_values.contains(value.first);
-      });
+  const bool foreign_value =
+      std::any_of(connection->m_values.begin(), connection->m_values.end(),
+                  [&session](const auto& value) {
+                    return !session.m_values.contains(value.first);
+                  });
   const bool reset = foreign_value || connection->m_values_uncertain;
   if (reset && !connection->m_in_transaction) {
     MemberStatement statement;
@@ -338,9 +338,9 @@
   if (state->m_connections > BudgetOf(*state)) {
     return;
   }
-  connection = m_connections.Add(
-      member, state->m_member.m_group,
-      m_configuration->m_customers.begin()->first, now);
+  connection =
+      m_connections.Add(member, state->m_member.m_group,
+                        m_configuration->m_customers.begin()->first, now);
   connection->m_asks_status = true;
   state->m_connections += 1;
   state->m_busy += 1;
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -44,8 +44,7 @@
   const auto route = m_configuration->m_routes.find(session.m_database);
   const bool is_public =
       route != m_configuration->m_routes.end() && route->second.m_public;
-  if (!is_public &&
-      !m_key_contact.IsFresh(now, m_options.m_key_proof_limit)) {
+  if (!is_public && !m_key_contact.IsFresh(now, m_options.m_key_proof_limit)) {
     return Refused{ErrorCode::kBusy, "keys cannot be checked at present"};
   }
   if (route == m_configuration->m_routes.end()) {
@@ -86,8 +85,8 @@
   return std::nullopt;
 }
 
-// Answers a lost primary, and an instance that is cut off from it: what only the
-// primary can run waits for a replacement that will be over in time, and is
+// Answers a lost primary, and an instance that is cut off from it: what only
+// the primary can run waits for a replacement that will be over in time, and is
 // refused at once otherwise, so that the caller can try another instance.
 std::optional<Refused> Engine::CheckPrimary(const Session& session,
                                             Time now) const {
@@ -237,8 +236,7 @@
       break;
     case StatementKind::kRelease:
       if (session->m_prepared.erase(statement.m_name) == 0) {
-        Reply(session,
-              Refused{ErrorCode::kUnknownStatement, statement.m_name});
+        Reply(session, Refused{ErrorCode::kUnknownStatement, statement.m_name});
         return;
       }
       break;
@@ -291,9 +289,9 @@
     return;
   }
   session->m_transaction.reset();
-  Connection* connection =
-      session->m_connection ? m_connections.Find(*session->m_connection)
-                            : nullptr;
+  Connection* connection = session->m_connection
+                               ? m_connections.Find(*session->m_connection)
+                               : nullptr;
   Detach(session);
   if (connection) {
     RollBackConnection(connection, now);
@@ -327,9 +325,9 @@
     Refuse(session, refused->m_code, refused->m_message, now);
     return;
   }
-  Connection* connection =
-      session->m_connection ? m_connections.Find(*session->m_connection)
-                            : nullptr;
+  Connection* connection = session->m_connection
+                               ? m_connections.Find(*session->m_connection)
+                               : nullptr;
   if (connection) {
     SendStatement(session, connection, now);
     return;
@@ -343,9 +341,9 @@
 
 void Engine::FailTransaction(Session* session, Time now) {
   session->m_transaction->m_failed = true;
-  Connection* connection =
-      session->m_connection ? m_connections.Find(*session->m_connection)
-                            : nullptr;
+  Connection* connection = session->m_connection
+                               ? m_connections.Find(*session->m_connection)
+                               : nullptr;
   Detach(session);
   if (connection) {
     Leave(connection, now);
@@ -357,9 +355,9 @@
                     const std::string& message,
                     Time now) {
   LeaveLine(session);
-  Connection* connection =
-      session->m_connection ? m_connections.Find(*session->m_connection)
-                            : nullptr;
+  Connection* connection = session->m_connection
+                               ? m_connections.Find(*session->m_connection)
+                               : nullptr;
   Detach(session);
   if (connection) {
     Leave(connection, now);
@@ -409,8 +407,8 @@
 }
 
 void Engine::CloseIfShuttingDown(Session* session) {
-  const bool idle = !session->m_active && !session->m_transaction &&
-                    session->m_next.empty();
+  const bool idle =
+      !session->m_active && !session->m_transaction && session->m_next.empty();
   if (!m_shutdown_since || !idle) {
     return;
   }
@@ -425,9 +423,9 @@
     return;
   }
   LeaveLine(session);
-  Connection* connection =
-      session->m_connection ? m_connections.Find(*session->m_connection)
-                            : nullptr;
+  Connection* connection = session->m_connection
+                               ? m_connections.Find(*session->m_connection)
+                               : nullptr;
   Detach(session);
   // What is still unanswered comes to nobody; OnMemberAnswer() ends it.
   if (connection && connection->m_sent.empty()) {
--- a/src/gateway/freshness_floor.cc
+++ b/src/gateway/freshness_floor.cc
@@ -31,7 +31,8 @@
 }
 
 std::optional<FreshnessSample> FreshnessFloor::Find(
-    Time now, Duration max_staleness) const {
+    Time now,
+    Duration max_staleness) const {
   const Time oldest = now - max_staleness + kMargin;
   const auto found = std::lower_bound(
       m_samples.begin(), m_samples.end(), oldest,
--- a/src/gateway/instance_registrar.cc
+++ b/src/gateway/instance_registrar.cc
@@ -33,9 +33,8 @@
   m_hooks.m_write(NameOf(m_entry.m_id), m_entry, m_revision);
 }
 
-void InstanceRegistrar::OnWritten(
-    const Result<StoreObject, StoreError>& result,
-    Time now) {
+void InstanceRegistrar::OnWritten(const Result<StoreObject, StoreError>& result,
+                                  Time now) {
   m_calling = false;
   if (m_stopping) {
     return;
--- a/src/gateway/member_table.cc
+++ b/src/gateway/member_table.cc
@@ -24,10 +24,10 @@
   for (const Member& member : members) {
     MemberState state;
     const auto known = m_members.find(member.m_id);
-    const bool same = known != m_members.end() &&
-                      known->second.m_member.m_address == member.m_address &&
-                      known->second.m_member.m_started_at_ms ==
-                          member.m_started_at_ms;
+    const bool same =
+        known != m_members.end() &&
+        known->second.m_member.m_address == member.m_address &&
+        known->second.m_member.m_started_at_ms == member.m_started_at_ms;
     if (same) {
       state = known->second;
     } else if (known != m_members.end()) {
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -146,13 +146,12 @@
         heard_count += 1;
         continue;
       }
-      const double last =
-          kEvenPart * even + (1 - kEvenPart) * demand / total;
+      const double last = kEvenPart * even + (1 - kEvenPart) * demand / total;
       set_aside += std::max(even, last);
     }
     const double left = std::max(1 - set_aside, even * heard_count / 2);
-    const double share = left * (kEvenPart / heard_count +
-                                 (1 - kEvenPart) * own / heard);
+    const double share =
+        left * (kEvenPart / heard_count + (1 - kEvenPart) * own / heard);
     const bool alone = heard_count == 1 && !m_peers.empty();
     shares.emplace(customer, alone ? std::min(share, even) : share);
   }
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -36,11 +36,11 @@
 
 std::optional<PlacementOption> ChoosePlacement(
     const std::vector<PlacementOption>& options) {
-  const auto best = std::min_element(
-      options.begin(), options.end(),
-      [](const PlacementOption& a, const PlacementOption& b) {
-        return ExpectedTime(a) < ExpectedTime(b);
-      });
+  const auto best =
+      std::min_element(options.begin(), options.end(),
+                       [](const PlacementOption& a, const PlacementOption& b) {
+                         return ExpectedTime(a) < ExpectedTime(b);
+                       });
   if (best == options.end()) {
     return std::nullopt;
   }
--- a/src/gateway/promotion.h
+++ b/src/gateway/promotion.h
@@ -7,8 +7,8 @@
 
 // An order to the platform to make a member the primary.
 struct PromotionOrder {
-  friend bool operator==(const PromotionOrder&, const PromotionOrder&) =
-      default;
+  friend bool operator==(const PromotionOrder&,
+                         const PromotionOrder&) = default;
 
   // The instance that holds the duty.
   InstanceId m_coordinator;
--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -63,8 +63,7 @@
   if (found == objects.end()) {
     return;
   }
-  const auto* record =
-      std::get_if<ReplacementRecord>(&found->second.m_value);
+  const auto* record = std::get_if<ReplacementRecord>(&found->second.m_value);
   const bool known = m_revision && found->second.m_revision <= *m_revision;
   if (!record || known) {
     return;
@@ -175,8 +174,8 @@
 
 void ReplacementCoordinator::ConsiderTakeOver(const FleetCondition& fleet,
                                               Time now) {
-  const Duration limit = fleet.m_coordinator_heard ? kTakeOverAfter
-                                                   : kTakeOverSilentAfter;
+  const Duration limit =
+      fleet.m_coordinator_heard ? kTakeOverAfter : kTakeOverSilentAfter;
   if (now < m_next_try ||
       now - m_intent_seen < limit + fleet.m_rank * kRankDelay) {
     return;
@@ -276,9 +275,9 @@
 bool ReplacementCoordinator::MayChoose(const GroupCondition& group,
                                        Time now) const {
   const Duration asking = now - m_asking_since;
-  const bool all_answered =
-      std::all_of(group.m_candidates.begin(), group.m_candidates.end(),
-                  [this](const MemberId& id) { return m_statuses.contains(id); });
+  const bool all_answered = std::all_of(
+      group.m_candidates.begin(), group.m_candidates.end(),
+      [this](const MemberId& id) { return m_statuses.contains(id); });
   if (group.m_sync_replicas > 0 && !all_answered) {
     // An acknowledged commit may lie at any of them.
     return false;
@@ -334,8 +333,7 @@
   ReplacementIntent intent = *m_record.m_intent;
   intent.m_candidate = candidate;
   m_hooks.m_report("promoting", intent);
-  m_hooks.m_promote(
-      {m_options.m_self, *m_revision, intent.m_group, candidate});
+  m_hooks.m_promote({m_options.m_self, *m_revision, intent.m_group, candidate});
 }
 
 void ReplacementCoordinator::OnPromoted(PromotionResult result, Time now) {
--- a/src/gateway/replacement_coordinator.h
+++ b/src/gateway/replacement_coordinator.h
@@ -19,8 +19,8 @@
 
 // What the coordinator sees of one group at one moment.
 struct GroupCondition {
-  friend bool operator==(const GroupCondition&, const GroupCondition&) =
-      default;
+  friend bool operator==(const GroupCondition&,
+                         const GroupCondition&) = default;
 
   GroupName m_group;
   // The primary as the instances use it, or used it before the intent.
@@ -45,8 +45,8 @@
 
 // What the coordinator sees of the fleet at one moment.
 struct FleetCondition {
-  friend bool operator==(const FleetCondition&, const FleetCondition&) =
-      default;
+  friend bool operator==(const FleetCondition&,
+                         const FleetCondition&) = default;
 
   // Every other instance has acknowledged the record's revision.
   bool m_all_acknowledged = false;
@@ -60,8 +60,8 @@
 
 // Times of the coordinator.
 struct ReplacementOptions {
-  friend bool operator==(const ReplacementOptions&, const ReplacementOptions&) =
-      default;
+  friend bool operator==(const ReplacementOptions&,
+                         const ReplacementOptions&) = default;
 
   InstanceId m_self;
   // Every instance that has not acknowledged has ceased by itself to use the
@@ -82,15 +82,16 @@
 // 3. The winner waits for all acknowledgements or for that limit, asks the
 //    candidates how far their logs are, and promotes the furthest. The fencing
 //    token is the revision of the intent, so it grows with every intent.
-// 4. Once the new primary says of itself that it leads, the winner writes it into
+// 4. Once the new primary says of itself that it leads, the winner writes it
+// into
 //    the record and drops the intent. Before that it is still a replica, and a
 //    read on it would be stale.
 //
-// Others take an intent over when its coordinator is silent, by writing it again
-// under their own name. No two promotions overlap: the earlier coordinator
-// abandons its call before it acknowledges the new intent, and otherwise its
-// call, sent on a fresh proof of contact and dropped after kCallTimeout, is over
-// before the new coordinator's m_proof_limit ends.
+// Others take an intent over when its coordinator is silent, by writing it
+// again under their own name. No two promotions overlap: the earlier
+// coordinator abandons its call before it acknowledges the new intent, and
+// otherwise its call, sent on a fresh proof of contact and dropped after
+// kCallTimeout, is over before the new coordinator's m_proof_limit ends.
 class ReplacementCoordinator {
  public:
   struct Hooks {
--- a/src/gateway/store_object.h
+++ b/src/gateway/store_object.h
@@ -45,8 +45,8 @@
 
 // The primary that a finished replacement left.
 struct ReplacedPrimary {
-  friend bool operator==(const ReplacedPrimary&, const ReplacedPrimary&) =
-      default;
+  friend bool operator==(const ReplacedPrimary&,
+                         const ReplacedPrimary&) = default;
 
   GroupName m_group;
   MemberId m_primary;
@@ -54,8 +54,8 @@
 
 // A replacement that has begun: the old primary is not used any more.
 struct ReplacementIntent {
-  friend bool operator==(const ReplacementIntent&, const ReplacementIntent&) =
-      default;
+  friend bool operator==(const ReplacementIntent&,
+                         const ReplacementIntent&) = default;
 
   GroupName m_group;
   MemberId m_old_primary;
@@ -67,8 +67,8 @@
 // The fleet's one record of replacements of primaries. Its revision is the
 // fencing token of the promotion that an intent leads to.
 struct ReplacementRecord {
-  friend bool operator==(const ReplacementRecord&, const ReplacementRecord&) =
-      default;
+  friend bool operator==(const ReplacementRecord&,
+                         const ReplacementRecord&) = default;
 
   // The instance that carries the intent out.
   InstanceId m_coordinator;
@@ -78,8 +78,8 @@
 
 // An object that another writer left in a form that is not understood.
 struct UnreadableObject {
-  friend bool operator==(const UnreadableObject&, const UnreadableObject&) =
-      default;
+  friend bool operator==(const UnreadableObject&,
+                         const UnreadableObject&) = default;
 
   std::string m_reason;
 };
--- a/src/gossip/report_codec.cc
+++ b/src/gossip/report_codec.cc
@@ -66,18 +66,19 @@
   out.m_incarnation = gateway::Incarnation(ToUnsigned(report.incarnation));
   out.m_sequence = ToUnsigned(report.sequence);
   for (const wire::Echo& echo : report.echoes) {
-    out.m_echoes.push_back(
-        {gateway::InstanceId(echo.instance),
-         gateway::Incarnation(ToUnsigned(echo.incarnation)),
-         ToUnsigned(echo.sequence), gateway::Duration(echo.held_us)});
+    out.m_echoes.push_back({gateway::InstanceId(echo.instance),
+                            gateway::Incarnation(ToUnsigned(echo.incarnation)),
+                            ToUnsigned(echo.sequence),
+                            gateway::Duration(echo.held_us)});
   }
   for (const wire::Demand& demand : report.demand) {
-    out.m_demand.push_back({gateway::CustomerName(demand.customer),
-                            demand.operations_per_second});
+    out.m_demand.push_back(
+        {gateway::CustomerName(demand.customer), demand.operations_per_second});
   }
   for (const wire::Sample& sample : report.samples) {
     out.m_samples.push_back(
-        {gateway::GroupName(sample.group), gateway::Duration(sample.age_us),
+        {gateway::GroupName(sample.group),
+         gateway::Duration(sample.age_us),
          {gateway::Term(ToUnsigned(sample.term)), ToUnsigned(sample.index)}});
   }
   for (const std::string& group : report.unreachable) {
