gateway: one instance proves the store's state to the others

Ruled out: longer waits alone, which let the proofs grow too old. Change: reports carry revision and age of the proofs, dated by echo; the first instance that is heard asks often, the others wait; a first watch after a loss returns at once, and the configuration's return wakes the other kinds. A primary is used on proofs up to 4.2 s old.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -20,6 +20,18 @@
 constexpr gateway::Duration kReportInterval = 200ms;
 // A coordinator acts only on a proof of contact younger than this.
 constexpr gateway::Duration kCoordinatorProofLimit = 2s;
+// The first instance that is heard asks the store this often, for all. Others
+// take its proofs, and wait longer.
+constexpr gateway::Duration kProverWait = 1100ms;
+constexpr gateway::Duration kOtherWait = 10s;
+// A proof of contact that is older than this is renewed at once, later by each
+// instance than by the one before it, so that one renewal serves all.
+constexpr gateway::Duration kOldProof = 1700ms;
+constexpr gateway::Duration kOldProofRankDelay = 250ms;
+// Pause between two such renewals, and after a newer state was heard of.
+constexpr gateway::Duration kRefreshInterval = 400ms;
+// An instance that had to renew asks for all for this long.
+constexpr gateway::Duration kActingProverFor = 5s;
 // A replacement that has begun is usually over after this.
 constexpr gateway::Duration kUsualReplacementTime = 1100ms;
 
@@ -194,6 +206,12 @@
   if (!configuration) {
     return report;
   }
+  if (const auto age = m_engine.key_contact().Age(now)) {
+    report.m_configuration = {configuration->m_revision, *age};
+  }
+  if (const auto age = m_engine.primary_contact().Age(now)) {
+    report.m_replacements = {m_coordinator.revision(), *age};
+  }
   for (const auto& [group, limits] : configuration->m_groups) {
     const auto sample = m_engine.NewestSample(group);
     if (sample) {
@@ -235,11 +253,63 @@
   if (!m_peers.OnReport(read, now)) {
     return;
   }
+  TakeProofs(read, now);
   for (const gateway::PeerSample& sample : m_peers.SamplesOf(read.m_sender)) {
     m_engine.AddSample(sample.m_group, {sample.m_sent, sample.m_position}, now);
   }
 }
 
+void FleetDuty::TakeProofs(const gateway::PeerReport& report,
+                           gateway::Time now) {
+  const bool may_refresh = now - m_refreshed > kRefreshInterval;
+  const gateway::Configuration* configuration = m_engine.configuration();
+  if (configuration && report.m_configuration) {
+    const gateway::StateProof& proof = *report.m_configuration;
+    const auto proved = m_peers.ProofTime(report.m_sender, proof);
+    if (proved && proof.m_revision == configuration->m_revision) {
+      m_engine.key_contact().Prove(*proved);
+    } else if (proof.m_revision > configuration->m_revision && may_refresh) {
+      m_refreshed = now;
+      m_refresh.m_configuration();
+    }
+  }
+  if (report.m_replacements) {
+    const gateway::StateProof& proof = *report.m_replacements;
+    const auto proved = m_peers.ProofTime(report.m_sender, proof);
+    if (proved && proof.m_revision == m_coordinator.revision()) {
+      m_engine.primary_contact().Prove(*proved);
+    } else if (proof.m_revision > m_coordinator.revision() && may_refresh) {
+      m_refreshed = now;
+      m_refresh.m_fleet();
+    }
+  }
+}
+
+void FleetDuty::RefreshOldProofs(gateway::Time now) {
+  if (now - m_refreshed < kRefreshInterval) {
+    return;
+  }
+  const gateway::Duration limit =
+      kOldProof + m_peers.Rank(now) * kOldProofRankDelay;
+  const auto keys = m_engine.key_contact().Age(now);
+  const auto primaries = m_engine.primary_contact().Age(now);
+  if (keys && *keys > limit) {
+    m_refreshed = now;
+    m_prover_until = now + kActingProverFor;
+    m_refresh.m_configuration();
+  }
+  if (primaries && *primaries > limit) {
+    m_refreshed = now;
+    m_prover_until = now + kActingProverFor;
+    m_refresh.m_fleet();
+  }
+}
+
+gateway::Duration FleetDuty::WatchWait(gateway::Time now) const {
+  const bool proves = m_peers.Rank(now) == 0 || now < m_prover_until;
+  return proves ? kProverWait : kOtherWait;
+}
+
 void FleetDuty::UpdateShares(gateway::Time now) {
   const gateway::Configuration* configuration = m_engine.configuration();
   if (!configuration) {
@@ -338,6 +408,7 @@
     m_registrar.Acknowledge(AcknowledgedRevision(), now);
   }
   const bool acknowledges = AcknowledgedRevision() != m_reported_revision;
+  RefreshOldProofs(now);
   if (acknowledges || now - m_reported >= kReportInterval) {
     SendReports(now);
     UpdateShares(now);
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -4,7 +4,9 @@
 #include <log4cplus/logger.h>
 
 #include <asio/io_context.hpp>
+#include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "apps/gateway/settings.h"
@@ -40,6 +42,17 @@
   // Deletes this instance's entry and begins nothing new.
   void Stop(gateway::Time now);
 
+  // Asks for the store's state anew; set by the owner.
+  struct RefreshHooks {
+    std::function<void()> m_configuration;
+    std::function<void()> m_fleet;
+  };
+  void SetRefreshHooks(RefreshHooks hooks) { m_refresh = std::move(hooks); }
+
+  // Returns how long a watch may wait: one instance asks often and proves the
+  // store's state to the others.
+  gateway::Duration WatchWait(gateway::Time now) const;
+
   bool is_registered() const { return m_registrar.is_registered(); }
 
  private:
@@ -49,6 +62,8 @@
   void SendReports(gateway::Time now);
   gateway::PeerReport MakeReport(gateway::Time now) const;
   gateway::Revision AcknowledgedRevision() const;
+  void TakeProofs(const gateway::PeerReport& report, gateway::Time now);
+  void RefreshOldProofs(gateway::Time now);
   void UpdateShares(gateway::Time now);
   void RemoveSilentPeers(gateway::Time now);
   std::vector<gateway::GroupCondition> GroupConditions(gateway::Time now) const;
@@ -68,6 +83,9 @@
   gateway::ReplacementCoordinator m_coordinator;
   gossip::DatagramPeers m_datagrams;
   gateway::StoreObjects m_objects;
+  RefreshHooks m_refresh;
+  gateway::Time m_refreshed;
+  gateway::Time m_prover_until;
   gateway::Time m_reported;
   gateway::Time m_started;
   gateway::Revision m_reported_revision;
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -15,11 +15,14 @@
 using gateway::operator""ms;
 using gateway::operator""s;
 
-// How long a watch without a change waits: it bounds the age of the proofs of
-// contact, and each return is a call that the platform charges.
-constexpr gateway::Duration kConfigurationWait = 1200ms;
-constexpr gateway::Duration kFleetWait = 1500ms;
-constexpr gateway::Duration kSlowKindWait = 15s;
+// How long the first watch without a change waits. Each return is a call that
+// the platform charges; see FleetDuty::WatchWait().
+constexpr gateway::Duration kFirstWait = 1200ms;
+// Watches of kinds that prove nothing wait this long.
+constexpr gateway::Duration kUnprovedKindWait = 20s;
+// Retries of the kind that tells first that the store is back, and of others.
+constexpr gateway::Duration kShortRetryDelay = 250ms;
+constexpr gateway::Duration kLongRetryDelay = 2s;
 // An instance whose keys are proved less recently takes no new callers.
 constexpr gateway::Duration kReadyProofLimit = 3s;
 // After the order to stop, callers are still sent here for a while.
@@ -161,12 +164,18 @@
   hooks.m_regained = [this, kind] {
     Log(m_logger, log4cplus::INFO_LOG_LEVEL, "regained contact with the store",
         {{"kind", std::string(NameOf(kind))}});
+    if (kind == StoreKind::kConfiguration) {
+      RefreshLostLinks();
+    }
   };
   hooks.m_random = [this] {
     return std::uniform_real_distribution<double>(0, 1)(m_random);
   };
   gateway::StoreFollowerOptions options;
   options.m_watch_wait = wait;
+  options.m_longest_retry_delay = kind == StoreKind::kConfiguration
+                                      ? kShortRetryDelay
+                                      : kLongRetryDelay;
   return std::make_unique<StoreLink>(
       m_io, *adapter::ParseEndpoint(m_settings.m_store), kind, options,
       std::move(hooks));
@@ -221,6 +230,14 @@
   m_engine.SetEvacuatedZones(zones, Now());
 }
 
+void GatewayProcess::RefreshLostLinks() {
+  for (const std::unique_ptr<StoreLink>& link : m_links) {
+    if (link->is_lost()) {
+      link->Refresh(Now());
+    }
+  }
+}
+
 bool GatewayProcess::IsReady() const {
   for (const std::unique_ptr<StoreLink>& link : m_links) {
     if (!link || !link->is_listed()) {
@@ -245,6 +262,8 @@
 
 void GatewayProcess::OnTick() {
   const gateway::Time now = Now();
+  m_links[0]->SetWatchWait(m_fleet.WatchWait(now));
+  m_links[1]->SetWatchWait(m_fleet.WatchWait(now));
   for (const std::unique_ptr<StoreLink>& link : m_links) {
     link->OnTick(now);
   }
@@ -326,19 +345,19 @@
       {{"zone", m_settings.m_zone}, {"store", m_settings.m_store}});
   const gateway::Time now = Now();
   m_links[0] = MakeStoreLink(
-      StoreKind::kConfiguration, kConfigurationWait,
+      StoreKind::kConfiguration, kFirstWait,
       [this](const auto& objects) { OnConfiguration(objects); },
       [this](gateway::Time sent) { m_engine.key_contact().Prove(sent); });
   m_links[1] = MakeStoreLink(
-      StoreKind::kFleet, kFleetWait,
+      StoreKind::kFleet, kFirstWait,
       [this](const auto& objects) { m_fleet.OnEntries(objects, Now()); },
       [this](gateway::Time sent) { m_engine.primary_contact().Prove(sent); });
   m_links[2] = MakeStoreLink(
-      StoreKind::kMembers, kSlowKindWait,
+      StoreKind::kMembers, kUnprovedKindWait,
       [this](const auto& objects) { OnMembers(objects); },
       [](gateway::Time) {});
   m_links[3] = MakeStoreLink(
-      StoreKind::kEvacuations, kSlowKindWait,
+      StoreKind::kEvacuations, kUnprovedKindWait,
       [this](const auto& objects) { OnEvacuations(objects); },
       [](gateway::Time) {});
   m_callers = std::make_unique<adapter::CallerListener>(
@@ -350,6 +369,8 @@
   for (const std::unique_ptr<StoreLink>& link : m_links) {
     link->Start(now);
   }
+  m_fleet.SetRefreshHooks({[this] { m_links[0]->Refresh(Now()); },
+                           [this] { m_links[1]->Refresh(Now()); }});
   AwaitSignal();
   ScheduleTick();
   m_io.run();
--- a/apps/gateway/gateway_process.h
+++ b/apps/gateway/gateway_process.h
@@ -57,6 +57,7 @@
   void AwaitSignal();
   void OnSignal(int signal);
   void BeginShutdown();
+  void RefreshLostLinks();
   bool IsReady() const;
   std::string Metrics() const;
 
--- a/apps/gateway/store_link.h
+++ b/apps/gateway/store_link.h
@@ -29,6 +29,9 @@
 
   void Start(gateway::Time now) { m_follower.Start(now); }
   void OnTick(gateway::Time now) { m_follower.OnTick(now); }
+  void Refresh(gateway::Time now) { m_follower.Refresh(now); }
+  void SetWatchWait(gateway::Duration wait) { m_follower.SetWatchWait(wait); }
+  bool is_lost() const { return m_follower.is_lost(); }
   bool is_listed() const { return m_follower.is_listed(); }
 
  private:
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -34,7 +34,7 @@
   // is older than this.
   Duration m_key_proof_limit = 4s;
   // A primary is not used when the proof of its role is older than this.
-  Duration m_primary_proof_limit = 3s;
+  Duration m_primary_proof_limit = 4200ms;
   // Of a transaction that is open at shutdown.
   Duration m_shutdown_transaction_limit = 3s;
 };
--- a/src/gateway/peer_report.h
+++ b/src/gateway/peer_report.h
@@ -2,6 +2,7 @@
 #define SRC_GATEWAY_PEER_REPORT_H_
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "src/gateway/customer_limiter.h"
@@ -29,6 +30,15 @@
   LogPosition m_position;
 };
 
+// A state of the store that the sender has proved to be current, by the age of
+// the proof at the time of the report.
+struct StateProof {
+  friend bool operator==(const StateProof&, const StateProof&) = default;
+
+  Revision m_revision;
+  Duration m_age{0};
+};
+
 // What an instance tells the others a few times a second.
 struct PeerReport {
   friend bool operator==(const PeerReport&, const PeerReport&) = default;
@@ -47,6 +57,10 @@
   // The sender has stopped using the primary that the replacement record of
   // this revision takes out of use.
   Revision m_acknowledged;
+  // Of the configuration, and of the replacement record; unset before the first
+  // proof.
+  std::optional<StateProof> m_configuration;
+  std::optional<StateProof> m_replacements;
 };
 
 }  // namespace jasminelug::gateway
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -108,6 +108,22 @@
   return samples;
 }
 
+std::optional<Time> PeerView::ProofTime(const InstanceId& sender,
+                                        const StateProof& proof) const {
+  const auto found = m_peers.find(sender);
+  if (found == m_peers.end() || !found->second.m_made) {
+    return std::nullopt;
+  }
+  return *found->second.m_made - proof.m_age;
+}
+
+int PeerView::CountHeard(Time now) const {
+  return static_cast<int>(
+      std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& item) {
+        return IsFresh(item.second, now);
+      }));
+}
+
 double PeerView::DemandOf(const Peer& peer,
                           const CustomerName& customer) const {
   if (peer.m_report) {
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -50,6 +50,14 @@
   // Returns the samples of the newest report of `sender`.
   std::vector<PeerSample> SamplesOf(const InstanceId& sender) const;
 
+  // Returns the time at which `proof`, of the newest report of `sender`, was
+  // taken at the earliest.
+  std::optional<Time> ProofTime(const InstanceId& sender,
+                                const StateProof& proof) const;
+
+  // Returns how many peers are heard.
+  int CountHeard(Time now) const;
+
   // Returns this instance's share of each customer's limits, given its own
   // demand. The shares of all instances that hear each other add up to one; a
   // silent peer keeps an equal part, or its last one where that was more.
--- a/src/gateway/replacement_coordinator.h
+++ b/src/gateway/replacement_coordinator.h
@@ -66,7 +66,7 @@
   InstanceId m_self;
   // Every instance that has not acknowledged has ceased by itself to use the
   // old primary when its proof of contact is this old.
-  Duration m_proof_limit = 3s;
+  Duration m_proof_limit = 4200ms;
   // A primary that is not reached for this long has failed.
   Duration m_failure_limit = 500ms;
 };
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -6,12 +6,16 @@
 namespace jasminelug::gateway {
 namespace {
 
-constexpr int kMaxDelayDoublings = 4;
+constexpr int kMaxDelayDoublings = 5;
+// The shortest wait of a watch: it returns at once.
+constexpr Duration kNoWait = 1ms;
 
 }  // namespace
 
 StoreFollower::StoreFollower(StoreFollowerOptions options, Hooks hooks)
-    : m_options(options), m_hooks(std::move(hooks)) {}
+    : m_options(options),
+      m_hooks(std::move(hooks)),
+      m_watch_wait(options.m_watch_wait) {}
 
 void StoreFollower::Start(Time now) {
   m_list_began = now;
@@ -25,10 +29,28 @@
   m_hooks.m_list(after);
 }
 
-void StoreFollower::Watch(Time now) {
+void StoreFollower::Watch(Duration wait, Time now) {
   m_stage = Stage::kWatching;
+  m_present_wait = wait;
   m_sent = now;
-  m_hooks.m_watch(m_revision, m_options.m_watch_wait);
+  m_hooks.m_watch(m_revision, wait);
+}
+
+void StoreFollower::Refresh(Time now) {
+  if (m_stage == Stage::kWatching) {
+    m_hooks.m_abandon();
+    Watch(kNoWait, now);
+  } else if (m_stage == Stage::kPausing) {
+    Resume(now);
+  }
+}
+
+void StoreFollower::Resume(Time now) {
+  if (m_list_next) {
+    Start(now);
+  } else {
+    Watch(kNoWait, now);
+  }
 }
 
 void StoreFollower::Succeed() {
@@ -69,7 +91,7 @@
   Succeed();
   m_hooks.m_proved(m_list_began);
   m_hooks.m_changed(m_objects);
-  Watch(now);
+  Watch(m_watch_wait, now);
 }
 
 void StoreFollower::OnChanges(const Result<StoreChanges, StoreError>& result,
@@ -96,7 +118,7 @@
   if (!changes.m_changes.empty()) {
     m_hooks.m_changed(m_objects);
   }
-  Watch(now);
+  Watch(m_watch_wait, now);
 }
 
 void StoreFollower::Pause(const StoreError& error, Time now) {
@@ -108,7 +130,7 @@
   }
   const int doublings = std::min(m_failures, kMaxDelayDoublings);
   Duration delay =
-      std::min(kFirstRetryDelay * (1 << doublings), kLongestRetryDelay);
+      std::min(kFirstRetryDelay * (1 << doublings), m_options.m_longest_retry_delay);
   m_failures += history_gone ? 0 : 1;
   const double jitter = 0.5 + 0.5 * m_hooks.m_random();
   delay = std::chrono::duration_cast<Duration>(delay * jitter);
@@ -117,16 +139,12 @@
 
 void StoreFollower::OnTick(Time now) {
   if (m_stage == Stage::kPausing && now >= m_resume_at) {
-    if (m_list_next) {
-      Start(now);
-    } else {
-      Watch(now);
-    }
+    Resume(now);
     return;
   }
   Duration limit = m_options.m_answer_timeout;
   if (m_stage == Stage::kWatching) {
-    limit += m_options.m_watch_wait;
+    limit += m_present_wait;
   }
   const bool calling =
       m_stage == Stage::kListing || m_stage == Stage::kWatching;
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -20,7 +20,10 @@
                          const StoreFollowerOptions&) = default;
 
   // A watch without a change returns after this. Each return proves contact.
+  // See SetWatchWait().
   Duration m_watch_wait = 2s;
+  // Bound on the delay between two attempts.
+  Duration m_longest_retry_delay = 500ms;
   // Limit on a list, and on a watch beyond its own wait.
   Duration m_answer_timeout = 700ms;
 };
@@ -28,8 +31,9 @@
 // Keeps a copy of one kind of the store's objects: lists them once, then
 // watches. Lists again when the store has forgotten the history.
 //
-// A lost or refused call is repeated after a delay that doubles up to
-// kLongestRetryDelay, from the last known revision.
+// A lost or refused call is repeated after a delay that doubles up to a bound,
+// from the last known revision; the first watch after it does not wait, so that
+// contact is proved at once.
 class StoreFollower {
  public:
   struct Hooks {
@@ -49,7 +53,6 @@
   };
 
   static constexpr Duration kFirstRetryDelay = 60ms;
-  static constexpr Duration kLongestRetryDelay = 500ms;
 
   StoreFollower(StoreFollowerOptions options, Hooks hooks);
 
@@ -60,21 +63,34 @@
   void OnChanges(const Result<StoreChanges, StoreError>& result, Time now);
   void OnTick(Time now);
 
+  // Sets how long further watches wait.
+  void SetWatchWait(Duration wait) { m_watch_wait = wait; }
+
+  // Asks the store at once, in place of what is under way: the copy may be old,
+  // or the store may be back.
+  void Refresh(Time now);
+
   // Whether the objects were listed at least once.
   bool is_listed() const { return m_listed; }
+  // Whether the last call failed.
+  bool is_lost() const { return m_lost; }
   const StoreObjects& objects() const { return m_objects; }
 
  private:
   enum class Stage { kStopped, kListing, kWatching, kPausing };
 
   void List(const std::string& after, Time now);
-  void Watch(Time now);
+  void Watch(Duration wait, Time now);
   void Pause(const StoreError& error, Time now);
+  void Resume(Time now);
   void Succeed();
 
   const StoreFollowerOptions m_options;
   const Hooks m_hooks;
   Stage m_stage = Stage::kStopped;
+  Duration m_watch_wait;
+  // That of the watch that is under way.
+  Duration m_present_wait{0};
   StoreObjects m_objects;
   StoreObjects m_pages;
   Revision m_revision;
--- a/src/gossip/gen/gossip_types.cpp
+++ b/src/gossip/gen/gossip_types.cpp
@@ -471,6 +471,129 @@
 }
 
 
+Proof::~Proof() noexcept {
+}
+
+
+void Proof::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void Proof::__set_age_us(const int64_t val) {
+  this->age_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const Proof& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Proof::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_us);
+          this->__isset.age_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Proof::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Proof");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_us", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->age_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Proof &a, Proof &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.age_us, b.age_us);
+  swap(a.__isset, b.__isset);
+}
+
+Proof::Proof(const Proof& other12) noexcept {
+  revision = other12.revision;
+  age_us = other12.age_us;
+  __isset = other12.__isset;
+}
+Proof::Proof(Proof&& other13) noexcept {
+  revision = other13.revision;
+  age_us = other13.age_us;
+  __isset = other13.__isset;
+}
+Proof& Proof::operator=(const Proof& other14) noexcept {
+  revision = other14.revision;
+  age_us = other14.age_us;
+  __isset = other14.__isset;
+  return *this;
+}
+Proof& Proof::operator=(Proof&& other15) noexcept {
+  revision = other15.revision;
+  age_us = other15.age_us;
+  __isset = other15.__isset;
+  return *this;
+}
+void Proof::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Proof(";
+  out << "revision=" << to_string(revision);
+  out << ", " << "age_us=" << to_string(age_us);
+  out << ")";
+}
+
+
 Report::~Report() noexcept {
 }
 
@@ -510,6 +633,16 @@
 void Report::__set_acknowledged(const int64_t val) {
   this->acknowledged = val;
 }
+
+void Report::__set_configuration(const Proof& val) {
+  this->configuration = val;
+__isset.configuration = true;
+}
+
+void Report::__set_replacements(const Proof& val) {
+  this->replacements = val;
+__isset.replacements = true;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -566,14 +699,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->echoes.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->echoes.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->echoes.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              xfer += this->echoes[_i16].read(iprot);
+              xfer += this->echoes[_i20].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -586,14 +719,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demand.clear();
-            uint32_t _size17;
-            ::apache::thrift::protocol::TType _etype20;
-            xfer += iprot->readListBegin(_etype20, _size17);
-            this->demand.resize(_size17);
-            uint32_t _i21;
-            for (_i21 = 0; _i21 < _size17; ++_i21)
+            uint32_t _size21;
+            ::apache::thrift::protocol::TType _etype24;
+            xfer += iprot->readListBegin(_etype24, _size21);
+            this->demand.resize(_size21);
+            uint32_t _i25;
+            for (_i25 = 0; _i25 < _size21; ++_i25)
             {
-              xfer += this->demand[_i21].read(iprot);
+              xfer += this->demand[_i25].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -606,14 +739,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->samples.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->samples.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->samples.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->samples[_i26].read(iprot);
+              xfer += this->samples[_i30].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -626,14 +759,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unreachable.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _etype30;
-            xfer += iprot->readListBegin(_etype30, _size27);
-            this->unreachable.resize(_size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size31;
+            ::apache::thrift::protocol::TType _etype34;
+            xfer += iprot->readListBegin(_etype34, _size31);
+            this->unreachable.resize(_size31);
+            uint32_t _i35;
+            for (_i35 = 0; _i35 < _size31; ++_i35)
             {
-              xfer += iprot->readString(this->unreachable[_i31]);
+              xfer += iprot->readString(this->unreachable[_i35]);
             }
             xfer += iprot->readListEnd();
           }
@@ -646,14 +779,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reachable.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->reachable.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->reachable.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += iprot->readString(this->reachable[_i36]);
+              xfer += iprot->readString(this->reachable[_i40]);
             }
             xfer += iprot->readListEnd();
           }
@@ -670,6 +803,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configuration.read(iprot);
+          this->__isset.configuration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->replacements.read(iprot);
+          this->__isset.replacements = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -702,10 +851,10 @@
   xfer += oprot->writeFieldBegin("echoes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->echoes.size()));
-    std::vector<Echo> ::const_iterator _iter37;
-    for (_iter37 = this->echoes.begin(); _iter37 != this->echoes.end(); ++_iter37)
+    std::vector<Echo> ::const_iterator _iter41;
+    for (_iter41 = this->echoes.begin(); _iter41 != this->echoes.end(); ++_iter41)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter41).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -714,10 +863,10 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<Demand> ::const_iterator _iter38;
-    for (_iter38 = this->demand.begin(); _iter38 != this->demand.end(); ++_iter38)
+    std::vector<Demand> ::const_iterator _iter42;
+    for (_iter42 = this->demand.begin(); _iter42 != this->demand.end(); ++_iter42)
     {
-      xfer += (*_iter38).write(oprot);
+      xfer += (*_iter42).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -726,10 +875,10 @@
   xfer += oprot->writeFieldBegin("samples", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->samples.size()));
-    std::vector<Sample> ::const_iterator _iter39;
-    for (_iter39 = this->samples.begin(); _iter39 != this->samples.end(); ++_iter39)
+    std::vector<Sample> ::const_iterator _iter43;
+    for (_iter43 = this->samples.begin(); _iter43 != this->samples.end(); ++_iter43)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter43).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -738,10 +887,10 @@
   xfer += oprot->writeFieldBegin("unreachable", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->unreachable.size()));
-    std::vector<std::string> ::const_iterator _iter40;
-    for (_iter40 = this->unreachable.begin(); _iter40 != this->unreachable.end(); ++_iter40)
+    std::vector<std::string> ::const_iterator _iter44;
+    for (_iter44 = this->unreachable.begin(); _iter44 != this->unreachable.end(); ++_iter44)
     {
-      xfer += oprot->writeString((*_iter40));
+      xfer += oprot->writeString((*_iter44));
     }
     xfer += oprot->writeListEnd();
   }
@@ -750,10 +899,10 @@
   xfer += oprot->writeFieldBegin("reachable", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->reachable.size()));
-    std::vector<std::string> ::const_iterator _iter41;
-    for (_iter41 = this->reachable.begin(); _iter41 != this->reachable.end(); ++_iter41)
+    std::vector<std::string> ::const_iterator _iter45;
+    for (_iter45 = this->reachable.begin(); _iter45 != this->reachable.end(); ++_iter45)
     {
-      xfer += oprot->writeString((*_iter41));
+      xfer += oprot->writeString((*_iter45));
     }
     xfer += oprot->writeListEnd();
   }
@@ -763,6 +912,16 @@
   xfer += oprot->writeI64(this->acknowledged);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.configuration) {
+    xfer += oprot->writeFieldBegin("configuration", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->configuration.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.replacements) {
+    xfer += oprot->writeFieldBegin("replacements", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->replacements.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -779,57 +938,67 @@
   swap(a.unreachable, b.unreachable);
   swap(a.reachable, b.reachable);
   swap(a.acknowledged, b.acknowledged);
+  swap(a.configuration, b.configuration);
+  swap(a.replacements, b.replacements);
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other42) {
-  sender = other42.sender;
-  incarnation = other42.incarnation;
-  sequence = other42.sequence;
-  echoes = other42.echoes;
-  demand = other42.demand;
-  samples = other42.samples;
-  unreachable = other42.unreachable;
-  reachable = other42.reachable;
-  acknowledged = other42.acknowledged;
-  __isset = other42.__isset;
-}
-Report::Report(Report&& other43) noexcept {
-  sender = std::move(other43.sender);
-  incarnation = other43.incarnation;
-  sequence = other43.sequence;
-  echoes = std::move(other43.echoes);
-  demand = std::move(other43.demand);
-  samples = std::move(other43.samples);
-  unreachable = std::move(other43.unreachable);
-  reachable = std::move(other43.reachable);
-  acknowledged = other43.acknowledged;
-  __isset = other43.__isset;
-}
-Report& Report::operator=(const Report& other44) {
-  sender = other44.sender;
-  incarnation = other44.incarnation;
-  sequence = other44.sequence;
-  echoes = other44.echoes;
-  demand = other44.demand;
-  samples = other44.samples;
-  unreachable = other44.unreachable;
-  reachable = other44.reachable;
-  acknowledged = other44.acknowledged;
-  __isset = other44.__isset;
+Report::Report(const Report& other46) {
+  sender = other46.sender;
+  incarnation = other46.incarnation;
+  sequence = other46.sequence;
+  echoes = other46.echoes;
+  demand = other46.demand;
+  samples = other46.samples;
+  unreachable = other46.unreachable;
+  reachable = other46.reachable;
+  acknowledged = other46.acknowledged;
+  configuration = other46.configuration;
+  replacements = other46.replacements;
+  __isset = other46.__isset;
+}
+Report::Report(Report&& other47) noexcept {
+  sender = std::move(other47.sender);
+  incarnation = other47.incarnation;
+  sequence = other47.sequence;
+  echoes = std::move(other47.echoes);
+  demand = std::move(other47.demand);
+  samples = std::move(other47.samples);
+  unreachable = std::move(other47.unreachable);
+  reachable = std::move(other47.reachable);
+  acknowledged = other47.acknowledged;
+  configuration = std::move(other47.configuration);
+  replacements = std::move(other47.replacements);
+  __isset = other47.__isset;
+}
+Report& Report::operator=(const Report& other48) {
+  sender = other48.sender;
+  incarnation = other48.incarnation;
+  sequence = other48.sequence;
+  echoes = other48.echoes;
+  demand = other48.demand;
+  samples = other48.samples;
+  unreachable = other48.unreachable;
+  reachable = other48.reachable;
+  acknowledged = other48.acknowledged;
+  configuration = other48.configuration;
+  replacements = other48.replacements;
+  __isset = other48.__isset;
   return *this;
 }
-Report& Report::operator=(Report&& other45) noexcept {
-  sender = std::move(other45.sender);
-  incarnation = other45.incarnation;
-  sequence = other45.sequence;
-  echoes = std::move(other45.echoes);
-  demand = std::move(other45.demand);
-  samples = std::move(other45.samples);
-  unreachable = std::move(other45.unreachable);
-  reachable = std::move(other45.reachable);
-  acknowledged = other45.acknowledged;
-  __isset = other45.__isset;
+Report& Report::operator=(Report&& other49) noexcept {
+  sender = std::move(other49.sender);
+  incarnation = other49.incarnation;
+  sequence = other49.sequence;
+  echoes = std::move(other49.echoes);
+  demand = std::move(other49.demand);
+  samples = std::move(other49.samples);
+  unreachable = std::move(other49.unreachable);
+  reachable = std::move(other49.reachable);
+  acknowledged = other49.acknowledged;
+  configuration = std::move(other49.configuration);
+  replacements = std::move(other49.replacements);
+  __isset = other49.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -844,6 +1013,8 @@
   out << ", " << "unreachable=" << to_string(unreachable);
   out << ", " << "reachable=" << to_string(reachable);
   out << ", " << "acknowledged=" << to_string(acknowledged);
+  out << ", " << "configuration="; (__isset.configuration ? (out << to_string(configuration)) : (out << "<null>"));
+  out << ", " << "replacements="; (__isset.replacements ? (out << to_string(replacements)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gossip/gen/gossip_types.h
+++ b/src/gossip/gen/gossip_types.h
@@ -27,6 +27,8 @@
 
 class Sample;
 
+class Proof;
+
 class Report;
 
 typedef struct _Echo__isset {
@@ -213,8 +215,60 @@
 
 std::ostream& operator<<(std::ostream& out, const Sample& obj);
 
+typedef struct _Proof__isset {
+  _Proof__isset() : revision(false), age_us(false) {}
+  bool revision :1;
+  bool age_us :1;
+} _Proof__isset;
+
+class Proof : public virtual ::apache::thrift::TBase {
+ public:
+
+  Proof(const Proof&) noexcept;
+  Proof(Proof&&) noexcept;
+  Proof& operator=(const Proof&) noexcept;
+  Proof& operator=(Proof&&) noexcept;
+  Proof() noexcept
+        : revision(0),
+          age_us(0) {
+  }
+
+  virtual ~Proof() noexcept;
+  int64_t revision;
+  int64_t age_us;
+
+  _Proof__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  void __set_age_us(const int64_t val);
+
+  bool operator == (const Proof & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(age_us == rhs.age_us))
+      return false;
+    return true;
+  }
+  bool operator != (const Proof &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Proof & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Proof &a, Proof &b);
+
+std::ostream& operator<<(std::ostream& out, const Proof& obj);
+
 typedef struct _Report__isset {
-  _Report__isset() : sender(false), incarnation(false), sequence(false), echoes(false), demand(false), samples(false), unreachable(false), reachable(false), acknowledged(false) {}
+  _Report__isset() : sender(false), incarnation(false), sequence(false), echoes(false), demand(false), samples(false), unreachable(false), reachable(false), acknowledged(false), configuration(false), replacements(false) {}
   bool sender :1;
   bool incarnation :1;
   bool sequence :1;
@@ -224,6 +278,8 @@
   bool unreachable :1;
   bool reachable :1;
   bool acknowledged :1;
+  bool configuration :1;
+  bool replacements :1;
 } _Report__isset;
 
 class Report : public virtual ::apache::thrift::TBase {
@@ -250,6 +306,8 @@
   std::vector<std::string>  unreachable;
   std::vector<std::string>  reachable;
   int64_t acknowledged;
+  Proof configuration;
+  Proof replacements;
 
   _Report__isset __isset;
 
@@ -271,6 +329,10 @@
 
   void __set_acknowledged(const int64_t val);
 
+  void __set_configuration(const Proof& val);
+
+  void __set_replacements(const Proof& val);
+
   bool operator == (const Report & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -291,6 +353,14 @@
       return false;
     if (!(acknowledged == rhs.acknowledged))
       return false;
+    if (__isset.configuration != rhs.__isset.configuration)
+      return false;
+    else if (__isset.configuration && !(configuration == rhs.configuration))
+      return false;
+    if (__isset.replacements != rhs.__isset.replacements)
+      return false;
+    else if (__isset.replacements && !(replacements == rhs.replacements))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
--- a/src/gossip/gossip.thrift
+++ b/src/gossip/gossip.thrift
@@ -27,6 +27,11 @@
   4: i64 index;
 }
 
+struct Proof {
+  1: i64 revision;
+  2: i64 age_us;
+}
+
 struct Report {
   1: string sender;
   2: i64 incarnation;
@@ -37,4 +42,6 @@
   7: list<string> unreachable;
   8: list<string> reachable;
   9: i64 acknowledged;
+  10: optional Proof configuration;
+  11: optional Proof replacements;
 }
--- a/src/gossip/report_codec.cc
+++ b/src/gossip/report_codec.cc
@@ -19,6 +19,13 @@
 constexpr std::int32_t kMaxTextBytes = 4096;
 constexpr std::int32_t kMaxListLength = 4096;
 
+wire::Proof ToWire(const gateway::StateProof& proof) {
+  wire::Proof out;
+  out.revision = static_cast<std::int64_t>(proof.m_revision.value());
+  out.age_us = proof.m_age.count();
+  return out;
+}
+
 wire::Report ToWire(const gateway::PeerReport& report) {
   wire::Report out;
   out.sender = report.m_sender.str();
@@ -53,6 +60,12 @@
     out.reachable.push_back(group.str());
   }
   out.acknowledged = static_cast<std::int64_t>(report.m_acknowledged.value());
+  if (report.m_configuration) {
+    out.__set_configuration(ToWire(*report.m_configuration));
+  }
+  if (report.m_replacements) {
+    out.__set_replacements(ToWire(*report.m_replacements));
+  }
   return out;
 }
 
@@ -60,6 +73,11 @@
   return static_cast<std::uint64_t>(number);
 }
 
+gateway::StateProof FromWire(const wire::Proof& proof) {
+  return {gateway::Revision(ToUnsigned(proof.revision)),
+          gateway::Duration(proof.age_us)};
+}
+
 gateway::PeerReport FromWire(const wire::Report& report) {
   gateway::PeerReport out;
   out.m_sender = gateway::InstanceId(report.sender);
@@ -88,6 +106,12 @@
     out.m_reachable.emplace_back(group);
   }
   out.m_acknowledged = gateway::Revision(ToUnsigned(report.acknowledged));
+  if (report.__isset.configuration) {
+    out.m_configuration = FromWire(report.configuration);
+  }
+  if (report.__isset.replacements) {
+    out.m_replacements = FromWire(report.replacements);
+  }
   return out;
 }
 
