gateway: a shutdown cuts no request and ends in time

Ruled out: the event loop (it logged its end), the balancer's delay. Change: a session is closed after 150 ms without activity; the process leaves without joining the logger's idle threads.

--- a/apps/gateway/main.cc
+++ b/apps/gateway/main.cc
@@ -106,7 +106,11 @@
     GatewayProcess process(GetValue(settings), [&arguments] {
       return ReadSettingsFile(arguments.m_settings);
     });
-    return process.Run();
+    const int code = process.Run();
+    std::fflush(stdout);
+    // Leaves at once: joining the logger's idle threads can outlast the time
+    // that the platform grants, and nothing is kept in memory.
+    std::quick_exit(code);
   } catch (const std::system_error& error) {
     return Fail(kExitFailed, error.what());
   }
--- a/src/gateway/engine.cc
+++ b/src/gateway/engine.cc
@@ -11,6 +11,9 @@
 // At shutdown idle sessions are closed over this many ticks, so that their
 // callers do not all come back at once.
 constexpr std::size_t kClosingTicks = 25;
+// A session that was active more recently may be sending a statement right now,
+// which a close would cut.
+constexpr Duration kIdleBeforeClosing = 150ms;
 // A connection whose answer nobody waits for is given up after this.
 constexpr Duration kAbandonedTimeout = 2500ms;
 // A primary that owes an answer and has said nothing for this long is probed,
@@ -225,10 +228,20 @@
     EndOverdueTransaction(session, now);
     return;
   }
-  if (m_shutdown_since && m_closings_left > 0) {
-    m_closings_left -= 1;
-    CloseIfShuttingDown(session);
+  CloseIdleSession(session, now);
+}
+
+void Engine::CloseIdleSession(Session* session, Time now) {
+  const bool busy = session->m_active || session->m_transaction ||
+                    !session->m_next.empty();
+  if (!m_shutdown_since || busy || m_closings_left == 0 ||
+      now - session->m_last_activity < kIdleBeforeClosing) {
+    return;
   }
+  m_closings_left -= 1;
+  const SessionId id = session->m_id;
+  m_sessions.erase(id.value());
+  m_hooks.m_close_session(id);
 }
 
 void Engine::EndOverdueStatement(Session* session, Time now) {
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -166,7 +166,6 @@
               const std::string& message,
               Time now);
   void Reply(Session* session, const Outcome& outcome);
-  void CloseIfShuttingDown(Session* session);
 
   // Placement (engine_dispatch.cc).
   void JoinLine(Session* session, Time now);
@@ -241,6 +240,7 @@
   void EndOverdueStatement(Session* session, Time now);
   void EndOverdueTransaction(Session* session, Time now);
   void ProbeSilentPrimary(const Group& group, Time now);
+  void CloseIdleSession(Session* session, Time now);
   void EndOverdueConnection(Connection* connection, Time now);
   bool MayRunElsewhere(const Session& session, Time now) const;
   std::optional<Refused> CheckPrimary(const Session& session, Time now) const;
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -28,6 +28,7 @@
   session->m_id = id;
   session->m_database = database;
   session->m_key = key;
+  session->m_last_activity = now;
   std::optional<Refused> refused = CheckCaller(*session, now);
   if (refused) {
     return refused;
@@ -145,10 +146,6 @@
     return;
   }
   StartStatement(session, std::move(statement), now);
-  session = FindSession(id);
-  if (session) {
-    CloseIfShuttingDown(session);
-  }
 }
 
 void Engine::ContinueSession(Session* session, Time now) {
@@ -159,12 +156,10 @@
     StartStatement(session, std::move(statement), now);
     session = FindSession(id);
   }
-  if (session) {
-    CloseIfShuttingDown(session);
-  }
 }
 
 void Engine::StartStatement(Session* session, Statement statement, Time now) {
+  session->m_last_activity = now;
   const StatementKind kind = statement.m_kind;
   const bool failed = StateOf(*session) == TransactionState::kFailed;
   const bool ends =
@@ -391,6 +386,7 @@
     end.m_reason = refused->m_message;
   }
   session->m_active.reset();
+  session->m_last_activity = now;
   if (session->m_transaction) {
     session->m_transaction->m_last_activity = now;
   }
@@ -406,17 +402,6 @@
   m_hooks.m_answer(session->m_id, answer);
 }
 
-void Engine::CloseIfShuttingDown(Session* session) {
-  const bool idle =
-      !session->m_active && !session->m_transaction && session->m_next.empty();
-  if (!m_shutdown_since || !idle) {
-    return;
-  }
-  const SessionId id = session->m_id;
-  m_sessions.erase(id.value());
-  m_hooks.m_close_session(id);
-}
-
 void Engine::OnSessionEnd(SessionId id, Time now) {
   Session* session = FindSession(id);
   if (!session) {
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -71,6 +71,8 @@
   // Statements received while another one is active.
   std::deque<Statement> m_next;
   std::optional<ConnectionId> m_connection;
+  // When it was started or last answered.
+  Time m_last_activity;
 };
 
 }  // namespace jasminelug::gateway
