--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -173,9 +173,8 @@
   };
   gateway::StoreFollowerOptions options;
   options.m_watch_wait = wait;
-  options.m_longest_retry_delay = kind == StoreKind::kConfiguration
-                                      ? kShortRetryDelay
-                                      : kLongRetryDelay;
+  options.m_longest_retry_delay =
+      kind == StoreKind::kConfiguration ? kShortRetryDelay : kLongRetryDelay;
   return std::make_unique<StoreLink>(
       m_io, *adapter::ParseEndpoint(m_settings.m_store), kind, options,
       std::move(hooks));
--- a/src/gateway/customer_limiter.cc
+++ b/src/gateway/customer_limiter.cc
@@ -10,9 +10,9 @@
 // A share of a small burst still lets two callers in at once.
 constexpr double kLeastCapacityOperations = 2;
 // Tokens of a bucket that is new, in parts of the burst and of a second's rate;
-// the lesser counts. A restarted instance serves at once, and what all instances
-// grant by restarting at the same moment stays within the excess that customers
-// are allowed (a tenth of five seconds' rate and the burst).
+// the lesser counts. A restarted instance serves at once, and what all
+// instances grant by restarting at the same moment stays within the excess that
+// customers are allowed (a tenth of five seconds' rate and the burst).
 constexpr double kNewBucketBurstPart = 0.5;
 constexpr double kNewBucketRateSeconds = 0.35;
 // Time over which demand is averaged.
--- a/src/gateway/engine.cc
+++ b/src/gateway/engine.cc
@@ -232,8 +232,8 @@
 }
 
 void Engine::CloseIdleSession(Session* session, Time now) {
-  const bool busy = session->m_active || session->m_transaction ||
-                    !session->m_next.empty();
+  const bool busy =
+      session->m_active || session->m_transaction || !session->m_next.empty();
   if (!m_shutdown_since || busy || m_closings_left == 0 ||
       now - session->m_last_activity < kIdleBeforeClosing) {
     return;
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -75,7 +75,7 @@
 
 std::optional<Refused> Engine::CheckAdmission(const Session& session,
                                               Time now) const {
-  const std::optional<Refused> refused = CheckPrimary(session, now);
+  std::optional<Refused> refused = CheckPrimary(session, now);
   if (refused) {
     return refused;
   }
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -118,10 +118,9 @@
 }
 
 int PeerView::CountHeard(Time now) const {
-  return static_cast<int>(
-      std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& item) {
-        return IsFresh(item.second, now);
-      }));
+  return static_cast<int>(std::count_if(
+      m_peers.begin(), m_peers.end(),
+      [&](const auto& item) { return IsFresh(item.second, now); }));
 }
 
 double PeerView::DemandOf(const Peer& peer,
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -10,8 +10,8 @@
 // A new connection: its round trips and the slot that it takes.
 constexpr Duration kOpeningTime = 20ms;
 constexpr Duration kOtherZoneTime = 3ms;
-// Share of the turnaround added to reads on the primary, as a divisor.
-constexpr int kPrimaryReadPenaltyDivisor = 3;
+// Added to reads on the primary: its slots are the only ones for writes.
+constexpr Duration kPrimaryReadPenalty = 30ms;
 
 Duration ExpectedTime(const PlacementOption& option) {
   Duration turnaround = option.m_turnaround;
@@ -27,7 +27,7 @@
     time += kOtherZoneTime;
   }
   if (!option.m_spares_primary) {
-    time += turnaround / kPrimaryReadPenaltyDivisor;
+    time += turnaround + kPrimaryReadPenalty;
   }
   return time;
 }
--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -81,10 +81,11 @@
     const Result<StoreObject, StoreError>& result,
     Time now) {
   m_writing = false;
-  m_next_try = now + kRetryDelay;
   if (!IsOk(result)) {
+    m_next_try = now + kRetryDelay;
     return;
   }
+  m_next_try = now;
   // The answer holds the record as it was stored.
   StoreObjects objects;
   StoreObject object = GetValue(result);
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -129,8 +129,8 @@
     m_hooks.m_lost(error.m_message);
   }
   const int doublings = std::min(m_failures, kMaxDelayDoublings);
-  Duration delay =
-      std::min(kFirstRetryDelay * (1 << doublings), m_options.m_longest_retry_delay);
+  Duration delay = std::min(kFirstRetryDelay * (1 << doublings),
+                            m_options.m_longest_retry_delay);
   m_failures += history_gone ? 0 : 1;
   const double jitter = 0.5 + 0.5 * m_hooks.m_random();
   delay = std::chrono::duration_cast<Duration>(delay * jitter);
--- /dev/null
+++ b/test/gateway/decisions_test.cc
@@ -0,0 +1,279 @@
+// The small decisions, each with the load that it answers.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+#include "jasminelug/gateway.h"
+#include "src/gateway/admission.h"
+#include "src/gateway/placement.h"
+#include "src/gateway/waiting_line.h"
+
+namespace jasminelug::gateway {
+namespace {
+
+const CustomerName kCustomer("c");
+
+Configuration OneCustomer(double rate, double burst) {
+  Configuration configuration;
+  configuration.m_customers[kCustomer] = {rate, burst, 0};
+  return configuration;
+}
+
+// Asks for `per_second` operations a second and returns how many are granted.
+int Granted(CustomerLimiter* limiter,
+            Time* now,
+            int per_second,
+            Duration time) {
+  int granted = 0;
+  const Time end = *now + time;
+  const Duration step = Duration(1s) / per_second;
+  for (; *now < end; *now += step) {
+    granted += limiter->Take(kCustomer, *now) ? 1 : 0;
+  }
+  return granted;
+}
+
+class DecisionsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DecisionsTest);
+  CPPUNIT_TEST(CustomerKeepsItsRateAndBurst);
+  CPPUNIT_TEST(RestartsGrantLessThanTheExcess);
+  CPPUNIT_TEST(LoweredLimitBindsAtOnce);
+  CPPUNIT_TEST(DemandIsReportedForgottenAndCountsRefusals);
+  CPPUNIT_TEST(FloorIsTheOldestAdmissibleSample);
+  CPPUNIT_TEST(SlowMemberIsAvoided);
+  CPPUNIT_TEST(PlacementPrefersConnectionsAtHandAndReplicas);
+  CPPUNIT_TEST(LineServesTheUrgentFirstAndTheLateLast);
+  CPPUNIT_TEST(AdmissionBoundsTheWait);
+  CPPUNIT_TEST(MissingMembersAreKeptForAWhile);
+  CPPUNIT_TEST(RegistrarKeepsTheEntry);
+  CPPUNIT_TEST(CodesThatProveNothingKept);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Load: a customer that sends ten times its rate.
+  void CustomerKeepsItsRateAndBurst() {
+    for (const double share : {1.0, 0.25}) {
+      CustomerLimiter limiter;
+      Time now(100s);
+      limiter.SetLimits(OneCustomer(100, 100), now);
+      limiter.SetShare(kCustomer, share, now);
+      now += 10s;
+      const int granted = Granted(&limiter, &now, 1000, 5s);
+      const double limit = (100 * 5 + 100) * share;
+      CPPUNIT_ASSERT(granted <= limit + 1);
+      CPPUNIT_ASSERT(granted >= limit - 2);
+    }
+  }
+
+  // Fault: all instances are killed and return at the same moment.
+  void RestartsGrantLessThanTheExcess() {
+    struct Case {
+      double m_rate;
+      double m_burst;
+    };
+    for (const Case& row : std::vector<Case>{{100, 100}, {10, 200}, {300, 5}}) {
+      Time now(100s);
+      int granted = 0;
+      CustomerLimiter before;
+      before.SetLimits(OneCustomer(row.m_rate, row.m_burst), now);
+      now += 60s;
+      granted += Granted(&before, &now, 2000, 2500ms);
+      CustomerLimiter after;
+      after.SetLimits(OneCustomer(row.m_rate, row.m_burst), now);
+      granted += Granted(&after, &now, 2000, 2500ms);
+      const double limit = (row.m_rate * 5 + row.m_burst) * 1.1 + 20;
+      CPPUNIT_ASSERT(granted <= limit);
+    }
+  }
+
+  void LoweredLimitBindsAtOnce() {
+    CustomerLimiter limiter;
+    Time now(100s);
+    limiter.SetLimits(OneCustomer(100, 100), now);
+    now += 10s;
+    limiter.SetLimits(OneCustomer(10, 10), now);
+    CPPUNIT_ASSERT(Granted(&limiter, &now, 1000, 1s) <= 21);
+  }
+
+  void DemandIsReportedForgottenAndCountsRefusals() {
+    CustomerLimiter limiter;
+    Time now(100s);
+    limiter.SetLimits(OneCustomer(1, 1), now);
+    Granted(&limiter, &now, 50, 6s);
+    const std::vector<CustomerDemand> demand = limiter.Demand(now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, demand.size());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(50, demand[0].m_operations_per_second, 5);
+    CPPUNIT_ASSERT(limiter.Demand(now + 30s).empty());
+  }
+
+  void FloorIsTheOldestAdmissibleSample() {
+    FreshnessFloor floor;
+    for (int i = 0; i < 30; ++i) {
+      const Time sent(100s + 100ms * i);
+      floor.Add({sent, LogPosition{Term(1), static_cast<std::uint64_t>(i)}},
+                sent);
+    }
+    const Time now(103s);
+    struct Case {
+      Duration m_staleness;
+      bool m_found;
+    };
+    for (const Case& row : std::vector<Case>{
+             {1500ms, true}, {2500ms, true}, {150ms, false}, {0ms, false}}) {
+      const auto found = floor.Find(now, row.m_staleness);
+      CPPUNIT_ASSERT_EQUAL(row.m_found, found.has_value());
+      if (found) {
+        // Young enough, and no older one would be.
+        CPPUNIT_ASSERT(found->m_sent >= now - row.m_staleness);
+        CPPUNIT_ASSERT(found->m_sent <= now - row.m_staleness + 250ms);
+      }
+    }
+    floor.Clear();
+    CPPUNIT_ASSERT(!floor.Find(now, 2500ms));
+  }
+
+  // Load: one member takes five times as long as the others.
+  void SlowMemberIsAvoided() {
+    PlacementOption slow;
+    slow.m_member = MemberId("slow");
+    slow.m_turnaround = 150ms;
+    slow.m_same_zone = true;
+    PlacementOption usual;
+    usual.m_member = MemberId("usual");
+    usual.m_turnaround = 30ms;
+    usual.m_busy = 2;
+    usual.m_slots = 3;
+    CPPUNIT_ASSERT(MemberId("usual") ==
+                   ChoosePlacement({slow, usual})->m_member);
+    CPPUNIT_ASSERT(!ChoosePlacement({}));
+  }
+
+  void PlacementPrefersConnectionsAtHandAndReplicas() {
+    PlacementOption idle;
+    idle.m_member = MemberId("idle");
+    idle.m_turnaround = 30ms;
+    PlacementOption open = idle;
+    open.m_member = MemberId("open");
+    open.m_source = ConnectionSource::kOpen;
+    CPPUNIT_ASSERT(MemberId("idle") == ChoosePlacement({open, idle})->m_member);
+    PlacementOption primary = idle;
+    primary.m_member = MemberId("primary");
+    primary.m_spares_primary = false;
+    CPPUNIT_ASSERT(MemberId("open") ==
+                   ChoosePlacement({primary, open})->m_member);
+  }
+
+  // Load: a backlog in which some statements are late already.
+  void LineServesTheUrgentFirstAndTheLateLast() {
+    WaitingLine line;
+    line.Add({Time(90s), SessionId(1), true});
+    line.Add({Time(110s), SessionId(2), true});
+    line.Add({Time(105s), SessionId(3), false});
+    const std::vector<Waiter> order = line.InOrder(Time(100s));
+    CPPUNIT_ASSERT(SessionId(3) == order[0].m_session);
+    CPPUNIT_ASSERT(SessionId(2) == order[1].m_session);
+    CPPUNIT_ASSERT(SessionId(1) == order[2].m_session);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, line.CountWaiting(true));
+  }
+
+  void AdmissionBoundsTheWait() {
+    struct Case {
+      std::size_t m_waiting;
+      int m_busy;
+      bool m_may_wait;
+    };
+    const std::vector<Case> cases = {
+        {0, 0, true}, {0, 4, true}, {10, 4, true}, {40, 4, false}};
+    for (const Case& row : cases) {
+      LineLoad load;
+      load.m_waiting = row.m_waiting;
+      load.m_connections = 4;
+      load.m_busy = row.m_busy;
+      load.m_turnaround = 50ms;
+      CPPUNIT_ASSERT_EQUAL(row.m_may_wait, MayWait(load, 400ms));
+    }
+  }
+
+  // Fault: the store was away, and entries lapsed meanwhile.
+  void MissingMembersAreKeptForAWhile() {
+    MemberDirectory directory;
+    Member member;
+    member.m_id = MemberId("m");
+    const StoreObjects entries = {{"m", {"m", Revision(1), member}}};
+    CPPUNIT_ASSERT(directory.OnEntries(entries, Time(10s)));
+    directory.OnEntries({}, Time(11s));
+    CPPUNIT_ASSERT(!directory.OnTick(Time(12s)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.Members().size());
+    directory.OnEntries(entries, Time(13s));
+    CPPUNIT_ASSERT(!directory.OnTick(Time(20s)));
+    directory.OnEntries({}, Time(21s));
+    CPPUNIT_ASSERT(directory.OnTick(Time(24s)));
+    CPPUNIT_ASSERT(directory.Members().empty());
+    // What is not understood names no member.
+    directory.OnEntries({{"m", {"m", Revision(2), UnreadableObject{"x"}}}},
+                        Time(25s));
+    CPPUNIT_ASSERT(directory.Members().empty());
+  }
+
+  void RegistrarKeepsTheEntry() {
+    InstanceEntry entry;
+    entry.m_id = InstanceId("a");
+    entry.m_incarnation = Incarnation(7);
+    std::vector<std::optional<Revision>> writes;
+    int deletions = 0;
+    InstanceRegistrar::Hooks hooks;
+    hooks.m_write = [&writes](const std::string&, const InstanceEntry&,
+                              std::optional<Revision> expected) {
+      writes.push_back(expected);
+    };
+    hooks.m_delete = [&deletions](const std::string&) { deletions += 1; };
+    hooks.m_abandon = [] {};
+    InstanceRegistrar registrar(entry, hooks);
+    // An earlier run left its entry: it is taken over.
+    InstanceEntry earlier = entry;
+    earlier.m_incarnation = Incarnation(6);
+    registrar.OnEntries({{"instance.a", {"instance.a", Revision(4), earlier}}},
+                        Time(1s));
+    CPPUNIT_ASSERT(Revision(4) == *writes.at(0));
+    CPPUNIT_ASSERT(!registrar.is_registered());
+    registrar.OnWritten(StoreObject{"instance.a", Revision(5), entry},
+                        Time(1s));
+    CPPUNIT_ASSERT(registrar.is_registered());
+    // Somebody removed it: it is created again.
+    registrar.OnEntries({}, Time(2s));
+    CPPUNIT_ASSERT(!writes.at(1));
+    // The answer is lost: the call is repeated.
+    registrar.OnTick(Time(2s) + InstanceRegistrar::kCallTimeout + 1ms);
+    registrar.OnTick(Time(2s) + InstanceRegistrar::kCallTimeout +
+                     InstanceRegistrar::kRetryDelay + 1ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, writes.size());
+    registrar.OnWritten(StoreObject{"instance.a", Revision(9), entry},
+                        Time(4s));
+    registrar.Stop(Time(5s));
+    CPPUNIT_ASSERT_EQUAL(1, deletions);
+    CPPUNIT_ASSERT(!registrar.is_registered());
+  }
+
+  void CodesThatProveNothingKept() {
+    struct Case {
+      ErrorCode m_code;
+      bool m_proves;
+    };
+    const std::vector<Case> cases = {
+        {ErrorCode::kBusy, true},        {ErrorCode::kAborted, true},
+        {ErrorCode::kLagging, true},     {ErrorCode::kReadOnly, true},
+        {ErrorCode::kWrongMember, true}, {ErrorCode::kConnectionLimit, true},
+        {ErrorCode::kFailed, false},     {ErrorCode::kTimeout, false},
+        {ErrorCode::kInDoubt, false},    {ErrorCode::kUnauthorized, false}};
+    for (const Case& row : cases) {
+      CPPUNIT_ASSERT_EQUAL(row.m_proves, ProvesNothingKept(row.m_code));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DecisionsTest);
+
+}  // namespace
+}  // namespace jasminelug::gateway
--- /dev/null
+++ b/test/gateway/engine_fixture.h
@@ -0,0 +1,330 @@
+#ifndef TEST_GATEWAY_ENGINE_FIXTURE_H_
+#define TEST_GATEWAY_ENGINE_FIXTURE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jasminelug/gateway.h"
+
+namespace jasminelug::gateway {
+
+// Statements that the engine sent on one connection and that are not answered.
+struct FakeConnection {
+  MemberId m_member;
+  CustomerName m_customer;
+  std::vector<MemberStatement> m_unanswered;
+  std::vector<MemberStatement> m_all;
+  bool m_closed = false;
+};
+
+// An engine with one group of a primary and two replicas, whose members and
+// callers are played by the test. Time stands still until Advance().
+class EngineFixture {
+ public:
+  static constexpr Duration kStep = 10ms;
+
+  EngineFixture() : m_engine(Options(), Hooks()) {
+    m_configuration = MakeConfiguration();
+    Prove();
+    Configure();
+    m_engine.SetMembers(Members(), m_now);
+    m_engine.SetPrimary(Group(), {MemberId("p"), true, {}}, false, m_now);
+    Advance(2s);
+  }
+
+  static GroupName Group() { return GroupName("g"); }
+  static CallerKey Key() { return CallerKey("key-a"); }
+
+  static Configuration MakeConfiguration() {
+    Configuration configuration;
+    configuration.m_version = 1;
+    configuration.m_revision = Revision(1);
+    Route route;
+    route.m_group = Group();
+    route.m_statement_timeout = 1s;
+    route.m_objective = 400ms;
+    configuration.m_routes[DatabaseName("strict")] = route;
+    route.m_consistency = Consistency::kBoundedStaleness;
+    route.m_max_staleness = 1500ms;
+    configuration.m_routes[DatabaseName("bounded")] = route;
+    route.m_consistency = Consistency::kReadYourWrites;
+    configuration.m_routes[DatabaseName("own")] = route;
+    configuration.m_groups[Group()] = {12, 0};
+    configuration.m_customers[CustomerName("a")] = {1000, 1000, 0};
+    configuration.m_customers[CustomerName("b")] = {1000, 1000, 0};
+    configuration.m_keys[CallerKey("key-a")] = CustomerName("a");
+    configuration.m_keys[CallerKey("key-b")] = CustomerName("b");
+    return configuration;
+  }
+
+  static std::vector<Member> Members() {
+    std::vector<Member> members;
+    for (const char* id : {"p", "r1", "r2"}) {
+      Member member;
+      member.m_id = MemberId(id);
+      member.m_group = Group();
+      member.m_address = Address(std::string(id) + ":1");
+      member.m_zone = ZoneName(std::string("zone-") + id);
+      member.m_slots = 3;
+      member.m_role = member.m_id.str() == "p" ? MemberRole::kPrimary
+                                               : MemberRole::kReplica;
+      members.push_back(member);
+    }
+    return members;
+  }
+
+  void Configure() {
+    m_engine.SetConfiguration(
+        std::make_shared<const Configuration>(m_configuration), m_now);
+  }
+
+  // Proves contact with the store at this moment.
+  void Prove() {
+    m_engine.key_contact().Prove(m_now);
+    m_engine.primary_contact().Prove(m_now);
+  }
+
+  // Lets time pass, with contact, in steps.
+  void Advance(Duration duration) {
+    const Time end = m_now + duration;
+    while (m_now < end) {
+      m_now += kStep;
+      Prove();
+      m_engine.OnTick(m_now);
+    }
+  }
+
+  // Lets time pass without contact with the store.
+  void AdvanceWithoutContact(Duration duration) {
+    const Time end = m_now + duration;
+    while (m_now < end) {
+      m_now += kStep;
+      m_engine.OnTick(m_now);
+    }
+  }
+
+  SessionId Open(const std::string& database,
+                 const std::string& key = "key-a") {
+    const SessionId id(++m_sessions);
+    m_refused = m_engine.OnSessionStart(id, DatabaseName(database),
+                                        CallerKey(key), m_now);
+    return id;
+  }
+
+  static Statement Make(StatementKind kind,
+                        const std::string& text,
+                        const std::string& name = "",
+                        const std::string& argument = "") {
+    static std::uint64_t number = 0;
+    Statement statement;
+    statement.m_id = "q" + std::to_string(++number);
+    statement.m_kind = kind;
+    statement.m_text = text;
+    statement.m_name = name;
+    statement.m_argument = argument;
+    return statement;
+  }
+
+  void Read(SessionId id) {
+    m_engine.OnStatement(id, Make(StatementKind::kRead, "READ x"), m_now);
+  }
+  void Write(SessionId id) {
+    m_engine.OnStatement(id, Make(StatementKind::kWrite, "WRITE x 1"), m_now);
+  }
+  void Send(SessionId id, StatementKind kind, const std::string& text) {
+    m_engine.OnStatement(id, Make(kind, text), m_now);
+  }
+  void SetValue(SessionId id,
+                const std::string& name,
+                const std::string& value) {
+    m_engine.OnStatement(id, Make(StatementKind::kSetValue, "SET", name, value),
+                         m_now);
+  }
+
+  // Opens all connections that the engine has asked for.
+  void OpenConnections() {
+    while (!m_opening.empty()) {
+      const ConnectionId id = m_opening.front();
+      m_opening.erase(m_opening.begin());
+      if (!m_connections.at(id).m_closed) {
+        m_engine.OnConnectionOpened(id, std::nullopt, m_now);
+      }
+    }
+  }
+
+  // Answers the first statement that `member` owes; returns it.
+  std::optional<MemberStatement> AnswerAt(const std::string& member,
+                                          const Outcome& outcome,
+                                          TransactionState state,
+                                          std::uint64_t position) {
+    OpenConnections();
+    for (auto& [id, connection] : m_connections) {
+      if (connection.m_closed || connection.m_member.str() != member ||
+          connection.m_unanswered.empty()) {
+        continue;
+      }
+      const MemberStatement statement = connection.m_unanswered.front();
+      connection.m_unanswered.erase(connection.m_unanswered.begin());
+      Answer answer;
+      answer.m_outcome = outcome;
+      answer.m_state = state;
+      answer.m_position = LogPosition{Term(1), position};
+      m_engine.OnMemberAnswer(id, answer, m_now);
+      return statement;
+    }
+    return std::nullopt;
+  }
+
+  // Answers everything that `member` owes with success.
+  void AnswerAllAt(const std::string& member, std::uint64_t position) {
+    for (;;) {
+      const bool open_transaction = IsInTransaction(member);
+      const auto statement = AnswerAt(
+          member, Completed{{"row"}, "signature"},
+          open_transaction ? TransactionState::kOpen : TransactionState::kNone,
+          position);
+      if (!statement) {
+        return;
+      }
+    }
+  }
+
+  // Whether the first owed statement leaves its connection in a transaction.
+  bool IsInTransaction(const std::string& member) {
+    OpenConnections();
+    for (auto& [id, connection] : m_connections) {
+      if (connection.m_closed || connection.m_member.str() != member ||
+          connection.m_unanswered.empty()) {
+        continue;
+      }
+      bool open = false;
+      const std::size_t answered =
+          connection.m_all.size() - connection.m_unanswered.size();
+      for (std::size_t i = 0; i <= answered; ++i) {
+        const MemberStatement& statement = connection.m_all[i];
+        if (statement.m_verb == MemberVerb::kBegin ||
+            statement.m_verb == MemberVerb::kBeginReadOnly) {
+          open = true;
+        }
+        if (statement.m_text == "COMMIT" ||
+            statement.m_verb == MemberVerb::kRollback) {
+          open = false;
+        }
+      }
+      return open;
+    }
+    return false;
+  }
+
+  // Loses all connections to a member.
+  void LoseMember(const std::string& member) {
+    OpenConnections();
+    std::vector<ConnectionId> lost;
+    for (auto& [id, connection] : m_connections) {
+      if (!connection.m_closed && connection.m_member.str() == member) {
+        connection.m_closed = true;
+        lost.push_back(id);
+      }
+    }
+    for (const ConnectionId id : lost) {
+      m_engine.OnConnectionClosed(id, std::nullopt, m_now);
+    }
+  }
+
+  // Returns how many statements a member owes an answer to.
+  std::size_t OwedBy(const std::string& member) {
+    OpenConnections();
+    std::size_t owed = 0;
+    for (const auto& [id, connection] : m_connections) {
+      if (!connection.m_closed && connection.m_member.str() == member) {
+        owed += connection.m_unanswered.size();
+      }
+    }
+    return owed;
+  }
+
+  // The newest answer to a session; the code of a refusal.
+  std::optional<Answer> LastAnswer(SessionId id) const {
+    const auto found = m_answers.find(id);
+    if (found == m_answers.end()) {
+      return std::nullopt;
+    }
+    return found->second.back();
+  }
+  std::size_t CountAnswers(SessionId id) const {
+    const auto found = m_answers.find(id);
+    return found == m_answers.end() ? 0 : found->second.size();
+  }
+  std::optional<ErrorCode> LastError(SessionId id) const {
+    const std::optional<Answer> answer = LastAnswer(id);
+    const Refused* refused =
+        answer ? std::get_if<Refused>(&answer->m_outcome) : nullptr;
+    return refused ? std::optional<ErrorCode>(refused->m_code) : std::nullopt;
+  }
+  bool Succeeded(SessionId id) const {
+    const std::optional<Answer> answer = LastAnswer(id);
+    return answer && std::holds_alternative<Completed>(answer->m_outcome);
+  }
+
+  Time m_now = Time(1000s);
+  Configuration m_configuration;
+  std::map<ConnectionId, FakeConnection> m_connections;
+  std::vector<ConnectionId> m_opening;
+  std::map<SessionId, std::vector<Answer>> m_answers;
+  std::vector<SessionId> m_closed_sessions;
+  std::vector<StatementEnd> m_ends;
+  std::map<MemberId, MemberStatus> m_statuses;
+  std::optional<Refused> m_refused;
+  std::uint64_t m_sessions = 0;
+  Engine m_engine;
+
+ private:
+  static EngineOptions Options() {
+    EngineOptions options;
+    options.m_zone = ZoneName("zone-p");
+    return options;
+  }
+
+  EngineHooks Hooks() {
+    EngineHooks hooks;
+    hooks.m_answer = [this](SessionId id, const Answer& answer) {
+      m_answers[id].push_back(answer);
+    };
+    hooks.m_close_session = [this](SessionId id) {
+      m_closed_sessions.push_back(id);
+    };
+    hooks.m_open_connection = [this](ConnectionId id, const Member& member,
+                                     const CustomerName& customer) {
+      m_connections[id] = {member.m_id, customer, {}, {}, false};
+      m_opening.push_back(id);
+    };
+    hooks.m_send = [this](ConnectionId id,
+                          const std::vector<MemberStatement>& statements) {
+      FakeConnection& connection = m_connections.at(id);
+      for (const MemberStatement& statement : statements) {
+        connection.m_unanswered.push_back(statement);
+        connection.m_all.push_back(statement);
+      }
+    };
+    hooks.m_close_connection = [this](ConnectionId id) {
+      m_connections.at(id).m_closed = true;
+    };
+    hooks.m_read_status = [](const std::string&) {
+      return std::optional<MemberStatus>(MemberStatus{});
+    };
+    hooks.m_status = [this](const MemberId& member,
+                            const MemberStatus& status) {
+      m_statuses[member] = status;
+    };
+    hooks.m_report = [this](const StatementEnd& end) { m_ends.push_back(end); };
+    return hooks;
+  }
+};
+
+}  // namespace jasminelug::gateway
+
+#endif  // TEST_GATEWAY_ENGINE_FIXTURE_H_
--- /dev/null
+++ b/test/gateway/engine_members_test.cc
@@ -0,0 +1,364 @@
+// Placement, retries, staleness and lost connections, with the load or the
+// fault that each decision answers.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+#include "test/gateway/engine_fixture.h"
+
+namespace jasminelug::gateway {
+namespace {
+
+class EngineMembersTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EngineMembersTest);
+  CPPUNIT_TEST(ReadsGoToReplicasOnceAPositionIsKnown);
+  CPPUNIT_TEST(OwnWriteIsReadAtItsPosition);
+  CPPUNIT_TEST(LaggingReplicaHandsOverToThePrimary);
+  CPPUNIT_TEST(LostAnswersByKindOfStatement);
+  CPPUNIT_TEST(CommitWithoutWritesMayBeTakenBack);
+  CPPUNIT_TEST(UnansweredReadRunsElsewhere);
+  CPPUNIT_TEST(FirstStatementOfATransactionStartsAnew);
+  CPPUNIT_TEST(ReadOnlyMemberIsTriedAgainLater);
+  CPPUNIT_TEST(NoPrimaryIsRefusedAtOnce);
+  CPPUNIT_TEST(ReplacementThatEndsInTimeIsWaitedFor);
+  CPPUNIT_TEST(OldPrimaryIsAbandoned);
+  CPPUNIT_TEST(PrimaryIsNotUsedOnAnOldProof);
+  CPPUNIT_TEST(DrainingAndEvacuatedMembersTakeNoWork);
+  CPPUNIT_TEST(BurstIsRefusedBeyondTheObjective);
+  CPPUNIT_TEST(OverdueStatementIsNotRun);
+  CPPUNIT_TEST(OneLostAnswerIsNoLostPrimary);
+  CPPUNIT_TEST(ConnectionsStayWithinTheBudget);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Runs a write, so that the primary's position is known.
+  static void Warm(EngineFixture* fixture, std::uint64_t position) {
+    const SessionId id = fixture->Open("strict");
+    fixture->Write(id);
+    fixture->AnswerAllAt("p", position);
+    CPPUNIT_ASSERT(fixture->Succeeded(id));
+  }
+
+  static const MemberStatement* OwedAt(EngineFixture* fixture,
+                                       const std::string& member) {
+    fixture->OpenConnections();
+    for (const auto& [id, connection] : fixture->m_connections) {
+      if (!connection.m_closed && connection.m_member.str() == member &&
+          !connection.m_unanswered.empty()) {
+        return &connection.m_unanswered.back();
+      }
+    }
+    return nullptr;
+  }
+
+  static const MemberStatement* OwedAtAReplica(EngineFixture* fixture) {
+    const MemberStatement* owed = OwedAt(fixture, "r1");
+    return owed ? owed : OwedAt(fixture, "r2");
+  }
+
+  void ReadsGoToReplicasOnceAPositionIsKnown() {
+    EngineFixture fixture;
+    const SessionId id = fixture.Open("bounded");
+    fixture.Read(id);
+    CPPUNIT_ASSERT(OwedAt(&fixture, "p"));
+    fixture.AnswerAllAt("p", 7);
+    fixture.Advance(400ms);
+    fixture.Read(id);
+    const MemberStatement* read = OwedAtAReplica(&fixture);
+    CPPUNIT_ASSERT(read);
+    CPPUNIT_ASSERT((LogPosition{Term(1), 7}) == *read->m_after);
+    // Too old a position proves nothing: the primary runs the read.
+    fixture.AnswerAllAt("r1", 7);
+    fixture.AnswerAllAt("r2", 7);
+    fixture.Advance(2s);
+    fixture.Read(id);
+    CPPUNIT_ASSERT(OwedAt(&fixture, "p"));
+  }
+
+  void OwnWriteIsReadAtItsPosition() {
+    EngineFixture fixture;
+    Warm(&fixture, 7);
+    fixture.Advance(300ms);
+    const SessionId id = fixture.Open("own");
+    fixture.Write(id);
+    fixture.AnswerAllAt("p", 9);
+    fixture.Advance(200ms);
+    fixture.Read(id);
+    const MemberStatement* read = OwedAtAReplica(&fixture);
+    CPPUNIT_ASSERT(read);
+    CPPUNIT_ASSERT((LogPosition{Term(1), 9}) == *read->m_after);
+  }
+
+  void LaggingReplicaHandsOverToThePrimary() {
+    EngineFixture fixture;
+    Warm(&fixture, 7);
+    fixture.Advance(300ms);
+    const SessionId id = fixture.Open("bounded");
+    fixture.Read(id);
+    const Refused lagging{ErrorCode::kLagging, ""};
+    for (const char* member : {"r1", "r2", "r1", "r2"}) {
+      fixture.AnswerAt(member, lagging, TransactionState::kNone, 3);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.CountAnswers(id));
+    fixture.AnswerAllAt("p", 8);
+    CPPUNIT_ASSERT(fixture.Succeeded(id));
+  }
+
+  void LostAnswersByKindOfStatement() {
+    struct Case {
+      const char* m_name;
+      bool m_transaction;
+      StatementKind m_last;
+      ErrorCode m_code;
+    };
+    const std::vector<Case> cases = {
+        {"single write", false, StatementKind::kWrite, ErrorCode::kInDoubt},
+        {"write in a transaction", true, StatementKind::kWrite,
+         ErrorCode::kAborted},
+        {"read in a transaction", true, StatementKind::kRead,
+         ErrorCode::kAborted},
+        {"commit", true, StatementKind::kCommit, ErrorCode::kInDoubt}};
+    for (const Case& row : cases) {
+      EngineFixture fixture;
+      const SessionId id = fixture.Open("strict");
+      if (row.m_transaction) {
+        fixture.Send(id, StatementKind::kBegin, "BEGIN");
+        fixture.Write(id);
+        fixture.AnswerAllAt("p", 1);
+      }
+      fixture.Send(id, row.m_last,
+                   row.m_last == StatementKind::kCommit ? "COMMIT" : "x");
+      fixture.LoseMember("p");
+      CPPUNIT_ASSERT_MESSAGE(row.m_name, row.m_code == fixture.LastError(id));
+    }
+  }
+
+  void CommitWithoutWritesMayBeTakenBack() {
+    EngineFixture fixture;
+    const SessionId id = fixture.Open("strict");
+    fixture.Send(id, StatementKind::kBegin, "BEGIN");
+    fixture.Read(id);
+    fixture.AnswerAllAt("p", 1);
+    fixture.Send(id, StatementKind::kCommit, "COMMIT");
+    fixture.LoseMember("p");
+    CPPUNIT_ASSERT(ErrorCode::kAborted == fixture.LastError(id));
+  }
+
+  // Load: members lose the answers to some statements that they ran.
+  void UnansweredReadRunsElsewhere() {
+    EngineFixture fixture;
+    // Each statement pays for a part of a second run.
+    for (int i = 0; i < 30; ++i) {
+      Warm(&fixture, 7);
+    }
+    fixture.Advance(300ms);
+    const SessionId id = fixture.Open("bounded");
+    fixture.Read(id);
+    const bool first_at_r1 = OwedAt(&fixture, "r1") != nullptr;
+    fixture.Advance(300ms);
+    const char* second = first_at_r1 ? "r2" : "r1";
+    const bool elsewhere =
+        OwedAt(&fixture, second) != nullptr || OwedAt(&fixture, "p") != nullptr;
+    CPPUNIT_ASSERT(elsewhere);
+    fixture.AnswerAllAt(second, 7);
+    fixture.AnswerAllAt("p", 7);
+    CPPUNIT_ASSERT(fixture.Succeeded(id));
+    // The late first answer goes to nobody.
+    fixture.AnswerAllAt(first_at_r1 ? "r1" : "r2", 7);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.CountAnswers(id));
+  }
+
+  void FirstStatementOfATransactionStartsAnew() {
+    EngineFixture fixture;
+    const SessionId id = fixture.Open("strict");
+    fixture.Send(id, StatementKind::kBegin, "BEGIN");
+    fixture.Write(id);
+    fixture.LoseMember("p");
+    fixture.Advance(100ms);
+    fixture.AnswerAllAt("p", 1);
+    CPPUNIT_ASSERT(fixture.Succeeded(id));
+    CPPUNIT_ASSERT(TransactionState::kOpen == fixture.LastAnswer(id)->m_state);
+  }
+
+  void ReadOnlyMemberIsTriedAgainLater() {
+    EngineFixture fixture;
+    const SessionId id = fixture.Open("strict");
+    fixture.Write(id);
+    fixture.AnswerAt("p", Refused{ErrorCode::kReadOnly, ""},
+                     TransactionState::kNone, 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.OwedBy("p"));
+    fixture.Advance(100ms);
+    fixture.AnswerAllAt("p", 1);
+    CPPUNIT_ASSERT(fixture.Succeeded(id));
+  }
+
+  // Load: a lost primary; every caller would wait to its end in vain.
+  void NoPrimaryIsRefusedAtOnce() {
+    EngineFixture fixture;
+    fixture.m_engine.SetPrimary(EngineFixture::Group(),
+                                {MemberId("p"), false, {}}, true,
+                                fixture.m_now);
+    const SessionId id = fixture.Open("strict");
+    fixture.Write(id);
+    CPPUNIT_ASSERT(ErrorCode::kBusy == fixture.LastError(id));
+    CPPUNIT_ASSERT(fixture.m_connections.empty());
+  }
+
+  void ReplacementThatEndsInTimeIsWaitedFor() {
+    EngineFixture fixture;
+    PrimaryView view{MemberId("p"), false, fixture.m_now + 500ms};
+    fixture.m_engine.SetPrimary(EngineFixture::Group(), view, false,
+                                fixture.m_now);
+    const SessionId id = fixture.Open("strict");
+    fixture.Write(id);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.CountAnswers(id));
+    fixture.Advance(300ms);
+    fixture.m_engine.SetPrimary(EngineFixture::Group(),
+                                {MemberId("r1"), true, {}}, false,
+                                fixture.m_now);
+    fixture.AnswerAllAt("r1", 1);
+    CPPUNIT_ASSERT(fixture.Succeeded(id));
+  }
+
+  void OldPrimaryIsAbandoned() {
+    EngineFixture fixture;
+    const SessionId id = fixture.Open("strict");
+    fixture.Write(id);
+    fixture.OpenConnections();
+    CPPUNIT_ASSERT(!fixture.m_engine.IsPrimaryQuiet(EngineFixture::Group()));
+    fixture.m_engine.SetPrimary(EngineFixture::Group(),
+                                {MemberId("p"), false, {}}, true,
+                                fixture.m_now);
+    CPPUNIT_ASSERT(ErrorCode::kInDoubt == fixture.LastError(id));
+    CPPUNIT_ASSERT(fixture.m_engine.IsPrimaryQuiet(EngineFixture::Group()));
+    CPPUNIT_ASSERT(fixture.m_connections.begin()->second.m_closed);
+  }
+
+  void PrimaryIsNotUsedOnAnOldProof() {
+    EngineFixture fixture;
+    const SessionId id = fixture.Open("strict");
+    fixture.AdvanceWithoutContact(EngineOptions().m_primary_proof_limit);
+    fixture.m_engine.key_contact().Prove(fixture.m_now);
+    fixture.Write(id);
+    CPPUNIT_ASSERT(ErrorCode::kBusy == fixture.LastError(id));
+    CPPUNIT_ASSERT(fixture.m_connections.empty());
+  }
+
+  void DrainingAndEvacuatedMembersTakeNoWork() {
+    for (const bool evacuated : {false, true}) {
+      EngineFixture fixture;
+      Warm(&fixture, 7);
+      fixture.Advance(300ms);
+      std::vector<Member> members = EngineFixture::Members();
+      if (evacuated) {
+        fixture.m_engine.SetEvacuatedZones({ZoneName("zone-r1")},
+                                           fixture.m_now);
+      } else {
+        members[1].m_draining = true;
+        fixture.m_engine.SetMembers(members, fixture.m_now);
+      }
+      for (int i = 0; i < 6; ++i) {
+        fixture.Read(fixture.Open("bounded"));
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.OwedBy("r1"));
+      CPPUNIT_ASSERT(fixture.OwedBy("r2") > 0);
+    }
+  }
+
+  // Load: a burst of ten times what the members can run at a time.
+  void BurstIsRefusedBeyondTheObjective() {
+    EngineFixture fixture;
+    // Answers take 100 ms.
+    for (int i = 0; i < 60; ++i) {
+      const SessionId id = fixture.Open("strict");
+      fixture.Read(id);
+      fixture.OpenConnections();
+      fixture.Advance(100ms);
+      fixture.AnswerAllAt("p", 1);
+    }
+    std::vector<SessionId> sessions;
+    for (int i = 0; i < 80; ++i) {
+      sessions.push_back(fixture.Open("strict"));
+      fixture.Read(sessions.back());
+    }
+    int refused = 0;
+    for (const SessionId id : sessions) {
+      refused += ErrorCode::kBusy == fixture.LastError(id) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(refused > 40);
+    CPPUNIT_ASSERT(refused < 75);
+    // What was let in is served within its objective.
+    for (int round = 0; round < 4; ++round) {
+      fixture.OpenConnections();
+      fixture.Advance(100ms);
+      fixture.AnswerAllAt("p", 1);
+    }
+    int served = 0;
+    for (const SessionId id : sessions) {
+      served += fixture.Succeeded(id) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(80 - refused, served);
+  }
+
+  void OverdueStatementIsNotRun() {
+    EngineFixture fixture;
+    const SessionId id = fixture.Open("strict");
+    fixture.Write(id);
+    // The connection never opens.
+    fixture.Advance(2100ms);
+    CPPUNIT_ASSERT(ErrorCode::kBusy == fixture.LastError(id));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.CountAnswers(id));
+  }
+
+  void OneLostAnswerIsNoLostPrimary() {
+    EngineFixture fixture;
+    const SessionId id = fixture.Open("strict");
+    fixture.Write(id);
+    fixture.OpenConnections();
+    fixture.Advance(600ms);
+    // The probe is answered.
+    for (auto& [connection_id, connection] : fixture.m_connections) {
+      const bool probe =
+          !connection.m_unanswered.empty() &&
+          connection.m_unanswered.front().m_verb == MemberVerb::kStatus;
+      if (probe) {
+        connection.m_unanswered.clear();
+        Answer answer;
+        answer.m_outcome = Completed{{"row"}, ""};
+        fixture.m_engine.OnMemberAnswer(connection_id, answer, fixture.m_now);
+      }
+    }
+    fixture.OpenConnections();
+    CPPUNIT_ASSERT(!fixture.m_engine.PrimaryFailingSince(EngineFixture::Group(),
+                                                         fixture.m_now));
+    // Silence of the probe too is a lost primary.
+    EngineFixture silent;
+    silent.Write(silent.Open("strict"));
+    silent.OpenConnections();
+    silent.Advance(900ms);
+    CPPUNIT_ASSERT(silent.m_engine.PrimaryFailingSince(EngineFixture::Group(),
+                                                       silent.m_now));
+  }
+
+  void ConnectionsStayWithinTheBudget() {
+    for (const int instances : {1, 2, 4, 30}) {
+      EngineFixture fixture;
+      fixture.m_engine.SetInstanceCount(instances);
+      for (int i = 0; i < 20; ++i) {
+        fixture.Read(fixture.Open("strict"));
+      }
+      const std::size_t open = fixture.m_connections.size();
+      CPPUNIT_ASSERT(open >= 1);
+      CPPUNIT_ASSERT(
+          open * static_cast<std::size_t>(instances) <=
+          std::max<std::size_t>(12, static_cast<std::size_t>(instances)));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EngineMembersTest);
+
+}  // namespace
+}  // namespace jasminelug::gateway
--- /dev/null
+++ b/test/gateway/peer_view_test.cc
@@ -0,0 +1,210 @@
+#include "src/gateway/peer_view.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+#include <string>
+#include <vector>
+
+namespace jasminelug::gateway {
+namespace {
+
+const CustomerName kCustomer("c");
+
+InstanceEntry Entry(const std::string& name, std::uint64_t incarnation = 1) {
+  InstanceEntry entry;
+  entry.m_id = InstanceId(name);
+  entry.m_incarnation = Incarnation(incarnation);
+  entry.m_peer_address = Address(name + ":1");
+  return entry;
+}
+
+// A few instances that send each other reports over a network with delays.
+class Fleet {
+ public:
+  explicit Fleet(int size) {
+    std::vector<InstanceEntry> entries;
+    for (int i = 0; i < size; ++i) {
+      entries.push_back(Entry("i" + std::to_string(i)));
+    }
+    for (const InstanceEntry& entry : entries) {
+      m_views.emplace_back(entry.m_id, entry.m_incarnation);
+      m_views.back().SetInstances(entries, m_now);
+      m_demand.push_back({});
+    }
+  }
+
+  // Sends a report of each instance; `cut` neither sends nor receives.
+  void Exchange(Duration delay, int cut = -1) {
+    std::vector<PeerReport> reports;
+    for (std::size_t i = 0; i < m_views.size(); ++i) {
+      PeerReport report;
+      report.m_demand = m_demand[i];
+      m_views[i].Address(&report, m_now);
+      reports.push_back(report);
+    }
+    m_now += delay;
+    for (std::size_t to = 0; to < m_views.size(); ++to) {
+      for (std::size_t from = 0; from < m_views.size(); ++from) {
+        const bool is_cut =
+            static_cast<int>(to) == cut || static_cast<int>(from) == cut;
+        if (to != from && !is_cut) {
+          m_views[to].OnReport(reports[from], m_now);
+        }
+      }
+    }
+  }
+
+  double ShareOf(std::size_t index) {
+    return m_views[index]
+        .Shares(m_demand[index], {kCustomer}, m_now)
+        .at(kCustomer);
+  }
+
+  double ShareSum() {
+    double sum = 0;
+    for (std::size_t i = 0; i < m_views.size(); ++i) {
+      sum += ShareOf(i);
+    }
+    return sum;
+  }
+
+  Time m_now = Time(100s);
+  std::vector<PeerView> m_views;
+  std::vector<std::vector<CustomerDemand>> m_demand;
+};
+
+class PeerViewTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerViewTest);
+  CPPUNIT_TEST(SharesAddUpToOne);
+  CPPUNIT_TEST(SharesFollowDemand);
+  CPPUNIT_TEST(CutInstanceKeepsAnEvenPart);
+  CPPUNIT_TEST(AgesAreBoundedByTheEcho);
+  CPPUNIT_TEST(OldAndForeignReportsAreIgnored);
+  CPPUNIT_TEST(AcknowledgementsCountForOneIncarnation);
+  CPPUNIT_TEST(SilentPeersAreNamed);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void SharesAddUpToOne() {
+    const unsigned seed = std::random_device()();
+    std::mt19937 random(seed);
+    for (int round = 0; round < 100; ++round) {
+      Fleet fleet(2 + static_cast<int>(random() % 9));
+      for (auto& demand : fleet.m_demand) {
+        demand = {{kCustomer, static_cast<double>(random() % 100)}};
+      }
+      fleet.Exchange(2ms);
+      fleet.Exchange(2ms);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL_MESSAGE("seed " + std::to_string(seed), 1.0,
+                                           fleet.ShareSum(), 0.001);
+    }
+  }
+
+  // Load: all callers of a customer come to one instance.
+  void SharesFollowDemand() {
+    Fleet fleet(7);
+    fleet.m_demand[0] = {{kCustomer, 70.0}};
+    fleet.Exchange(2ms);
+    fleet.Exchange(2ms);
+    CPPUNIT_ASSERT(fleet.ShareOf(0) > 0.6);
+    CPPUNIT_ASSERT(fleet.ShareOf(1) > 0.04);
+  }
+
+  // Fault: the instance with the most callers is cut off from the others.
+  void CutInstanceKeepsAnEvenPart() {
+    Fleet fleet(7);
+    fleet.m_demand[0] = {{kCustomer, 70.0}};
+    fleet.m_demand[1] = {{kCustomer, 10.0}};
+    fleet.Exchange(2ms);
+    fleet.Exchange(2ms);
+    fleet.m_now += PeerView::kFreshFor + 1ms;
+    for (int i = 0; i < 10; ++i) {
+      fleet.Exchange(100ms, 0);
+      CPPUNIT_ASSERT(fleet.ShareOf(0) <= 1.0 / 7 + 0.001);
+      CPPUNIT_ASSERT(fleet.ShareSum() <= 1.001);
+    }
+    // Back again, it takes its part.
+    fleet.Exchange(2ms);
+    fleet.Exchange(2ms);
+    CPPUNIT_ASSERT(fleet.ShareOf(0) > 0.5);
+  }
+
+  void AgesAreBoundedByTheEcho() {
+    for (const Duration delay : {1ms, 100ms, 700ms}) {
+      Fleet fleet(2);
+      fleet.Exchange(1ms);
+      // i1 takes a sample now and reports it; the report is late.
+      const Time taken = fleet.m_now;
+      fleet.Exchange(1ms);
+      PeerReport report;
+      report.m_samples = {{GroupName("g"), 0ms, LogPosition{Term(1), 5}}};
+      fleet.m_views[1].Address(&report, fleet.m_now);
+      const Time made = fleet.m_now;
+      fleet.m_now += delay;
+      CPPUNIT_ASSERT(fleet.m_views[0].OnReport(report, fleet.m_now));
+      const std::vector<PeerSample> samples =
+          fleet.m_views[0].SamplesOf(InstanceId("i1"));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, samples.size());
+      CPPUNIT_ASSERT(samples[0].m_sent <= made);
+      CPPUNIT_ASSERT(samples[0].m_sent >= taken);
+    }
+  }
+
+  void OldAndForeignReportsAreIgnored() {
+    PeerView view(InstanceId("a"), Incarnation(1));
+    view.SetInstances({Entry("a"), Entry("b", 2)}, Time(1s));
+    struct Case {
+      const char* m_sender;
+      std::uint64_t m_incarnation;
+      std::uint64_t m_sequence;
+      bool m_taken;
+    };
+    const std::vector<Case> cases = {{"b", 2, 5, true},  {"b", 2, 5, false},
+                                     {"b", 2, 4, false}, {"b", 1, 9, false},
+                                     {"c", 2, 9, false}, {"b", 2, 6, true}};
+    for (const Case& row : cases) {
+      PeerReport report;
+      report.m_sender = InstanceId(row.m_sender);
+      report.m_incarnation = Incarnation(row.m_incarnation);
+      report.m_sequence = row.m_sequence;
+      CPPUNIT_ASSERT_EQUAL(row.m_taken, view.OnReport(report, Time(2s)));
+    }
+  }
+
+  void AcknowledgementsCountForOneIncarnation() {
+    PeerView view(InstanceId("a"), Incarnation(1));
+    view.SetInstances({Entry("a"), Entry("b", 2)}, Time(1s));
+    CPPUNIT_ASSERT(!view.AllAcknowledged(Revision(7)));
+    PeerReport report;
+    report.m_sender = InstanceId("b");
+    report.m_incarnation = Incarnation(2);
+    report.m_sequence = 1;
+    report.m_acknowledged = Revision(7);
+    view.OnReport(report, Time(2s));
+    CPPUNIT_ASSERT(view.AllAcknowledged(Revision(7)));
+    CPPUNIT_ASSERT(!view.AllAcknowledged(Revision(8)));
+    // A restarted instance has to acknowledge anew.
+    view.SetInstances({Entry("a"), Entry("b", 3)}, Time(3s));
+    CPPUNIT_ASSERT(!view.AllAcknowledged(Revision(7)));
+    // It may do so in its entry.
+    InstanceEntry entry = Entry("b", 3);
+    entry.m_acknowledged = Revision(8);
+    view.SetInstances({Entry("a"), entry}, Time(3s));
+    CPPUNIT_ASSERT(view.AllAcknowledged(Revision(8)));
+  }
+
+  void SilentPeersAreNamed() {
+    PeerView view(InstanceId("a"), Incarnation(1));
+    view.SetInstances({Entry("b")}, Time(1s));
+    CPPUNIT_ASSERT(view.SilentPeers(Time(2s)).empty());
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{1},
+        view.SilentPeers(Time(2s) + PeerView::kDeadAfter).size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerViewTest);
+
+}  // namespace
+}  // namespace jasminelug::gateway
--- /dev/null
+++ b/test/gateway/replacement_coordinator_test.cc
@@ -0,0 +1,415 @@
+#include "src/gateway/replacement_coordinator.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace jasminelug::gateway {
+namespace {
+
+const GroupName kGroup("g");
+const MemberId kOld("p");
+const MemberId kFirst("r1");
+const MemberId kSecond("r2");
+
+// The store's record and one coordinator for each instance, played by the test.
+class Fleet {
+ public:
+  struct Instance {
+    std::unique_ptr<ReplacementCoordinator> m_coordinator;
+    std::vector<PromotionOrder> m_orders;
+    std::vector<MemberId> m_asked;
+    int m_abandoned_promotions = 0;
+  };
+
+  explicit Fleet(const std::vector<std::string>& names) {
+    for (const std::string& name : names) {
+      Add(name);
+    }
+  }
+
+  void Add(const std::string& name) {
+    Instance& instance = m_instances[name];
+    ReplacementOptions options;
+    options.m_self = InstanceId(name);
+    ReplacementCoordinator::Hooks hooks;
+    hooks.m_write = [this, name](const ReplacementRecord& record,
+                                 std::optional<Revision> expected) {
+      m_writes.push_back({name, record, expected});
+    };
+    hooks.m_promote = [this, name](const PromotionOrder& order) {
+      m_instances[name].m_orders.push_back(order);
+      m_all_orders.push_back(order);
+    };
+    hooks.m_abandon_write = [] {};
+    hooks.m_abandon_promotion = [this, name] {
+      m_instances[name].m_abandoned_promotions += 1;
+    };
+    hooks.m_ask_status = [this, name](const MemberId& member) {
+      m_instances[name].m_asked.push_back(member);
+    };
+    hooks.m_report = [](const std::string&, const ReplacementIntent&) {};
+    instance.m_coordinator =
+        std::make_unique<ReplacementCoordinator>(options, std::move(hooks));
+    instance.m_coordinator->OnEntries({}, m_now);
+  }
+
+  ReplacementCoordinator& At(const std::string& name) {
+    return *m_instances[name].m_coordinator;
+  }
+
+  // Carries out the writes as the store does: one with an old revision fails.
+  void ApplyWrites() {
+    std::vector<PendingWrite> writes;
+    writes.swap(m_writes);
+    for (const PendingWrite& write : writes) {
+      if (write.m_expected != m_revision) {
+        At(write.m_writer)
+            .OnWritten(StoreError{StoreErrorKind::kConflict, ""}, m_now);
+        continue;
+      }
+      m_revision = Revision(++m_last_revision);
+      m_record = write.m_record;
+      if (!m_lose_answers) {
+        At(write.m_writer).OnWritten(Stored(), m_now);
+      }
+    }
+  }
+
+  StoreObject Stored() const {
+    return {ReplacementCoordinator::kRecordName, *m_revision, m_record};
+  }
+
+  // Lets an instance read the record.
+  void Watch(const std::string& name) {
+    if (m_revision) {
+      At(name).OnEntries({{ReplacementCoordinator::kRecordName, Stored()}},
+                         m_now);
+    }
+  }
+
+  void Tick(const std::string& name,
+            const GroupCondition& group,
+            const FleetCondition& fleet) {
+    At(name).OnTick({group}, fleet, m_now);
+  }
+
+  void Pass(Duration duration) { m_now += duration; }
+
+  struct PendingWrite {
+    std::string m_writer;
+    ReplacementRecord m_record;
+    std::optional<Revision> m_expected;
+  };
+
+  Time m_now = Time(100s);
+  std::map<std::string, Instance> m_instances;
+  std::vector<PendingWrite> m_writes;
+  std::vector<PromotionOrder> m_all_orders;
+  std::optional<Revision> m_revision;
+  ReplacementRecord m_record;
+  std::uint64_t m_last_revision = 40;
+  bool m_lose_answers = false;
+};
+
+GroupCondition Lost(const Fleet& fleet) {
+  GroupCondition group;
+  group.m_group = kGroup;
+  group.m_primary = kOld;
+  group.m_candidates = {kFirst, kSecond};
+  group.m_failing_since = fleet.m_now - 2s;
+  group.m_others_unreachable = 2;
+  return group;
+}
+
+FleetCondition Up(bool acknowledged) {
+  FleetCondition fleet;
+  fleet.m_all_acknowledged = acknowledged;
+  fleet.m_contact_fresh = true;
+  fleet.m_coordinator_heard = true;
+  return fleet;
+}
+
+MemberStatus At(std::uint64_t position, MemberRole role) {
+  MemberStatus status;
+  status.m_role = role;
+  status.m_received = {Term(3), position};
+  return status;
+}
+
+class ReplacementCoordinatorTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReplacementCoordinatorTest);
+  CPPUNIT_TEST(ProposesByOpinions);
+  CPPUNIT_TEST(WaitsForAcknowledgementsOrTheProofLimit);
+  CPPUNIT_TEST(PromotesTheFurthestCandidate);
+  CPPUNIT_TEST(NamesThePrimaryOnlyOnceItLeads);
+  CPPUNIT_TEST(TriesAnotherCandidateAfterARefusal);
+  CPPUNIT_TEST(RepeatsTheSameOrderAfterALostAnswer);
+  CPPUNIT_TEST(SynchronousGroupsNeedAllPositions);
+  CPPUNIT_TEST(PlannedReplacementWaitsForTheLog);
+  CPPUNIT_TEST(SilentCoordinatorIsTakenOver);
+  CPPUNIT_TEST(OldCoordinatorAbandonsItsOrder);
+  CPPUNIT_TEST(LostAnswerToTheIntentIsReadBack);
+  CPPUNIT_TEST(DoesNothingWithoutContact);
+  CPPUNIT_TEST(TokensGrowOverRacingCoordinators);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ProposesByOpinions() {
+    struct Case {
+      const char* m_name;
+      bool m_failing;
+      Duration m_for;
+      int m_unreachable;
+      int m_reachable;
+      bool m_gone;
+      bool m_leaves;
+      bool m_proposes;
+    };
+    const std::vector<Case> cases = {
+        {"all lost it", true, 2s, 5, 0, false, false, true},
+        {"only this one", true, 2s, 0, 5, false, false, false},
+        {"too short", true, 100ms, 5, 0, false, false, false},
+        {"most lost it", true, 2s, 3, 3, false, false, true},
+        {"most have it", true, 2s, 2, 3, false, false, false},
+        {"reached", false, 0s, 5, 0, false, false, false},
+        {"not announced", false, 0s, 0, 0, true, false, true},
+        {"leaving", false, 0s, 0, 5, false, true, true}};
+    for (const Case& row : cases) {
+      Fleet fleet({"a"});
+      GroupCondition group = Lost(fleet);
+      group.m_failing_since.reset();
+      if (row.m_failing) {
+        group.m_failing_since = fleet.m_now - row.m_for;
+      }
+      group.m_others_unreachable = row.m_unreachable;
+      group.m_others_reachable = row.m_reachable;
+      group.m_primary_gone = row.m_gone;
+      group.m_primary_leaves = row.m_leaves;
+      fleet.Tick("a", group, Up(true));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.m_name, row.m_proposes,
+                                   !fleet.m_writes.empty());
+      if (row.m_proposes) {
+        CPPUNIT_ASSERT_EQUAL(row.m_leaves,
+                             fleet.m_writes[0].m_record.m_intent->m_planned);
+      }
+    }
+  }
+
+  // Brings an instance to the promotion of `expected`.
+  static void Promote(Fleet* fleet, const std::string& name) {
+    fleet->Tick(name, Lost(*fleet), Up(false));
+    fleet->ApplyWrites();
+    fleet->Pass(20ms);
+    fleet->Tick(name, Lost(*fleet), Up(true));
+    fleet->At(name).OnStatus(kFirst, At(7, MemberRole::kReplica), fleet->m_now);
+    fleet->At(name).OnStatus(kSecond, At(9, MemberRole::kReplica),
+                             fleet->m_now);
+    fleet->Pass(20ms);
+    fleet->Tick(name, Lost(*fleet), Up(true));
+  }
+
+  void WaitsForAcknowledgementsOrTheProofLimit() {
+    for (const bool acknowledged : {true, false}) {
+      Fleet fleet({"a"});
+      fleet.Tick("a", Lost(fleet), Up(false));
+      fleet.ApplyWrites();
+      fleet.Pass(1s);
+      fleet.Tick("a", Lost(fleet), Up(acknowledged));
+      CPPUNIT_ASSERT_EQUAL(acknowledged,
+                           !fleet.m_instances["a"].m_asked.empty());
+      fleet.Pass(ReplacementOptions().m_proof_limit);
+      fleet.Tick("a", Lost(fleet), Up(acknowledged));
+      CPPUNIT_ASSERT(!fleet.m_instances["a"].m_asked.empty());
+    }
+  }
+
+  void PromotesTheFurthestCandidate() {
+    Fleet fleet({"a"});
+    Promote(&fleet, "a");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.m_all_orders.size());
+    CPPUNIT_ASSERT(kSecond == fleet.m_all_orders[0].m_candidate);
+    CPPUNIT_ASSERT(*fleet.m_revision == fleet.m_all_orders[0].m_fencing_token);
+  }
+
+  void NamesThePrimaryOnlyOnceItLeads() {
+    Fleet fleet({"a"});
+    Promote(&fleet, "a");
+    fleet.At("a").OnPromoted(PromotionResult::kDone, fleet.m_now);
+    for (int i = 0; i < 5; ++i) {
+      fleet.Pass(100ms);
+      fleet.At("a").OnStatus(kSecond, At(9, MemberRole::kReplica), fleet.m_now);
+      fleet.Tick("a", Lost(fleet), Up(true));
+      CPPUNIT_ASSERT(fleet.m_writes.empty());
+    }
+    fleet.At("a").OnStatus(kSecond, At(9, MemberRole::kPrimary), fleet.m_now);
+    fleet.Tick("a", Lost(fleet), Up(true));
+    fleet.ApplyWrites();
+    CPPUNIT_ASSERT(kSecond == fleet.At("a").PrimaryOf(kGroup));
+    CPPUNIT_ASSERT(!fleet.At("a").IntentFor(kGroup));
+  }
+
+  void TriesAnotherCandidateAfterARefusal() {
+    Fleet fleet({"a"});
+    Promote(&fleet, "a");
+    fleet.At("a").OnPromoted(PromotionResult::kRefused, fleet.m_now);
+    fleet.Tick("a", Lost(fleet), Up(true));
+    fleet.At("a").OnStatus(kFirst, At(7, MemberRole::kReplica), fleet.m_now);
+    fleet.At("a").OnStatus(kSecond, At(9, MemberRole::kReplica), fleet.m_now);
+    fleet.Tick("a", Lost(fleet), Up(true));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.m_all_orders.size());
+    CPPUNIT_ASSERT(kFirst == fleet.m_all_orders[1].m_candidate);
+  }
+
+  void RepeatsTheSameOrderAfterALostAnswer() {
+    Fleet fleet({"a"});
+    Promote(&fleet, "a");
+    fleet.Pass(ReplacementCoordinator::kCallTimeout + 10ms);
+    fleet.Tick("a", Lost(fleet), Up(true));
+    CPPUNIT_ASSERT_EQUAL(1, fleet.m_instances["a"].m_abandoned_promotions);
+    fleet.Pass(300ms);
+    fleet.Tick("a", Lost(fleet), Up(true));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.m_all_orders.size());
+    CPPUNIT_ASSERT(fleet.m_all_orders[0] == fleet.m_all_orders[1]);
+  }
+
+  void SynchronousGroupsNeedAllPositions() {
+    Fleet fleet({"a"});
+    GroupCondition group = Lost(fleet);
+    group.m_sync_replicas = 1;
+    fleet.Tick("a", group, Up(false));
+    fleet.ApplyWrites();
+    fleet.Pass(20ms);
+    fleet.Tick("a", group, Up(true));
+    fleet.At("a").OnStatus(kFirst, At(7, MemberRole::kReplica), fleet.m_now);
+    fleet.Pass(2s);
+    fleet.Tick("a", group, Up(true));
+    CPPUNIT_ASSERT(fleet.m_all_orders.empty());
+    fleet.At("a").OnStatus(kSecond, At(6, MemberRole::kReplica), fleet.m_now);
+    fleet.Tick("a", group, Up(true));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.m_all_orders.size());
+    CPPUNIT_ASSERT(kFirst == fleet.m_all_orders[0].m_candidate);
+  }
+
+  void PlannedReplacementWaitsForTheLog() {
+    Fleet fleet({"a"});
+    GroupCondition group = Lost(fleet);
+    group.m_failing_since.reset();
+    group.m_primary_leaves = true;
+    fleet.Tick("a", group, Up(false));
+    fleet.ApplyWrites();
+    fleet.Pass(20ms);
+    fleet.Tick("a", group, Up(true));
+    fleet.At("a").OnStatus(kOld, At(9, MemberRole::kPrimary), fleet.m_now);
+    fleet.At("a").OnStatus(kFirst, At(7, MemberRole::kReplica), fleet.m_now);
+    fleet.Pass(100ms);
+    fleet.Tick("a", group, Up(true));
+    CPPUNIT_ASSERT(fleet.m_all_orders.empty());
+    fleet.At("a").OnStatus(kFirst, At(9, MemberRole::kReplica), fleet.m_now);
+    fleet.Tick("a", group, Up(true));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.m_all_orders.size());
+    CPPUNIT_ASSERT(kFirst == fleet.m_all_orders[0].m_candidate);
+  }
+
+  void SilentCoordinatorIsTakenOver() {
+    Fleet fleet({"a", "b"});
+    fleet.Tick("a", Lost(fleet), Up(false));
+    fleet.ApplyWrites();
+    fleet.Watch("b");
+    FleetCondition silent = Up(false);
+    silent.m_coordinator_heard = false;
+    fleet.Tick("b", Lost(fleet), silent);
+    CPPUNIT_ASSERT(fleet.m_writes.empty());
+    fleet.Pass(ReplacementCoordinator::kTakeOverSilentAfter);
+    fleet.Tick("b", Lost(fleet), Up(false));
+    CPPUNIT_ASSERT(fleet.m_writes.empty());
+    fleet.Tick("b", Lost(fleet), silent);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.m_writes.size());
+    CPPUNIT_ASSERT(InstanceId("b") == fleet.m_writes[0].m_record.m_coordinator);
+  }
+
+  void OldCoordinatorAbandonsItsOrder() {
+    Fleet fleet({"a", "b"});
+    Promote(&fleet, "a");
+    fleet.Watch("b");
+    FleetCondition silent = Up(false);
+    silent.m_coordinator_heard = false;
+    fleet.Pass(ReplacementCoordinator::kTakeOverSilentAfter);
+    fleet.Tick("b", Lost(fleet), silent);
+    fleet.ApplyWrites();
+    fleet.Watch("a");
+    CPPUNIT_ASSERT_EQUAL(1, fleet.m_instances["a"].m_abandoned_promotions);
+    // A late answer changes nothing.
+    fleet.At("a").OnPromoted(PromotionResult::kDone, fleet.m_now);
+    fleet.Tick("a", Lost(fleet), Up(true));
+    CPPUNIT_ASSERT(fleet.m_writes.empty());
+  }
+
+  void LostAnswerToTheIntentIsReadBack() {
+    Fleet fleet({"a"});
+    fleet.m_lose_answers = true;
+    fleet.Tick("a", Lost(fleet), Up(false));
+    fleet.ApplyWrites();
+    fleet.Watch("a");
+    CPPUNIT_ASSERT(fleet.At("a").IntentFor(kGroup));
+    fleet.Pass(ReplacementCoordinator::kCallTimeout + 10ms);
+    fleet.Tick("a", Lost(fleet), Up(true));
+    fleet.Pass(200ms);
+    fleet.Tick("a", Lost(fleet), Up(true));
+    CPPUNIT_ASSERT(fleet.m_writes.empty());
+    CPPUNIT_ASSERT(!fleet.m_instances["a"].m_asked.empty());
+  }
+
+  void DoesNothingWithoutContact() {
+    Fleet fleet({"a"});
+    FleetCondition cut = Up(true);
+    cut.m_contact_fresh = false;
+    fleet.Tick("a", Lost(fleet), cut);
+    CPPUNIT_ASSERT(fleet.m_writes.empty());
+  }
+
+  // Load: several instances see the loss at the same moment, again and again.
+  void TokensGrowOverRacingCoordinators() {
+    Fleet fleet({"a", "b", "c"});
+    Revision last;
+    for (int round = 0; round < 5; ++round) {
+      for (const char* name : {"c", "a", "b"}) {
+        fleet.Tick(name, Lost(fleet), Up(false));
+      }
+      fleet.ApplyWrites();
+      for (const char* name : {"a", "b", "c"}) {
+        fleet.Watch(name);
+      }
+      fleet.Pass(20ms);
+      for (const char* name : {"a", "b", "c"}) {
+        fleet.Tick(name, Lost(fleet), Up(true));
+        fleet.At(name).OnStatus(kFirst, At(7, MemberRole::kReplica),
+                                fleet.m_now);
+        fleet.At(name).OnStatus(kSecond, At(9, MemberRole::kReplica),
+                                fleet.m_now);
+        fleet.Tick(name, Lost(fleet), Up(true));
+      }
+      CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(round) + 1,
+                           fleet.m_all_orders.size());
+      CPPUNIT_ASSERT(last < fleet.m_all_orders.back().m_fencing_token);
+      last = fleet.m_all_orders.back().m_fencing_token;
+      const std::string winner = fleet.m_all_orders.back().m_coordinator.str();
+      fleet.At(winner).OnPromoted(PromotionResult::kDone, fleet.m_now);
+      fleet.At(winner).OnStatus(kSecond, At(9, MemberRole::kPrimary),
+                                fleet.m_now);
+      fleet.Tick(winner, Lost(fleet), Up(true));
+      fleet.ApplyWrites();
+      for (const char* name : {"a", "b", "c"}) {
+        fleet.Watch(name);
+      }
+      fleet.Pass(500ms);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplacementCoordinatorTest);
+
+}  // namespace
+}  // namespace jasminelug::gateway
--- /dev/null
+++ b/test/gateway/store_follower_test.cc
@@ -0,0 +1,172 @@
+#include "src/gateway/store_follower.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+namespace jasminelug::gateway {
+namespace {
+
+StoreObject Zone(const std::string& name, std::uint64_t revision) {
+  return {name, Revision(revision), EvacuatedZone{ZoneName(name)}};
+}
+
+struct Watched {
+  Revision m_since;
+  Duration m_wait;
+};
+
+class Harness {
+ public:
+  Harness() : m_follower(StoreFollowerOptions{}, Hooks()) {}
+
+  StoreFollower::Hooks Hooks() {
+    StoreFollower::Hooks hooks;
+    hooks.m_list = [this](const std::string& after) {
+      m_lists.push_back(after);
+    };
+    hooks.m_watch = [this](Revision since, Duration wait) {
+      m_watches.push_back({since, wait});
+    };
+    hooks.m_abandon = [this] { m_abandoned += 1; };
+    hooks.m_changed = [this](const StoreObjects& objects) {
+      m_changes += 1;
+      m_count = objects.size();
+    };
+    hooks.m_proved = [this](Time sent) { m_proved = sent; };
+    hooks.m_lost = [this](const std::string&) { m_lost += 1; };
+    hooks.m_regained = [this] { m_regained += 1; };
+    hooks.m_random = [] { return 1.0; };
+    return hooks;
+  }
+
+  std::vector<std::string> m_lists;
+  std::vector<Watched> m_watches;
+  int m_abandoned = 0;
+  int m_changes = 0;
+  std::size_t m_count = 0;
+  int m_lost = 0;
+  int m_regained = 0;
+  std::optional<Time> m_proved;
+  StoreFollower m_follower;
+};
+
+class StoreFollowerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreFollowerTest);
+  CPPUNIT_TEST(ListsAllPagesThenWatches);
+  CPPUNIT_TEST(AppliesChanges);
+  CPPUNIT_TEST(ListsAgainWhenTheHistoryIsGone);
+  CPPUNIT_TEST(LostCallsAreRepeatedAtOnceWhenTheStoreIsBack);
+  CPPUNIT_TEST(SilentCallsAreAbandoned);
+  CPPUNIT_TEST(LateAnswersAreIgnored);
+  CPPUNIT_TEST(RefreshAsksAtOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Brings a follower to its first watch.
+  static void List(Harness* harness) {
+    harness->m_follower.Start(Time(1s));
+    harness->m_follower.OnPage(StorePage{{Zone("a", 3)}, false, Revision(9)},
+                               Time(1s + 4ms));
+  }
+
+  void ListsAllPagesThenWatches() {
+    Harness harness;
+    harness.m_follower.Start(Time(1s));
+    harness.m_follower.OnPage(
+        StorePage{{Zone("a", 3), Zone("b", 4)}, true, Revision(9)},
+        Time(1s + 4ms));
+    CPPUNIT_ASSERT(!harness.m_follower.is_listed());
+    harness.m_follower.OnPage(StorePage{{Zone("c", 5)}, false, Revision(12)},
+                              Time(1s + 8ms));
+    CPPUNIT_ASSERT((std::vector<std::string>{"", "b"}) == harness.m_lists);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, harness.m_count);
+    // What changed between the pages is watched for.
+    CPPUNIT_ASSERT(Revision(9) == harness.m_watches.at(0).m_since);
+    CPPUNIT_ASSERT(Time(1s) == *harness.m_proved);
+  }
+
+  void AppliesChanges() {
+    Harness harness;
+    List(&harness);
+    harness.m_follower.OnChanges(
+        StoreChanges{{{false, Zone("b", 10)}, {true, Zone("a", 11)}},
+                     Revision(11)},
+        Time(2s));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.m_count);
+    CPPUNIT_ASSERT(harness.m_follower.objects().contains("b"));
+    CPPUNIT_ASSERT(Revision(11) == harness.m_watches.back().m_since);
+    const int changes = harness.m_changes;
+    harness.m_follower.OnChanges(StoreChanges{{}, Revision(15)}, Time(4s));
+    CPPUNIT_ASSERT_EQUAL(changes, harness.m_changes);
+    // The proof dates from the call's sending.
+    CPPUNIT_ASSERT(Time(2s) == *harness.m_proved);
+  }
+
+  void ListsAgainWhenTheHistoryIsGone() {
+    Harness harness;
+    List(&harness);
+    harness.m_follower.OnChanges(StoreError{StoreErrorKind::kHistoryGone, ""},
+                                 Time(2s));
+    harness.m_follower.OnTick(Time(2s));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.m_lists.size());
+    harness.m_follower.OnPage(StorePage{{}, false, Revision(50)}, Time(2s));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, harness.m_count);
+    CPPUNIT_ASSERT_EQUAL(0, harness.m_lost);
+  }
+
+  void LostCallsAreRepeatedAtOnceWhenTheStoreIsBack() {
+    Harness harness;
+    List(&harness);
+    Time now(2s);
+    for (int i = 0; i < 6; ++i) {
+      harness.m_follower.OnChanges(StoreError{StoreErrorKind::kRefused, "503"},
+                                   now);
+      const std::size_t calls = harness.m_watches.size();
+      now += StoreFollowerOptions().m_longest_retry_delay;
+      harness.m_follower.OnTick(now);
+      CPPUNIT_ASSERT_EQUAL(calls + 1, harness.m_watches.size());
+      CPPUNIT_ASSERT(harness.m_watches.back().m_wait <= 1ms);
+      CPPUNIT_ASSERT(Revision(9) == harness.m_watches.back().m_since);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, harness.m_lost);
+    harness.m_follower.OnChanges(StoreChanges{{}, Revision(15)}, now);
+    CPPUNIT_ASSERT_EQUAL(1, harness.m_regained);
+    CPPUNIT_ASSERT(harness.m_watches.back().m_wait ==
+                   StoreFollowerOptions().m_watch_wait);
+  }
+
+  void SilentCallsAreAbandoned() {
+    Harness harness;
+    List(&harness);
+    const StoreFollowerOptions options;
+    Time now(1s + 4ms);
+    now += options.m_watch_wait + options.m_answer_timeout;
+    harness.m_follower.OnTick(now);
+    CPPUNIT_ASSERT_EQUAL(0, harness.m_abandoned);
+    harness.m_follower.OnTick(now + 1ms);
+    CPPUNIT_ASSERT_EQUAL(1, harness.m_abandoned);
+    CPPUNIT_ASSERT(harness.m_follower.is_lost());
+  }
+
+  void LateAnswersAreIgnored() {
+    Harness harness;
+    List(&harness);
+    harness.m_follower.OnPage(StorePage{{}, false, Revision(90)}, Time(2s));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.m_count);
+  }
+
+  void RefreshAsksAtOnce() {
+    Harness harness;
+    List(&harness);
+    harness.m_follower.Refresh(Time(2s));
+    CPPUNIT_ASSERT_EQUAL(1, harness.m_abandoned);
+    CPPUNIT_ASSERT(harness.m_watches.back().m_wait <= 1ms);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreFollowerTest);
+
+}  // namespace
+}  // namespace jasminelug::gateway
--- /dev/null
+++ b/test/gossip/report_codec_test.cc
@@ -0,0 +1,66 @@
+#include "src/gossip/report_codec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+#include <string>
+
+namespace jasminelug::gossip {
+namespace {
+
+gateway::PeerReport FullReport() {
+  using namespace gateway;
+  PeerReport report;
+  report.m_sender = InstanceId("a");
+  report.m_incarnation = Incarnation(1'234'567'890'123);
+  report.m_sequence = 99;
+  report.m_echoes = {{InstanceId("b"), Incarnation(5), 6, Duration(70)}};
+  report.m_demand = {{CustomerName("c"), 12.5}};
+  report.m_samples = {
+      {GroupName("g"), Duration(80), LogPosition{Term(3), 1207}}};
+  report.m_unreachable = {GroupName("g")};
+  report.m_reachable = {GroupName("h"), GroupName("k")};
+  report.m_acknowledged = Revision(412);
+  report.m_configuration = {Revision(77), Duration(1000)};
+  report.m_replacements = {Revision(0), Duration(0)};
+  return report;
+}
+
+class ReportCodecTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReportCodecTest);
+  CPPUNIT_TEST(ReadsWhatItWrote);
+  CPPUNIT_TEST(RefusesDamagedBytes);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ReadsWhatItWrote() {
+    for (const gateway::PeerReport& report :
+         {gateway::PeerReport{}, FullReport()}) {
+      const auto read = DecodeReport(EncodeReport(report));
+      CPPUNIT_ASSERT(IsOk(read));
+      CPPUNIT_ASSERT(report == GetValue(read));
+    }
+  }
+
+  // No bytes end the process, whatever they are.
+  void RefusesDamagedBytes() {
+    const unsigned seed = std::random_device()();
+    std::mt19937 random(seed);
+    const std::string whole = EncodeReport(FullReport());
+    int refused = 0;
+    for (int i = 0; i < 2000; ++i) {
+      std::string bytes = whole.substr(0, random() % whole.size());
+      if (!bytes.empty()) {
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+      }
+      refused += IsOk(DecodeReport(bytes)) ? 0 : 1;
+    }
+    CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), refused > 1000);
+    CPPUNIT_ASSERT(!IsOk(DecodeReport("")));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReportCodecTest);
+
+}  // namespace
+}  // namespace jasminelug::gossip
