--- /dev/null
+++ b/test/fake_line_platform/fake_store.cc
@@ -0,0 +1,164 @@
+#include "test/fake_line_platform/fake_store.h"
+
+#include <chrono>
+#include <optional>
+#include <utility>
+
+namespace jasminelug::fake_line_platform {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kObjectsPath[] = "/-/objects/";
+
+// Returns a parameter of the query; nullopt where it is missing.
+std::optional<std::string> Parameter(const std::string& target,
+                                     const std::string& name) {
+  const std::size_t question = target.find('?');
+  if (question == std::string::npos) {
+    return std::nullopt;
+  }
+  const std::string query = "&" + target.substr(question + 1);
+  const std::size_t begin = query.find("&" + name + "=");
+  if (begin == std::string::npos) {
+    return std::nullopt;
+  }
+  const std::size_t value = begin + name.size() + 2;
+  return query.substr(value, query.find('&', value) - value);
+}
+
+std::uint64_t Number(const std::optional<std::string>& text) {
+  return text ? std::stoull(*text) : 0;
+}
+
+}  // namespace
+
+FakeStore::FakeStore(asio::io_context& io,
+                     const asio::ip::tcp::endpoint& endpoint,
+                     PromoteHook promote)
+    : m_io(io), m_acceptor(io, endpoint), m_promote(std::move(promote)) {
+  Accept();
+}
+
+void FakeStore::Accept() {
+  m_acceptor.async_accept(
+      [this](std::error_code error, asio::ip::tcp::socket socket) {
+        if (error) {
+          return;
+        }
+        std::make_shared<HttpSession>(
+            std::move(socket),
+            [this](const std::shared_ptr<HttpSession>& session,
+                   const std::string& method, const std::string& target,
+                   const std::string& body) {
+              OnRequest(session, method, target, body);
+            })
+            ->Start();
+        Accept();
+      });
+}
+
+void FakeStore::Put(const std::string& kind,
+                    const std::string& name,
+                    const json& spec) {
+  const json object = {{"meta", {{"name", name}}}, {"spec", spec}};
+  if (m_store.Create(kind, object).m_status == 409) {
+    m_store.Replace(kind, name, object);
+  }
+  Wake();
+}
+
+void FakeStore::Remove(const std::string& kind, const std::string& name) {
+  m_store.Remove(kind, name, std::nullopt);
+  Wake();
+}
+
+void FakeStore::OnRequest(const std::shared_ptr<HttpSession>& session,
+                          const std::string& method,
+                          const std::string& target,
+                          const std::string& body) {
+  const json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  if (target == "/promote" && parsed.is_object()) {
+    const bool done = m_promote(parsed.value("id", ""));
+    session->Respond(done ? 200 : 409, "{}");
+    return;
+  }
+  if (target.rfind(kObjectsPath, 0) != 0) {
+    session->Respond(404, "{}");
+    return;
+  }
+  OnObjectRequest(session, method, target, parsed);
+}
+
+void FakeStore::OnObjectRequest(const std::shared_ptr<HttpSession>& session,
+                                const std::string& method,
+                                const std::string& target,
+                                const json& body) {
+  const std::string path = target.substr(0, target.find('?'))
+                               .substr(std::string(kObjectsPath).size());
+  const std::size_t slash = path.find('/');
+  const std::string kind = path.substr(0, slash);
+  const std::string name =
+      slash == std::string::npos ? "" : path.substr(slash + 1);
+  const std::optional<std::string> watch = Parameter(target, "watch");
+  if (watch) {
+    AddWatch(session, kind, Number(watch),
+             Number(Parameter(target, "wait-ms")));
+    return;
+  }
+  ObjectStore::Response response;
+  if (method == "GET" && name.empty()) {
+    response = m_store.List(kind, Parameter(target, "after").value_or(""));
+  } else if (method == "GET") {
+    response = m_store.Get(kind, name);
+  } else if (method == "POST") {
+    response = m_store.Create(kind, body);
+  } else if (method == "PUT") {
+    response = m_store.Replace(kind, name, body);
+  } else {
+    const std::optional<std::string> revision = Parameter(target, "revision");
+    response =
+        m_store.Remove(kind, name,
+                       revision ? std::optional<std::uint64_t>(Number(revision))
+                                : std::nullopt);
+  }
+  session->Respond(response.m_status, response.m_body.dump());
+  Wake();
+}
+
+void FakeStore::AddWatch(const std::shared_ptr<HttpSession>& session,
+                         const std::string& kind,
+                         std::uint64_t since,
+                         std::uint64_t wait_ms) {
+  auto timer = std::make_unique<asio::steady_timer>(
+      m_io, std::chrono::milliseconds(wait_ms));
+  m_watches.push_back({session, kind, since, std::move(timer)});
+  const auto added = std::prev(m_watches.end());
+  added->m_timer->async_wait([this, added](std::error_code error) {
+    if (!error) {
+      RespondTo(*added);
+      m_watches.erase(added);
+    }
+  });
+  Wake();
+}
+
+void FakeStore::RespondTo(const Watch& watch) {
+  const json body = {
+      {"events", m_store.ChangesSince(watch.m_kind, watch.m_since)},
+      {"current-rev", m_store.revision()}};
+  watch.m_session->Respond(200, body.dump());
+}
+
+void FakeStore::Wake() {
+  for (auto watch = m_watches.begin(); watch != m_watches.end();) {
+    if (m_store.ChangesSince(watch->m_kind, watch->m_since).empty()) {
+      ++watch;
+      continue;
+    }
+    RespondTo(*watch);
+    watch = m_watches.erase(watch);
+  }
+}
+
+}  // namespace jasminelug::fake_line_platform
--- /dev/null
+++ b/test/fake_line_platform/main.cc
@@ -0,0 +1,147 @@
+// A stand-in for the users' platform on one machine: the metadata store with
+// the promotion call, and one database group of three members in the line
+// protocol. Orders come on standard input, a line each; see HandleOrder().
+
+#include <unistd.h>
+#include <asio/io_context.hpp>
+#include <asio/ip/address_v4.hpp>
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/read_until.hpp>
+#include <asio/streambuf.hpp>
+#include <iostream>
+#include <istream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "test/fake_line_platform/fake_database_group.h"
+#include "test/fake_line_platform/fake_member.h"
+#include "test/fake_line_platform/fake_store.h"
+
+namespace jasminelug::fake_line_platform {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kGroup[] = "beds-group";
+
+class Platform {
+ public:
+  explicit Platform(asio::io_context& io)
+      : m_group({"m1", "m2", "m3"}),
+        m_store(io,
+                {asio::ip::address_v4::loopback(), 0},
+                [this](const std::string& member) { return Promote(member); }),
+        m_input(io, ::dup(STDIN_FILENO)) {
+    for (const char* id : {"m1", "m2", "m3"}) {
+      m_members.push_back(
+          std::make_unique<FakeMember>(io, kGroup, id, m_group));
+    }
+    Announce();
+    WriteConfiguration({"key-1", "key-2"});
+    ReadOrder();
+    std::cout << json({{"port", m_store.port()}}).dump() << std::endl;
+  }
+
+ private:
+  bool Promote(const std::string& member) {
+    const bool done = m_group.Promote(member);
+    Announce();
+    return done;
+  }
+
+  void Announce() {
+    for (const std::unique_ptr<FakeMember>& member : m_members) {
+      if (!m_group.At(member->id()).m_running) {
+        continue;
+      }
+      const std::string address = "127.0.0.1:" + std::to_string(member->port());
+      m_store.Put(
+          "servers", member->id(),
+          {{"service", kGroup},
+           {"address", address},
+           {"zone", "zone-" + member->id()},
+           {"version", "v1"},
+           {"slots", 3},
+           {"state", "ready"},
+           {"cold-left-ms", 0},
+           {"db-role", m_group.IsPrimary(member->id()) ? "primary" : "replica"},
+           {"seq-num", 1},
+           {"born", 1700}});
+    }
+  }
+
+  void WriteConfiguration(const std::vector<std::string>& keys) {
+    m_version += 1;
+    const json route = {{"name", "r"},
+                        {"host", "beds"},
+                        {"path-prefix", "/"},
+                        {"route-type", "read_your_writes"},
+                        {"timeout-ms", 1000},
+                        {"latency-slo-ms", 400},
+                        {"priority", 1},
+                        {"service", kGroup},
+                        {"max-staleness-ms", 1500},
+                        {"public", false}};
+    const json group = {
+        {"name", kGroup}, {"max-conns", 21}, {"sync-replicas", 0}};
+    const json tenant = {{"name", "shelters"},
+                         {"api-keys", keys},
+                         {"priority", 1},
+                         {"rate-per-s", 200},
+                         {"burst", 200}};
+    m_store.Put("config", "main",
+                {{"version", m_version},
+                 {"routes", json::array({route})},
+                 {"services", json::array({group})},
+                 {"limits", {{"tx-idle-ms", 3000}}},
+                 {"tenants", json::array({tenant})}});
+  }
+
+  void ReadOrder() {
+    asio::async_read_until(m_input, m_orders, '\n',
+                           [this](std::error_code error, std::size_t) {
+                             if (error) {
+                               return;
+                             }
+                             std::istream stream(&m_orders);
+                             std::string order;
+                             std::getline(stream, order);
+                             HandleOrder(order);
+                             ReadOrder();
+                           });
+  }
+
+  // "withdraw": key-1 is no longer valid. "crash ID", "start ID": a member.
+  void HandleOrder(const std::string& order) {
+    if (order == "withdraw") {
+      WriteConfiguration({"key-2"});
+    }
+    for (const std::unique_ptr<FakeMember>& member : m_members) {
+      if (order == "crash " + member->id()) {
+        member->Crash();
+      } else if (order == "start " + member->id()) {
+        member->Start();
+        Announce();
+      }
+    }
+    std::cout << json({{"done", order}}).dump() << std::endl;
+  }
+
+  FakeDatabaseGroup m_group;
+  FakeStore m_store;
+  std::vector<std::unique_ptr<FakeMember>> m_members;
+  asio::posix::stream_descriptor m_input;
+  asio::streambuf m_orders;
+  int m_version = 0;
+};
+
+}  // namespace
+}  // namespace jasminelug::fake_line_platform
+
+int main() {
+  asio::io_context io(1);
+  const jasminelug::fake_line_platform::Platform platform(io);
+  io.run();
+  return 0;
+}
--- a/test/gateway/decisions_test.cc
+++ b/test/gateway/decisions_test.cc
@@ -13,11 +13,11 @@
 namespace jasminelug::gateway {
 namespace {
 
-const CustomerName kCustomer("c");
+const CustomerName test_customer("c");
 
 Configuration OneCustomer(double rate, double burst) {
   Configuration configuration;
-  configuration.m_customers[kCustomer] = {rate, burst, 0};
+  configuration.m_customers[test_customer] = {rate, burst, 0};
   return configuration;
 }
 
@@ -30,7 +30,7 @@
   const Time end = *now + time;
   const Duration step = Duration(1s) / per_second;
   for (; *now < end; *now += step) {
-    granted += limiter->Take(kCustomer, *now) ? 1 : 0;
+    granted += limiter->Take(test_customer, *now) ? 1 : 0;
   }
   return granted;
 }
@@ -59,7 +59,7 @@
       CustomerLimiter limiter;
       Time now(100s);
       limiter.SetLimits(OneCustomer(100, 100), now);
-      limiter.SetShare(kCustomer, share, now);
+      limiter.SetShare(test_customer, share, now);
       now += 10s;
       const int granted = Granted(&limiter, &now, 1000, 5s);
       const double limit = (100 * 5 + 100) * share;
--- a/test/gateway/peer_view_test.cc
+++ b/test/gateway/peer_view_test.cc
@@ -9,7 +9,7 @@
 namespace jasminelug::gateway {
 namespace {
 
-const CustomerName kCustomer("c");
+const CustomerName test_customer("c");
 
 InstanceEntry Entry(const std::string& name, std::uint64_t incarnation = 1) {
   InstanceEntry entry;
@@ -24,6 +24,7 @@
  public:
   explicit Fleet(int size) {
     std::vector<InstanceEntry> entries;
+    entries.reserve(static_cast<std::size_t>(size));
     for (int i = 0; i < size; ++i) {
       entries.push_back(Entry("i" + std::to_string(i)));
     }
@@ -57,8 +58,8 @@
 
   double ShareOf(std::size_t index) {
     return m_views[index]
-        .Shares(m_demand[index], {kCustomer}, m_now)
-        .at(kCustomer);
+        .Shares(m_demand[index], {test_customer}, m_now)
+        .at(test_customer);
   }
 
   double ShareSum() {
@@ -92,7 +93,7 @@
     for (int round = 0; round < 100; ++round) {
       Fleet fleet(2 + static_cast<int>(random() % 9));
       for (auto& demand : fleet.m_demand) {
-        demand = {{kCustomer, static_cast<double>(random() % 100)}};
+        demand = {{test_customer, static_cast<double>(random() % 100)}};
       }
       fleet.Exchange(2ms);
       fleet.Exchange(2ms);
@@ -104,7 +105,7 @@
   // Load: all callers of a customer come to one instance.
   void SharesFollowDemand() {
     Fleet fleet(7);
-    fleet.m_demand[0] = {{kCustomer, 70.0}};
+    fleet.m_demand[0] = {{test_customer, 70.0}};
     fleet.Exchange(2ms);
     fleet.Exchange(2ms);
     CPPUNIT_ASSERT(fleet.ShareOf(0) > 0.6);
@@ -114,8 +115,8 @@
   // Fault: the instance with the most callers is cut off from the others.
   void CutInstanceKeepsAnEvenPart() {
     Fleet fleet(7);
-    fleet.m_demand[0] = {{kCustomer, 70.0}};
-    fleet.m_demand[1] = {{kCustomer, 10.0}};
+    fleet.m_demand[0] = {{test_customer, 70.0}};
+    fleet.m_demand[1] = {{test_customer, 10.0}};
     fleet.Exchange(2ms);
     fleet.Exchange(2ms);
     fleet.m_now += PeerView::kFreshFor + 1ms;
--- a/test/gateway/replacement_coordinator_test.cc
+++ b/test/gateway/replacement_coordinator_test.cc
@@ -9,10 +9,10 @@
 namespace jasminelug::gateway {
 namespace {
 
-const GroupName kGroup("g");
-const MemberId kOld("p");
-const MemberId kFirst("r1");
-const MemberId kSecond("r2");
+const GroupName test_group("g");
+const MemberId old_primary("p");
+const MemberId first_replica("r1");
+const MemberId second_replica("r2");
 
 // The store's record and one coordinator for each instance, played by the test.
 class Fleet {
@@ -116,9 +116,9 @@
 
 GroupCondition Lost(const Fleet& fleet) {
   GroupCondition group;
-  group.m_group = kGroup;
-  group.m_primary = kOld;
-  group.m_candidates = {kFirst, kSecond};
+  group.m_group = test_group;
+  group.m_primary = old_primary;
+  group.m_candidates = {first_replica, second_replica};
   group.m_failing_since = fleet.m_now - 2s;
   group.m_others_unreachable = 2;
   return group;
@@ -204,8 +204,9 @@
     fleet->ApplyWrites();
     fleet->Pass(20ms);
     fleet->Tick(name, Lost(*fleet), Up(true));
-    fleet->At(name).OnStatus(kFirst, At(7, MemberRole::kReplica), fleet->m_now);
-    fleet->At(name).OnStatus(kSecond, At(9, MemberRole::kReplica),
+    fleet->At(name).OnStatus(first_replica, At(7, MemberRole::kReplica),
+                             fleet->m_now);
+    fleet->At(name).OnStatus(second_replica, At(9, MemberRole::kReplica),
                              fleet->m_now);
     fleet->Pass(20ms);
     fleet->Tick(name, Lost(*fleet), Up(true));
@@ -230,7 +231,7 @@
     Fleet fleet({"a"});
     Promote(&fleet, "a");
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.m_all_orders.size());
-    CPPUNIT_ASSERT(kSecond == fleet.m_all_orders[0].m_candidate);
+    CPPUNIT_ASSERT(second_replica == fleet.m_all_orders[0].m_candidate);
     CPPUNIT_ASSERT(*fleet.m_revision == fleet.m_all_orders[0].m_fencing_token);
   }
 
@@ -240,15 +241,17 @@
     fleet.At("a").OnPromoted(PromotionResult::kDone, fleet.m_now);
     for (int i = 0; i < 5; ++i) {
       fleet.Pass(100ms);
-      fleet.At("a").OnStatus(kSecond, At(9, MemberRole::kReplica), fleet.m_now);
+      fleet.At("a").OnStatus(second_replica, At(9, MemberRole::kReplica),
+                             fleet.m_now);
       fleet.Tick("a", Lost(fleet), Up(true));
       CPPUNIT_ASSERT(fleet.m_writes.empty());
     }
-    fleet.At("a").OnStatus(kSecond, At(9, MemberRole::kPrimary), fleet.m_now);
+    fleet.At("a").OnStatus(second_replica, At(9, MemberRole::kPrimary),
+                           fleet.m_now);
     fleet.Tick("a", Lost(fleet), Up(true));
     fleet.ApplyWrites();
-    CPPUNIT_ASSERT(kSecond == fleet.At("a").PrimaryOf(kGroup));
-    CPPUNIT_ASSERT(!fleet.At("a").IntentFor(kGroup));
+    CPPUNIT_ASSERT(second_replica == fleet.At("a").PrimaryOf(test_group));
+    CPPUNIT_ASSERT(!fleet.At("a").IntentFor(test_group));
   }
 
   void TriesAnotherCandidateAfterARefusal() {
@@ -256,11 +259,13 @@
     Promote(&fleet, "a");
     fleet.At("a").OnPromoted(PromotionResult::kRefused, fleet.m_now);
     fleet.Tick("a", Lost(fleet), Up(true));
-    fleet.At("a").OnStatus(kFirst, At(7, MemberRole::kReplica), fleet.m_now);
-    fleet.At("a").OnStatus(kSecond, At(9, MemberRole::kReplica), fleet.m_now);
+    fleet.At("a").OnStatus(first_replica, At(7, MemberRole::kReplica),
+                           fleet.m_now);
+    fleet.At("a").OnStatus(second_replica, At(9, MemberRole::kReplica),
+                           fleet.m_now);
     fleet.Tick("a", Lost(fleet), Up(true));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.m_all_orders.size());
-    CPPUNIT_ASSERT(kFirst == fleet.m_all_orders[1].m_candidate);
+    CPPUNIT_ASSERT(first_replica == fleet.m_all_orders[1].m_candidate);
   }
 
   void RepeatsTheSameOrderAfterALostAnswer() {
@@ -283,14 +288,16 @@
     fleet.ApplyWrites();
     fleet.Pass(20ms);
     fleet.Tick("a", group, Up(true));
-    fleet.At("a").OnStatus(kFirst, At(7, MemberRole::kReplica), fleet.m_now);
+    fleet.At("a").OnStatus(first_replica, At(7, MemberRole::kReplica),
+                           fleet.m_now);
     fleet.Pass(2s);
     fleet.Tick("a", group, Up(true));
     CPPUNIT_ASSERT(fleet.m_all_orders.empty());
-    fleet.At("a").OnStatus(kSecond, At(6, MemberRole::kReplica), fleet.m_now);
+    fleet.At("a").OnStatus(second_replica, At(6, MemberRole::kReplica),
+                           fleet.m_now);
     fleet.Tick("a", group, Up(true));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.m_all_orders.size());
-    CPPUNIT_ASSERT(kFirst == fleet.m_all_orders[0].m_candidate);
+    CPPUNIT_ASSERT(first_replica == fleet.m_all_orders[0].m_candidate);
   }
 
   void PlannedReplacementWaitsForTheLog() {
@@ -302,15 +309,18 @@
     fleet.ApplyWrites();
     fleet.Pass(20ms);
     fleet.Tick("a", group, Up(true));
-    fleet.At("a").OnStatus(kOld, At(9, MemberRole::kPrimary), fleet.m_now);
-    fleet.At("a").OnStatus(kFirst, At(7, MemberRole::kReplica), fleet.m_now);
+    fleet.At("a").OnStatus(old_primary, At(9, MemberRole::kPrimary),
+                           fleet.m_now);
+    fleet.At("a").OnStatus(first_replica, At(7, MemberRole::kReplica),
+                           fleet.m_now);
     fleet.Pass(100ms);
     fleet.Tick("a", group, Up(true));
     CPPUNIT_ASSERT(fleet.m_all_orders.empty());
-    fleet.At("a").OnStatus(kFirst, At(9, MemberRole::kReplica), fleet.m_now);
+    fleet.At("a").OnStatus(first_replica, At(9, MemberRole::kReplica),
+                           fleet.m_now);
     fleet.Tick("a", group, Up(true));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.m_all_orders.size());
-    CPPUNIT_ASSERT(kFirst == fleet.m_all_orders[0].m_candidate);
+    CPPUNIT_ASSERT(first_replica == fleet.m_all_orders[0].m_candidate);
   }
 
   void SilentCoordinatorIsTakenOver() {
@@ -353,7 +363,7 @@
     fleet.Tick("a", Lost(fleet), Up(false));
     fleet.ApplyWrites();
     fleet.Watch("a");
-    CPPUNIT_ASSERT(fleet.At("a").IntentFor(kGroup));
+    CPPUNIT_ASSERT(fleet.At("a").IntentFor(test_group));
     fleet.Pass(ReplacementCoordinator::kCallTimeout + 10ms);
     fleet.Tick("a", Lost(fleet), Up(true));
     fleet.Pass(200ms);
@@ -385,9 +395,9 @@
       fleet.Pass(20ms);
       for (const char* name : {"a", "b", "c"}) {
         fleet.Tick(name, Lost(fleet), Up(true));
-        fleet.At(name).OnStatus(kFirst, At(7, MemberRole::kReplica),
+        fleet.At(name).OnStatus(first_replica, At(7, MemberRole::kReplica),
                                 fleet.m_now);
-        fleet.At(name).OnStatus(kSecond, At(9, MemberRole::kReplica),
+        fleet.At(name).OnStatus(second_replica, At(9, MemberRole::kReplica),
                                 fleet.m_now);
         fleet.Tick(name, Lost(fleet), Up(true));
       }
@@ -397,7 +407,7 @@
       last = fleet.m_all_orders.back().m_fencing_token;
       const std::string winner = fleet.m_all_orders.back().m_coordinator.str();
       fleet.At(winner).OnPromoted(PromotionResult::kDone, fleet.m_now);
-      fleet.At(winner).OnStatus(kSecond, At(9, MemberRole::kPrimary),
+      fleet.At(winner).OnStatus(second_replica, At(9, MemberRole::kPrimary),
                                 fleet.m_now);
       fleet.Tick(winner, Lost(fleet), Up(true));
       fleet.ApplyWrites();
