--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -18,6 +18,8 @@
 
 // Pause between two reports to the same peer.
 constexpr gateway::Duration kReportInterval = 200ms;
+// Instances of each other cell that a digest is sent to.
+constexpr std::size_t kDigestReceivers = 2;
 // A coordinator acts only on a proof of contact younger than this.
 constexpr gateway::Duration kCoordinatorProofLimit = 2s;
 // The first instance that is heard asks the store this often, for all. Others
@@ -43,6 +45,7 @@
   entry.m_id = gateway::InstanceId(settings.m_instance);
   entry.m_incarnation =
       gateway::Incarnation(static_cast<std::uint64_t>(since_epoch.count()));
+  entry.m_zone = gateway::ZoneName(settings.m_zone);
   entry.m_peer_address = gateway::Address(settings.m_peer_address + ":" +
                                           std::to_string(settings.m_peer_port));
   return entry;
@@ -66,7 +69,7 @@
       m_removal_client(io, *adapter::ParseEndpoint(settings.m_store)),
       m_promotion_client(io, *adapter::ParseEndpoint(settings.m_promotion)),
       m_registrar(m_entry, MakeRegistrarHooks()),
-      m_peers(m_entry.m_id, m_entry.m_incarnation),
+      m_peers(m_entry.m_id, m_entry.m_incarnation, m_entry.m_zone),
       m_coordinator(gateway::ReplacementOptions{m_entry.m_id},
                     MakeCoordinatorHooks()),
       m_datagrams(io,
@@ -81,7 +84,7 @@
                          const gateway::InstanceEntry& entry,
                          std::optional<gateway::Revision> expected) {
     m_registrar_client.Write(
-        StoreKind::kFleet, name, entry, expected, [this](const auto& result) {
+        StoreKind::kInstances, name, entry, expected, [this](const auto& result) {
           if (!IsOk(result)) {
             Log(m_logger, log4cplus::WARN_LOG_LEVEL, "could not register",
                 {{"reason", GetError(result).m_message}});
@@ -90,7 +93,7 @@
         });
   };
   hooks.m_delete = [this](const std::string& name) {
-    m_registrar_client.Delete(StoreKind::kFleet, name, std::nullopt,
+    m_registrar_client.Delete(StoreKind::kInstances, name, std::nullopt,
                               [this](const auto& result) {
                                 Log(m_logger, log4cplus::INFO_LOG_LEVEL,
                                     "deregistered", {{"done", IsOk(result)}});
@@ -104,7 +107,7 @@
   gateway::ReplacementCoordinator::Hooks hooks;
   hooks.m_write = [this](const gateway::ReplacementRecord& record,
                          std::optional<gateway::Revision> expected) {
-    m_record_client.Write(StoreKind::kFleet,
+    m_record_client.Write(StoreKind::kReplacements,
                           gateway::ReplacementCoordinator::kRecordName, record,
                           expected, [this](const auto& result) {
                             const gateway::Time now = Now();
@@ -137,7 +140,7 @@
   return hooks;
 }
 
-void FleetDuty::OnEntries(const gateway::StoreObjects& objects,
+void FleetDuty::OnInstances(const gateway::StoreObjects& objects,
                           gateway::Time now) {
   m_objects = objects;
   std::vector<gateway::InstanceEntry> entries;
@@ -150,9 +153,13 @@
   m_peers.SetInstances(entries, now);
   m_engine.SetInstanceCount(m_peers.instance_count());
   m_registrar.OnEntries(objects, now);
+  UpdateShares(now);
+}
+
+void FleetDuty::OnReplacements(const gateway::StoreObjects& objects,
+                               gateway::Time now) {
   m_coordinator.OnEntries(objects, now);
   UpdatePrimaries(now);
-  UpdateShares(now);
   if (AcknowledgedRevision() != m_reported_revision) {
     SendReports(now);
   }
@@ -234,10 +241,31 @@
   m_peers.Address(&report, now);
   const std::string bytes = gossip::EncodeReport(report);
   for (const gateway::InstanceEntry& peer : m_peers.Peers()) {
-    const auto endpoint = adapter::ParseEndpoint(peer.m_peer_address.str());
-    if (endpoint) {
-      m_datagrams.Send(ToDatagramEndpoint(*endpoint), bytes);
-    }
+    SendTo(peer, bytes);
+  }
+  if (m_peers.SendsDigest(now)) {
+    SendDigest(report, now);
+  }
+}
+
+void FleetDuty::SendDigest(const gateway::PeerReport& own, gateway::Time now) {
+  gateway::PeerReport report;
+  report.m_sender = own.m_sender;
+  report.m_incarnation = own.m_incarnation;
+  report.m_sequence = own.m_sequence;
+  report.m_cells = {m_peers.Digest(own, now)};
+  const std::string bytes = gossip::EncodeReport(report);
+  for (const gateway::InstanceEntry& peer :
+       m_peers.DigestReceivers(kDigestReceivers)) {
+    SendTo(peer, bytes);
+  }
+}
+
+void FleetDuty::SendTo(const gateway::InstanceEntry& peer,
+                       const std::string& bytes) {
+  const auto endpoint = adapter::ParseEndpoint(peer.m_peer_address.str());
+  if (endpoint) {
+    m_datagrams.Send(ToDatagramEndpoint(*endpoint), bytes);
   }
 }
 
@@ -280,7 +308,7 @@
       m_engine.primary_contact().Prove(*proved);
     } else if (proof.m_revision > m_coordinator.revision() && may_refresh) {
       m_refreshed = now;
-      m_refresh.m_fleet();
+      m_refresh.m_replacements();
     }
   }
 }
@@ -301,7 +329,7 @@
   if (primaries && *primaries > limit) {
     m_refreshed = now;
     m_prover_until = now + kActingProverFor;
-    m_refresh.m_fleet();
+    m_refresh.m_replacements();
   }
 }
 
@@ -338,7 +366,7 @@
     }
     Log(m_logger, log4cplus::INFO_LOG_LEVEL, "removing a silent instance",
         {{"peer", silent.str()}});
-    m_removal_client.Delete(StoreKind::kFleet, name, object->second.m_revision,
+    m_removal_client.Delete(StoreKind::kInstances, name, object->second.m_revision,
                             [](const auto&) {});
     m_objects.erase(object);
     return;
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -26,8 +26,11 @@
             const Settings& settings,
             gateway::Engine& engine);
 
-  // Takes the fleet's objects as the store holds them.
-  void OnEntries(const gateway::StoreObjects& objects, gateway::Time now);
+  // Takes the instances' entries as the store holds them.
+  void OnInstances(const gateway::StoreObjects& objects, gateway::Time now);
+
+  // Takes the replacement record as the store holds it.
+  void OnReplacements(const gateway::StoreObjects& objects, gateway::Time now);
 
   // A member told its status.
   void OnStatus(const gateway::MemberId& member,
@@ -45,7 +48,7 @@
   // Asks for the store's state anew; set by the owner.
   struct RefreshHooks {
     std::function<void()> m_configuration;
-    std::function<void()> m_fleet;
+    std::function<void()> m_replacements;
   };
   void SetRefreshHooks(RefreshHooks hooks) { m_refresh = std::move(hooks); }
 
@@ -53,6 +56,7 @@
   // store's state to the others.
   gateway::Duration WatchWait(gateway::Time now) const;
 
+  int instance_count() const { return m_peers.instance_count(); }
   bool is_registered() const { return m_registrar.is_registered(); }
 
  private:
@@ -60,6 +64,8 @@
   gateway::ReplacementCoordinator::Hooks MakeCoordinatorHooks();
   void OnDatagram(std::string_view bytes);
   void SendReports(gateway::Time now);
+  void SendDigest(const gateway::PeerReport& own, gateway::Time now);
+  void SendTo(const gateway::InstanceEntry& peer, const std::string& bytes);
   gateway::PeerReport MakeReport(gateway::Time now) const;
   gateway::Revision AcknowledgedRevision() const;
   void TakeProofs(const gateway::PeerReport& report, gateway::Time now);
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -20,6 +20,9 @@
 constexpr gateway::Duration kFirstWait = 1200ms;
 // Watches of kinds that prove nothing wait this long.
 constexpr gateway::Duration kUnprovedKindWait = 20s;
+// Each instance reads the entries of the others at most once in this time for
+// each of them.
+constexpr gateway::Duration kPauseForEachInstance = 15ms;
 // Retries of the kind that tells first that the store is back, and of others.
 constexpr gateway::Duration kShortRetryDelay = 250ms;
 constexpr gateway::Duration kLongRetryDelay = 2s;
@@ -52,8 +55,10 @@
       return "members";
     case StoreKind::kEvacuations:
       return "evacuations";
-    case StoreKind::kFleet:
-      return "fleet";
+    case StoreKind::kInstances:
+      return "instances";
+    case StoreKind::kReplacements:
+      return "replacements";
   }
   return "";
 }
@@ -236,7 +241,7 @@
 }
 
 void GatewayProcess::RefreshLostLinks() {
-  for (const std::unique_ptr<StoreLink>& link : m_links) {
+  for (StoreLink* link : Links()) {
     if (link->is_lost()) {
       link->Refresh(Now());
     }
@@ -244,7 +249,7 @@
 }
 
 bool GatewayProcess::IsReady() const {
-  for (const std::unique_ptr<StoreLink>& link : m_links) {
+  for (StoreLink* link : Links()) {
     if (!link || !link->is_listed()) {
       return false;
     }
@@ -267,9 +272,11 @@
 
 void GatewayProcess::OnTick() {
   const gateway::Time now = Now();
-  m_links[0]->SetWatchWait(m_fleet.WatchWait(now));
-  m_links[1]->SetWatchWait(m_fleet.WatchWait(now));
-  for (const std::unique_ptr<StoreLink>& link : m_links) {
+  m_configuration_link->SetWatchWait(m_fleet.WatchWait(now));
+  m_replacements_link->SetWatchWait(m_fleet.WatchWait(now));
+  m_instances_link->SetPauseAfterChange(m_fleet.instance_count() *
+                                        kPauseForEachInstance);
+  for (StoreLink* link : Links()) {
     link->OnTick(now);
   }
   if (m_directory.OnTick(now)) {
@@ -345,37 +352,51 @@
   return text;
 }
 
-int GatewayProcess::Run() {
-  Log(m_logger, log4cplus::INFO_LOG_LEVEL, "starting",
-      {{"zone", m_settings.m_zone}, {"store", m_settings.m_store}});
-  const gateway::Time now = Now();
-  m_links[0] = MakeStoreLink(
+void GatewayProcess::StartLinks() {
+  m_configuration_link = MakeStoreLink(
       StoreKind::kConfiguration, kFirstWait,
       [this](const auto& objects) { OnConfiguration(objects); },
       [this](gateway::Time sent) { m_engine.key_contact().Prove(sent); });
-  m_links[1] = MakeStoreLink(
-      StoreKind::kFleet, kFirstWait,
-      [this](const auto& objects) { m_fleet.OnEntries(objects, Now()); },
+  m_replacements_link = MakeStoreLink(
+      StoreKind::kReplacements, kFirstWait,
+      [this](const auto& objects) { m_fleet.OnReplacements(objects, Now()); },
       [this](gateway::Time sent) { m_engine.primary_contact().Prove(sent); });
-  m_links[2] = MakeStoreLink(
+  m_instances_link = MakeStoreLink(
+      StoreKind::kInstances, kUnprovedKindWait,
+      [this](const auto& objects) { m_fleet.OnInstances(objects, Now()); },
+      [](gateway::Time) {});
+  m_members_link = MakeStoreLink(
       StoreKind::kMembers, kUnprovedKindWait,
       [this](const auto& objects) { OnMembers(objects); },
       [](gateway::Time) {});
-  m_links[3] = MakeStoreLink(
+  m_evacuations_link = MakeStoreLink(
       StoreKind::kEvacuations, kUnprovedKindWait,
       [this](const auto& objects) { OnEvacuations(objects); },
       [](gateway::Time) {});
+  m_fleet.SetRefreshHooks(
+      {[this] { m_configuration_link->Refresh(Now()); },
+       [this] { m_replacements_link->Refresh(Now()); }});
+  for (StoreLink* link : Links()) {
+    link->Start(Now());
+  }
+}
+
+std::array<StoreLink*, 5> GatewayProcess::Links() const {
+  return {m_configuration_link.get(), m_replacements_link.get(),
+          m_instances_link.get(), m_members_link.get(),
+          m_evacuations_link.get()};
+}
+
+int GatewayProcess::Run() {
+  Log(m_logger, log4cplus::INFO_LOG_LEVEL, "starting",
+      {{"zone", m_settings.m_zone}, {"store", m_settings.m_store}});
   m_callers = std::make_unique<adapter::CallerListener>(
       m_io, *adapter::ParseEndpoint(m_settings.m_callers), MakeCallerHooks());
   m_status = std::make_unique<adapter::StatusListener>(
       m_io, *adapter::ParseEndpoint(m_settings.m_status),
       adapter::StatusListener::Hooks{[this] { return IsReady(); },
                                      [this] { return Metrics(); }});
-  for (const std::unique_ptr<StoreLink>& link : m_links) {
-    link->Start(now);
-  }
-  m_fleet.SetRefreshHooks({[this] { m_links[0]->Refresh(Now()); },
-                           [this] { m_links[1]->Refresh(Now()); }});
+  StartLinks();
   AwaitSignal();
   ScheduleTick();
   m_io.run();
--- a/apps/gateway/gateway_process.h
+++ b/apps/gateway/gateway_process.h
@@ -57,6 +57,8 @@
   void AwaitSignal();
   void OnSignal(int signal);
   void BeginShutdown();
+  void StartLinks();
+  std::array<StoreLink*, 5> Links() const;
   void RefreshLostLinks();
   bool IsReady() const;
   std::string Metrics() const;
@@ -73,7 +75,11 @@
   gateway::MemberDirectory m_directory;
   adapter::MemberLinks m_members;
   FleetDuty m_fleet;
-  std::array<std::unique_ptr<StoreLink>, 4> m_links;
+  std::unique_ptr<StoreLink> m_configuration_link;
+  std::unique_ptr<StoreLink> m_replacements_link;
+  std::unique_ptr<StoreLink> m_instances_link;
+  std::unique_ptr<StoreLink> m_members_link;
+  std::unique_ptr<StoreLink> m_evacuations_link;
   std::unique_ptr<adapter::CallerListener> m_callers;
   std::unique_ptr<adapter::StatusListener> m_status;
   std::optional<gateway::Time> m_stopping_since;
--- a/apps/gateway/store_link.h
+++ b/apps/gateway/store_link.h
@@ -31,6 +31,9 @@
   void OnTick(gateway::Time now) { m_follower.OnTick(now); }
   void Refresh(gateway::Time now) { m_follower.Refresh(now); }
   void SetWatchWait(gateway::Duration wait) { m_follower.SetWatchWait(wait); }
+  void SetPauseAfterChange(gateway::Duration pause) {
+    m_follower.SetPauseAfterChange(pause);
+  }
   bool is_lost() const { return m_follower.is_lost(); }
   bool is_listed() const { return m_follower.is_listed(); }
 
--- a/src/gateway/peer_report.h
+++ b/src/gateway/peer_report.h
@@ -39,6 +39,27 @@
   Duration m_age{0};
 };
 
+// Instances of a cell that reach a group's primary, and that do not.
+struct GroupOpinions {
+  friend bool operator==(const GroupOpinions&, const GroupOpinions&) = default;
+
+  GroupName m_group;
+  int m_reachable = 0;
+  int m_unreachable = 0;
+};
+
+// What the instances of a cell, an availability zone, say together.
+struct CellDigest {
+  friend bool operator==(const CellDigest&, const CellDigest&) = default;
+
+  ZoneName m_zone;
+  // Demand of all that are heard in the cell.
+  std::vector<CustomerDemand> m_demand;
+  std::vector<GroupOpinions> m_opinions;
+  // The newest replacement record that all have acknowledged.
+  Revision m_acknowledged;
+};
+
 // What an instance tells the others a few times a second.
 struct PeerReport {
   friend bool operator==(const PeerReport&, const PeerReport&) = default;
@@ -61,6 +82,9 @@
   // proof.
   std::optional<StateProof> m_configuration;
   std::optional<StateProof> m_replacements;
+  // To another cell: the sender's own. Within the cell: those that the sender
+  // has just received.
+  std::vector<CellDigest> m_cells;
 };
 
 }  // namespace jasminelug::gateway
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -8,6 +8,8 @@
 
 // Own reports whose sending time is remembered.
 constexpr std::size_t kRememberedReports = 64;
+// Instances of a cell that send its digest, so that one may be lost.
+constexpr int kDigestSenders = 2;
 // A sample whose time is known less exactly would pass for older than it is,
 // and ask replicas for positions that they cannot hold yet.
 constexpr Duration kMostUncertainty = 300ms;
@@ -20,16 +22,26 @@
 
 }  // namespace
 
-PeerView::PeerView(InstanceId self, Incarnation incarnation)
-    : m_self(std::move(self)), m_incarnation(incarnation) {}
+PeerView::PeerView(InstanceId self, Incarnation incarnation, ZoneName zone)
+    : m_self(std::move(self)),
+      m_incarnation(incarnation),
+      m_zone(std::move(zone)) {}
 
 void PeerView::SetInstances(const std::vector<InstanceEntry>& entries,
                             Time now) {
   std::map<InstanceId, Peer> peers;
+  std::map<ZoneName, Cell> cells;
+  const bool single = entries.size() <= kMaxSingleCell;
+  m_instance_count = 1;
   for (const InstanceEntry& entry : entries) {
     if (entry.m_id == m_self) {
       continue;
     }
+    m_instance_count += 1;
+    if (!single && entry.m_zone != m_zone) {
+      cells[entry.m_zone].m_entries.push_back(entry);
+      continue;
+    }
     Peer peer;
     peer.m_known_since = now;
     const auto known = m_peers.find(entry.m_id);
@@ -40,6 +52,14 @@
     peers.emplace(entry.m_id, std::move(peer));
   }
   m_peers = std::move(peers);
+  for (auto& [zone, cell] : cells) {
+    const auto known = m_cells.find(zone);
+    if (known != m_cells.end()) {
+      cell.m_digest = known->second.m_digest;
+      cell.m_received = known->second.m_received;
+    }
+  }
+  m_cells = std::move(cells);
 }
 
 void PeerView::Address(PeerReport* report, Time now) {
@@ -59,6 +79,25 @@
                                 peer.m_report->m_sequence,
                                 now - peer.m_received});
   }
+  report->m_cells = std::exchange(m_to_pass_on, {});
+}
+
+void PeerView::TakeDigests(const PeerReport& report, bool from_cell, Time now) {
+  for (const CellDigest& digest : report.m_cells) {
+    const auto cell = m_cells.find(digest.m_zone);
+    if (cell == m_cells.end()) {
+      continue;
+    }
+    cell->second.m_digest = digest;
+    cell->second.m_received = now;
+    if (!from_cell) {
+      m_to_pass_on.push_back(digest);
+    }
+  }
+}
+
+bool PeerView::IsFresh(const Cell& cell, Time now) const {
+  return cell.m_digest && now - cell.m_received < kFreshFor;
 }
 
 std::optional<Time> PeerView::SentTimeOf(std::uint64_t sequence) const {
@@ -72,10 +111,14 @@
 
 bool PeerView::OnReport(const PeerReport& report, Time now) {
   const auto found = m_peers.find(report.m_sender);
-  if (found == m_peers.end() ||
-      found->second.m_entry.m_incarnation != report.m_incarnation) {
+  if (found == m_peers.end()) {
+    TakeDigests(report, /*from_cell=*/false, now);
     return false;
   }
+  if (found->second.m_entry.m_incarnation != report.m_incarnation) {
+    return false;
+  }
+  TakeDigests(report, /*from_cell=*/true, now);
   Peer& peer = found->second;
   if (peer.m_report && peer.m_report->m_sequence >= report.m_sequence) {
     return false;
@@ -127,16 +170,40 @@
       [&](const auto& item) { return IsFresh(item.second, now); }));
 }
 
-double PeerView::DemandOf(const Peer& peer,
-                          const CustomerName& customer) const {
-  if (peer.m_report) {
-    for (const CustomerDemand& demand : peer.m_report->m_demand) {
-      if (demand.m_customer == customer) {
-        return demand.m_operations_per_second + kPriorDemand;
-      }
+double PeerView::DemandIn(const std::vector<CustomerDemand>& demand,
+                          const CustomerName& customer) {
+  for (const CustomerDemand& item : demand) {
+    if (item.m_customer == customer) {
+      return item.m_operations_per_second;
     }
   }
-  return kPriorDemand;
+  return 0;
+}
+
+std::vector<PeerView::Part> PeerView::PartsFor(const CustomerName& customer,
+                                               Time now) const {
+  std::vector<Part> parts;
+  for (const auto& [id, peer] : m_peers) {
+    Part part;
+    part.m_fresh = IsFresh(peer, now);
+    if (peer.m_report) {
+      part.m_demand = DemandIn(peer.m_report->m_demand, customer);
+    }
+    parts.push_back(part);
+  }
+  for (const auto& [zone, cell] : m_cells) {
+    Part part;
+    part.m_fresh = IsFresh(cell, now);
+    part.m_instances = static_cast<int>(cell.m_entries.size());
+    if (cell.m_digest) {
+      part.m_demand = DemandIn(cell.m_digest->m_demand, customer);
+    }
+    parts.push_back(part);
+  }
+  for (Part& part : parts) {
+    part.m_demand += kPriorDemand * part.m_instances;
+  }
+  return parts;
 }
 
 std::map<CustomerName, double> PeerView::Shares(
@@ -146,43 +213,107 @@
   const double even = 1.0 / instance_count();
   std::map<CustomerName, double> shares;
   for (const CustomerName& customer : customers) {
-    double own = kPriorDemand;
-    for (const CustomerDemand& demand : own_demand) {
-      own += demand.m_customer == customer ? demand.m_operations_per_second : 0;
-    }
+    const double own = kPriorDemand + DemandIn(own_demand, customer);
+    const std::vector<Part> parts = PartsFor(customer, now);
     double total = own;
-    for (const auto& [id, peer] : m_peers) {
-      total += DemandOf(peer, customer);
+    for (const Part& part : parts) {
+      total += part.m_demand;
     }
-    // What silent peers may still be using is set aside.
+    // What silent parts may still be using is set aside.
     double set_aside = 0;
     double heard = own;
     int heard_count = 1;
-    for (const auto& [id, peer] : m_peers) {
-      const double demand = DemandOf(peer, customer);
-      if (IsFresh(peer, now)) {
-        heard += demand;
-        heard_count += 1;
+    for (const Part& part : parts) {
+      if (part.m_fresh) {
+        heard += part.m_demand;
+        heard_count += part.m_instances;
         continue;
       }
-      const double last = kEvenPart * even + (1 - kEvenPart) * demand / total;
-      set_aside += std::max(even, last);
+      const double even_part = even * part.m_instances;
+      const double last = kEvenPart * even_part +
+                          (1 - kEvenPart) * part.m_demand / total;
+      set_aside += std::max(even_part, last);
     }
     const double left = std::max(1 - set_aside, even * heard_count / 2);
     const double share =
         left * (kEvenPart / heard_count + (1 - kEvenPart) * own / heard);
-    const bool alone = heard_count == 1 && !m_peers.empty();
+    const bool alone = heard_count == 1 && !parts.empty();
     shares.emplace(customer, alone ? std::min(share, even) : share);
   }
   return shares;
 }
 
+bool PeerView::SendsDigest(Time now) const {
+  return !m_cells.empty() && Rank(now) < kDigestSenders;
+}
+
+CellDigest PeerView::Digest(const PeerReport& own, Time now) const {
+  CellDigest digest;
+  digest.m_zone = m_zone;
+  digest.m_acknowledged = own.m_acknowledged;
+  std::map<CustomerName, double> demand;
+  std::map<GroupName, GroupOpinions> opinions;
+  const auto add = [&demand, &opinions](const PeerReport& report) {
+    for (const CustomerDemand& item : report.m_demand) {
+      demand[item.m_customer] += item.m_operations_per_second;
+    }
+    for (const GroupName& group : report.m_reachable) {
+      opinions[group].m_reachable += 1;
+    }
+    for (const GroupName& group : report.m_unreachable) {
+      opinions[group].m_unreachable += 1;
+    }
+  };
+  add(own);
+  for (const auto& [id, peer] : m_peers) {
+    if (IsFresh(peer, now)) {
+      add(*peer.m_report);
+    }
+    Revision acknowledged = peer.m_entry.m_acknowledged;
+    if (peer.m_report) {
+      acknowledged = std::max(acknowledged, peer.m_report->m_acknowledged);
+    }
+    digest.m_acknowledged = std::min(digest.m_acknowledged, acknowledged);
+  }
+  for (const auto& [customer, operations] : demand) {
+    digest.m_demand.push_back({customer, operations});
+  }
+  for (auto& [group, item] : opinions) {
+    item.m_group = group;
+    digest.m_opinions.push_back(item);
+  }
+  return digest;
+}
+
+std::vector<InstanceEntry> PeerView::DigestReceivers(std::size_t count) {
+  std::vector<InstanceEntry> receivers;
+  for (const auto& [zone, cell] : m_cells) {
+    for (std::size_t i = 0; i < std::min(count, cell.m_entries.size()); ++i) {
+      const std::size_t index = (m_next_receiver + i) % cell.m_entries.size();
+      receivers.push_back(cell.m_entries[index]);
+    }
+  }
+  m_next_receiver += count;
+  return receivers;
+}
+
 bool PeerView::AllAcknowledged(Revision revision) const {
-  return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& item) {
-    const std::optional<PeerReport>& report = item.second.m_report;
-    return item.second.m_entry.m_acknowledged >= revision ||
-           (report && report->m_acknowledged >= revision);
-  });
+  const auto in_entry = [revision](const InstanceEntry& entry) {
+    return entry.m_acknowledged >= revision;
+  };
+  const bool own_cell =
+      std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& item) {
+        const std::optional<PeerReport>& report = item.second.m_report;
+        return in_entry(item.second.m_entry) ||
+               (report && report->m_acknowledged >= revision);
+      });
+  return own_cell &&
+         std::all_of(m_cells.begin(), m_cells.end(), [&](const auto& item) {
+           const Cell& cell = item.second;
+           return (cell.m_digest && cell.m_digest->m_acknowledged >= revision) ||
+                  std::all_of(cell.m_entries.begin(), cell.m_entries.end(),
+                              in_entry);
+         });
 }
 
 PeerView::Opinions PeerView::OpinionsOf(const GroupName& group,
@@ -200,6 +331,17 @@
       opinions.m_reachable += 1;
     }
   }
+  for (const auto& [zone, cell] : m_cells) {
+    if (!IsFresh(cell, now)) {
+      continue;
+    }
+    for (const GroupOpinions& item : cell.m_digest->m_opinions) {
+      if (item.m_group == group) {
+        opinions.m_unreachable += item.m_unreachable;
+        opinions.m_reachable += item.m_reachable;
+      }
+    }
+  }
   return opinions;
 }
 
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -25,6 +25,11 @@
 
 // What the other instances say, and how old it is at most.
 //
+// Up to kMaxSingleCell instances all report to each other. In a larger fleet the
+// instances of an availability zone form a cell: within it all report to each
+// other, and its first two instances send a digest of it to the other cells, so
+// that reports grow with the cell and not with the fleet.
+//
 // Clocks are not compared: a report that echoes this instance's report number
 // n, held for h, was made no earlier than n was sent plus h. The bound holds
 // however long the report was on its way.
@@ -35,7 +40,10 @@
   // An entry whose instance is silent for this long may be removed.
   static constexpr Duration kDeadAfter = 8s;
 
-  PeerView(InstanceId self, Incarnation incarnation);
+  // Instances that report to each other without cells.
+  static constexpr std::size_t kMaxSingleCell = 16;
+
+  PeerView(InstanceId self, Incarnation incarnation, ZoneName zone);
 
   // Takes over the registered instances, this one included or not.
   void SetInstances(const std::vector<InstanceEntry>& entries, Time now);
@@ -44,7 +52,8 @@
   // `now`.
   void Address(PeerReport* report, Time now);
 
-  // Takes a report; false where it is old or of no registered instance.
+  // Takes a report; false where it is old, or not of an instance of this cell.
+  // A digest of another cell is taken in either case.
   bool OnReport(const PeerReport& report, Time now);
 
   // Returns the samples of the newest report of `sender`.
@@ -90,8 +99,19 @@
   // Whether a peer's reports are fresh.
   bool IsHeard(const InstanceId& id, Time now) const;
 
+  // The other instances of this cell.
   std::vector<InstanceEntry> Peers() const;
-  int instance_count() const { return static_cast<int>(m_peers.size()) + 1; }
+
+  // Whether this instance sends the cell's digest to other cells.
+  bool SendsDigest(Time now) const;
+
+  // Returns the digest of this cell; `own` is this instance's own report.
+  CellDigest Digest(const PeerReport& own, Time now) const;
+
+  // Returns `count` instances of each other cell, other ones at each call.
+  std::vector<InstanceEntry> DigestReceivers(std::size_t count);
+
+  int instance_count() const { return m_instance_count; }
 
  private:
   struct Peer {
@@ -103,18 +123,42 @@
     std::optional<Time> m_made;
   };
 
+  // What is known of another cell.
+  struct Cell {
+    std::vector<InstanceEntry> m_entries;
+    std::optional<CellDigest> m_digest;
+    Time m_received;
+  };
+
+  // A part of the fleet whose demand is known as a whole.
+  struct Part {
+    double m_demand = 0;
+    int m_instances = 1;
+    bool m_fresh = false;
+  };
+
   struct OwnReport {
     std::uint64_t m_sequence = 0;
     Time m_sent;
   };
 
   bool IsFresh(const Peer& peer, Time now) const;
+  bool IsFresh(const Cell& cell, Time now) const;
+  void TakeDigests(const PeerReport& report, bool from_cell, Time now);
+  std::vector<Part> PartsFor(const CustomerName& customer, Time now) const;
   std::optional<Time> SentTimeOf(std::uint64_t sequence) const;
-  double DemandOf(const Peer& peer, const CustomerName& customer) const;
+  static double DemandIn(const std::vector<CustomerDemand>& demand,
+                         const CustomerName& customer);
 
   const InstanceId m_self;
   const Incarnation m_incarnation;
+  const ZoneName m_zone;
   std::map<InstanceId, Peer> m_peers;
+  std::map<ZoneName, Cell> m_cells;
+  // Digests that came from other cells and are not passed on yet.
+  std::vector<CellDigest> m_to_pass_on;
+  std::size_t m_next_receiver = 0;
+  int m_instance_count = 1;
   std::uint64_t m_sequence = 0;
   std::deque<OwnReport> m_sent;
 };
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -117,6 +117,11 @@
   m_hooks.m_proved(m_sent);
   if (!changes.m_changes.empty()) {
     m_hooks.m_changed(m_objects);
+    if (m_pause_after_change > Duration::zero()) {
+      m_stage = Stage::kPausing;
+      m_resume_at = now + m_pause_after_change;
+      return;
+    }
   }
   Watch(m_watch_wait, now);
 }
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -63,6 +63,10 @@
   void OnChanges(const Result<StoreChanges, StoreError>& result, Time now);
   void OnTick(Time now);
 
+  // Sets the pause after a change and before the next watch: changes that come
+  // in quick succession are then read together.
+  void SetPauseAfterChange(Duration pause) { m_pause_after_change = pause; }
+
   // Sets how long further watches wait.
   void SetWatchWait(Duration wait) { m_watch_wait = wait; }
 
@@ -89,6 +93,7 @@
   const Hooks m_hooks;
   Stage m_stage = Stage::kStopped;
   Duration m_watch_wait;
+  Duration m_pause_after_change{0};
   // That of the watch that is under way.
   Duration m_present_wait{0};
   StoreObjects m_objects;
--- a/src/gateway/store_object.h
+++ b/src/gateway/store_object.h
@@ -14,7 +14,13 @@
 namespace jasminelug::gateway {
 
 // What the gateway keeps in, or reads from, the metadata store.
-enum class StoreKind { kConfiguration, kMembers, kEvacuations, kFleet };
+enum class StoreKind {
+  kConfiguration,
+  kMembers,
+  kEvacuations,
+  kInstances,
+  kReplacements,
+};
 
 // An availability zone whose members take no work.
 struct EvacuatedZone {
@@ -30,6 +36,7 @@
   InstanceId m_id;
   // A later run of the same instance has a higher one.
   Incarnation m_incarnation;
+  ZoneName m_zone;
   // Where its peers reach it, by datagrams.
   Address m_peer_address;
   // The newest replacement record whose old primary the instance has stopped
--- a/src/gossip/gen/gossip_types.cpp
+++ b/src/gossip/gen/gossip_types.cpp
@@ -594,6 +594,358 @@
 }
 
 
+Opinions::~Opinions() noexcept {
+}
+
+
+void Opinions::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void Opinions::__set_reachable(const int32_t val) {
+  this->reachable = val;
+}
+
+void Opinions::__set_unreachable(const int32_t val) {
+  this->unreachable = val;
+}
+std::ostream& operator<<(std::ostream& out, const Opinions& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Opinions::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->reachable);
+          this->__isset.reachable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->unreachable);
+          this->__isset.unreachable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Opinions::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Opinions");
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reachable", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->reachable);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unreachable", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->unreachable);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Opinions &a, Opinions &b) {
+  using ::std::swap;
+  swap(a.group, b.group);
+  swap(a.reachable, b.reachable);
+  swap(a.unreachable, b.unreachable);
+  swap(a.__isset, b.__isset);
+}
+
+Opinions::Opinions(const Opinions& other16) {
+  group = other16.group;
+  reachable = other16.reachable;
+  unreachable = other16.unreachable;
+  __isset = other16.__isset;
+}
+Opinions::Opinions(Opinions&& other17) noexcept {
+  group = std::move(other17.group);
+  reachable = other17.reachable;
+  unreachable = other17.unreachable;
+  __isset = other17.__isset;
+}
+Opinions& Opinions::operator=(const Opinions& other18) {
+  group = other18.group;
+  reachable = other18.reachable;
+  unreachable = other18.unreachable;
+  __isset = other18.__isset;
+  return *this;
+}
+Opinions& Opinions::operator=(Opinions&& other19) noexcept {
+  group = std::move(other19.group);
+  reachable = other19.reachable;
+  unreachable = other19.unreachable;
+  __isset = other19.__isset;
+  return *this;
+}
+void Opinions::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Opinions(";
+  out << "group=" << to_string(group);
+  out << ", " << "reachable=" << to_string(reachable);
+  out << ", " << "unreachable=" << to_string(unreachable);
+  out << ")";
+}
+
+
+Cell::~Cell() noexcept {
+}
+
+
+void Cell::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void Cell::__set_demand(const std::vector<Demand> & val) {
+  this->demand = val;
+}
+
+void Cell::__set_opinions(const std::vector<Opinions> & val) {
+  this->opinions = val;
+}
+
+void Cell::__set_acknowledged(const int64_t val) {
+  this->acknowledged = val;
+}
+std::ostream& operator<<(std::ostream& out, const Cell& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Cell::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demand.clear();
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->demand.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
+            {
+              xfer += this->demand[_i24].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->opinions.clear();
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->opinions.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
+            {
+              xfer += this->opinions[_i29].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.opinions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->acknowledged);
+          this->__isset.acknowledged = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Cell::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Cell");
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
+    std::vector<Demand> ::const_iterator _iter30;
+    for (_iter30 = this->demand.begin(); _iter30 != this->demand.end(); ++_iter30)
+    {
+      xfer += (*_iter30).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("opinions", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->opinions.size()));
+    std::vector<Opinions> ::const_iterator _iter31;
+    for (_iter31 = this->opinions.begin(); _iter31 != this->opinions.end(); ++_iter31)
+    {
+      xfer += (*_iter31).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("acknowledged", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->acknowledged);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Cell &a, Cell &b) {
+  using ::std::swap;
+  swap(a.zone, b.zone);
+  swap(a.demand, b.demand);
+  swap(a.opinions, b.opinions);
+  swap(a.acknowledged, b.acknowledged);
+  swap(a.__isset, b.__isset);
+}
+
+Cell::Cell(const Cell& other32) {
+  zone = other32.zone;
+  demand = other32.demand;
+  opinions = other32.opinions;
+  acknowledged = other32.acknowledged;
+  __isset = other32.__isset;
+}
+Cell::Cell(Cell&& other33) noexcept {
+  zone = std::move(other33.zone);
+  demand = std::move(other33.demand);
+  opinions = std::move(other33.opinions);
+  acknowledged = other33.acknowledged;
+  __isset = other33.__isset;
+}
+Cell& Cell::operator=(const Cell& other34) {
+  zone = other34.zone;
+  demand = other34.demand;
+  opinions = other34.opinions;
+  acknowledged = other34.acknowledged;
+  __isset = other34.__isset;
+  return *this;
+}
+Cell& Cell::operator=(Cell&& other35) noexcept {
+  zone = std::move(other35.zone);
+  demand = std::move(other35.demand);
+  opinions = std::move(other35.opinions);
+  acknowledged = other35.acknowledged;
+  __isset = other35.__isset;
+  return *this;
+}
+void Cell::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Cell(";
+  out << "zone=" << to_string(zone);
+  out << ", " << "demand=" << to_string(demand);
+  out << ", " << "opinions=" << to_string(opinions);
+  out << ", " << "acknowledged=" << to_string(acknowledged);
+  out << ")";
+}
+
+
 Report::~Report() noexcept {
 }
 
@@ -643,6 +995,10 @@
   this->replacements = val;
 __isset.replacements = true;
 }
+
+void Report::__set_cells(const std::vector<Cell> & val) {
+  this->cells = val;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -699,14 +1055,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->echoes.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _etype19;
-            xfer += iprot->readListBegin(_etype19, _size16);
-            this->echoes.resize(_size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->echoes.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->echoes[_i20].read(iprot);
+              xfer += this->echoes[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -719,14 +1075,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demand.clear();
-            uint32_t _size21;
-            ::apache::thrift::protocol::TType _etype24;
-            xfer += iprot->readListBegin(_etype24, _size21);
-            this->demand.resize(_size21);
-            uint32_t _i25;
-            for (_i25 = 0; _i25 < _size21; ++_i25)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->demand.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += this->demand[_i25].read(iprot);
+              xfer += this->demand[_i45].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -739,14 +1095,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->samples.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->samples.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->samples.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->samples[_i30].read(iprot);
+              xfer += this->samples[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -759,14 +1115,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unreachable.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->unreachable.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->unreachable.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += iprot->readString(this->unreachable[_i35]);
+              xfer += iprot->readString(this->unreachable[_i55]);
             }
             xfer += iprot->readListEnd();
           }
@@ -779,14 +1135,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reachable.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->reachable.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->reachable.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += iprot->readString(this->reachable[_i40]);
+              xfer += iprot->readString(this->reachable[_i60]);
             }
             xfer += iprot->readListEnd();
           }
@@ -819,6 +1175,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cells.clear();
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->cells.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
+            {
+              xfer += this->cells[_i65].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cells = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -851,10 +1227,10 @@
   xfer += oprot->writeFieldBegin("echoes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->echoes.size()));
-    std::vector<Echo> ::const_iterator _iter41;
-    for (_iter41 = this->echoes.begin(); _iter41 != this->echoes.end(); ++_iter41)
+    std::vector<Echo> ::const_iterator _iter66;
+    for (_iter66 = this->echoes.begin(); _iter66 != this->echoes.end(); ++_iter66)
     {
-      xfer += (*_iter41).write(oprot);
+      xfer += (*_iter66).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -863,10 +1239,10 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<Demand> ::const_iterator _iter42;
-    for (_iter42 = this->demand.begin(); _iter42 != this->demand.end(); ++_iter42)
+    std::vector<Demand> ::const_iterator _iter67;
+    for (_iter67 = this->demand.begin(); _iter67 != this->demand.end(); ++_iter67)
     {
-      xfer += (*_iter42).write(oprot);
+      xfer += (*_iter67).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -875,10 +1251,10 @@
   xfer += oprot->writeFieldBegin("samples", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->samples.size()));
-    std::vector<Sample> ::const_iterator _iter43;
-    for (_iter43 = this->samples.begin(); _iter43 != this->samples.end(); ++_iter43)
+    std::vector<Sample> ::const_iterator _iter68;
+    for (_iter68 = this->samples.begin(); _iter68 != this->samples.end(); ++_iter68)
     {
-      xfer += (*_iter43).write(oprot);
+      xfer += (*_iter68).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -887,10 +1263,10 @@
   xfer += oprot->writeFieldBegin("unreachable", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->unreachable.size()));
-    std::vector<std::string> ::const_iterator _iter44;
-    for (_iter44 = this->unreachable.begin(); _iter44 != this->unreachable.end(); ++_iter44)
+    std::vector<std::string> ::const_iterator _iter69;
+    for (_iter69 = this->unreachable.begin(); _iter69 != this->unreachable.end(); ++_iter69)
     {
-      xfer += oprot->writeString((*_iter44));
+      xfer += oprot->writeString((*_iter69));
     }
     xfer += oprot->writeListEnd();
   }
@@ -899,10 +1275,10 @@
   xfer += oprot->writeFieldBegin("reachable", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->reachable.size()));
-    std::vector<std::string> ::const_iterator _iter45;
-    for (_iter45 = this->reachable.begin(); _iter45 != this->reachable.end(); ++_iter45)
+    std::vector<std::string> ::const_iterator _iter70;
+    for (_iter70 = this->reachable.begin(); _iter70 != this->reachable.end(); ++_iter70)
     {
-      xfer += oprot->writeString((*_iter45));
+      xfer += oprot->writeString((*_iter70));
     }
     xfer += oprot->writeListEnd();
   }
@@ -922,6 +1298,18 @@
     xfer += this->replacements.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
+    std::vector<Cell> ::const_iterator _iter71;
+    for (_iter71 = this->cells.begin(); _iter71 != this->cells.end(); ++_iter71)
+    {
+      xfer += (*_iter71).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -940,65 +1328,70 @@
   swap(a.acknowledged, b.acknowledged);
   swap(a.configuration, b.configuration);
   swap(a.replacements, b.replacements);
+  swap(a.cells, b.cells);
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other46) {
-  sender = other46.sender;
-  incarnation = other46.incarnation;
-  sequence = other46.sequence;
-  echoes = other46.echoes;
-  demand = other46.demand;
-  samples = other46.samples;
-  unreachable = other46.unreachable;
-  reachable = other46.reachable;
-  acknowledged = other46.acknowledged;
-  configuration = other46.configuration;
-  replacements = other46.replacements;
-  __isset = other46.__isset;
-}
-Report::Report(Report&& other47) noexcept {
-  sender = std::move(other47.sender);
-  incarnation = other47.incarnation;
-  sequence = other47.sequence;
-  echoes = std::move(other47.echoes);
-  demand = std::move(other47.demand);
-  samples = std::move(other47.samples);
-  unreachable = std::move(other47.unreachable);
-  reachable = std::move(other47.reachable);
-  acknowledged = other47.acknowledged;
-  configuration = std::move(other47.configuration);
-  replacements = std::move(other47.replacements);
-  __isset = other47.__isset;
-}
-Report& Report::operator=(const Report& other48) {
-  sender = other48.sender;
-  incarnation = other48.incarnation;
-  sequence = other48.sequence;
-  echoes = other48.echoes;
-  demand = other48.demand;
-  samples = other48.samples;
-  unreachable = other48.unreachable;
-  reachable = other48.reachable;
-  acknowledged = other48.acknowledged;
-  configuration = other48.configuration;
-  replacements = other48.replacements;
-  __isset = other48.__isset;
+Report::Report(const Report& other72) {
+  sender = other72.sender;
+  incarnation = other72.incarnation;
+  sequence = other72.sequence;
+  echoes = other72.echoes;
+  demand = other72.demand;
+  samples = other72.samples;
+  unreachable = other72.unreachable;
+  reachable = other72.reachable;
+  acknowledged = other72.acknowledged;
+  configuration = other72.configuration;
+  replacements = other72.replacements;
+  cells = other72.cells;
+  __isset = other72.__isset;
+}
+Report::Report(Report&& other73) noexcept {
+  sender = std::move(other73.sender);
+  incarnation = other73.incarnation;
+  sequence = other73.sequence;
+  echoes = std::move(other73.echoes);
+  demand = std::move(other73.demand);
+  samples = std::move(other73.samples);
+  unreachable = std::move(other73.unreachable);
+  reachable = std::move(other73.reachable);
+  acknowledged = other73.acknowledged;
+  configuration = std::move(other73.configuration);
+  replacements = std::move(other73.replacements);
+  cells = std::move(other73.cells);
+  __isset = other73.__isset;
+}
+Report& Report::operator=(const Report& other74) {
+  sender = other74.sender;
+  incarnation = other74.incarnation;
+  sequence = other74.sequence;
+  echoes = other74.echoes;
+  demand = other74.demand;
+  samples = other74.samples;
+  unreachable = other74.unreachable;
+  reachable = other74.reachable;
+  acknowledged = other74.acknowledged;
+  configuration = other74.configuration;
+  replacements = other74.replacements;
+  cells = other74.cells;
+  __isset = other74.__isset;
   return *this;
 }
-Report& Report::operator=(Report&& other49) noexcept {
-  sender = std::move(other49.sender);
-  incarnation = other49.incarnation;
-  sequence = other49.sequence;
-  echoes = std::move(other49.echoes);
-  demand = std::move(other49.demand);
-  samples = std::move(other49.samples);
-  unreachable = std::move(other49.unreachable);
-  reachable = std::move(other49.reachable);
-  acknowledged = other49.acknowledged;
-  configuration = std::move(other49.configuration);
-  replacements = std::move(other49.replacements);
-  __isset = other49.__isset;
+Report& Report::operator=(Report&& other75) noexcept {
+  sender = std::move(other75.sender);
+  incarnation = other75.incarnation;
+  sequence = other75.sequence;
+  echoes = std::move(other75.echoes);
+  demand = std::move(other75.demand);
+  samples = std::move(other75.samples);
+  unreachable = std::move(other75.unreachable);
+  reachable = std::move(other75.reachable);
+  acknowledged = other75.acknowledged;
+  configuration = std::move(other75.configuration);
+  replacements = std::move(other75.replacements);
+  cells = std::move(other75.cells);
+  __isset = other75.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -1015,6 +1408,7 @@
   out << ", " << "acknowledged=" << to_string(acknowledged);
   out << ", " << "configuration="; (__isset.configuration ? (out << to_string(configuration)) : (out << "<null>"));
   out << ", " << "replacements="; (__isset.replacements ? (out << to_string(replacements)) : (out << "<null>"));
+  out << ", " << "cells=" << to_string(cells);
   out << ")";
 }
 
--- a/src/gossip/gen/gossip_types.h
+++ b/src/gossip/gen/gossip_types.h
@@ -29,6 +29,10 @@
 
 class Proof;
 
+class Opinions;
+
+class Cell;
+
 class Report;
 
 typedef struct _Echo__isset {
@@ -267,8 +271,131 @@
 
 std::ostream& operator<<(std::ostream& out, const Proof& obj);
 
+typedef struct _Opinions__isset {
+  _Opinions__isset() : group(false), reachable(false), unreachable(false) {}
+  bool group :1;
+  bool reachable :1;
+  bool unreachable :1;
+} _Opinions__isset;
+
+class Opinions : public virtual ::apache::thrift::TBase {
+ public:
+
+  Opinions(const Opinions&);
+  Opinions(Opinions&&) noexcept;
+  Opinions& operator=(const Opinions&);
+  Opinions& operator=(Opinions&&) noexcept;
+  Opinions() noexcept
+           : group(),
+             reachable(0),
+             unreachable(0) {
+  }
+
+  virtual ~Opinions() noexcept;
+  std::string group;
+  int32_t reachable;
+  int32_t unreachable;
+
+  _Opinions__isset __isset;
+
+  void __set_group(const std::string& val);
+
+  void __set_reachable(const int32_t val);
+
+  void __set_unreachable(const int32_t val);
+
+  bool operator == (const Opinions & rhs) const
+  {
+    if (!(group == rhs.group))
+      return false;
+    if (!(reachable == rhs.reachable))
+      return false;
+    if (!(unreachable == rhs.unreachable))
+      return false;
+    return true;
+  }
+  bool operator != (const Opinions &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Opinions & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Opinions &a, Opinions &b);
+
+std::ostream& operator<<(std::ostream& out, const Opinions& obj);
+
+typedef struct _Cell__isset {
+  _Cell__isset() : zone(false), demand(false), opinions(false), acknowledged(false) {}
+  bool zone :1;
+  bool demand :1;
+  bool opinions :1;
+  bool acknowledged :1;
+} _Cell__isset;
+
+class Cell : public virtual ::apache::thrift::TBase {
+ public:
+
+  Cell(const Cell&);
+  Cell(Cell&&) noexcept;
+  Cell& operator=(const Cell&);
+  Cell& operator=(Cell&&) noexcept;
+  Cell() noexcept
+       : zone(),
+         acknowledged(0) {
+  }
+
+  virtual ~Cell() noexcept;
+  std::string zone;
+  std::vector<Demand>  demand;
+  std::vector<Opinions>  opinions;
+  int64_t acknowledged;
+
+  _Cell__isset __isset;
+
+  void __set_zone(const std::string& val);
+
+  void __set_demand(const std::vector<Demand> & val);
+
+  void __set_opinions(const std::vector<Opinions> & val);
+
+  void __set_acknowledged(const int64_t val);
+
+  bool operator == (const Cell & rhs) const
+  {
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(demand == rhs.demand))
+      return false;
+    if (!(opinions == rhs.opinions))
+      return false;
+    if (!(acknowledged == rhs.acknowledged))
+      return false;
+    return true;
+  }
+  bool operator != (const Cell &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Cell & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Cell &a, Cell &b);
+
+std::ostream& operator<<(std::ostream& out, const Cell& obj);
+
 typedef struct _Report__isset {
-  _Report__isset() : sender(false), incarnation(false), sequence(false), echoes(false), demand(false), samples(false), unreachable(false), reachable(false), acknowledged(false), configuration(false), replacements(false) {}
+  _Report__isset() : sender(false), incarnation(false), sequence(false), echoes(false), demand(false), samples(false), unreachable(false), reachable(false), acknowledged(false), configuration(false), replacements(false), cells(false) {}
   bool sender :1;
   bool incarnation :1;
   bool sequence :1;
@@ -280,6 +407,7 @@
   bool acknowledged :1;
   bool configuration :1;
   bool replacements :1;
+  bool cells :1;
 } _Report__isset;
 
 class Report : public virtual ::apache::thrift::TBase {
@@ -308,6 +436,7 @@
   int64_t acknowledged;
   Proof configuration;
   Proof replacements;
+  std::vector<Cell>  cells;
 
   _Report__isset __isset;
 
@@ -333,6 +462,8 @@
 
   void __set_replacements(const Proof& val);
 
+  void __set_cells(const std::vector<Cell> & val);
+
   bool operator == (const Report & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -361,6 +492,8 @@
       return false;
     else if (__isset.replacements && !(replacements == rhs.replacements))
       return false;
+    if (!(cells == rhs.cells))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
--- a/src/gossip/gossip.thrift
+++ b/src/gossip/gossip.thrift
@@ -32,6 +32,19 @@
   2: i64 age_us;
 }
 
+struct Opinions {
+  1: string group;
+  2: i32 reachable;
+  3: i32 unreachable;
+}
+
+struct Cell {
+  1: string zone;
+  2: list<Demand> demand;
+  3: list<Opinions> opinions;
+  4: i64 acknowledged;
+}
+
 struct Report {
   1: string sender;
   2: i64 incarnation;
@@ -44,4 +57,5 @@
   9: i64 acknowledged;
   10: optional Proof configuration;
   11: optional Proof replacements;
+  12: list<Cell> cells;
 }
--- a/src/gossip/report_codec.cc
+++ b/src/gossip/report_codec.cc
@@ -26,6 +26,30 @@
   return out;
 }
 
+wire::Demand ToWire(const gateway::CustomerDemand& demand) {
+  wire::Demand out;
+  out.customer = demand.m_customer.str();
+  out.operations_per_second = demand.m_operations_per_second;
+  return out;
+}
+
+wire::Cell ToWire(const gateway::CellDigest& digest) {
+  wire::Cell out;
+  out.zone = digest.m_zone.str();
+  for (const gateway::CustomerDemand& demand : digest.m_demand) {
+    out.demand.push_back(ToWire(demand));
+  }
+  for (const gateway::GroupOpinions& opinions : digest.m_opinions) {
+    wire::Opinions item;
+    item.group = opinions.m_group.str();
+    item.reachable = opinions.m_reachable;
+    item.unreachable = opinions.m_unreachable;
+    out.opinions.push_back(item);
+  }
+  out.acknowledged = static_cast<std::int64_t>(digest.m_acknowledged.value());
+  return out;
+}
+
 wire::Report ToWire(const gateway::PeerReport& report) {
   wire::Report out;
   out.sender = report.m_sender.str();
@@ -40,10 +64,7 @@
     out.echoes.push_back(item);
   }
   for (const gateway::CustomerDemand& demand : report.m_demand) {
-    wire::Demand item;
-    item.customer = demand.m_customer.str();
-    item.operations_per_second = demand.m_operations_per_second;
-    out.demand.push_back(item);
+    out.demand.push_back(ToWire(demand));
   }
   for (const gateway::AgedSample& sample : report.m_samples) {
     wire::Sample item;
@@ -60,6 +81,9 @@
     out.reachable.push_back(group.str());
   }
   out.acknowledged = static_cast<std::int64_t>(report.m_acknowledged.value());
+  for (const gateway::CellDigest& digest : report.m_cells) {
+    out.cells.push_back(ToWire(digest));
+  }
   if (report.m_configuration) {
     out.__set_configuration(ToWire(*report.m_configuration));
   }
@@ -78,6 +102,25 @@
           gateway::Duration(proof.age_us)};
 }
 
+gateway::CustomerDemand FromWire(const wire::Demand& demand) {
+  return {gateway::CustomerName(demand.customer),
+          demand.operations_per_second};
+}
+
+gateway::CellDigest FromWire(const wire::Cell& cell) {
+  gateway::CellDigest out;
+  out.m_zone = gateway::ZoneName(cell.zone);
+  for (const wire::Demand& demand : cell.demand) {
+    out.m_demand.push_back(FromWire(demand));
+  }
+  for (const wire::Opinions& opinions : cell.opinions) {
+    out.m_opinions.push_back({gateway::GroupName(opinions.group),
+                              opinions.reachable, opinions.unreachable});
+  }
+  out.m_acknowledged = gateway::Revision(ToUnsigned(cell.acknowledged));
+  return out;
+}
+
 gateway::PeerReport FromWire(const wire::Report& report) {
   gateway::PeerReport out;
   out.m_sender = gateway::InstanceId(report.sender);
@@ -90,8 +133,7 @@
                             gateway::Duration(echo.held_us)});
   }
   for (const wire::Demand& demand : report.demand) {
-    out.m_demand.push_back(
-        {gateway::CustomerName(demand.customer), demand.operations_per_second});
+    out.m_demand.push_back(FromWire(demand));
   }
   for (const wire::Sample& sample : report.samples) {
     out.m_samples.push_back(
@@ -106,6 +148,9 @@
     out.m_reachable.emplace_back(group);
   }
   out.m_acknowledged = gateway::Revision(ToUnsigned(report.acknowledged));
+  for (const wire::Cell& cell : report.cells) {
+    out.m_cells.push_back(FromWire(cell));
+  }
   if (report.__isset.configuration) {
     out.m_configuration = FromWire(report.configuration);
   }
--- a/test/fake_line_platform/fake_member.cc
+++ b/test/fake_line_platform/fake_member.cc
@@ -12,7 +12,7 @@
 
 std::string TakeWord(std::string* text) {
   const std::size_t blank = text->find(' ');
-  const std::string word = text->substr(0, blank);
+  std::string word = text->substr(0, blank);
   *text = blank == std::string::npos ? "" : text->substr(blank + 1);
   return word;
 }
@@ -23,8 +23,7 @@
                        std::string group_name,
                        std::string id,
                        FakeDatabaseGroup& group)
-    : m_io(io),
-      m_group_name(std::move(group_name)),
+    : m_group_name(std::move(group_name)),
       m_id(std::move(id)),
       m_group(group),
       m_acceptor(io) {
--- a/test/fake_line_platform/fake_member.h
+++ b/test/fake_line_platform/fake_member.h
@@ -52,7 +52,6 @@
                     const std::string& value);
   std::string Position();
 
-  asio::io_context& m_io;
   const std::string m_group_name;
   const std::string m_id;
   FakeDatabaseGroup& m_group;
--- a/test/gateway/peer_view_test.cc
+++ b/test/gateway/peer_view_test.cc
@@ -29,7 +29,7 @@
       entries.push_back(Entry("i" + std::to_string(i)));
     }
     for (const InstanceEntry& entry : entries) {
-      m_views.emplace_back(entry.m_id, entry.m_incarnation);
+      m_views.emplace_back(entry.m_id, entry.m_incarnation, entry.m_zone);
       m_views.back().SetInstances(entries, m_now);
       m_demand.push_back({});
     }
@@ -158,7 +158,7 @@
   }
 
   void OldAndForeignReportsAreIgnored() {
-    PeerView view(InstanceId("a"), Incarnation(1));
+    PeerView view(InstanceId("a"), Incarnation(1), ZoneName());
     view.SetInstances({Entry("a"), Entry("b", 2)}, Time(1s));
     struct Case {
       const char* m_sender;
@@ -179,7 +179,7 @@
   }
 
   void AcknowledgementsCountForOneIncarnation() {
-    PeerView view(InstanceId("a"), Incarnation(1));
+    PeerView view(InstanceId("a"), Incarnation(1), ZoneName());
     view.SetInstances({Entry("a"), Entry("b", 2)}, Time(1s));
     CPPUNIT_ASSERT(!view.AllAcknowledged(Revision(7)));
     PeerReport report;
@@ -201,7 +201,7 @@
   }
 
   void SilentPeersAreNamed() {
-    PeerView view(InstanceId("a"), Incarnation(1));
+    PeerView view(InstanceId("a"), Incarnation(1), ZoneName());
     view.SetInstances({Entry("b")}, Time(1s));
     CPPUNIT_ASSERT(view.SilentPeers(Time(2s)).empty());
     CPPUNIT_ASSERT_EQUAL(
--- a/test/gossip/report_codec_test.cc
+++ b/test/gossip/report_codec_test.cc
@@ -23,6 +23,10 @@
   report.m_acknowledged = Revision(412);
   report.m_configuration = {Revision(77), Duration(1000)};
   report.m_replacements = {Revision(0), Duration(0)};
+  report.m_cells = {{ZoneName("z"),
+                     {{CustomerName("c"), 2.5}},
+                     {{GroupName("g"), 3, 4}},
+                     Revision(9)}};
   return report;
 }
 
--- a/test/platform_adapter/store_objects_test.cc
+++ b/test/platform_adapter/store_objects_test.cc
@@ -105,6 +105,7 @@
     gateway::InstanceEntry entry;
     entry.m_id = gateway::InstanceId("a");
     entry.m_incarnation = gateway::Incarnation(17);
+    entry.m_zone = gateway::ZoneName("north");
     entry.m_peer_address = gateway::Address("10.0.0.1:7560");
     entry.m_acknowledged = gateway::Revision(4);
     gateway::ReplacementRecord record;
@@ -118,7 +119,11 @@
          std::vector<gateway::StoreValue>{entry, record, with_intent}) {
       json object = Object("x", "{}");
       object["spec"] = EncodeValue(value);
-      CPPUNIT_ASSERT(value == DecodeObject(StoreKind::kFleet, object).m_value);
+      const StoreKind kind =
+          std::holds_alternative<gateway::InstanceEntry>(value)
+              ? StoreKind::kInstances
+              : StoreKind::kReplacements;
+      CPPUNIT_ASSERT(value == DecodeObject(kind, object).m_value);
     }
   }
 };
