gateway: small shares of limits are overdrawn while the fleet has room

Change: reports carry what is admitted; a bucket may be overdrawn by up to 4 operations, less as the fleet nears 0.9 of the rate. Instances renew proofs later, and only once they are 2.2 s old. A refusal's reason says share, tokens and what all admit.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -25,13 +25,17 @@
 // The first instance that is heard asks the store this often, for all. Others
 // take its proofs, and wait longer.
 constexpr gateway::Duration kProverWait = 1100ms;
-constexpr gateway::Duration kOtherWait = 10s;
+constexpr gateway::Duration kOtherWait = 25s;
 // A proof of contact that is older than this is renewed at once, later by each
 // instance than by the one before it, so that one renewal serves all.
-constexpr gateway::Duration kOldProof = 1700ms;
+constexpr gateway::Duration kOldProof = 2200ms;
 constexpr gateway::Duration kOldProofRankDelay = 250ms;
-// Pause between two such renewals, and after a newer state was heard of.
+constexpr int kMostRankDelays = 4;
+// Pause between two such renewals.
 constexpr gateway::Duration kRefreshInterval = 400ms;
+// A watch that has not brought a state that others have had for this long is not
+// waited for.
+constexpr gateway::Duration kNewerStatePatience = 400ms;
 // An instance that had to renew asks for all for this long.
 constexpr gateway::Duration kActingProverFor = 5s;
 // A replacement that has begun is usually over after this.
@@ -152,12 +156,14 @@
   }
   m_peers.SetInstances(entries, now);
   m_engine.SetInstanceCount(m_peers.instance_count());
+  m_engine.limiter().SetInstanceCount(m_peers.instance_count());
   m_registrar.OnEntries(objects, now);
   UpdateShares(now);
 }
 
 void FleetDuty::OnReplacements(const gateway::StoreObjects& objects,
                                gateway::Time now) {
+  m_newer_record_since.reset();
   m_coordinator.OnEntries(objects, now);
   UpdatePrimaries(now);
   if (AcknowledgedRevision() != m_reported_revision) {
@@ -289,27 +295,30 @@
 
 void FleetDuty::TakeProofs(const gateway::PeerReport& report,
                            gateway::Time now) {
-  const bool may_refresh = now - m_refreshed > kRefreshInterval;
   const gateway::Configuration* configuration = m_engine.configuration();
   if (configuration && report.m_configuration) {
-    const gateway::StateProof& proof = *report.m_configuration;
-    const auto proved = m_peers.ProofTime(report.m_sender, proof);
-    if (proved && proof.m_revision == configuration->m_revision) {
-      m_engine.key_contact().Prove(*proved);
-    } else if (proof.m_revision > configuration->m_revision && may_refresh) {
-      m_refreshed = now;
-      m_refresh.m_configuration();
-    }
+    TakeProof(report, *report.m_configuration, configuration->m_revision,
+              &m_engine.key_contact(), &m_newer_configuration_since, now);
   }
   if (report.m_replacements) {
-    const gateway::StateProof& proof = *report.m_replacements;
-    const auto proved = m_peers.ProofTime(report.m_sender, proof);
-    if (proved && proof.m_revision == m_coordinator.revision()) {
-      m_engine.primary_contact().Prove(*proved);
-    } else if (proof.m_revision > m_coordinator.revision() && may_refresh) {
-      m_refreshed = now;
-      m_refresh.m_replacements();
-    }
+    TakeProof(report, *report.m_replacements, m_coordinator.revision(),
+              &m_engine.primary_contact(), &m_newer_record_since, now);
+  }
+}
+
+void FleetDuty::TakeProof(const gateway::PeerReport& report,
+                          const gateway::StateProof& proof,
+                          gateway::Revision own,
+                          gateway::StoreContact* contact,
+                          std::optional<gateway::Time>* newer_since,
+                          gateway::Time now) {
+  if (proof.m_revision > own) {
+    *newer_since = newer_since->value_or(now);
+    return;
+  }
+  const auto proved = m_peers.ProofTime(report.m_sender, proof);
+  if (proved && proof.m_revision == own) {
+    contact->Prove(*proved);
   }
 }
 
@@ -318,9 +327,23 @@
     return;
   }
   const gateway::Duration limit =
-      kOldProof + m_peers.Rank(now) * kOldProofRankDelay;
+      kOldProof +
+      std::min(m_peers.Rank(now), kMostRankDelays) * kOldProofRankDelay;
   const auto keys = m_engine.key_contact().Age(now);
   const auto primaries = m_engine.primary_contact().Age(now);
+  const auto overdue = [now](const std::optional<gateway::Time>& since) {
+    return since && now - *since > kNewerStatePatience;
+  };
+  if (overdue(m_newer_configuration_since)) {
+    m_newer_configuration_since.reset();
+    m_refreshed = now;
+    m_refresh.m_configuration();
+  }
+  if (overdue(m_newer_record_since)) {
+    m_newer_record_since.reset();
+    m_refreshed = now;
+    m_refresh.m_replacements();
+  }
   if (keys && *keys > limit) {
     m_refreshed = now;
     m_prover_until = now + kActingProverFor;
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -5,6 +5,7 @@
 
 #include <asio/io_context.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -37,6 +38,9 @@
                 const gateway::MemberStatus& status,
                 gateway::Time now);
 
+  // A configuration was put in force.
+  void OnConfiguration() { m_newer_configuration_since.reset(); }
+
   // The members or the configuration have changed.
   void UpdatePrimaries(gateway::Time now);
 
@@ -69,6 +73,12 @@
   gateway::PeerReport MakeReport(gateway::Time now) const;
   gateway::Revision AcknowledgedRevision() const;
   void TakeProofs(const gateway::PeerReport& report, gateway::Time now);
+  void TakeProof(const gateway::PeerReport& report,
+                 const gateway::StateProof& proof,
+                 gateway::Revision own,
+                 gateway::StoreContact* contact,
+                 std::optional<gateway::Time>* newer_since,
+                 gateway::Time now);
   void RefreshOldProofs(gateway::Time now);
   void UpdateShares(gateway::Time now);
   void RemoveSilentPeers(gateway::Time now);
@@ -91,6 +101,9 @@
   gateway::StoreObjects m_objects;
   RefreshHooks m_refresh;
   gateway::Time m_refreshed;
+  // Since when others have had a newer state than this instance.
+  std::optional<gateway::Time> m_newer_configuration_since;
+  std::optional<gateway::Time> m_newer_record_since;
   gateway::Time m_prover_until;
   gateway::Time m_reported;
   gateway::Time m_started;
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -19,7 +19,7 @@
 // the platform charges; see FleetDuty::WatchWait().
 constexpr gateway::Duration kFirstWait = 1200ms;
 // Watches of kinds that prove nothing wait this long.
-constexpr gateway::Duration kUnprovedKindWait = 20s;
+constexpr gateway::Duration kUnprovedKindWait = 28s;
 // Each instance reads the entries of the others at most once in this time for
 // each of them.
 constexpr gateway::Duration kPauseForEachInstance = 15ms;
@@ -209,6 +209,7 @@
     return;
   }
   m_engine.SetConfiguration(*read, Now());
+  m_fleet.OnConfiguration();
   Log(m_logger, log4cplus::INFO_LOG_LEVEL, "configuration in force",
       {{"version", (*read)->m_version},
        {"routes", static_cast<std::int64_t>((*read)->m_routes.size())},
--- a/src/gateway/customer_limiter.cc
+++ b/src/gateway/customer_limiter.cc
@@ -3,12 +3,24 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <cstdio>
 
 namespace jasminelug::gateway {
 namespace {
 
-// A share of a small burst still lets two callers in at once.
-constexpr double kLeastCapacityOperations = 2;
+// Operations that all instances together may store beyond their shares of a
+// small burst, and the bounds for each one.
+constexpr double kFleetSpareOperations = 14;
+constexpr double kLeastCapacity = 0.5;
+constexpr double kMostLeastCapacity = 2;
+// Overdraft of one instance while the fleet admits nothing; it shrinks to none
+// as the fleet comes near kRoomPart of the rate.
+constexpr double kMostOverdraft = 4;
+// Part of the burst that is stored in a fleet of more than
+// kFleetSpareOperations instances; the rest makes up for their overdrafts.
+constexpr double kLargeFleetStoredPart = 0.6;
+// A fleet that admits less than this part of the rate has room.
+constexpr double kRoomPart = 0.9;
 // Tokens of a bucket that is new, in parts of the burst and of a second's rate;
 // the lesser counts. A restarted instance serves at once, and what all
 // instances grant by restarting at the same moment stays within the excess that
@@ -26,28 +38,41 @@
 
 }  // namespace
 
-void CustomerLimiter::Refill(Bucket* bucket, Time now) {
+void CustomerLimiter::Refill(Bucket* bucket, Time now) const {
   const double seconds = ToSeconds(now - bucket->m_refilled);
   bucket->m_refilled = now;
   const double rate = bucket->m_limits.m_operations_per_second;
+  const double part = bucket->m_share.m_part;
+  const double least = std::clamp(kFleetSpareOperations / m_instance_count,
+                                  kLeastCapacity, kMostLeastCapacity);
+  const double stored =
+      m_instance_count > kFleetSpareOperations ? kLargeFleetStoredPart : 1;
   const double capacity =
-      std::max(bucket->m_limits.m_burst_operations * bucket->m_share,
-               kLeastCapacityOperations);
-  bucket->m_tokens += rate * bucket->m_share * seconds;
+      std::max(bucket->m_limits.m_burst_operations * part * stored, least);
+  bucket->m_tokens += rate * part * seconds;
   bucket->m_tokens = std::min(bucket->m_tokens, capacity);
 }
 
-double CustomerLimiter::Decayed(const Bucket& bucket, Time now) {
+double CustomerLimiter::Overdraft(const Bucket& bucket) const {
+  const std::optional<double>& admitted = bucket.m_share.m_fleet_admitted;
+  const double room_limit = bucket.m_limits.m_operations_per_second * kRoomPart;
+  if (!admitted || *admitted >= room_limit) {
+    return 0;
+  }
+  return kMostOverdraft * (1 - *admitted / room_limit);
+}
+
+double CustomerLimiter::Decay(const Bucket& bucket, Time now) {
   const double windows =
       ToSeconds(now - bucket.m_counted) / ToSeconds(kDemandWindow);
-  return bucket.m_recent_operations * std::exp(-windows);
+  return std::exp(-windows);
 }
 
 void CustomerLimiter::SetLimits(const Configuration& configuration, Time now) {
   std::map<CustomerName, Bucket> buckets;
   for (const auto& [customer, limits] : configuration.m_customers) {
     Bucket bucket;
-    bucket.m_share = m_default_share;
+    bucket.m_share.m_part = 1.0 / m_instance_count;
     bucket.m_refilled = now;
     bucket.m_counted = now;
     const auto known = m_buckets.find(customer);
@@ -60,7 +85,7 @@
       const double tokens =
           std::min(limits.m_burst_operations * kNewBucketBurstPart,
                    limits.m_operations_per_second * kNewBucketRateSeconds);
-      bucket.m_tokens = tokens * bucket.m_share;
+      bucket.m_tokens = tokens * bucket.m_share.m_part;
     }
     Refill(&bucket, now);
     buckets.emplace(customer, bucket);
@@ -69,7 +94,7 @@
 }
 
 void CustomerLimiter::SetShare(const CustomerName& customer,
-                               double share,
+                               const CustomerShare& share,
                                Time now) {
   const auto found = m_buckets.find(customer);
   if (found == m_buckets.end()) {
@@ -79,36 +104,49 @@
   found->second.m_share = share;
 }
 
-void CustomerLimiter::SetDefaultShare(double share, Time now) {
-  m_default_share = share;
-  for (auto& [customer, bucket] : m_buckets) {
-    Refill(&bucket, now);
-    bucket.m_share = share;
-  }
-}
-
 bool CustomerLimiter::Take(const CustomerName& customer, Time now) {
   const auto found = m_buckets.find(customer);
   if (found == m_buckets.end()) {
     return false;
   }
   Bucket& bucket = found->second;
-  bucket.m_recent_operations = Decayed(bucket, now) + 1;
+  const double decay = Decay(bucket, now);
+  bucket.m_recent_operations = bucket.m_recent_operations * decay + 1;
+  bucket.m_recent_admitted *= decay;
   bucket.m_counted = now;
   Refill(&bucket, now);
-  if (bucket.m_tokens < 1) {
+  if (bucket.m_tokens + Overdraft(bucket) < 1) {
     return false;
   }
   bucket.m_tokens -= 1;
+  bucket.m_recent_admitted += 1;
   return true;
 }
 
+std::string CustomerLimiter::Describe(const CustomerName& customer) const {
+  const auto found = m_buckets.find(customer);
+  if (found == m_buckets.end()) {
+    return "the customer is not known";
+  }
+  const Bucket& bucket = found->second;
+  const std::optional<double>& admitted = bucket.m_share.m_fleet_admitted;
+  char text[160];
+  std::snprintf(text, sizeof(text),
+                "the customer is over its rate: %.1f/s, part %.4f, tokens %.2f, "
+                "all admit %.1f/s",
+                bucket.m_limits.m_operations_per_second, bucket.m_share.m_part,
+                bucket.m_tokens, admitted.value_or(-1));
+  return text;
+}
+
 std::vector<CustomerDemand> CustomerLimiter::Demand(Time now) const {
   std::vector<CustomerDemand> demand;
   for (const auto& [customer, bucket] : m_buckets) {
-    const double rate = Decayed(bucket, now) / ToSeconds(kDemandWindow);
+    const double to_rate = Decay(bucket, now) / ToSeconds(kDemandWindow);
+    const double rate = bucket.m_recent_operations * to_rate;
     if (rate >= kLeastReportedDemand) {
-      demand.push_back({customer, rate});
+      demand.push_back(
+          {customer, rate, bucket.m_recent_admitted * to_rate});
     }
   }
   return demand;
--- a/src/gateway/customer_limiter.h
+++ b/src/gateway/customer_limiter.h
@@ -1,7 +1,10 @@
 #ifndef SRC_GATEWAY_CUSTOMER_LIMITER_H_
 #define SRC_GATEWAY_CUSTOMER_LIMITER_H_
 
+#include <algorithm>
 #include <map>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "src/gateway/configuration.h"
@@ -15,7 +18,20 @@
                          const CustomerDemand&) = default;
 
   CustomerName m_customer;
+  // Asked for, refused operations included.
   double m_operations_per_second = 0;
+  double m_admitted_per_second = 0;
+};
+
+// What this instance may use of one customer's limits.
+struct CustomerShare {
+  friend bool operator==(const CustomerShare&, const CustomerShare&) = default;
+
+  // Part of rate and burst, 0 to 1.
+  double m_part = 0;
+  // Operations a second that all instances admit; unset where some instance is
+  // not heard.
+  std::optional<double> m_fleet_admitted;
 };
 
 // Keeps each customer within this instance's share of its rate and burst.
@@ -24,6 +40,10 @@
 // add up to one, so the fleet as a whole keeps the limit. A new bucket holds
 // little, so that restarts make few tokens.
 //
+// While the fleet as a whole admits less than the rate, a bucket may be overdrawn
+// a little, which its refill pays back: callers that come to an instance for the first time are
+// not refused for want of a share.
+//
 // Answers the load of one customer that sends many times its rate: what is
 // beyond the limit is refused before it takes any capacity.
 class CustomerLimiter {
@@ -31,15 +51,21 @@
   // Takes over the limits of `configuration`; customers it lacks are forgotten.
   void SetLimits(const Configuration& configuration, Time now);
 
-  // Sets this instance's share, 0 to 1, of one customer's limits.
-  void SetShare(const CustomerName& customer, double share, Time now);
+  // Sets this instance's share of one customer's limits.
+  void SetShare(const CustomerName& customer,
+                const CustomerShare& share,
+                Time now);
 
-  // Sets the share of customers that SetShare() has not named.
-  void SetDefaultShare(double share, Time now);
+  // Sets how many instances divide the limits, which bounds what each may store
+  // or overdraw.
+  void SetInstanceCount(int count) { m_instance_count = std::max(count, 1); }
 
   // Takes one operation's token; false where the customer is over its limit.
   bool Take(const CustomerName& customer, Time now);
 
+  // Returns what decides on the customer's operations at present, for a log.
+  std::string Describe(const CustomerName& customer) const;
+
   // Returns the demand of each customer that has had any lately, refused
   // operations included.
   std::vector<CustomerDemand> Demand(Time now) const;
@@ -47,19 +73,21 @@
  private:
   struct Bucket {
     CustomerLimits m_limits;
-    double m_share = 0;
+    CustomerShare m_share;
     double m_tokens = 0;
     Time m_refilled;
     // Exponentially weighted operations, decayed up to m_counted.
     double m_recent_operations = 0;
+    double m_recent_admitted = 0;
     Time m_counted;
   };
 
-  static void Refill(Bucket* bucket, Time now);
-  static double Decayed(const Bucket& bucket, Time now);
+  void Refill(Bucket* bucket, Time now) const;
+  double Overdraft(const Bucket& bucket) const;
+  static double Decay(const Bucket& bucket, Time now);
 
   std::map<CustomerName, Bucket> m_buckets;
-  double m_default_share = 1;
+  int m_instance_count = 1;
 };
 
 }  // namespace jasminelug::gateway
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -16,7 +16,6 @@
 // Reads that may be run a second time, for each statement, and at most at once.
 constexpr double kSecondRunsPerStatement = 0.05;
 constexpr double kMostSecondRuns = 10;
-constexpr char kOverLimit[] = "the customer is over its rate";
 
 }  // namespace
 
@@ -68,7 +67,7 @@
   }
   if (!session->m_customer.empty() &&
       !m_limiter.Take(session->m_customer, now)) {
-    return Refused{ErrorCode::kBusy, kOverLimit};
+    return Refused{ErrorCode::kBusy, m_limiter.Describe(session->m_customer)};
   }
   return std::nullopt;
 }
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -18,7 +18,7 @@
 constexpr double kEvenPart = 0.3;
 // Demand that each instance is taken to have, in operations a second: shares
 // of customers that nobody asks for stay even.
-constexpr double kPriorDemand = 0.2;
+constexpr double kPriorDemand = 0.02;
 
 }  // namespace
 
@@ -170,14 +170,14 @@
       [&](const auto& item) { return IsFresh(item.second, now); }));
 }
 
-double PeerView::DemandIn(const std::vector<CustomerDemand>& demand,
-                          const CustomerName& customer) {
+CustomerDemand PeerView::DemandIn(const std::vector<CustomerDemand>& demand,
+                                  const CustomerName& customer) {
   for (const CustomerDemand& item : demand) {
     if (item.m_customer == customer) {
-      return item.m_operations_per_second;
+      return item;
     }
   }
-  return 0;
+  return {customer, 0, 0};
 }
 
 std::vector<PeerView::Part> PeerView::PartsFor(const CustomerName& customer,
@@ -187,7 +187,10 @@
     Part part;
     part.m_fresh = IsFresh(peer, now);
     if (peer.m_report) {
-      part.m_demand = DemandIn(peer.m_report->m_demand, customer);
+      const CustomerDemand demand =
+          DemandIn(peer.m_report->m_demand, customer);
+      part.m_demand = demand.m_operations_per_second;
+      part.m_admitted = demand.m_admitted_per_second;
     }
     parts.push_back(part);
   }
@@ -196,7 +199,10 @@
     part.m_fresh = IsFresh(cell, now);
     part.m_instances = static_cast<int>(cell.m_entries.size());
     if (cell.m_digest) {
-      part.m_demand = DemandIn(cell.m_digest->m_demand, customer);
+      const CustomerDemand demand =
+          DemandIn(cell.m_digest->m_demand, customer);
+      part.m_demand = demand.m_operations_per_second;
+      part.m_admitted = demand.m_admitted_per_second;
     }
     parts.push_back(part);
   }
@@ -206,14 +212,15 @@
   return parts;
 }
 
-std::map<CustomerName, double> PeerView::Shares(
+std::map<CustomerName, CustomerShare> PeerView::Shares(
     const std::vector<CustomerDemand>& own_demand,
     const std::vector<CustomerName>& customers,
     Time now) const {
   const double even = 1.0 / instance_count();
-  std::map<CustomerName, double> shares;
+  std::map<CustomerName, CustomerShare> shares;
   for (const CustomerName& customer : customers) {
-    const double own = kPriorDemand + DemandIn(own_demand, customer);
+    const CustomerDemand own_part = DemandIn(own_demand, customer);
+    const double own = kPriorDemand + own_part.m_operations_per_second;
     const std::vector<Part> parts = PartsFor(customer, now);
     double total = own;
     for (const Part& part : parts) {
@@ -222,10 +229,12 @@
     // What silent parts may still be using is set aside.
     double set_aside = 0;
     double heard = own;
+    double admitted = own_part.m_admitted_per_second;
     int heard_count = 1;
     for (const Part& part : parts) {
       if (part.m_fresh) {
         heard += part.m_demand;
+        admitted += part.m_admitted;
         heard_count += part.m_instances;
         continue;
       }
@@ -235,10 +244,17 @@
       set_aside += std::max(even_part, last);
     }
     const double left = std::max(1 - set_aside, even * heard_count / 2);
-    const double share =
+    CustomerShare share;
+    share.m_part =
         left * (kEvenPart / heard_count + (1 - kEvenPart) * own / heard);
     const bool alone = heard_count == 1 && !parts.empty();
-    shares.emplace(customer, alone ? std::min(share, even) : share);
+    if (alone) {
+      share.m_part = std::min(share.m_part, even);
+    }
+    if (heard_count == instance_count()) {
+      share.m_fleet_admitted = admitted;
+    }
+    shares.emplace(customer, share);
   }
   return shares;
 }
@@ -251,11 +267,13 @@
   CellDigest digest;
   digest.m_zone = m_zone;
   digest.m_acknowledged = own.m_acknowledged;
-  std::map<CustomerName, double> demand;
+  std::map<CustomerName, CustomerDemand> demand;
   std::map<GroupName, GroupOpinions> opinions;
   const auto add = [&demand, &opinions](const PeerReport& report) {
     for (const CustomerDemand& item : report.m_demand) {
-      demand[item.m_customer] += item.m_operations_per_second;
+      CustomerDemand& sum = demand[item.m_customer];
+      sum.m_operations_per_second += item.m_operations_per_second;
+      sum.m_admitted_per_second += item.m_admitted_per_second;
     }
     for (const GroupName& group : report.m_reachable) {
       opinions[group].m_reachable += 1;
@@ -275,8 +293,9 @@
     }
     digest.m_acknowledged = std::min(digest.m_acknowledged, acknowledged);
   }
-  for (const auto& [customer, operations] : demand) {
-    digest.m_demand.push_back({customer, operations});
+  for (auto& [customer, sum] : demand) {
+    sum.m_customer = customer;
+    digest.m_demand.push_back(sum);
   }
   for (auto& [group, item] : opinions) {
     item.m_group = group;
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -73,7 +73,7 @@
   //
   // Answers callers that are spread unevenly over the instances, and a customer
   // that moves its load from one instance to others.
-  std::map<CustomerName, double> Shares(
+  std::map<CustomerName, CustomerShare> Shares(
       const std::vector<CustomerDemand>& own_demand,
       const std::vector<CustomerName>& customers,
       Time now) const;
@@ -133,6 +133,7 @@
   // A part of the fleet whose demand is known as a whole.
   struct Part {
     double m_demand = 0;
+    double m_admitted = 0;
     int m_instances = 1;
     bool m_fresh = false;
   };
@@ -147,8 +148,8 @@
   void TakeDigests(const PeerReport& report, bool from_cell, Time now);
   std::vector<Part> PartsFor(const CustomerName& customer, Time now) const;
   std::optional<Time> SentTimeOf(std::uint64_t sequence) const;
-  static double DemandIn(const std::vector<CustomerDemand>& demand,
-                         const CustomerName& customer);
+  static CustomerDemand DemandIn(const std::vector<CustomerDemand>& demand,
+                                 const CustomerName& customer);
 
   const InstanceId m_self;
   const Incarnation m_incarnation;
--- a/src/gossip/gen/gossip_types.cpp
+++ b/src/gossip/gen/gossip_types.cpp
@@ -192,6 +192,10 @@
 void Demand::__set_operations_per_second(const double val) {
   this->operations_per_second = val;
 }
+
+void Demand::__set_admitted_per_second(const double val) {
+  this->admitted_per_second = val;
+}
 std::ostream& operator<<(std::ostream& out, const Demand& obj)
 {
   obj.printTo(out);
@@ -236,6 +240,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->admitted_per_second);
+          this->__isset.admitted_per_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -261,6 +273,10 @@
   xfer += oprot->writeDouble(this->operations_per_second);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("admitted_per_second", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->admitted_per_second);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -270,28 +286,33 @@
   using ::std::swap;
   swap(a.customer, b.customer);
   swap(a.operations_per_second, b.operations_per_second);
+  swap(a.admitted_per_second, b.admitted_per_second);
   swap(a.__isset, b.__isset);
 }
 
 Demand::Demand(const Demand& other4) {
   customer = other4.customer;
   operations_per_second = other4.operations_per_second;
+  admitted_per_second = other4.admitted_per_second;
   __isset = other4.__isset;
 }
 Demand::Demand(Demand&& other5) noexcept {
   customer = std::move(other5.customer);
   operations_per_second = other5.operations_per_second;
+  admitted_per_second = other5.admitted_per_second;
   __isset = other5.__isset;
 }
 Demand& Demand::operator=(const Demand& other6) {
   customer = other6.customer;
   operations_per_second = other6.operations_per_second;
+  admitted_per_second = other6.admitted_per_second;
   __isset = other6.__isset;
   return *this;
 }
 Demand& Demand::operator=(Demand&& other7) noexcept {
   customer = std::move(other7.customer);
   operations_per_second = other7.operations_per_second;
+  admitted_per_second = other7.admitted_per_second;
   __isset = other7.__isset;
   return *this;
 }
@@ -300,6 +321,7 @@
   out << "Demand(";
   out << "customer=" << to_string(customer);
   out << ", " << "operations_per_second=" << to_string(operations_per_second);
+  out << ", " << "admitted_per_second=" << to_string(admitted_per_second);
   out << ")";
 }
 
--- a/src/gossip/gen/gossip_types.h
+++ b/src/gossip/gen/gossip_types.h
@@ -102,9 +102,10 @@
 std::ostream& operator<<(std::ostream& out, const Echo& obj);
 
 typedef struct _Demand__isset {
-  _Demand__isset() : customer(false), operations_per_second(false) {}
+  _Demand__isset() : customer(false), operations_per_second(false), admitted_per_second(false) {}
   bool customer :1;
   bool operations_per_second :1;
+  bool admitted_per_second :1;
 } _Demand__isset;
 
 class Demand : public virtual ::apache::thrift::TBase {
@@ -116,12 +117,14 @@
   Demand& operator=(Demand&&) noexcept;
   Demand() noexcept
          : customer(),
-           operations_per_second(0) {
+           operations_per_second(0),
+           admitted_per_second(0) {
   }
 
   virtual ~Demand() noexcept;
   std::string customer;
   double operations_per_second;
+  double admitted_per_second;
 
   _Demand__isset __isset;
 
@@ -129,12 +132,16 @@
 
   void __set_operations_per_second(const double val);
 
+  void __set_admitted_per_second(const double val);
+
   bool operator == (const Demand & rhs) const
   {
     if (!(customer == rhs.customer))
       return false;
     if (!(operations_per_second == rhs.operations_per_second))
       return false;
+    if (!(admitted_per_second == rhs.admitted_per_second))
+      return false;
     return true;
   }
   bool operator != (const Demand &rhs) const {
--- a/src/gossip/gossip.thrift
+++ b/src/gossip/gossip.thrift
@@ -18,6 +18,7 @@
 struct Demand {
   1: string customer;
   2: double operations_per_second;
+  3: double admitted_per_second;
 }
 
 struct Sample {
--- a/src/gossip/report_codec.cc
+++ b/src/gossip/report_codec.cc
@@ -30,6 +30,7 @@
   wire::Demand out;
   out.customer = demand.m_customer.str();
   out.operations_per_second = demand.m_operations_per_second;
+  out.admitted_per_second = demand.m_admitted_per_second;
   return out;
 }
 
@@ -104,7 +105,7 @@
 
 gateway::CustomerDemand FromWire(const wire::Demand& demand) {
   return {gateway::CustomerName(demand.customer),
-          demand.operations_per_second};
+          demand.operations_per_second, demand.admitted_per_second};
 }
 
 gateway::CellDigest FromWire(const wire::Cell& cell) {
--- a/test/gateway/decisions_test.cc
+++ b/test/gateway/decisions_test.cc
@@ -59,7 +59,7 @@
       CustomerLimiter limiter;
       Time now(100s);
       limiter.SetLimits(OneCustomer(100, 100), now);
-      limiter.SetShare(test_customer, share, now);
+      limiter.SetShare(test_customer, {share, std::nullopt}, now);
       now += 10s;
       const int granted = Granted(&limiter, &now, 1000, 5s);
       const double limit = (100 * 5 + 100) * share;
--- a/test/gateway/peer_view_test.cc
+++ b/test/gateway/peer_view_test.cc
@@ -59,7 +59,8 @@
   double ShareOf(std::size_t index) {
     return m_views[index]
         .Shares(m_demand[index], {test_customer}, m_now)
-        .at(test_customer);
+        .at(test_customer)
+        .m_part;
   }
 
   double ShareSum() {
@@ -93,7 +94,7 @@
     for (int round = 0; round < 100; ++round) {
       Fleet fleet(2 + static_cast<int>(random() % 9));
       for (auto& demand : fleet.m_demand) {
-        demand = {{test_customer, static_cast<double>(random() % 100)}};
+        demand = {{test_customer, static_cast<double>(random() % 100), 0}};
       }
       fleet.Exchange(2ms);
       fleet.Exchange(2ms);
@@ -105,7 +106,7 @@
   // Load: all callers of a customer come to one instance.
   void SharesFollowDemand() {
     Fleet fleet(7);
-    fleet.m_demand[0] = {{test_customer, 70.0}};
+    fleet.m_demand[0] = {{test_customer, 70.0, 0}};
     fleet.Exchange(2ms);
     fleet.Exchange(2ms);
     CPPUNIT_ASSERT(fleet.ShareOf(0) > 0.6);
@@ -115,8 +116,8 @@
   // Fault: the instance with the most callers is cut off from the others.
   void CutInstanceKeepsAnEvenPart() {
     Fleet fleet(7);
-    fleet.m_demand[0] = {{test_customer, 70.0}};
-    fleet.m_demand[1] = {{test_customer, 10.0}};
+    fleet.m_demand[0] = {{test_customer, 70.0, 0}};
+    fleet.m_demand[1] = {{test_customer, 10.0, 0}};
     fleet.Exchange(2ms);
     fleet.Exchange(2ms);
     fleet.m_now += PeerView::kFreshFor + 1ms;
--- a/test/gossip/report_codec_test.cc
+++ b/test/gossip/report_codec_test.cc
@@ -15,7 +15,7 @@
   report.m_incarnation = Incarnation(1'234'567'890'123);
   report.m_sequence = 99;
   report.m_echoes = {{InstanceId("b"), Incarnation(5), 6, Duration(70)}};
-  report.m_demand = {{CustomerName("c"), 12.5}};
+  report.m_demand = {{CustomerName("c"), 12.5, 11.5}};
   report.m_samples = {
       {GroupName("g"), Duration(80), LogPosition{Term(3), 1207}}};
   report.m_unreachable = {GroupName("g")};
@@ -24,7 +24,7 @@
   report.m_configuration = {Revision(77), Duration(1000)};
   report.m_replacements = {Revision(0), Duration(0)};
   report.m_cells = {{ZoneName("z"),
-                     {{CustomerName("c"), 2.5}},
+                     {{CustomerName("c"), 2.5, 2.25}},
                      {{GroupName("g"), 3, 4}},
                      Revision(9)}};
   return report;
