--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -33,8 +33,8 @@
 constexpr int kMostRankDelays = 4;
 // Pause between two such renewals.
 constexpr gateway::Duration kRefreshInterval = 400ms;
-// A watch that has not brought a state that others have had for this long is not
-// waited for.
+// A watch that has not brought a state that others have had for this long is
+// not waited for.
 constexpr gateway::Duration kNewerStatePatience = 400ms;
 // An instance that had to renew asks for all for this long.
 constexpr gateway::Duration kActingProverFor = 5s;
@@ -87,14 +87,15 @@
   hooks.m_write = [this](const std::string& name,
                          const gateway::InstanceEntry& entry,
                          std::optional<gateway::Revision> expected) {
-    m_registrar_client.Write(
-        StoreKind::kInstances, name, entry, expected, [this](const auto& result) {
-          if (!IsOk(result)) {
-            Log(m_logger, log4cplus::WARN_LOG_LEVEL, "could not register",
-                {{"reason", GetError(result).m_message}});
-          }
-          m_registrar.OnWritten(result, Now());
-        });
+    m_registrar_client.Write(StoreKind::kInstances, name, entry, expected,
+                             [this](const auto& result) {
+                               if (!IsOk(result)) {
+                                 Log(m_logger, log4cplus::WARN_LOG_LEVEL,
+                                     "could not register",
+                                     {{"reason", GetError(result).m_message}});
+                               }
+                               m_registrar.OnWritten(result, Now());
+                             });
   };
   hooks.m_delete = [this](const std::string& name) {
     m_registrar_client.Delete(StoreKind::kInstances, name, std::nullopt,
@@ -145,7 +146,7 @@
 }
 
 void FleetDuty::OnInstances(const gateway::StoreObjects& objects,
-                          gateway::Time now) {
+                            gateway::Time now) {
   m_objects = objects;
   std::vector<gateway::InstanceEntry> entries;
   for (const auto& [name, object] : objects) {
@@ -389,8 +390,8 @@
     }
     Log(m_logger, log4cplus::INFO_LOG_LEVEL, "removing a silent instance",
         {{"peer", silent.str()}});
-    m_removal_client.Delete(StoreKind::kInstances, name, object->second.m_revision,
-                            [](const auto&) {});
+    m_removal_client.Delete(StoreKind::kInstances, name,
+                            object->second.m_revision, [](const auto&) {});
     m_objects.erase(object);
     return;
   }
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -374,9 +374,8 @@
       StoreKind::kEvacuations, kUnprovedKindWait,
       [this](const auto& objects) { OnEvacuations(objects); },
       [](gateway::Time) {});
-  m_fleet.SetRefreshHooks(
-      {[this] { m_configuration_link->Refresh(Now()); },
-       [this] { m_replacements_link->Refresh(Now()); }});
+  m_fleet.SetRefreshHooks({[this] { m_configuration_link->Refresh(Now()); },
+                           [this] { m_replacements_link->Refresh(Now()); }});
   for (StoreLink* link : Links()) {
     link->Start(Now());
   }
--- a/src/gateway/customer_limiter.cc
+++ b/src/gateway/customer_limiter.cc
@@ -131,11 +131,12 @@
   const Bucket& bucket = found->second;
   const std::optional<double>& admitted = bucket.m_share.m_fleet_admitted;
   char text[160];
-  std::snprintf(text, sizeof(text),
-                "the customer is over its rate: %.1f/s, part %.4f, tokens %.2f, "
-                "all admit %.1f/s",
-                bucket.m_limits.m_operations_per_second, bucket.m_share.m_part,
-                bucket.m_tokens, admitted.value_or(-1));
+  std::snprintf(
+      text, sizeof(text),
+      "the customer is over its rate: %.1f/s, part %.4f, tokens %.2f, "
+      "all admit %.1f/s",
+      bucket.m_limits.m_operations_per_second, bucket.m_share.m_part,
+      bucket.m_tokens, admitted.value_or(-1));
   return text;
 }
 
@@ -145,8 +146,7 @@
     const double to_rate = Decay(bucket, now) / ToSeconds(kDemandWindow);
     const double rate = bucket.m_recent_operations * to_rate;
     if (rate >= kLeastReportedDemand) {
-      demand.push_back(
-          {customer, rate, bucket.m_recent_admitted * to_rate});
+      demand.push_back({customer, rate, bucket.m_recent_admitted * to_rate});
     }
   }
   return demand;
--- a/src/gateway/customer_limiter.h
+++ b/src/gateway/customer_limiter.h
@@ -40,9 +40,9 @@
 // add up to one, so the fleet as a whole keeps the limit. A new bucket holds
 // little, so that restarts make few tokens.
 //
-// While the fleet as a whole admits less than the rate, a bucket may be overdrawn
-// a little, which its refill pays back: callers that come to an instance for the first time are
-// not refused for want of a share.
+// While the fleet as a whole admits less than the rate, a bucket may be
+// overdrawn a little, which its refill pays back: callers that come to an
+// instance for the first time are not refused for want of a share.
 //
 // Answers the load of one customer that sends many times its rate: what is
 // beyond the limit is refused before it takes any capacity.
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -187,8 +187,7 @@
     Part part;
     part.m_fresh = IsFresh(peer, now);
     if (peer.m_report) {
-      const CustomerDemand demand =
-          DemandIn(peer.m_report->m_demand, customer);
+      const CustomerDemand demand = DemandIn(peer.m_report->m_demand, customer);
       part.m_demand = demand.m_operations_per_second;
       part.m_admitted = demand.m_admitted_per_second;
     }
@@ -199,8 +198,7 @@
     part.m_fresh = IsFresh(cell, now);
     part.m_instances = static_cast<int>(cell.m_entries.size());
     if (cell.m_digest) {
-      const CustomerDemand demand =
-          DemandIn(cell.m_digest->m_demand, customer);
+      const CustomerDemand demand = DemandIn(cell.m_digest->m_demand, customer);
       part.m_demand = demand.m_operations_per_second;
       part.m_admitted = demand.m_admitted_per_second;
     }
@@ -239,8 +237,8 @@
         continue;
       }
       const double even_part = even * part.m_instances;
-      const double last = kEvenPart * even_part +
-                          (1 - kEvenPart) * part.m_demand / total;
+      const double last =
+          kEvenPart * even_part + (1 - kEvenPart) * part.m_demand / total;
       set_aside += std::max(even_part, last);
     }
     const double left = std::max(1 - set_aside, even * heard_count / 2);
@@ -329,7 +327,8 @@
   return own_cell &&
          std::all_of(m_cells.begin(), m_cells.end(), [&](const auto& item) {
            const Cell& cell = item.second;
-           return (cell.m_digest && cell.m_digest->m_acknowledged >= revision) ||
+           return (cell.m_digest &&
+                   cell.m_digest->m_acknowledged >= revision) ||
                   std::all_of(cell.m_entries.begin(), cell.m_entries.end(),
                               in_entry);
          });
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -25,10 +25,10 @@
 
 // What the other instances say, and how old it is at most.
 //
-// Up to kMaxSingleCell instances all report to each other. In a larger fleet the
-// instances of an availability zone form a cell: within it all report to each
-// other, and its first two instances send a digest of it to the other cells, so
-// that reports grow with the cell and not with the fleet.
+// Up to kMaxSingleCell instances all report to each other. In a larger fleet
+// the instances of an availability zone form a cell: within it all report to
+// each other, and its first two instances send a digest of it to the other
+// cells, so that reports grow with the cell and not with the fleet.
 //
 // Clocks are not compared: a report that echoes this instance's report number
 // n, held for h, was made no earlier than n was sent plus h. The bound holds
--- a/src/gossip/report_codec.cc
+++ b/src/gossip/report_codec.cc
@@ -104,8 +104,8 @@
 }
 
 gateway::CustomerDemand FromWire(const wire::Demand& demand) {
-  return {gateway::CustomerName(demand.customer),
-          demand.operations_per_second, demand.admitted_per_second};
+  return {gateway::CustomerName(demand.customer), demand.operations_per_second,
+          demand.admitted_per_second};
 }
 
 gateway::CellDigest FromWire(const wire::Cell& cell) {
--- a/test/gateway/decisions_test.cc
+++ b/test/gateway/decisions_test.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST_SUITE(DecisionsTest);
   CPPUNIT_TEST(CustomerKeepsItsRateAndBurst);
   CPPUNIT_TEST(RestartsGrantLessThanTheExcess);
+  CPPUNIT_TEST(SmallSharesAreOverdrawnWhileThereIsRoom);
   CPPUNIT_TEST(LoweredLimitBindsAtOnce);
   CPPUNIT_TEST(DemandIsReportedForgottenAndCountsRefusals);
   CPPUNIT_TEST(FloorIsTheOldestAdmissibleSample);
@@ -89,6 +90,28 @@
     }
   }
 
+  // Load: 87 instances, to each of which a customer comes now and then.
+  void SmallSharesAreOverdrawnWhileThereIsRoom() {
+    struct Case {
+      std::optional<double> m_admitted;
+      int m_granted;
+    };
+    for (const Case& row : std::vector<Case>{
+             {3.0, 4}, {14.0, 2}, {27.0, 0}, {40.0, 0}, {std::nullopt, 0}}) {
+      CustomerLimiter limiter;
+      limiter.SetInstanceCount(87);
+      const Time now(100s);
+      limiter.SetLimits(OneCustomer(30, 30), now);
+      limiter.SetShare(test_customer, {0.002, row.m_admitted}, now);
+      int granted = 0;
+      for (int i = 0; i < 20; ++i) {
+        granted += limiter.Take(test_customer, now) ? 1 : 0;
+      }
+      CPPUNIT_ASSERT(granted <= row.m_granted);
+      CPPUNIT_ASSERT(granted >= row.m_granted - 1);
+    }
+  }
+
   void LoweredLimitBindsAtOnce() {
     CustomerLimiter limiter;
     Time now(100s);
--- a/test/gateway/peer_view_test.cc
+++ b/test/gateway/peer_view_test.cc
@@ -76,6 +76,65 @@
   std::vector<std::vector<CustomerDemand>> m_demand;
 };
 
+// A fleet in availability zones that is large enough for cells.
+class LargeFleet {
+ public:
+  static constexpr int kZones = 3;
+  static constexpr int kInZone = 8;
+
+  LargeFleet() {
+    for (int i = 0; i < kZones * kInZone; ++i) {
+      InstanceEntry entry = Entry("i" + std::to_string(100 + i));
+      entry.m_zone = ZoneName("z" + std::to_string(i % kZones));
+      m_entries.push_back(entry);
+    }
+    for (const InstanceEntry& entry : m_entries) {
+      m_views.emplace_back(entry.m_id, entry.m_incarnation, entry.m_zone);
+      m_views.back().SetInstances(m_entries, m_now);
+      m_reports.emplace_back();
+    }
+  }
+
+  // Each instance sends its report, and digests where it has to.
+  void Exchange() {
+    std::vector<PeerReport> reports = m_reports;
+    for (std::size_t i = 0; i < m_views.size(); ++i) {
+      m_views[i].Address(&reports[i], m_now);
+    }
+    const Time sent = m_now;
+    m_now += 2ms;
+    for (std::size_t i = 0; i < m_views.size(); ++i) {
+      for (const InstanceEntry& peer : m_views[i].Peers()) {
+        Deliver(peer, reports[i]);
+      }
+      if (!m_views[i].SendsDigest(sent)) {
+        continue;
+      }
+      PeerReport digest = reports[i];
+      digest.m_cells = {m_views[i].Digest(reports[i], sent)};
+      for (const InstanceEntry& peer : m_views[i].DigestReceivers(2)) {
+        Deliver(peer, digest);
+      }
+    }
+    m_now += 200ms;
+  }
+
+  void Deliver(const InstanceEntry& peer, const PeerReport& report) {
+    m_messages += 1;
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+      if (m_entries[i].m_id == peer.m_id) {
+        m_views[i].OnReport(report, m_now);
+      }
+    }
+  }
+
+  Time m_now = Time(100s);
+  std::vector<InstanceEntry> m_entries;
+  std::vector<PeerView> m_views;
+  std::vector<PeerReport> m_reports;
+  int m_messages = 0;
+};
+
 class PeerViewTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PeerViewTest);
   CPPUNIT_TEST(SharesAddUpToOne);
@@ -85,6 +144,8 @@
   CPPUNIT_TEST(OldAndForeignReportsAreIgnored);
   CPPUNIT_TEST(AcknowledgementsCountForOneIncarnation);
   CPPUNIT_TEST(SilentPeersAreNamed);
+  CPPUNIT_TEST(CellsKnowTheWholeFleet);
+  CPPUNIT_TEST(CellsAcknowledgeTogether);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -201,6 +262,54 @@
     CPPUNIT_ASSERT(view.AllAcknowledged(Revision(8)));
   }
 
+  // Load: a fleet in which each to each would be too many reports.
+  void CellsKnowTheWholeFleet() {
+    LargeFleet fleet;
+    for (std::size_t i = 0; i < fleet.m_reports.size(); ++i) {
+      fleet.m_reports[i].m_demand = {{test_customer, 2.0, 1.0}};
+      fleet.m_reports[i].m_reachable = {GroupName("g")};
+    }
+    fleet.m_reports[0].m_demand = {{test_customer, 46.0, 23.0}};
+    for (int i = 0; i < 6; ++i) {
+      fleet.Exchange();
+    }
+    double sum = 0;
+    for (std::size_t i = 0; i < fleet.m_views.size(); ++i) {
+      const CustomerShare share =
+          fleet.m_views[i]
+              .Shares(fleet.m_reports[i].m_demand, {test_customer}, fleet.m_now)
+              .at(test_customer);
+      sum += share.m_part;
+      CPPUNIT_ASSERT(share.m_fleet_admitted);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(46, *share.m_fleet_admitted, 0.1);
+      const PeerView::Opinions opinions =
+          fleet.m_views[i].OpinionsOf(GroupName("g"), fleet.m_now);
+      CPPUNIT_ASSERT_EQUAL(LargeFleet::kZones * LargeFleet::kInZone - 1,
+                           opinions.m_reachable);
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, sum, 0.01);
+    // Each to each would be 24 * 23.
+    CPPUNIT_ASSERT(fleet.m_messages / 6 < 24 * 23 / 2);
+  }
+
+  void CellsAcknowledgeTogether() {
+    LargeFleet fleet;
+    for (PeerReport& report : fleet.m_reports) {
+      report.m_acknowledged = Revision(7);
+    }
+    fleet.m_reports[5].m_acknowledged = Revision(6);
+    for (int i = 0; i < 6; ++i) {
+      fleet.Exchange();
+    }
+    CPPUNIT_ASSERT(fleet.m_views[0].AllAcknowledged(Revision(6)));
+    CPPUNIT_ASSERT(!fleet.m_views[0].AllAcknowledged(Revision(7)));
+    fleet.m_reports[5].m_acknowledged = Revision(7);
+    for (int i = 0; i < 6; ++i) {
+      fleet.Exchange();
+    }
+    CPPUNIT_ASSERT(fleet.m_views[0].AllAcknowledged(Revision(7)));
+  }
+
   void SilentPeersAreNamed() {
     PeerView view(InstanceId("a"), Incarnation(1), ZoneName());
     view.SetInstances({Entry("b")}, Time(1s));
