gateway: an instance that hears of a newer replacement record uses no primary

Cause: an instance that the store refuses could not read an intent, and the coordinator waited 4.2 s for its proof of contact to grow old. Change: such an instance stops using every primary and acknowledges the record that it has heard of (decision and test apart from I/O); members' entries are read together; store calls by kind in the metrics.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -38,9 +38,6 @@
 constexpr gateway::Duration kNewerStatePatience = 400ms;
 // An instance that had to renew asks for all for this long.
 constexpr gateway::Duration kActingProverFor = 5s;
-// A replacement that has begun is usually over after this.
-constexpr gateway::Duration kUsualReplacementTime = 1100ms;
-
 gateway::InstanceEntry MakeEntry(const Settings& settings) {
   const auto since_epoch =
       std::chrono::duration_cast<std::chrono::microseconds>(
@@ -167,7 +164,7 @@
   m_newer_record_since.reset();
   m_coordinator.OnEntries(objects, now);
   UpdatePrimaries(now);
-  if (AcknowledgedRevision() != m_reported_revision) {
+  if (AcknowledgedRevision(now) != m_reported_revision) {
     SendReports(now);
   }
 }
@@ -183,28 +180,21 @@
   if (!configuration) {
     return;
   }
+  const bool unread =
+      m_heard_record.Unread(m_coordinator.revision(), now).has_value();
   for (const auto& [group, limits] : configuration->m_groups) {
-    gateway::PrimaryView view;
-    view.m_member = m_coordinator.PrimaryOf(group);
-    if (!view.m_member) {
-      view.m_member = m_engine.members().SelfDeclaredPrimary(group);
-    }
-    if (!view.m_member) {
-      view.m_member = m_engine.PrimaryOf(group);
-    }
-    view.m_usable = view.m_member.has_value();
-    bool abandon = false;
-    const auto intent = m_coordinator.IntentFor(group);
-    if (intent) {
-      view.m_usable = false;
-      view.m_usable_from = m_coordinator.intent_seen() + kUsualReplacementTime;
-      abandon = !intent->m_planned;
-    }
-    m_engine.SetPrimary(group, view, abandon, now);
+    const gateway::PrimaryDecision decision = gateway::DecidePrimary(
+        group, m_coordinator, m_engine.members().SelfDeclaredPrimary(group),
+        m_engine.PrimaryOf(group), unread);
+    m_engine.SetPrimary(group, decision.m_view, decision.m_abandon, now);
   }
 }
 
-gateway::Revision FleetDuty::AcknowledgedRevision() const {
+gateway::Revision FleetDuty::AcknowledgedRevision(gateway::Time now) const {
+  const auto unread = m_heard_record.Unread(m_coordinator.revision(), now);
+  if (unread) {
+    return AreAllPrimariesUnused() ? *unread : gateway::Revision();
+  }
   const auto& intent = m_coordinator.record().m_intent;
   if (intent && !m_engine.IsPrimaryQuiet(intent->m_group)) {
     return gateway::Revision();
@@ -212,10 +202,20 @@
   return m_coordinator.revision();
 }
 
+bool FleetDuty::AreAllPrimariesUnused() const {
+  const gateway::Configuration* configuration = m_engine.configuration();
+  return configuration &&
+         std::all_of(configuration->m_groups.begin(),
+                     configuration->m_groups.end(), [this](const auto& group) {
+                       return !m_engine.IsPrimaryUsable(group.first) &&
+                              m_engine.IsPrimaryQuiet(group.first);
+                     });
+}
+
 gateway::PeerReport FleetDuty::MakeReport(gateway::Time now) const {
   gateway::PeerReport report;
   report.m_demand = m_engine.limiter().Demand(now);
-  report.m_acknowledged = AcknowledgedRevision();
+  report.m_acknowledged = AcknowledgedRevision(now);
   const gateway::Configuration* configuration = m_engine.configuration();
   if (!configuration) {
     return report;
@@ -302,6 +302,7 @@
               &m_engine.key_contact(), &m_newer_configuration_since, now);
   }
   if (report.m_replacements) {
+    m_heard_record.Hear(report.m_replacements->m_revision, now);
     TakeProof(report, *report.m_replacements, m_coordinator.revision(),
               &m_engine.primary_contact(), &m_newer_record_since, now);
   }
@@ -457,9 +458,9 @@
                        !fleet.m_coordinator_heard &&
                        m_coordinator.record().m_coordinator != m_entry.m_id;
   if (unheard) {
-    m_registrar.Acknowledge(AcknowledgedRevision(), now);
+    m_registrar.Acknowledge(AcknowledgedRevision(now), now);
   }
-  const bool acknowledges = AcknowledgedRevision() != m_reported_revision;
+  const bool acknowledges = AcknowledgedRevision(now) != m_reported_revision;
   RefreshOldProofs(now);
   if (acknowledges || now - m_reported >= kReportInterval) {
     SendReports(now);
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -71,7 +71,8 @@
   void SendDigest(const gateway::PeerReport& own, gateway::Time now);
   void SendTo(const gateway::InstanceEntry& peer, const std::string& bytes);
   gateway::PeerReport MakeReport(gateway::Time now) const;
-  gateway::Revision AcknowledgedRevision() const;
+  gateway::Revision AcknowledgedRevision(gateway::Time now) const;
+  bool AreAllPrimariesUnused() const;
   void TakeProofs(const gateway::PeerReport& report, gateway::Time now);
   void TakeProof(const gateway::PeerReport& report,
                  const gateway::StateProof& proof,
@@ -97,6 +98,7 @@
   gateway::InstanceRegistrar m_registrar;
   gateway::PeerView m_peers;
   gateway::ReplacementCoordinator m_coordinator;
+  gateway::HeardRecord m_heard_record;
   gossip::DatagramPeers m_datagrams;
   gateway::StoreObjects m_objects;
   RefreshHooks m_refresh;
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -20,8 +20,8 @@
 constexpr gateway::Duration kFirstWait = 1200ms;
 // Watches of kinds that prove nothing wait this long.
 constexpr gateway::Duration kUnprovedKindWait = 28s;
-// Each instance reads the entries of the others at most once in this time for
-// each of them.
+// Kinds of which many objects change at once, as at a start, are read at most
+// once in this time for each instance.
 constexpr gateway::Duration kPauseForEachInstance = 15ms;
 // Retries of the kind that tells first that the store is back, and of others.
 constexpr gateway::Duration kShortRetryDelay = 250ms;
@@ -275,8 +275,10 @@
   const gateway::Time now = Now();
   m_configuration_link->SetWatchWait(m_fleet.WatchWait(now));
   m_replacements_link->SetWatchWait(m_fleet.WatchWait(now));
-  m_instances_link->SetPauseAfterChange(m_fleet.instance_count() *
-                                        kPauseForEachInstance);
+  const gateway::Duration pause =
+      m_fleet.instance_count() * kPauseForEachInstance;
+  m_instances_link->SetPauseAfterChange(pause);
+  m_members_link->SetPauseAfterChange(pause);
   for (StoreLink* link : Links()) {
     link->OnTick(now);
   }
@@ -346,6 +348,11 @@
           std::to_string(m_completed) + "\n";
   text +=
       "jasminelug_statements_refused_total " + std::to_string(m_refused) + "\n";
+  for (const StoreLink* link : Links()) {
+    text += "jasminelug_store_calls_total{kind=\"";
+    text += NameOf(link->kind());
+    text += "\"} " + std::to_string(link->calls()) + "\n";
+  }
   text +=
       "jasminelug_sessions " + std::to_string(m_engine.session_count()) + "\n";
   text += "jasminelug_member_connections " +
--- a/apps/gateway/store_link.cc
+++ b/apps/gateway/store_link.cc
@@ -18,11 +18,13 @@
 gateway::StoreFollower::Hooks StoreLink::FollowerHooks(Hooks hooks) {
   gateway::StoreFollower::Hooks follower;
   follower.m_list = [this](const std::string& after) {
+    m_calls += 1;
     m_client.List(m_kind, after, [this](const auto& result) {
       m_follower.OnPage(result, Now());
     });
   };
   follower.m_watch = [this](gateway::Revision since, gateway::Duration wait) {
+    m_calls += 1;
     m_client.Watch(m_kind, since, wait, [this](const auto& result) {
       m_follower.OnChanges(result, Now());
     });
--- a/apps/gateway/store_link.h
+++ b/apps/gateway/store_link.h
@@ -3,6 +3,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <cstdint>
 #include <functional>
 
 #include "jasminelug/gateway.h"
@@ -35,6 +36,9 @@
     m_follower.SetPauseAfterChange(pause);
   }
   bool is_lost() const { return m_follower.is_lost(); }
+  // Calls to the store so far.
+  std::uint64_t calls() const { return m_calls; }
+  gateway::StoreKind kind() const { return m_kind; }
   bool is_listed() const { return m_follower.is_listed(); }
 
  private:
@@ -42,6 +46,7 @@
 
   adapter::StoreClient m_client;
   const gateway::StoreKind m_kind;
+  std::uint64_t m_calls = 0;
   gateway::StoreFollower m_follower;
 };
 
--- a/jasminelug/gateway.h
+++ b/jasminelug/gateway.h
@@ -17,6 +17,7 @@
 #include "src/gateway/member_status.h"
 #include "src/gateway/peer_report.h"
 #include "src/gateway/peer_view.h"
+#include "src/gateway/primary_decision.h"
 #include "src/gateway/promotion.h"
 #include "src/gateway/replacement_coordinator.h"
 #include "src/gateway/statement.h"
--- a/src/gateway/engine.cc
+++ b/src/gateway/engine.cc
@@ -104,6 +104,11 @@
   Dispatch(name, now);
 }
 
+bool Engine::IsPrimaryUsable(const GroupName& name) const {
+  const Group* group = FindGroup(name);
+  return group && group->m_primary.m_usable;
+}
+
 bool Engine::IsPrimaryQuiet(const GroupName& name) const {
   const Group* group = FindGroup(name);
   if (!group || !group->m_primary.m_member) {
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -116,6 +116,8 @@
   const Configuration* configuration() const { return m_configuration.get(); }
   std::size_t session_count() const { return m_sessions.size(); }
   std::size_t connection_count() const { return m_connections.size(); }
+  // Whether the primary of `group` was set as usable.
+  bool IsPrimaryUsable(const GroupName& group) const;
   // Whether no statement is in flight to the primary of `group`.
   bool IsPrimaryQuiet(const GroupName& group) const;
   // The newest sample of the primary's log, for other instances.
--- /dev/null
+++ b/src/gateway/primary_decision.cc
@@ -0,0 +1,51 @@
+#include "src/gateway/primary_decision.h"
+
+namespace jasminelug::gateway {
+namespace {
+
+// A replacement that has begun is usually over after this.
+constexpr Duration kUsualReplacementTime = 1100ms;
+
+}  // namespace
+
+void HeardRecord::Hear(Revision revision, Time now) {
+  if (revision > m_newest) {
+    m_newest = revision;
+    m_heard = now;
+  }
+}
+
+std::optional<Revision> HeardRecord::Unread(Revision own, Time now) const {
+  if (m_newest <= own || now - m_heard < kPatience) {
+    return std::nullopt;
+  }
+  return m_newest;
+}
+
+PrimaryDecision DecidePrimary(const GroupName& group,
+                              const ReplacementCoordinator& coordinator,
+                              const std::optional<MemberId>& self_declared,
+                              const std::optional<MemberId>& before,
+                              bool has_unread_record) {
+  PrimaryDecision decision;
+  PrimaryView& view = decision.m_view;
+  view.m_member = coordinator.PrimaryOf(group);
+  if (!view.m_member) {
+    view.m_member = self_declared ? self_declared : before;
+  }
+  view.m_usable = view.m_member.has_value();
+  const std::optional<ReplacementIntent> intent = coordinator.IntentFor(group);
+  if (intent) {
+    view.m_usable = false;
+    view.m_usable_from = coordinator.intent_seen() + kUsualReplacementTime;
+    decision.m_abandon = !intent->m_planned;
+  }
+  if (has_unread_record) {
+    view.m_usable = false;
+    view.m_usable_from.reset();
+    decision.m_abandon = true;
+  }
+  return decision;
+}
+
+}  // namespace jasminelug::gateway
--- /dev/null
+++ b/test/gateway/primary_decision_test.cc
@@ -0,0 +1,99 @@
+#include "src/gateway/primary_decision.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <vector>
+
+namespace jasminelug::gateway {
+namespace {
+
+ReplacementCoordinator MakeCoordinator() {
+  ReplacementOptions options;
+  options.m_self = InstanceId("a");
+  return ReplacementCoordinator(options, {});
+}
+
+StoreObjects Record(const ReplacementRecord& record, std::uint64_t revision) {
+  return {{ReplacementCoordinator::kRecordName,
+           {ReplacementCoordinator::kRecordName, Revision(revision), record}}};
+}
+
+class PrimaryDecisionTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PrimaryDecisionTest);
+  CPPUNIT_TEST(RecordGoesBeforeWhatMembersSay);
+  CPPUNIT_TEST(IntentEndsTheUse);
+  CPPUNIT_TEST(UnreadRecordEndsTheUse);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void RecordGoesBeforeWhatMembersSay() {
+    ReplacementCoordinator coordinator = MakeCoordinator();
+    const GroupName group("g");
+    const MemberId declared("declared");
+    const MemberId before("before");
+    PrimaryDecision decision =
+        DecidePrimary(group, coordinator, declared, before, false);
+    CPPUNIT_ASSERT(declared == decision.m_view.m_member);
+    decision = DecidePrimary(group, coordinator, std::nullopt, before, false);
+    CPPUNIT_ASSERT(before == decision.m_view.m_member);
+    decision =
+        DecidePrimary(group, coordinator, std::nullopt, std::nullopt, false);
+    CPPUNIT_ASSERT(!decision.m_view.m_usable);
+    ReplacementRecord record;
+    record.m_primaries = {{group, MemberId("recorded")}};
+    coordinator.OnEntries(Record(record, 5), Time(1s));
+    decision = DecidePrimary(group, coordinator, declared, before, false);
+    CPPUNIT_ASSERT(MemberId("recorded") == decision.m_view.m_member);
+    CPPUNIT_ASSERT(decision.m_view.m_usable);
+  }
+
+  void IntentEndsTheUse() {
+    for (const bool planned : {true, false}) {
+      ReplacementCoordinator coordinator = MakeCoordinator();
+      ReplacementRecord record;
+      record.m_intent = ReplacementIntent{GroupName("g"), MemberId("p"),
+                                          MemberId("r"), planned};
+      coordinator.OnEntries(Record(record, 5), Time(1s));
+      const PrimaryDecision decision = DecidePrimary(
+          GroupName("g"), coordinator, MemberId("p"), std::nullopt, false);
+      CPPUNIT_ASSERT(!decision.m_view.m_usable);
+      CPPUNIT_ASSERT(decision.m_view.m_usable_from);
+      CPPUNIT_ASSERT_EQUAL(!planned, decision.m_abandon);
+      const PrimaryDecision other = DecidePrimary(
+          GroupName("h"), coordinator, MemberId("q"), std::nullopt, false);
+      CPPUNIT_ASSERT(other.m_view.m_usable);
+    }
+  }
+
+  // Fault: the store refuses this instance and serves the others.
+  void UnreadRecordEndsTheUse() {
+    HeardRecord heard;
+    struct Case {
+      std::uint64_t m_own;
+      Duration m_after;
+      bool m_unread;
+    };
+    heard.Hear(Revision(7), Time(10s));
+    heard.Hear(Revision(6), Time(12s));
+    const std::vector<Case> cases = {
+        {7, 5s, false}, {8, 5s, false}, {6, 50ms, false}, {6, 5s, true}};
+    for (const Case& row : cases) {
+      const auto unread =
+          heard.Unread(Revision(row.m_own), Time(10s + row.m_after));
+      CPPUNIT_ASSERT_EQUAL(row.m_unread, unread.has_value());
+      if (unread) {
+        CPPUNIT_ASSERT(Revision(7) == *unread);
+      }
+    }
+    const ReplacementCoordinator coordinator = MakeCoordinator();
+    const PrimaryDecision decision = DecidePrimary(
+        GroupName("g"), coordinator, MemberId("p"), std::nullopt, true);
+    CPPUNIT_ASSERT(!decision.m_view.m_usable);
+    CPPUNIT_ASSERT(decision.m_abandon);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PrimaryDecisionTest);
+
+}  // namespace
+}  // namespace jasminelug::gateway
