gateway: coordinators of replacements do not act in quick turns

Change: a coordinator that follows another waits 3.2 s before it promotes; the one that acted last proposes first, also on what the others say; only the coordinator's cell calls it silent. Configurations in quick succession are read together.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -407,6 +407,8 @@
   condition.m_primary = m_engine.PrimaryOf(group);
   condition.m_sync_replicas = limits.m_sync_replicas;
   condition.m_failing_since = m_engine.PrimaryFailingSince(group, now);
+  condition.m_unasked =
+      !condition.m_failing_since && !m_engine.IsPrimaryHeard(group, now);
   condition.m_quiet = m_engine.IsPrimaryQuiet(group);
   const gateway::PeerView::Opinions opinions = m_peers.OpinionsOf(group, now);
   condition.m_others_unreachable = opinions.m_unreachable;
@@ -452,7 +454,7 @@
       m_registrar.is_registered() &&
       m_engine.primary_contact().IsFresh(now, kCoordinatorProofLimit);
   fleet.m_coordinator_heard =
-      m_peers.IsHeard(m_coordinator.record().m_coordinator, now);
+      !m_peers.IsSilent(m_coordinator.record().m_coordinator, now);
   m_coordinator.OnTick(GroupConditions(now), fleet, now);
   const bool unheard = m_coordinator.record().m_intent &&
                        !fleet.m_coordinator_heard &&
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -20,7 +20,7 @@
 constexpr gateway::Duration kFirstWait = 1200ms;
 // Watches of kinds that prove nothing wait this long.
 constexpr gateway::Duration kUnprovedKindWait = 28s;
-// Kinds of which many objects change at once, as at a start, are read at most
+// Kinds that may change many times in a second, as at a start, are read at most
 // once in this time for each instance.
 constexpr gateway::Duration kPauseForEachInstance = 15ms;
 // Retries of the kind that tells first that the store is back, and of others.
@@ -277,6 +277,7 @@
   m_replacements_link->SetWatchWait(m_fleet.WatchWait(now));
   const gateway::Duration pause =
       m_fleet.instance_count() * kPauseForEachInstance;
+  m_configuration_link->SetPauseAfterChange(pause);
   m_instances_link->SetPauseAfterChange(pause);
   m_members_link->SetPauseAfterChange(pause);
   for (StoreLink* link : Links()) {
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -382,9 +382,9 @@
   return rank;
 }
 
-bool PeerView::IsHeard(const InstanceId& id, Time now) const {
+bool PeerView::IsSilent(const InstanceId& id, Time now) const {
   const auto found = m_peers.find(id);
-  return found != m_peers.end() && IsFresh(found->second, now);
+  return found != m_peers.end() && !IsFresh(found->second, now);
 }
 
 std::vector<InstanceEntry> PeerView::Peers() const {
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -96,8 +96,8 @@
   // Position of this instance among those that are heard, in order of names.
   int Rank(Time now) const;
 
-  // Whether a peer's reports are fresh.
-  bool IsHeard(const InstanceId& id, Time now) const;
+  // Whether `id` is of this cell and not heard.
+  bool IsSilent(const InstanceId& id, Time now) const;
 
   // The other instances of this cell.
   std::vector<InstanceEntry> Peers() const;
--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -11,6 +11,10 @@
 // Each instance waits this much longer than the one before it, so that the
 // first one's intent is usually read before the second would write.
 constexpr Duration kRankDelay = 60ms;
+// The instance that acted last may propose this much before the others.
+constexpr Duration kPresentCoordinatorLead = 400ms;
+// Opinions of others that count where this instance has none.
+constexpr int kFewOpinions = 2;
 // Added to the proof limit for timers that fire late.
 constexpr Duration kProofMargin = 200ms;
 // A candidate of a planned replacement may take this long to receive what the
@@ -72,6 +76,13 @@
     m_hooks.m_abandon_promotion();
   }
   Reset();
+  // What another coordinator did came before its record; a coordinator that was
+  // taken over may act until it reads the new record, which is about now.
+  const bool was_others = m_revision && m_record.m_intent &&
+                          m_record.m_coordinator != m_options.m_self;
+  if (was_others || record->m_coordinator != m_options.m_self) {
+    m_other_acted = now;
+  }
   m_record = *record;
   m_revision = found->second.m_revision;
   m_intent_seen = now;
@@ -100,6 +111,10 @@
   m_hooks.m_write(record, m_revision);
 }
 
+bool ReplacementCoordinator::IsOwnTurn(Time now) const {
+  return !m_other_acted || now - *m_other_acted > kTurnPause;
+}
+
 bool ReplacementCoordinator::HasFailed(const ReplacementOptions& options,
                                        const GroupCondition& group,
                                        Time now) {
@@ -108,7 +123,12 @@
   }
   const bool failing = group.m_failing_since &&
                        now - *group.m_failing_since > options.m_failure_limit;
-  return failing && group.m_others_unreachable + 1 > group.m_others_reachable;
+  if (failing) {
+    return group.m_others_unreachable + 1 > group.m_others_reachable;
+  }
+  // An instance that has not asked the primary goes by what the others say.
+  return group.m_unasked && group.m_others_unreachable >= kFewOpinions &&
+         group.m_others_unreachable > group.m_others_reachable + 1;
 }
 
 void ReplacementCoordinator::OnTick(const std::vector<GroupCondition>& groups,
@@ -141,7 +161,12 @@
     const std::vector<GroupCondition>& groups,
     const FleetCondition& fleet,
     Time now) {
-  if (now < m_next_try + fleet.m_rank * kRankDelay) {
+  const bool acted_last =
+      !m_revision || m_record.m_coordinator == m_options.m_self;
+  const Duration wait =
+      acted_last ? Duration::zero()
+                 : kPresentCoordinatorLead + fleet.m_rank * kRankDelay;
+  if (now < m_next_try + (m_revision ? wait : fleet.m_rank * kRankDelay)) {
     return;
   }
   for (const GroupCondition& group : groups) {
@@ -195,7 +220,8 @@
       const bool lapsed =
           now - m_intent_seen > m_options.m_proof_limit + kProofMargin;
       const bool others_stopped = fleet.m_all_acknowledged || lapsed;
-      if (!others_stopped || !group.m_quiet || now < m_next_try) {
+      if (!others_stopped || !group.m_quiet || now < m_next_try ||
+          !IsOwnTurn(now)) {
         return;
       }
       if (m_repeat) {
--- a/src/gateway/replacement_coordinator.h
+++ b/src/gateway/replacement_coordinator.h
@@ -33,6 +33,8 @@
   bool m_primary_gone = false;
   // Since when this instance has not reached the primary.
   std::optional<Time> m_failing_since;
+  // This instance has not heard of the primary lately, nor asked it.
+  bool m_unasked = false;
   // What fresh reports of others say.
   int m_others_unreachable = 0;
   int m_others_reachable = 0;
@@ -87,6 +89,9 @@
 //    the record and drops the intent. Before that it is still a replica, and a
 //    read on it would be stale.
 //
+// Two instances do not promote in quick turns: one that follows another waits
+// for kTurnPause, and the instance that acted last is the first to act again.
+//
 // Others take an intent over when its coordinator is silent, by writing it
 // again under their own name. No two promotions overlap: the earlier
 // coordinator abandons its call before it acknowledges the new intent, and
@@ -116,6 +121,9 @@
   // silent.
   static constexpr Duration kTakeOverAfter = 6s;
   static constexpr Duration kTakeOverSilentAfter = 1200ms;
+  // Pause between the last act of one coordinator and the first of another; the
+  // platform's pages ask for 3 s.
+  static constexpr Duration kTurnPause = 3200ms;
   // How long candidates have to tell their position.
   static constexpr Duration kStatusTimeout = 250ms;
 
@@ -168,6 +176,7 @@
   void Promote(const MemberId& candidate, Time now);
   void Confirm(const GroupCondition& group, Time now);
   void Finish(Time now);
+  bool IsOwnTurn(Time now) const;
   void Reset();
 
   const ReplacementOptions m_options;
@@ -177,6 +186,8 @@
   bool m_listed = false;
   bool m_stopped = false;
   Stage m_stage = Stage::kIdle;
+  // When another instance may have promoted last.
+  std::optional<Time> m_other_acted;
   // When the current intent was first seen by this instance.
   Time m_intent_seen;
   Time m_called;
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -49,7 +49,7 @@
   if (m_list_next) {
     Start(now);
   } else {
-    Watch(kNoWait, now);
+    Watch(m_lost ? kNoWait : m_watch_wait, now);
   }
 }
 
--- a/test/gateway/replacement_coordinator_test.cc
+++ b/test/gateway/replacement_coordinator_test.cc
@@ -154,6 +154,8 @@
   CPPUNIT_TEST(LostAnswerToTheIntentIsReadBack);
   CPPUNIT_TEST(DoesNothingWithoutContact);
   CPPUNIT_TEST(TokensGrowOverRacingCoordinators);
+  CPPUNIT_TEST(CoordinatorsDoNotActInQuickTurns);
+  CPPUNIT_TEST(PresentCoordinatorActsFirst);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -167,6 +169,7 @@
       bool m_gone;
       bool m_leaves;
       bool m_proposes;
+      bool m_unasked = false;
     };
     const std::vector<Case> cases = {
         {"all lost it", true, 2s, 5, 0, false, false, true},
@@ -176,7 +179,10 @@
         {"most have it", true, 2s, 2, 3, false, false, false},
         {"reached", false, 0s, 5, 0, false, false, false},
         {"not announced", false, 0s, 0, 0, true, false, true},
-        {"leaving", false, 0s, 0, 5, false, true, true}};
+        {"leaving", false, 0s, 0, 5, false, true, true},
+        {"not asked", false, 0s, 5, 0, false, false, true, true},
+        {"not asked, few say", false, 0s, 1, 0, false, false, false, true},
+        {"not asked, many reach", false, 0s, 3, 4, false, false, false, true}};
     for (const Case& row : cases) {
       Fleet fleet({"a"});
       GroupCondition group = Lost(fleet);
@@ -188,6 +194,7 @@
       group.m_others_reachable = row.m_reachable;
       group.m_primary_gone = row.m_gone;
       group.m_primary_leaves = row.m_leaves;
+      group.m_unasked = row.m_unasked;
       fleet.Tick("a", group, Up(true));
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.m_name, row.m_proposes,
                                    !fleet.m_writes.empty());
@@ -380,6 +387,55 @@
     CPPUNIT_ASSERT(fleet.m_writes.empty());
   }
 
+  // Finding: on the grown bedline two instances promoted 0.8 s after each
+  // other.
+  void CoordinatorsDoNotActInQuickTurns() {
+    Fleet fleet({"a", "b"});
+    Promote(&fleet, "a");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.m_all_orders.size());
+    const Time first = fleet.m_now;
+    fleet.Watch("b");
+    FleetCondition silent = Up(true);
+    silent.m_coordinator_heard = false;
+    fleet.Pass(ReplacementCoordinator::kTakeOverSilentAfter);
+    for (int i = 0; i < 600 && fleet.m_all_orders.size() < 2; ++i) {
+      fleet.Tick("b", Lost(fleet), silent);
+      fleet.ApplyWrites();
+      for (const MemberId& member : {first_replica, second_replica}) {
+        fleet.At("b").OnStatus(member, At(7, MemberRole::kReplica),
+                               fleet.m_now);
+      }
+      fleet.Pass(10ms);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.m_all_orders.size());
+    CPPUNIT_ASSERT(fleet.m_now - first > 3s);
+  }
+
+  void PresentCoordinatorActsFirst() {
+    Fleet fleet({"a", "b"});
+    Promote(&fleet, "a");
+    fleet.At("a").OnPromoted(PromotionResult::kDone, fleet.m_now);
+    fleet.At("a").OnStatus(second_replica, At(9, MemberRole::kPrimary),
+                           fleet.m_now);
+    fleet.Tick("a", Lost(fleet), Up(true));
+    fleet.ApplyWrites();
+    fleet.Watch("b");
+    fleet.Pass(300ms);
+    GroupCondition other = Lost(fleet);
+    other.m_group = GroupName("h");
+    GroupCondition healthy = other;
+    healthy.m_failing_since.reset();
+    fleet.Tick("b", healthy, Up(true));
+    fleet.Tick("a", healthy, Up(true));
+    fleet.Pass(20ms);
+    // Both see the loss of another group's primary.
+    fleet.Tick("b", other, Up(true));
+    CPPUNIT_ASSERT(fleet.m_writes.empty());
+    fleet.Tick("a", other, Up(true));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.m_writes.size());
+    CPPUNIT_ASSERT(InstanceId("a") == fleet.m_writes[0].m_record.m_coordinator);
+  }
+
   // Load: several instances see the loss at the same moment, again and again.
   void TokensGrowOverRacingCoordinators() {
     Fleet fleet({"a", "b", "c"});
--- a/test/gateway/store_follower_test.cc
+++ b/test/gateway/store_follower_test.cc
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(SilentCallsAreAbandoned);
   CPPUNIT_TEST(LateAnswersAreIgnored);
   CPPUNIT_TEST(RefreshAsksAtOnce);
+  CPPUNIT_TEST(ChangesInQuickSuccessionAreReadTogether);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -157,6 +158,22 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.m_count);
   }
 
+  // Load: many objects change at once, and each change wakes all watches.
+  void ChangesInQuickSuccessionAreReadTogether() {
+    Harness harness;
+    List(&harness);
+    harness.m_follower.SetPauseAfterChange(500ms);
+    harness.m_follower.OnChanges(
+        StoreChanges{{{false, Zone("b", 10)}}, Revision(10)}, Time(2s));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.m_watches.size());
+    harness.m_follower.OnTick(Time(2s) + 400ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.m_watches.size());
+    harness.m_follower.OnTick(Time(2s) + 500ms);
+    CPPUNIT_ASSERT(Revision(10) == harness.m_watches.at(1).m_since);
+    CPPUNIT_ASSERT(harness.m_watches[1].m_wait ==
+                   StoreFollowerOptions().m_watch_wait);
+  }
+
   void RefreshAsksAtOnce() {
     Harness harness;
     List(&harness);
