gateway: opinions on an old primary do not replace the new one

Ruled out: a failure of the new primary; it answered. Change: such opinions count 2 s after the record has changed; waits by rank begin when the record changes.

--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -13,6 +13,9 @@
 constexpr Duration kRankDelay = 60ms;
 // The instance that acted last may propose this much before the others.
 constexpr Duration kPresentCoordinatorLead = 400ms;
+// Opinions of others may be about the primary before for this long after the
+// record has changed.
+constexpr Duration kOpinionsSettle = 2s;
 // Opinions of others that count where this instance has none.
 constexpr int kFewOpinions = 2;
 // Added to the proof limit for timers that fire late.
@@ -83,6 +86,7 @@
   if (was_others || record->m_coordinator != m_options.m_self) {
     m_other_acted = now;
   }
+  m_next_try = std::max(m_next_try, now);
   m_record = *record;
   m_revision = found->second.m_revision;
   m_intent_seen = now;
@@ -173,7 +177,9 @@
     if (group.m_candidates.empty()) {
       continue;
     }
-    const bool failed = HasFailed(m_options, group, now);
+    GroupCondition settled = group;
+    settled.m_unasked &= now - m_intent_seen > kOpinionsSettle;
+    const bool failed = HasFailed(m_options, settled, now);
     if (failed || group.m_primary_leaves) {
       Propose(group, !failed, now);
       return;
--- a/test/gateway/replacement_coordinator_test.cc
+++ b/test/gateway/replacement_coordinator_test.cc
@@ -156,6 +156,7 @@
   CPPUNIT_TEST(TokensGrowOverRacingCoordinators);
   CPPUNIT_TEST(CoordinatorsDoNotActInQuickTurns);
   CPPUNIT_TEST(PresentCoordinatorActsFirst);
+  CPPUNIT_TEST(OldOpinionsDoNotReplaceANewPrimary);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -411,6 +412,33 @@
     CPPUNIT_ASSERT(fleet.m_now - first > 3s);
   }
 
+  // Finding: after a replacement, opinions on the old primary made instances
+  // that had not asked the new one replace it as well.
+  void OldOpinionsDoNotReplaceANewPrimary() {
+    Fleet fleet({"a", "b"});
+    Promote(&fleet, "a");
+    fleet.At("a").OnPromoted(PromotionResult::kDone, fleet.m_now);
+    fleet.At("a").OnStatus(second_replica, At(9, MemberRole::kPrimary),
+                           fleet.m_now);
+    fleet.Tick("a", Lost(fleet), Up(true));
+    fleet.ApplyWrites();
+    fleet.Watch("b");
+    GroupCondition unasked = Lost(fleet);
+    unasked.m_failing_since.reset();
+    unasked.m_unasked = true;
+    unasked.m_others_unreachable = 60;
+    for (int i = 0; i < 100; ++i) {
+      fleet.Pass(10ms);
+      fleet.Tick("a", unasked, Up(true));
+      fleet.Tick("b", unasked, Up(true));
+      CPPUNIT_ASSERT(fleet.m_writes.empty());
+    }
+    // They count again once they can only be about the new one.
+    fleet.Pass(3s);
+    fleet.Tick("a", unasked, Up(true));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.m_writes.size());
+  }
+
   void PresentCoordinatorActsFirst() {
     Fleet fleet({"a", "b"});
     Promote(&fleet, "a");
