gateway: one look-up of a session's connection; drop a field and an argument that nothing used

Read of the whole change. Behaviour stays: 82 tests of the engine and the demonstration pass; format and warnings clean.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -38,6 +38,7 @@
 constexpr gateway::Duration kNewerStatePatience = 400ms;
 // An instance that had to renew asks for all for this long.
 constexpr gateway::Duration kActingProverFor = 5s;
+
 gateway::InstanceEntry MakeEntry(const Settings& settings) {
   const auto since_epoch =
       std::chrono::duration_cast<std::chrono::microseconds>(
@@ -76,8 +77,7 @@
       m_datagrams(io,
                   ToDatagramEndpoint(
                       *adapter::ParseEndpoint(m_entry.m_peer_address.str())),
-                  [this](std::string_view bytes) { OnDatagram(bytes); }),
-      m_started(Now()) {}
+                  [this](std::string_view bytes) { OnDatagram(bytes); }) {}
 
 gateway::InstanceRegistrar::Hooks FleetDuty::MakeRegistrarHooks() {
   gateway::InstanceRegistrar::Hooks hooks;
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -108,7 +108,6 @@
   std::optional<gateway::Time> m_newer_record_since;
   gateway::Time m_prover_until;
   gateway::Time m_reported;
-  gateway::Time m_started;
   gateway::Revision m_reported_revision;
 };
 
--- a/src/gateway/engine.cc
+++ b/src/gateway/engine.cc
@@ -37,6 +37,11 @@
   return found == m_sessions.end() ? nullptr : found->second.get();
 }
 
+Connection* Engine::ConnectionOf(const Session& session) {
+  return session.m_connection ? m_connections.Find(*session.m_connection)
+                              : nullptr;
+}
+
 const Engine::Group* Engine::FindGroup(const GroupName& name) const {
   const auto found = m_groups.find(name);
   return found == m_groups.end() ? nullptr : &found->second;
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -193,8 +193,7 @@
   void SendStatement(Session* session, Connection* connection, Time now);
   void SendBegin(Session* session, Connection* connection, Time now);
   std::vector<MemberStatement> SetupFor(const Session& session,
-                                        Connection* connection,
-                                        Time now);
+                                        Connection* connection);
   MemberStatement ForwardOf(const Session& session,
                             const Connection& connection) const;
   void Send(Connection* connection,
@@ -253,6 +252,8 @@
   bool NeedsPrimary(const Session& session, Time now) const;
 
   Session* FindSession(SessionId id);
+  // Returns the connection that the session holds, or null.
+  Connection* ConnectionOf(const Session& session);
   Group& GroupOf(const GroupName& name) { return m_groups[name]; }
   const Group* FindGroup(const GroupName& name) const;
 
--- a/src/gateway/engine_answers.cc
+++ b/src/gateway/engine_answers.cc
@@ -344,9 +344,7 @@
 
 void Engine::LoseStatement(Session* session, Time now) {
   ActiveStatement& active = *session->m_active;
-  Connection* connection = session->m_connection
-                               ? m_connections.Find(*session->m_connection)
-                               : nullptr;
+  Connection* connection = ConnectionOf(*session);
   Detach(session);
   if (connection) {
     DropConnection(connection, now);
--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -253,7 +253,7 @@
     SendBegin(session, connection, now);
     return;
   }
-  std::vector<MemberStatement> statements = SetupFor(*session, connection, now);
+  std::vector<MemberStatement> statements = SetupFor(*session, connection);
   statements.push_back(ForwardOf(*session, *connection));
   active.m_sent = true;
   if (session->m_transaction && active.m_writes) {
@@ -263,7 +263,7 @@
 }
 
 void Engine::SendBegin(Session* session, Connection* connection, Time now) {
-  std::vector<MemberStatement> statements = SetupFor(*session, connection, now);
+  std::vector<MemberStatement> statements = SetupFor(*session, connection);
   MemberStatement begin;
   begin.m_verb = session->m_transaction->m_read_only
                      ? MemberVerb::kBeginReadOnly
@@ -294,8 +294,7 @@
 }
 
 std::vector<MemberStatement> Engine::SetupFor(const Session& session,
-                                              Connection* connection,
-                                              Time) {
+                                              Connection* connection) {
   std::vector<MemberStatement> setup;
   const bool foreign_value =
       std::any_of(connection->m_values.begin(), connection->m_values.end(),
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -283,9 +283,7 @@
     return;
   }
   session->m_transaction.reset();
-  Connection* connection = session->m_connection
-                               ? m_connections.Find(*session->m_connection)
-                               : nullptr;
+  Connection* connection = ConnectionOf(*session);
   Detach(session);
   if (connection) {
     RollBackConnection(connection, now);
@@ -319,9 +317,7 @@
     Refuse(session, refused->m_code, refused->m_message, now);
     return;
   }
-  Connection* connection = session->m_connection
-                               ? m_connections.Find(*session->m_connection)
-                               : nullptr;
+  Connection* connection = ConnectionOf(*session);
   if (connection) {
     SendStatement(session, connection, now);
     return;
@@ -335,9 +331,7 @@
 
 void Engine::FailTransaction(Session* session, Time now) {
   session->m_transaction->m_failed = true;
-  Connection* connection = session->m_connection
-                               ? m_connections.Find(*session->m_connection)
-                               : nullptr;
+  Connection* connection = ConnectionOf(*session);
   Detach(session);
   if (connection) {
     Leave(connection, now);
@@ -349,9 +343,7 @@
                     const std::string& message,
                     Time now) {
   LeaveLine(session);
-  Connection* connection = session->m_connection
-                               ? m_connections.Find(*session->m_connection)
-                               : nullptr;
+  Connection* connection = ConnectionOf(*session);
   Detach(session);
   if (connection) {
     Leave(connection, now);
@@ -407,9 +399,7 @@
     return;
   }
   LeaveLine(session);
-  Connection* connection = session->m_connection
-                               ? m_connections.Find(*session->m_connection)
-                               : nullptr;
+  Connection* connection = ConnectionOf(*session);
   Detach(session);
   // What is still unanswered comes to nobody; OnMemberAnswer() ends it.
   if (connection && connection->m_sent.empty()) {
--- a/src/gateway/member_table.h
+++ b/src/gateway/member_table.h
@@ -33,7 +33,7 @@
 };
 
 // The members of all groups, as announced, with the load and the lag that this
-// instance has measured on its own answers.
+// instance has seen in its own answers.
 class MemberTable {
  public:
   // Takes over the announced members and returns those that are gone or have
