--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -145,15 +145,15 @@
 void FleetDuty::OnInstances(const gateway::StoreObjects& objects,
                             gateway::Time now) {
   m_objects = objects;
-  std::vector<gateway::InstanceEntry> entries;
+  m_entries.clear();
   for (const auto& [name, object] : objects) {
     if (const auto* entry =
             std::get_if<gateway::InstanceEntry>(&object.m_value)) {
-      entries.push_back(*entry);
+      m_entries.push_back(*entry);
     }
   }
-  m_peers.SetInstances(entries, now);
-  m_engine.SetInstanceCount(m_peers.instance_count());
+  m_peers.SetInstances(m_entries, now);
+  m_engine.SetInstances(m_entries);
   m_engine.limiter().SetInstanceCount(m_peers.instance_count());
   m_registrar.OnEntries(objects, now);
   UpdateShares(now);
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -60,6 +60,11 @@
   // store's state to the others.
   gateway::Duration WatchWait(gateway::Time now) const;
 
+  // This instance's entry, and all entries as the store holds them.
+  const gateway::InstanceEntry& entry() const { return m_entry; }
+  const std::vector<gateway::InstanceEntry>& entries() const {
+    return m_entries;
+  }
   int instance_count() const { return m_peers.instance_count(); }
   bool is_registered() const { return m_registrar.is_registered(); }
 
@@ -101,6 +106,7 @@
   gateway::HeardRecord m_heard_record;
   gossip::DatagramPeers m_datagrams;
   gateway::StoreObjects m_objects;
+  std::vector<gateway::InstanceEntry> m_entries;
   RefreshHooks m_refresh;
   gateway::Time m_refreshed;
   // Since when others have had a newer state than this instance.
--- /dev/null
+++ b/apps/gateway/forwarding_duty.cc
@@ -0,0 +1,209 @@
+#include "apps/gateway/forwarding_duty.h"
+
+#include <stdexcept>
+#include <utility>
+
+#include "apps/gateway/clock.h"
+#include "jasminelug/gossip.h"
+
+namespace jasminelug::gateway_app {
+namespace {
+
+// Kind of the opaque messages that carry forwarded operations.
+constexpr char kForwardKind[] = "f";
+// Connections that other instances may open to this one.
+constexpr std::size_t kMaxInbound = 1024;
+
+peers::PeerNetworkOptions MakeOptions(const gateway::InstanceEntry& self) {
+  const auto address = peers::ParsePeerAddress(self.m_peer_address.str());
+  if (!IsOk(address)) {
+    throw std::runtime_error(GetError(address).m_message);
+  }
+  peers::PeerNetworkOptions options;
+  options.m_listen = GetValue(address);
+  options.m_max_inbound = kMaxInbound;
+  options.m_jitter_seed = self.m_incarnation.value();
+  return options;
+}
+
+}  // namespace
+
+ForwardingDuty::ForwardingDuty(asio::io_context& io,
+                               const gateway::InstanceEntry& self,
+                               gateway::Engine& engine)
+    : m_logger(log4cplus::Logger::getInstance("forwarding")),
+      m_engine(engine),
+      m_self(self) {
+  auto network =
+      peers::PeerNetwork::Listen(io, MakeOptions(self), MakePeerHooks());
+  if (!IsOk(network)) {
+    throw std::runtime_error(GetError(network).m_message);
+  }
+  m_network = TakeValue(std::move(network));
+}
+
+peers::PeerHooks ForwardingDuty::MakePeerHooks() {
+  peers::PeerHooks hooks;
+  hooks.m_on_message = [this](const peers::PeerAddress&,
+                              const peers::Envelope& envelope) {
+    OnEnvelope(envelope);
+  };
+  hooks.m_on_refused = [this](const peers::PeerAddress& peer) { OnLost(peer); };
+  hooks.m_on_unreachable = [this](const peers::PeerAddress& peer) {
+    OnLost(peer);
+  };
+  hooks.m_on_lost = [this](const peers::PeerAddress& peer) { OnLost(peer); };
+  return hooks;
+}
+
+void ForwardingDuty::SetInstances(
+    const std::vector<gateway::InstanceEntry>& entries) {
+  for (const gateway::InstanceEntry& entry : entries) {
+    const auto address = peers::ParsePeerAddress(entry.m_peer_address.str());
+    if (IsOk(address)) {
+      m_addresses.insert_or_assign(entry.m_id, GetValue(address));
+    } else {
+      Log(m_logger, log4cplus::WARN_LOG_LEVEL, "an instance cannot be reached",
+          {{"peer", entry.m_id.str()},
+           {"reason", GetError(address).m_message}});
+    }
+  }
+}
+
+void ForwardingDuty::SendBody(const peers::PeerAddress& peer,
+                              const peers::Body& body) {
+  peers::Envelope envelope;
+  envelope.m_sender_instance = m_self.m_id.str();
+  envelope.m_sender_incarnation =
+      static_cast<std::int64_t>(m_self.m_incarnation.value());
+  envelope.m_sequence = ++m_sequence;
+  envelope.m_body = body;
+  const auto sent = m_network->Send(peer, envelope);
+  if (!IsOk(sent)) {
+    Log(m_logger, log4cplus::WARN_LOG_LEVEL, "could not send to an instance",
+        {{"peer", ToString(peer)}, {"reason", GetError(sent).m_message}});
+  }
+}
+
+void ForwardingDuty::Send(const gateway::InstanceId& instance,
+                          const gateway::ForwardMessage& message) {
+  const auto found = m_addresses.find(instance);
+  if (found == m_addresses.end()) {
+    return;  // The engine gives the operation up after a silence.
+  }
+  const peers::PeerAddress peer = found->second;
+  if (m_greeted.insert(peer).second) {
+    SendBody(peer, peers::Hello{m_self.m_zone.str(), m_self.m_peer_address.str()});
+  }
+  m_sent += std::holds_alternative<gateway::ForwardedStatement>(message) ? 1 : 0;
+  SendBody(peer, peers::Opaque{kForwardKind, gossip::EncodeForward(message)});
+}
+
+void ForwardingDuty::Answer(gateway::SessionId session,
+                            const gateway::Answer& answer) {
+  const gateway::ForwardOrigin* origin = m_host.OriginOf(session);
+  if (!origin) {
+    return;  // The sender has given the operation up.
+  }
+  m_host.NoteAnswered(session);
+  Send(origin->m_instance,
+       gateway::ForwardedAnswer{origin->m_operation, answer});
+}
+
+void ForwardingDuty::OnLost(const peers::PeerAddress& peer) {
+  m_greeted.erase(peer);
+  for (const auto& [instance, address] : m_addresses) {
+    if (address == peer) {
+      Log(m_logger, log4cplus::INFO_LOG_LEVEL, "lost an instance",
+          {{"peer", instance.str()}});
+      m_engine.OnHolderLost(instance, Now());
+    }
+  }
+}
+
+void ForwardingDuty::OnEnvelope(const peers::Envelope& envelope) {
+  const gateway::InstanceId sender(envelope.m_sender_instance);
+  if (const auto* hello = std::get_if<peers::Hello>(&envelope.m_body)) {
+    const auto address = peers::ParsePeerAddress(hello->m_address);
+    if (IsOk(address)) {
+      m_addresses.insert_or_assign(sender, GetValue(address));
+    }
+    return;
+  }
+  const auto& opaque = std::get<peers::Opaque>(envelope.m_body);
+  const auto message = gossip::DecodeForward(opaque.m_payload);
+  if (opaque.m_kind != kForwardKind || !IsOk(message)) {
+    Log(m_logger, log4cplus::WARN_LOG_LEVEL, "ignored an unreadable message",
+        {{"peer", sender.str()},
+         {"reason", IsOk(message) ? "unknown kind" : GetError(message).m_message}});
+    return;
+  }
+  OnMessage(sender,
+            gateway::Incarnation(
+                static_cast<std::uint64_t>(envelope.m_sender_incarnation)),
+            GetValue(message));
+}
+
+void ForwardingDuty::OnMessage(const gateway::InstanceId& sender,
+                               gateway::Incarnation incarnation,
+                               const gateway::ForwardMessage& message) {
+  const gateway::Time now = Now();
+  for (const gateway::SessionId session :
+       m_host.EarlierSessions(sender, incarnation)) {
+    EndSession(session, now);
+  }
+  if (const auto* statement =
+          std::get_if<gateway::ForwardedStatement>(&message)) {
+    OnStatement({sender, incarnation, statement->m_operation}, *statement);
+  } else if (const auto* answer =
+                 std::get_if<gateway::ForwardedAnswer>(&message)) {
+    m_engine.OnForwardAnswer(sender, *answer, now);
+  } else if (const auto* end = std::get_if<gateway::ForwardedEnd>(&message)) {
+    const auto session = m_host.Find({sender, incarnation, end->m_operation});
+    if (session) {
+      EndSession(*session, now);
+    }
+  } else if (const auto* progress =
+                 std::get_if<gateway::ForwardProgress>(&message)) {
+    m_engine.OnForwardProgress(sender, *progress, now);
+  } else {
+    Send(sender, m_host.ProgressFor(sender));
+  }
+}
+
+void ForwardingDuty::OnStatement(const gateway::ForwardOrigin& origin,
+                                 const gateway::ForwardedStatement& statement) {
+  m_received += 1;
+  std::optional<gateway::SessionId> session = m_host.Find(origin);
+  if (!session && !statement.m_begins) {
+    // Its transaction ended with an earlier run of this instance, or was idle
+    // for too long: the member has rolled it back.
+    const gateway::Refused refused{gateway::ErrorCode::kAborted,
+                                   "the transaction is not known here"};
+    Send(origin.m_instance,
+         gateway::ForwardedAnswer{
+             origin.m_operation,
+             {refused, gateway::TransactionState::kFailed, std::nullopt}});
+    return;
+  }
+  if (!session) {
+    session = m_host.Add(origin);
+  }
+  const gateway::Time now = Now();
+  m_host.NoteReceived(*session, now);
+  m_engine.OnForwardedStatement(*session, statement, now);
+}
+
+void ForwardingDuty::EndSession(gateway::SessionId session, gateway::Time now) {
+  m_host.Remove(session);
+  m_engine.OnSessionEnd(session, now);
+}
+
+void ForwardingDuty::OnTick(gateway::Time now) {
+  for (const gateway::ForwardHost::DueProgress& due :
+       m_host.TakeDueProgress(now)) {
+    Send(due.m_instance, due.m_progress);
+  }
+}
+
+}  // namespace jasminelug::gateway_app
--- /dev/null
+++ b/apps/gateway/forwarding_duty.h
@@ -0,0 +1,73 @@
+#ifndef APPS_GATEWAY_FORWARDING_DUTY_H_
+#define APPS_GATEWAY_FORWARDING_DUTY_H_
+
+#include <log4cplus/logger.h>
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "jasminelug/gateway.h"
+#include "jasminelug/peers.h"
+
+namespace jasminelug::gateway_app {
+
+// Carries forwarded operations between this instance's engine and the other
+// instances, over one connection in each direction.
+class ForwardingDuty {
+ public:
+  // Listens at `self`'s peer address; throws std::runtime_error where it cannot.
+  ForwardingDuty(asio::io_context& io,
+                 const gateway::InstanceEntry& self,
+                 gateway::Engine& engine);
+
+  // Takes over where the registered instances are reached.
+  void SetInstances(const std::vector<gateway::InstanceEntry>& entries);
+
+  // Sends the engine's message to another instance.
+  void Send(const gateway::InstanceId& instance,
+            const gateway::ForwardMessage& message);
+
+  // Sends the engine's answer to the instance whose operation the session runs.
+  void Answer(gateway::SessionId session, const gateway::Answer& answer);
+
+  // The engine has ended the session of an operation.
+  void OnSessionClosed(gateway::SessionId session) { m_host.Remove(session); }
+
+  void OnTick(gateway::Time now);
+
+  // Statements that were forwarded, and received to be run here.
+  std::uint64_t sent() const { return m_sent; }
+  std::uint64_t received() const { return m_received; }
+
+ private:
+  peers::PeerHooks MakePeerHooks();
+  void OnEnvelope(const peers::Envelope& envelope);
+  void OnStatement(const gateway::ForwardOrigin& origin,
+                   const gateway::ForwardedStatement& statement);
+  void OnMessage(const gateway::InstanceId& sender,
+                 gateway::Incarnation incarnation,
+                 const gateway::ForwardMessage& message);
+  void OnLost(const peers::PeerAddress& peer);
+  void EndSession(gateway::SessionId session, gateway::Time now);
+  void SendBody(const peers::PeerAddress& peer, const peers::Body& body);
+
+  log4cplus::Logger m_logger;
+  gateway::Engine& m_engine;
+  const gateway::InstanceEntry m_self;
+  gateway::ForwardHost m_host;
+  std::map<gateway::InstanceId, peers::PeerAddress> m_addresses;
+  // Peers that were told this instance's address on the present connection.
+  std::set<peers::PeerAddress> m_greeted;
+  std::int64_t m_sequence = 0;
+  std::uint64_t m_sent = 0;
+  std::uint64_t m_received = 0;
+  std::unique_ptr<peers::PeerNetwork> m_network;
+};
+
+}  // namespace jasminelug::gateway_app
+
+#endif  // APPS_GATEWAY_FORWARDING_DUTY_H_
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -38,6 +38,7 @@
 
 gateway::EngineOptions MakeEngineOptions(const Settings& settings) {
   gateway::EngineOptions options;
+  options.m_self = gateway::InstanceId(settings.m_instance);
   options.m_zone = gateway::ZoneName(settings.m_zone);
   options.m_key_proof_limit =
       gateway::Duration(settings.m_key_withdrawal_limit) * kKeyProofNumerator /
@@ -76,16 +77,29 @@
       m_statement_log(log4cplus::Logger::getInstance("statements")),
       m_engine(MakeEngineOptions(m_settings), MakeEngineHooks()),
       m_members(m_io, MakeMemberHooks()),
-      m_fleet(m_io, m_settings, m_engine) {}
+      m_fleet(m_io, m_settings, m_engine),
+      m_forwarding(m_io, m_fleet.entry(), m_engine) {}
 
 gateway::EngineHooks GatewayProcess::MakeEngineHooks() {
   gateway::EngineHooks hooks;
   hooks.m_answer = [this](gateway::SessionId id,
                           const gateway::Answer& answer) {
-    m_callers->Answer(id, answer);
+    if (gateway::ForwardHost::Owns(id)) {
+      m_forwarding.Answer(id, answer);
+    } else {
+      m_callers->Answer(id, answer);
+    }
   };
   hooks.m_close_session = [this](gateway::SessionId id) {
-    m_callers->CloseSession(id);
+    if (gateway::ForwardHost::Owns(id)) {
+      m_forwarding.OnSessionClosed(id);
+    } else {
+      m_callers->CloseSession(id);
+    }
+  };
+  hooks.m_forward = [this](const gateway::InstanceId& instance,
+                           const gateway::ForwardMessage& message) {
+    m_forwarding.Send(instance, message);
   };
   hooks.m_open_connection = [this](gateway::ConnectionId id,
                                    const gateway::Member& member,
@@ -241,6 +255,11 @@
   m_engine.SetEvacuatedZones(zones, Now());
 }
 
+void GatewayProcess::OnInstances(const gateway::StoreObjects& objects) {
+  m_fleet.OnInstances(objects, Now());
+  m_forwarding.SetInstances(m_fleet.entries());
+}
+
 void GatewayProcess::RefreshLostLinks() {
   for (StoreLink* link : Links()) {
     if (link->is_lost()) {
@@ -288,6 +307,7 @@
   }
   m_fleet.OnTick(now);
   m_engine.OnTick(now);
+  m_forwarding.OnTick(now);
   if (IsReady() != m_was_ready) {
     m_was_ready = !m_was_ready;
     Log(m_logger, log4cplus::INFO_LOG_LEVEL,
@@ -358,6 +378,10 @@
       "jasminelug_sessions " + std::to_string(m_engine.session_count()) + "\n";
   text += "jasminelug_member_connections " +
           std::to_string(m_engine.connection_count()) + "\n";
+  text += "jasminelug_forwards_sent_total " +
+          std::to_string(m_forwarding.sent()) + "\n";
+  text += "jasminelug_forwards_received_total " +
+          std::to_string(m_forwarding.received()) + "\n";
   return text;
 }
 
@@ -372,7 +396,7 @@
       [this](gateway::Time sent) { m_engine.primary_contact().Prove(sent); });
   m_instances_link = MakeStoreLink(
       StoreKind::kInstances, kUnprovedKindWait,
-      [this](const auto& objects) { m_fleet.OnInstances(objects, Now()); },
+      [this](const auto& objects) { OnInstances(objects); },
       [](gateway::Time) {});
   m_members_link = MakeStoreLink(
       StoreKind::kMembers, kUnprovedKindWait,
--- a/apps/gateway/gateway_process.h
+++ b/apps/gateway/gateway_process.h
@@ -14,6 +14,7 @@
 #include <string>
 
 #include "apps/gateway/fleet_duty.h"
+#include "apps/gateway/forwarding_duty.h"
 #include "apps/gateway/settings.h"
 #include "apps/gateway/statement_log.h"
 #include "apps/gateway/store_link.h"
@@ -52,6 +53,7 @@
   void OnConfiguration(const gateway::StoreObjects& objects);
   void OnMembers(const gateway::StoreObjects& objects);
   void OnEvacuations(const gateway::StoreObjects& objects);
+  void OnInstances(const gateway::StoreObjects& objects);
   void ScheduleTick();
   void OnTick();
   void AwaitSignal();
@@ -75,6 +77,7 @@
   gateway::MemberDirectory m_directory;
   adapter::MemberLinks m_members;
   FleetDuty m_fleet;
+  ForwardingDuty m_forwarding;
   std::unique_ptr<StoreLink> m_configuration_link;
   std::unique_ptr<StoreLink> m_replacements_link;
   std::unique_ptr<StoreLink> m_instances_link;
--- a/apps/gateway/statement_log.cc
+++ b/apps/gateway/statement_log.cc
@@ -49,6 +49,7 @@
                       {"database", end.m_database.str()},
                       {"customer", end.m_customer.str()},
                       {"member", end.m_member.str()},
+                      {"forwarded_to", end.m_holder.str()},
                       {"attempts", std::int64_t{end.m_attempts}},
                       {"took_ms", ToMilliseconds(end.m_time)},
                       {"objective_ms", ToMilliseconds(end.m_objective)}};
--- a/jasminelug/gateway.h
+++ b/jasminelug/gateway.h
@@ -6,9 +6,13 @@
 
 #include "src/gateway/answer.h"
 #include "src/gateway/configuration.h"
+#include "src/gateway/connection_holders.h"
 #include "src/gateway/customer_limiter.h"
 #include "src/gateway/engine.h"
 #include "src/gateway/engine_hooks.h"
+#include "src/gateway/forward_host.h"
+#include "src/gateway/forward_table.h"
+#include "src/gateway/forwarding.h"
 #include "src/gateway/freshness_floor.h"
 #include "src/gateway/ids.h"
 #include "src/gateway/instance_registrar.h"
--- a/jasminelug/gossip.h
+++ b/jasminelug/gossip.h
@@ -1,9 +1,12 @@
 #ifndef JASMINELUG_GOSSIP_H_
 #define JASMINELUG_GOSSIP_H_
 
-// Reports between gateways, one to a datagram.
+// Messages between gateways: reports, one to a datagram, and forwarded
+// operations.
 
+#include "src/gossip/codec_error.h"
 #include "src/gossip/datagram_peers.h"
+#include "src/gossip/forward_codec.h"
 #include "src/gossip/report_codec.h"
 
 #endif  // JASMINELUG_GOSSIP_H_
--- a/src/gateway/answer.h
+++ b/src/gateway/answer.h
@@ -52,6 +52,9 @@
   ErrorCode m_code = ErrorCode::kFailed;
   // For the caller's log; one line.
   std::string m_message;
+  // Not run here, and another instance may be able to run it. Between
+  // instances only.
+  bool m_try_elsewhere = false;
 };
 
 using Outcome = std::variant<Completed, Refused>;
--- /dev/null
+++ b/src/gateway/connection_holders.cc
@@ -0,0 +1,141 @@
+#include "src/gateway/connection_holders.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "src/core/rendezvous.h"
+
+namespace jasminelug::gateway {
+namespace {
+
+// Part of a member's connections that the holders use. The rest is for the
+// reserves of the others, and for instances that start anew while the member
+// still holds connections of theirs whose far end is dark.
+constexpr int kUsedPartNumerator = 2;
+constexpr int kUsedPartDenominator = 3;
+// Connections to each member with which a holder serves many customers without
+// opening new ones.
+constexpr int kConnectionsPerHolder = 12;
+// One holder may be lost at any time.
+constexpr int kLeastHolders = 2;
+// Connections to each member of an instance that is no holder.
+constexpr int kReserveConnections = 1;
+
+int UsedPart(int connections) {
+  return connections * kUsedPartNumerator / kUsedPartDenominator;
+}
+
+bool Contains(const std::vector<InstanceId>& ids, const InstanceId& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+}  // namespace
+
+void ConnectionHolders::SetInstances(const std::vector<InstanceEntry>& entries,
+                                     ZoneName zone) {
+  m_instances.clear();
+  for (const InstanceEntry& entry : entries) {
+    m_instances.emplace(entry.m_id, entry.m_zone);
+  }
+  m_instances.insert_or_assign(m_self, std::move(zone));
+  for (const auto& [name, group] : std::exchange(m_groups, {})) {
+    SetConnections(name, group.m_connections);
+  }
+}
+
+void ConnectionHolders::SetConnections(const GroupName& name, int connections) {
+  const std::vector<InstanceId> ranked = Rank(name);
+  Group& group = m_groups[name];
+  group.m_connections = connections;
+  group.m_holders = ChooseHolders(ranked, connections);
+  group.m_budget = ChooseBudget(ranked, group.m_holders, connections);
+}
+
+std::vector<InstanceId> ConnectionHolders::Rank(const GroupName& group) const {
+  std::vector<std::pair<std::uint64_t, InstanceId>> weights;
+  for (const auto& [id, zone] : m_instances) {
+    weights.emplace_back(core::RendezvousWeight(id, group.str()), id);
+  }
+  std::sort(weights.rbegin(), weights.rend());
+  std::vector<InstanceId> ranked;
+  ranked.reserve(weights.size());
+  for (const auto& [weight, id] : weights) {
+    ranked.push_back(id);
+  }
+  return ranked;
+}
+
+std::vector<InstanceId> ConnectionHolders::ChooseHolders(
+    const std::vector<InstanceId>& ranked,
+    int connections) const {
+  const auto wanted = static_cast<std::size_t>(std::max(
+      UsedPart(connections) / kConnectionsPerHolder, kLeastHolders));
+  const std::size_t count = std::min(wanted, ranked.size());
+  std::vector<InstanceId> holders;
+  while (holders.size() < count) {
+    // One of each availability zone, then a second of each.
+    std::set<ZoneName> used;
+    for (const InstanceId& id : ranked) {
+      if (!Contains(holders, id) && holders.size() < count &&
+          used.insert(m_instances.at(id)).second) {
+        holders.push_back(id);
+      }
+    }
+  }
+  return holders;
+}
+
+int ConnectionHolders::ChooseBudget(const std::vector<InstanceId>& ranked,
+                                    const std::vector<InstanceId>& holders,
+                                    int connections) const {
+  const int count = std::max(static_cast<int>(holders.size()), 1);
+  if (holders.empty() || Contains(holders, m_self)) {
+    return std::max(UsedPart(connections) / count, 1);
+  }
+  int left = connections - UsedPart(connections);
+  for (const InstanceId& id : ranked) {
+    if (Contains(holders, id)) {
+      continue;
+    }
+    if (id == m_self) {
+      return std::clamp(left, 0, kReserveConnections);
+    }
+    left -= kReserveConnections;
+  }
+  return 0;
+}
+
+const std::vector<InstanceId>& ConnectionHolders::HoldersOf(
+    const GroupName& group) const {
+  static const std::vector<InstanceId> kNone;
+  const auto found = m_groups.find(group);
+  return found == m_groups.end() ? kNone : found->second.m_holders;
+}
+
+std::optional<InstanceId> ConnectionHolders::Choose(
+    const GroupName& group,
+    const CustomerName& customer,
+    const IsUsable& is_usable) const {
+  const std::vector<InstanceId>& holders = HoldersOf(group);
+  if (holders.empty()) {
+    return std::nullopt;
+  }
+  const InstanceId key(customer.str());
+  const std::size_t first =
+      core::RendezvousWeight(key, group.str()) % holders.size();
+  for (std::size_t i = 0; i < holders.size(); ++i) {
+    const InstanceId& holder = holders[(first + i) % holders.size()];
+    if (is_usable(holder)) {
+      return holder == m_self ? std::nullopt : std::optional(holder);
+    }
+  }
+  return std::nullopt;
+}
+
+int ConnectionHolders::BudgetFor(const GroupName& group) const {
+  const auto found = m_groups.find(group);
+  return found == m_groups.end() ? kReserveConnections : found->second.m_budget;
+}
+
+}  // namespace jasminelug::gateway
--- /dev/null
+++ b/src/gateway/connection_holders.h
@@ -0,0 +1,78 @@
+#ifndef SRC_GATEWAY_CONNECTION_HOLDERS_H_
+#define SRC_GATEWAY_CONNECTION_HOLDERS_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "src/gateway/ids.h"
+#include "src/gateway/store_object.h"
+
+namespace jasminelug::gateway {
+
+// Which instances hold the connections to each group's members.
+//
+// Answers scarce connections: a member takes a few dozen, a connection belongs
+// to one customer, and opening one takes a member's slot for longer than many
+// statements do. Divided by all instances, each would hold so few that most
+// operations open one. So a few instances, chosen by rendezvous hashing from
+// different availability zones, hold the connections to a group, and the others
+// forward to them; each customer has one of the holders, so that its
+// connections are used again. An instance that reaches no holder has a small
+// reserve of its own.
+//
+// Instances may differ for a while in which instances they know. Then a group
+// has more holders than planned, within the part of the connections that is
+// kept free; nothing else depends on the choice.
+class ConnectionHolders {
+ public:
+  using IsUsable = std::function<bool(const InstanceId&)>;
+
+  explicit ConnectionHolders(InstanceId self) : m_self(std::move(self)) {}
+
+  // Takes over the registered instances. This one counts in any case.
+  void SetInstances(const std::vector<InstanceEntry>& entries, ZoneName zone);
+
+  // Sets how many connections a member of the group takes from all instances.
+  void SetConnections(const GroupName& group, int connections);
+
+  // Returns the group's holders; without a limit for the group, none.
+  const std::vector<InstanceId>& HoldersOf(const GroupName& group) const;
+
+  // Returns the holder that is to run the customer's operations, the first one
+  // in the customer's order that `is_usable` accepts; nullopt where that is this
+  // instance, or where it accepts none.
+  std::optional<InstanceId> Choose(const GroupName& group,
+                                   const CustomerName& customer,
+                                   const IsUsable& is_usable) const;
+
+  // Returns how many connections this instance may have to each member. Over
+  // instances that know each other they add up to what a member takes, so that
+  // some that are no holders may have none.
+  int BudgetFor(const GroupName& group) const;
+
+ private:
+  struct Group {
+    int m_connections = 0;
+    std::vector<InstanceId> m_holders;
+    // Of this instance, to each member.
+    int m_budget = 1;
+  };
+
+  // All instances, the highest rendezvous weight first.
+  std::vector<InstanceId> Rank(const GroupName& group) const;
+  std::vector<InstanceId> ChooseHolders(const std::vector<InstanceId>& ranked,
+                                        int connections) const;
+  int ChooseBudget(const std::vector<InstanceId>& ranked,
+                   const std::vector<InstanceId>& holders,
+                   int connections) const;
+
+  const InstanceId m_self;
+  std::map<InstanceId, ZoneName> m_instances;
+  std::map<GroupName, Group> m_groups;
+};
+
+}  // namespace jasminelug::gateway
+
+#endif  // SRC_GATEWAY_CONNECTION_HOLDERS_H_
--- a/src/gateway/engine.cc
+++ b/src/gateway/engine.cc
@@ -30,7 +30,9 @@
 }  // namespace
 
 Engine::Engine(EngineOptions options, EngineHooks hooks)
-    : m_options(std::move(options)), m_hooks(std::move(hooks)) {}
+    : m_options(std::move(options)),
+      m_hooks(std::move(hooks)),
+      m_holders(m_options.m_self) {}
 
 Session* Engine::FindSession(SessionId id) {
   const auto found = m_sessions.find(id.value());
@@ -54,6 +56,7 @@
   m_limiter.SetLimits(*m_configuration, now);
   for (const auto& [group, limits] : m_configuration->m_groups) {
     GroupOf(group);
+    m_holders.SetConnections(group, limits.m_max_connections);
   }
 }
 
@@ -78,8 +81,8 @@
   }
 }
 
-void Engine::SetInstanceCount(int count) {
-  m_instance_count = std::max(count, 1);
+void Engine::SetInstances(const std::vector<InstanceEntry>& instances) {
+  m_holders.SetInstances(instances, m_options.m_zone);
 }
 
 void Engine::SetPrimary(const GroupName& name,
@@ -211,6 +214,8 @@
       EndOverdueConnection(connection, now);
     }
   }
+  EndSilentForwards(now);
+  PingSilentHolders(now);
   m_closings_left = m_sessions.size() / kClosingTicks + 1;
   std::vector<SessionId> ids;
   ids.reserve(m_sessions.size());
@@ -234,7 +239,7 @@
     EndOverdueStatement(session, now);
     return;
   }
-  if (session->m_transaction && !session->m_transaction->m_failed) {
+  if (session->m_transaction) {
     EndOverdueTransaction(session, now);
     return;
   }
@@ -244,11 +249,12 @@
 void Engine::CloseIdleSession(Session* session, Time now) {
   const bool busy =
       session->m_active || session->m_transaction || !session->m_next.empty();
-  if (!m_shutdown_since || busy || m_closings_left == 0 ||
-      now - session->m_last_activity < kIdleBeforeClosing) {
+  const bool may_close = m_shutdown_since && m_closings_left > 0 &&
+                         now - session->m_last_activity >= kIdleBeforeClosing;
+  if (busy || !(may_close || session->m_is_forwarded)) {
     return;
   }
-  m_closings_left -= 1;
+  m_closings_left -= may_close ? 1 : 0;
   const SessionId id = session->m_id;
   m_sessions.erase(id.value());
   m_hooks.m_close_session(id);
@@ -264,6 +270,9 @@
     }
     return;
   }
+  if (session->m_remote) {
+    return;  // The holder sees to it; see EndSilentForwards().
+  }
   if (active.m_waiting) {
     const std::optional<Refused> refused = CheckPrimary(*session, now);
     if (refused) {
@@ -303,8 +312,14 @@
   const bool shut_down =
       m_shutdown_since &&
       now - *m_shutdown_since > m_options.m_shutdown_transaction_limit;
-  if (idle > idle_limit || shut_down) {
+  if (idle <= idle_limit && !shut_down) {
+    return;
+  }
+  if (!session->m_transaction->m_failed) {
     FailTransaction(session, now);
+  } else if (session->m_is_forwarded) {
+    // Its sender has gone, or has been told of the failure.
+    session->m_transaction.reset();
   }
 }
 
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -13,14 +13,18 @@
 #include "src/gateway/admission.h"
 #include "src/gateway/answer.h"
 #include "src/gateway/configuration.h"
+#include "src/gateway/connection_holders.h"
 #include "src/gateway/connection_table.h"
 #include "src/gateway/customer_limiter.h"
 #include "src/gateway/engine_hooks.h"
+#include "src/gateway/forward_table.h"
+#include "src/gateway/forwarding.h"
 #include "src/gateway/freshness_floor.h"
 #include "src/gateway/member_table.h"
 #include "src/gateway/placement.h"
 #include "src/gateway/session.h"
 #include "src/gateway/store_contact.h"
+#include "src/gateway/store_object.h"
 #include "src/gateway/waiting_line.h"
 
 namespace jasminelug::gateway {
@@ -29,6 +33,7 @@
 struct EngineOptions {
   friend bool operator==(const EngineOptions&, const EngineOptions&) = default;
 
+  InstanceId m_self;
   ZoneName m_zone;
   // A request with a key is refused when the proof that the key is still valid
   // is older than this.
@@ -65,8 +70,8 @@
                         Time now);
   void SetMembers(const std::vector<Member>& members, Time now);
   void SetEvacuatedZones(const std::set<ZoneName>& zones, Time now);
-  // Sets among how many instances the members' connections are divided.
-  void SetInstanceCount(int count);
+  // Sets the instances among which the members' connections are divided.
+  void SetInstances(const std::vector<InstanceEntry>& instances);
   // Sets the primary of a group. Where it is another one, or is no longer
   // usable and `abandon` is set, the connections to the old one are dropped:
   // what was in flight ends as in a lost connection.
@@ -89,6 +94,25 @@
   // The caller has gone.
   void OnSessionEnd(SessionId id, Time now);
 
+  // --- Other instances. ---
+
+  // Runs a statement for another instance, in the session that the caller has
+  // given its operation; EngineHooks::m_answer follows, and m_close_session once
+  // the operation is over. OnSessionEnd() ends it before.
+  void OnForwardedStatement(SessionId id,
+                            const ForwardedStatement& forwarded,
+                            Time now);
+  // `holder` has answered an operation that was forwarded to it, or says which
+  // ones it runs.
+  void OnForwardAnswer(const InstanceId& holder,
+                       const ForwardedAnswer& answer,
+                       Time now);
+  void OnForwardProgress(const InstanceId& holder,
+                         const ForwardProgress& progress,
+                         Time now);
+  // The connection to `holder` was lost or refused.
+  void OnHolderLost(const InstanceId& holder, Time now);
+
   // --- Members. ---
 
   void OnConnectionOpened(ConnectionId id,
@@ -155,6 +179,7 @@
   void RollBackTransaction(Session* session, Time now);
   void SubmitToMember(Session* session, Statement statement, Time now);
   std::optional<Refused> CheckCaller(const Session& session, Time now) const;
+  void TakeRoute(Session* session);
   std::optional<Refused> BeginOperation(Session* session, Time now);
   std::optional<Refused> CheckAdmission(const Session& session, Time now) const;
   bool IsForMember(const Session& session, const Statement& statement) const;
@@ -166,8 +191,22 @@
               ErrorCode code,
               const std::string& message,
               Time now);
+  void Refuse(Session* session, const Refused& refused, Time now);
   void Reply(Session* session, const Outcome& outcome);
 
+  // Operations that other instances run, or that this one runs for them
+  // (engine_forwarding.cc).
+  std::optional<InstanceId> ChooseHolder(const Session& session,
+                                         Time now) const;
+  void StartRun(Session* session, Time now);
+  void SendForward(Session* session, Time now);
+  void ForwardTo(Session* session, const InstanceId& holder, Time now);
+  void ForgetForward(Session* session);
+  void EndForward(Session* session);
+  void EndSilentForwards(Time now);
+  void PingSilentHolders(Time now);
+  static bool MayStartAnew(const Session& session);
+
   // Placement (engine_dispatch.cc).
   void JoinLine(Session* session, Time now);
   void LeaveLine(Session* session);
@@ -211,6 +250,9 @@
                    Connection* connection,
                    const Answer& answer,
                    Time now);
+  // Takes over what a completed statement means for its session; returns
+  // whether its operation is over.
+  bool NoteCompleted(Session* session, const Answer& answer, Time now);
   void OnRefused(Session* session,
                  Connection* connection,
                  const Refused& refused,
@@ -265,9 +307,10 @@
   CustomerLimiter m_limiter;
   MemberTable m_members;
   ConnectionTable m_connections;
+  ConnectionHolders m_holders;
+  ForwardTable m_forwards;
   std::map<GroupName, Group> m_groups;
   std::unordered_map<std::uint64_t, std::unique_ptr<Session>> m_sessions;
-  int m_instance_count = 1;
   std::optional<Time> m_shutdown_since;
   // Idle sessions that may still be closed in this tick.
   std::size_t m_closings_left = 0;
--- a/src/gateway/engine_answers.cc
+++ b/src/gateway/engine_answers.cc
@@ -242,6 +242,14 @@
                          Connection* connection,
                          const Answer& answer,
                          Time now) {
+  if (NoteCompleted(session, answer, now)) {
+    Detach(session);
+    Leave(connection, now);
+  }
+  EndActive(session, answer.m_outcome, now);
+}
+
+bool Engine::NoteCompleted(Session* session, const Answer& answer, Time now) {
   const bool commits =
       session->m_active->m_statement.m_kind == StatementKind::kCommit;
   const bool wrote =
@@ -252,13 +260,10 @@
   }
   if (!ends) {
     session->m_transaction->m_answered_statements += 1;
-    EndActive(session, answer.m_outcome, now);
-    return;
+    return false;
   }
   session->m_transaction.reset();
-  Detach(session);
-  Leave(connection, now);
-  EndActive(session, answer.m_outcome, now);
+  return true;
 }
 
 bool Engine::RetryNotRun(Session* session,
@@ -349,6 +354,7 @@
   if (connection) {
     DropConnection(connection, now);
   }
+  EndForward(session);
   const bool commits = active.m_statement.m_kind == StatementKind::kCommit;
   const bool overdue = now >= active.m_deadline;
   if (!session->m_transaction) {
@@ -362,7 +368,7 @@
              "no answer in time", now);
       return;
     }
-    RetryLater(session, Duration::zero(), now);
+    StartRun(session, now);
     return;
   }
   OpenTransaction& transaction = *session->m_transaction;
@@ -375,7 +381,7 @@
   if (transaction.m_answered_statements == 0 && !overdue) {
     transaction.m_begun = false;
     transaction.m_wrote = false;
-    RetryLater(session, Duration::zero(), now);
+    StartRun(session, now);
     return;
   }
   Refuse(session, ErrorCode::kAborted, "the transaction was lost", now);
--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -12,12 +12,6 @@
 // Members that one statement is offered to, at most.
 constexpr int kMaxAttempts = 24;
 
-// Part of a member's connections that the instances use. The rest is for
-// instances that start anew while the member still holds connections of theirs
-// whose far end is dark.
-constexpr int kUsedPartNumerator = 2;
-constexpr int kUsedPartDenominator = 3;
-
 }  // namespace
 
 void Engine::JoinLine(Session* session, Time now) {
@@ -89,16 +83,7 @@
 }
 
 int Engine::BudgetOf(const MemberState& state) const {
-  if (!m_configuration) {
-    return 1;
-  }
-  const auto limits = m_configuration->m_groups.find(state.m_member.m_group);
-  if (limits == m_configuration->m_groups.end()) {
-    return 1;
-  }
-  const int used = limits->second.m_max_connections * kUsedPartNumerator /
-                   kUsedPartDenominator;
-  return std::max(used / m_instance_count, 1);
+  return m_holders.BudgetFor(state.m_member.m_group);
 }
 
 std::optional<PlacementOption> Engine::OptionAt(const Session& session,
--- /dev/null
+++ b/src/gateway/engine_forwarding.cc
@@ -0,0 +1,232 @@
+// Operations of the Engine that run at the instances that hold connections, and
+// what it runs for others.
+
+#include <algorithm>
+#include <utility>
+
+#include "src/gateway/engine.h"
+
+namespace jasminelug::gateway {
+namespace {
+
+// The holder answers this much before the sender gives up.
+constexpr Duration kForwardMargin = 20ms;
+// A longer statement is run by the instance that received it; a message between
+// instances holds at most 1 MiB.
+constexpr std::size_t kMaxForwardedBytes = std::size_t{256} << 10;
+
+TransactionMode ModeOf(const std::optional<OpenTransaction>& transaction) {
+  if (!transaction) {
+    return TransactionMode::kNone;
+  }
+  return transaction->m_read_only ? TransactionMode::kReadOnly
+                                  : TransactionMode::kReadWrite;
+}
+
+}  // namespace
+
+std::optional<InstanceId> Engine::ChooseHolder(const Session& session,
+                                               Time now) const {
+  if (session.m_is_forwarded) {
+    return std::nullopt;
+  }
+  const std::optional<ActiveStatement>& active = session.m_active;
+  if (active && (active->m_statement.m_text.size() > kMaxForwardedBytes ||
+                 active->m_deadline - now <= kForwardMargin)) {
+    return std::nullopt;
+  }
+  const auto is_usable = [&](const InstanceId& holder) {
+    if (holder == m_options.m_self) {
+      const std::optional<Refused> refused = CheckPrimary(session, now);
+      return !refused || !refused->m_try_elsewhere;
+    }
+    const bool tried = active && active->m_tried_holders.contains(holder);
+    return !tried && m_forwards.IsUsable(holder, now);
+  };
+  return m_holders.Choose(session.m_route.m_group, session.m_customer,
+                          is_usable);
+}
+
+// Begins to run the active statement, or begins anew after a run that was lost.
+void Engine::StartRun(Session* session, Time now) {
+  const std::optional<InstanceId> holder = ChooseHolder(*session, now);
+  if (holder) {
+    ForwardTo(session, *holder, now);
+    return;
+  }
+  const bool was_forwarded = !session->m_active->m_tried_holders.empty();
+  const std::optional<Refused> refused =
+      was_forwarded ? CheckAdmission(*session, now) : std::nullopt;
+  if (refused) {
+    Refuse(session, *refused, now);
+    return;
+  }
+  RetryLater(session, Duration::zero(), now);
+}
+
+void Engine::ForwardTo(Session* session, const InstanceId& holder, Time now) {
+  session->m_remote = {m_forwards.Add(session->m_id, holder), holder};
+  session->m_active->m_attempts += 1;
+  session->m_active->m_tried_holders.insert(holder);
+  SendForward(session, now);
+}
+
+void Engine::SendForward(Session* session, Time now) {
+  ActiveStatement& active = *session->m_active;
+  std::optional<OpenTransaction>& transaction = session->m_transaction;
+  ForwardedStatement forwarded;
+  forwarded.m_operation = session->m_remote->m_operation;
+  forwarded.m_begins = !transaction || !transaction->m_begun;
+  forwarded.m_transaction = ModeOf(transaction);
+  forwarded.m_customer = session->m_customer;
+  forwarded.m_route = session->m_route;
+  forwarded.m_route.m_statement_timeout =
+      active.m_deadline - now - kForwardMargin;
+  forwarded.m_route.m_objective =
+      std::max(active.m_objective_at - now, Duration::zero());
+  forwarded.m_statement = active.m_statement;
+  if (active.m_statement.m_kind == StatementKind::kExecute) {
+    forwarded.m_statement.m_prepared =
+        session->m_prepared.at(active.m_statement.m_name);
+  }
+  forwarded.m_values = session->m_values;
+  if (session->m_last_commit) {
+    forwarded.m_last_commit = {now - session->m_last_commit->m_sent,
+                               session->m_last_commit->m_position};
+  }
+  active.m_sent = true;
+  active.m_holder = session->m_remote->m_holder;
+  if (transaction) {
+    transaction->m_begun = true;
+    transaction->m_wrote |= active.m_writes;
+  }
+  m_forwards.NoteSent(forwarded.m_operation, now);
+  m_hooks.m_forward(active.m_holder, forwarded);
+}
+
+// Forgets an operation that its holder has ended by itself.
+void Engine::ForgetForward(Session* session) {
+  m_forwards.Remove(session->m_remote->m_operation);
+  session->m_remote.reset();
+}
+
+void Engine::EndForward(Session* session) {
+  if (!session->m_remote) {
+    return;
+  }
+  const RemoteRun remote = *session->m_remote;
+  ForgetForward(session);
+  m_hooks.m_forward(remote.m_holder, ForwardedEnd{remote.m_operation});
+}
+
+bool Engine::MayStartAnew(const Session& session) {
+  return !session.m_transaction ||
+         session.m_transaction->m_answered_statements == 0;
+}
+
+void Engine::OnForwardAnswer(const InstanceId& holder,
+                             const ForwardedAnswer& answer,
+                             Time now) {
+  m_forwards.NoteHeard(holder);
+  const Forward* forward = m_forwards.Find(answer.m_operation);
+  if (!forward || forward->m_holder != holder) {
+    return;  // It was given up.
+  }
+  m_forwards.NoteAnswered(answer.m_operation);
+  Session* session = FindSession(forward->m_session);
+  if (!session || !session->m_active || !session->m_remote) {
+    return;
+  }
+  const Outcome& outcome = answer.m_answer.m_outcome;
+  const Refused* refused = std::get_if<Refused>(&outcome);
+  if (!refused) {
+    if (NoteCompleted(session, answer.m_answer, now)) {
+      ForgetForward(session);
+    }
+    EndActive(session, outcome, now);
+    return;
+  }
+  if (!refused->m_try_elsewhere || !MayStartAnew(*session)) {
+    if (!session->m_transaction) {
+      ForgetForward(session);
+    }
+    Refuse(session, *refused, now);
+    return;
+  }
+  m_forwards.NoteRefused(holder, now);
+  EndForward(session);
+  if (session->m_transaction) {
+    session->m_transaction->m_begun = false;
+    session->m_transaction->m_wrote = false;
+  }
+  StartRun(session, now);
+}
+
+void Engine::OnForwardProgress(const InstanceId& holder,
+                               const ForwardProgress& progress,
+                               Time now) {
+  m_forwards.NoteHeard(holder);
+  m_forwards.NoteProgress(holder, progress, now);
+}
+
+void Engine::OnHolderLost(const InstanceId& holder, Time now) {
+  m_forwards.NoteLost(holder, now);
+  EndSilentForwards(now);
+}
+
+void Engine::EndSilentForwards(Time now) {
+  for (const OperationId id : m_forwards.TakeSilent(now)) {
+    const Forward* forward = m_forwards.Find(id);
+    Session* session = forward ? FindSession(forward->m_session) : nullptr;
+    if (session && session->m_active) {
+      LoseStatement(session, now);
+    }
+  }
+}
+
+void Engine::PingSilentHolders(Time now) {
+  for (const InstanceId& holder : m_forwards.TakeDuePings(now)) {
+    m_hooks.m_forward(holder, ForwardPing{});
+  }
+}
+
+void Engine::OnForwardedStatement(SessionId id,
+                                  const ForwardedStatement& forwarded,
+                                  Time now) {
+  Session* session = FindSession(id);
+  if (!session) {
+    auto added = std::make_unique<Session>();
+    session = added.get();
+    session->m_id = id;
+    session->m_is_forwarded = true;
+    session->m_last_activity = now;
+    m_sessions.emplace(id.value(), std::move(added));
+  }
+  if (forwarded.m_begins && (m_shutdown_since || !m_configuration)) {
+    Reply(session, Refused{ErrorCode::kBusy, "the instance is not serving",
+                           /*m_try_elsewhere=*/true});
+    return;
+  }
+  session->m_customer = forwarded.m_customer;
+  session->m_route = forwarded.m_route;
+  session->m_values = forwarded.m_values;
+  if (forwarded.m_last_commit) {
+    session->m_last_commit =
+        FreshnessSample{now - forwarded.m_last_commit->m_age,
+                        forwarded.m_last_commit->m_position};
+  }
+  const Statement& statement = forwarded.m_statement;
+  if (statement.m_kind == StatementKind::kExecute) {
+    session->m_prepared[statement.m_name] = statement.m_prepared;
+  }
+  if (forwarded.m_begins && forwarded.m_transaction != TransactionMode::kNone) {
+    OpenTransaction transaction;
+    transaction.m_read_only =
+        forwarded.m_transaction == TransactionMode::kReadOnly;
+    transaction.m_last_activity = now;
+    session->m_transaction = transaction;
+  }
+  OnStatement(id, statement, now);
+}
+
+}  // namespace jasminelug::gateway
--- a/src/gateway/engine_hooks.h
+++ b/src/gateway/engine_hooks.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "src/gateway/answer.h"
+#include "src/gateway/forwarding.h"
 #include "src/gateway/ids.h"
 #include "src/gateway/member.h"
 #include "src/gateway/member_status.h"
@@ -23,6 +24,8 @@
   CustomerName m_customer;
   // The member that ran it last; empty where none did.
   MemberId m_member;
+  // The instance that ran it for this one; empty where this one did.
+  InstanceId m_holder;
   int m_attempts = 0;
   Duration m_time{0};
   Duration m_objective{0};
@@ -51,6 +54,8 @@
       m_read_status;
   // Tells a member's status; see Engine::AskStatus().
   std::function<void(const MemberId&, const MemberStatus&)> m_status;
+  // Sends a message to another instance; it may be lost.
+  std::function<void(const InstanceId&, const ForwardMessage&)> m_forward;
   // Reports a statement's end.
   std::function<void(const StatementEnd&)> m_report;
 };
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -38,6 +38,9 @@
 
 std::optional<Refused> Engine::CheckCaller(const Session& session,
                                            Time now) const {
+  if (session.m_is_forwarded) {
+    return std::nullopt;
+  }
   if (!m_configuration) {
     return Refused{ErrorCode::kBusy, "no configuration yet"};
   }
@@ -56,16 +59,24 @@
   return std::nullopt;
 }
 
-std::optional<Refused> Engine::BeginOperation(Session* session, Time now) {
+void Engine::TakeRoute(Session* session) {
+  if (session->m_is_forwarded) {
+    return;  // It came with the statement.
+  }
   session->m_route = m_configuration->m_routes.at(session->m_database);
   const auto key = m_configuration->m_keys.find(session->m_key);
   session->m_customer =
       key == m_configuration->m_keys.end() ? CustomerName() : key->second;
-  std::optional<Refused> refused = CheckAdmission(*session, now);
+}
+
+std::optional<Refused> Engine::BeginOperation(Session* session, Time now) {
+  const bool runs_here = !ChooseHolder(*session, now);
+  std::optional<Refused> refused =
+      runs_here ? CheckAdmission(*session, now) : std::nullopt;
   if (refused) {
     return refused;
   }
-  if (!session->m_customer.empty() &&
+  if (!session->m_customer.empty() && !session->m_is_forwarded &&
       !m_limiter.Take(session->m_customer, now)) {
     return Refused{ErrorCode::kBusy, m_limiter.Describe(session->m_customer)};
   }
@@ -78,6 +89,9 @@
   if (refused) {
     return refused;
   }
+  if (m_holders.BudgetFor(session.m_route.m_group) == 0) {
+    return Refused{ErrorCode::kBusy, "no holder of connections is reached"};
+  }
   const LineLoad load = LoadFor(session, now);
   if (!MayWait(load, session.m_route.m_objective)) {
     return Refused{ErrorCode::kBusy, "members are at capacity"};
@@ -98,7 +112,8 @@
     const std::optional<Time> failing =
         PrimaryFailingSince(session.m_route.m_group, now);
     if (failing && now - *failing > kFailingPatience) {
-      return Refused{ErrorCode::kBusy, "the primary cannot be reached"};
+      return Refused{ErrorCode::kBusy, "the primary cannot be reached",
+                     /*m_try_elsewhere=*/true};
     }
     return std::nullopt;
   }
@@ -267,6 +282,7 @@
     transaction.m_read_only = statement.m_kind == StatementKind::kBeginReadOnly;
     transaction.m_last_activity = now;
     session->m_transaction = transaction;
+    TakeRoute(session);
     refused = BeginOperation(session, now);
   }
   if (refused) {
@@ -283,6 +299,7 @@
     return;
   }
   session->m_transaction.reset();
+  EndForward(session);
   Connection* connection = ConnectionOf(*session);
   Detach(session);
   if (connection) {
@@ -300,7 +317,7 @@
   active.m_statement = std::move(statement);
   std::optional<Refused> refused = CheckCaller(*session, now);
   if (!refused && !session->m_transaction) {
-    session->m_route = m_configuration->m_routes.at(session->m_database);
+    TakeRoute(session);
   }
   const Route& route = session->m_route;
   const bool plain_transaction =
@@ -314,7 +331,11 @@
     refused = BeginOperation(session, now);
   }
   if (refused) {
-    Refuse(session, refused->m_code, refused->m_message, now);
+    Refuse(session, *refused, now);
+    return;
+  }
+  if (session->m_remote) {
+    SendForward(session, now);
     return;
   }
   Connection* connection = ConnectionOf(*session);
@@ -326,11 +347,12 @@
     Refuse(session, ErrorCode::kAborted, "the transaction was lost", now);
     return;
   }
-  JoinLine(session, now);
+  StartRun(session, now);
 }
 
 void Engine::FailTransaction(Session* session, Time now) {
   session->m_transaction->m_failed = true;
+  EndForward(session);
   Connection* connection = ConnectionOf(*session);
   Detach(session);
   if (connection) {
@@ -342,7 +364,12 @@
                     ErrorCode code,
                     const std::string& message,
                     Time now) {
+  Refuse(session, Refused{code, message}, now);
+}
+
+void Engine::Refuse(Session* session, const Refused& refused, Time now) {
   LeaveLine(session);
+  EndForward(session);
   Connection* connection = ConnectionOf(*session);
   Detach(session);
   if (connection) {
@@ -357,7 +384,7 @@
       session->m_transaction.reset();
     }
   }
-  EndActive(session, Refused{code, message}, now);
+  EndActive(session, refused, now);
 }
 
 void Engine::EndActive(Session* session, const Outcome& outcome, Time now) {
@@ -370,6 +397,7 @@
   end.m_time = now - active.m_received;
   end.m_objective = session->m_route.m_objective;
   end.m_member = active.m_member;
+  end.m_holder = active.m_holder;
   const Refused* refused = std::get_if<Refused>(&outcome);
   end.m_completed = refused == nullptr;
   if (refused) {
@@ -390,6 +418,9 @@
   Answer answer;
   answer.m_outcome = outcome;
   answer.m_state = StateOf(*session);
+  if (session->m_is_forwarded && session->m_last_commit) {
+    answer.m_position = session->m_last_commit->m_position;
+  }
   m_hooks.m_answer(session->m_id, answer);
 }
 
@@ -399,6 +430,7 @@
     return;
   }
   LeaveLine(session);
+  EndForward(session);
   Connection* connection = ConnectionOf(*session);
   Detach(session);
   // What is still unanswered comes to nobody; OnMemberAnswer() ends it.
--- /dev/null
+++ b/src/gateway/forward_host.cc
@@ -0,0 +1,105 @@
+#include "src/gateway/forward_host.h"
+
+#include <utility>
+
+namespace jasminelug::gateway {
+namespace {
+
+// Sessions of other instances' operations are numbered from here, callers'
+// sessions from 0.
+constexpr std::uint64_t kFirstSessionId = std::uint64_t{1} << 63;
+
+}  // namespace
+
+bool ForwardHost::Owns(SessionId session) {
+  return session.value() >= kFirstSessionId;
+}
+
+std::optional<SessionId> ForwardHost::Find(const ForwardOrigin& origin) const {
+  const auto found = m_sessions.find(origin);
+  if (found == m_sessions.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+SessionId ForwardHost::Add(const ForwardOrigin& origin) {
+  const SessionId id(kFirstSessionId + m_next_id++);
+  m_sessions.insert_or_assign(origin, id);
+  m_runs[id] = {origin, std::nullopt};
+  return id;
+}
+
+const ForwardOrigin* ForwardHost::OriginOf(SessionId session) const {
+  const auto found = m_runs.find(session);
+  return found == m_runs.end() ? nullptr : &found->second.m_origin;
+}
+
+void ForwardHost::Remove(SessionId session) {
+  const auto found = m_runs.find(session);
+  if (found != m_runs.end()) {
+    m_sessions.erase(found->second.m_origin);
+    m_runs.erase(found);
+  }
+}
+
+void ForwardHost::NoteReceived(SessionId session, Time now) {
+  const auto found = m_runs.find(session);
+  if (found != m_runs.end()) {
+    found->second.m_working_since = now;
+  }
+}
+
+void ForwardHost::NoteAnswered(SessionId session) {
+  const auto found = m_runs.find(session);
+  if (found != m_runs.end()) {
+    found->second.m_working_since.reset();
+  }
+}
+
+std::vector<SessionId> ForwardHost::EarlierSessions(
+    const InstanceId& instance,
+    Incarnation incarnation) const {
+  std::vector<SessionId> sessions;
+  for (const auto& [origin, session] : m_sessions) {
+    if (origin.m_instance == instance && origin.m_incarnation < incarnation) {
+      sessions.push_back(session);
+    }
+  }
+  return sessions;
+}
+
+ForwardProgress ForwardHost::ProgressFor(const InstanceId& instance) const {
+  ForwardProgress progress;
+  for (const auto& [session, run] : m_runs) {
+    if (run.m_working_since && run.m_origin.m_instance == instance) {
+      progress.m_operations.push_back(run.m_origin.m_operation);
+    }
+  }
+  return progress;
+}
+
+std::vector<ForwardHost::DueProgress> ForwardHost::TakeDueProgress(Time now) {
+  if (now - m_confirmed < kProgressInterval) {
+    return {};
+  }
+  std::map<InstanceId, bool> due;
+  for (const auto& [session, run] : m_runs) {
+    if (run.m_working_since) {
+      due[run.m_origin.m_instance] |=
+          now - *run.m_working_since >= kProgressInterval;
+    }
+  }
+  std::vector<DueProgress> all;
+  for (const auto& [instance, is_due] : due) {
+    if (is_due) {
+      all.push_back({instance, ProgressFor(instance)});
+    }
+  }
+  if (!all.empty()) {
+    m_confirmed = now;
+  }
+  return all;
+}
+
+}  // namespace jasminelug::gateway
--- /dev/null
+++ b/src/gateway/forward_table.cc
@@ -0,0 +1,83 @@
+#include "src/gateway/forward_table.h"
+
+namespace jasminelug::gateway {
+
+OperationId ForwardTable::Add(SessionId session, const InstanceId& holder) {
+  const OperationId id(m_next_id++);
+  m_forwards[id] = {session, holder, false, {}};
+  return id;
+}
+
+const Forward* ForwardTable::Find(OperationId id) const {
+  const auto found = m_forwards.find(id);
+  return found == m_forwards.end() ? nullptr : &found->second;
+}
+
+void ForwardTable::NoteSent(OperationId id, Time now) {
+  const auto found = m_forwards.find(id);
+  if (found != m_forwards.end()) {
+    found->second.m_unanswered = true;
+    found->second.m_confirmed = now;
+  }
+}
+
+void ForwardTable::NoteAnswered(OperationId id) {
+  const auto found = m_forwards.find(id);
+  if (found != m_forwards.end()) {
+    found->second.m_unanswered = false;
+  }
+}
+
+void ForwardTable::NoteProgress(const InstanceId& holder,
+                                const ForwardProgress& progress,
+                                Time now) {
+  for (const OperationId id : progress.m_operations) {
+    const auto found = m_forwards.find(id);
+    if (found != m_forwards.end() && found->second.m_holder == holder) {
+      found->second.m_confirmed = now;
+    }
+  }
+}
+
+void ForwardTable::NoteRefused(const InstanceId& holder, Time now) {
+  m_avoided_until[holder] = now + kAvoidedAfterRefusal;
+}
+
+void ForwardTable::NoteLost(const InstanceId& holder, Time now) {
+  for (auto& [id, forward] : m_forwards) {
+    if (forward.m_holder == holder) {
+      forward.m_confirmed = now - kSilenceLimit;
+    }
+  }
+  m_silent.emplace(holder, now);
+}
+
+std::vector<OperationId> ForwardTable::TakeSilent(Time now) {
+  std::vector<OperationId> silent;
+  for (const auto& [id, forward] : m_forwards) {
+    if (forward.m_unanswered && now - forward.m_confirmed >= kSilenceLimit) {
+      silent.push_back(id);
+      m_silent.emplace(forward.m_holder, now);
+    }
+  }
+  return silent;
+}
+
+bool ForwardTable::IsUsable(const InstanceId& holder, Time now) const {
+  const auto avoided = m_avoided_until.find(holder);
+  const bool refused = avoided != m_avoided_until.end() && now < avoided->second;
+  return !refused && !m_silent.contains(holder);
+}
+
+std::vector<InstanceId> ForwardTable::TakeDuePings(Time now) {
+  std::vector<InstanceId> due;
+  for (auto& [holder, asked] : m_silent) {
+    if (now - asked >= kPingInterval) {
+      asked = now;
+      due.push_back(holder);
+    }
+  }
+  return due;
+}
+
+}  // namespace jasminelug::gateway
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "src/gateway/configuration.h"
+#include "src/gateway/forwarding.h"
 #include "src/gateway/freshness_floor.h"
 #include "src/gateway/ids.h"
 #include "src/gateway/statement.h"
@@ -40,6 +41,17 @@
   std::set<MemberId> m_lacking;
   // What the replica must hold, where it runs on one.
   std::optional<FreshnessSample> m_floor;
+  // The holder that was asked last to run it, and all that were.
+  InstanceId m_holder;
+  std::set<InstanceId> m_tried_holders;
+};
+
+// An operation that another instance runs.
+struct RemoteRun {
+  friend bool operator==(const RemoteRun&, const RemoteRun&) = default;
+
+  OperationId m_operation;
+  InstanceId m_holder;
 };
 
 // A transaction that the caller has begun.
@@ -71,6 +83,11 @@
   // Statements received while another one is active.
   std::deque<Statement> m_next;
   std::optional<ConnectionId> m_connection;
+  // The operation that is active runs at another instance.
+  std::optional<RemoteRun> m_remote;
+  // It runs another instance's operation: that one has checked the key and the
+  // customer's limits.
+  bool m_is_forwarded = false;
   // When it was started or last answered.
   Time m_last_activity;
 };
--- a/src/gossip/gen/gossip_types.cpp
+++ b/src/gossip/gen/gossip_types.cpp
@@ -1434,4 +1434,2178 @@
   out << ")";
 }
 
+
+Position::~Position() noexcept {
+}
+
+
+void Position::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void Position::__set_index(const int64_t val) {
+  this->index = val;
+}
+std::ostream& operator<<(std::ostream& out, const Position& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Position::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Position::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Position");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Position &a, Position &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.index, b.index);
+  swap(a.__isset, b.__isset);
+}
+
+Position::Position(const Position& other76) noexcept {
+  term = other76.term;
+  index = other76.index;
+  __isset = other76.__isset;
+}
+Position::Position(Position&& other77) noexcept {
+  term = other77.term;
+  index = other77.index;
+  __isset = other77.__isset;
+}
+Position& Position::operator=(const Position& other78) noexcept {
+  term = other78.term;
+  index = other78.index;
+  __isset = other78.__isset;
+  return *this;
+}
+Position& Position::operator=(Position&& other79) noexcept {
+  term = other79.term;
+  index = other79.index;
+  __isset = other79.__isset;
+  return *this;
+}
+void Position::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Position(";
+  out << "term=" << to_string(term);
+  out << ", " << "index=" << to_string(index);
+  out << ")";
+}
+
+
+Shape::~Shape() noexcept {
+}
+
+
+void Shape::__set_access(const int32_t val) {
+  this->access = val;
+}
+
+void Shape::__set_text(const std::string& val) {
+  this->text = val;
+}
+std::ostream& operator<<(std::ostream& out, const Shape& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Shape::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->access);
+          this->__isset.access = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Shape::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Shape");
+
+  xfer += oprot->writeFieldBegin("access", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->access);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Shape &a, Shape &b) {
+  using ::std::swap;
+  swap(a.access, b.access);
+  swap(a.text, b.text);
+  swap(a.__isset, b.__isset);
+}
+
+Shape::Shape(const Shape& other80) {
+  access = other80.access;
+  text = other80.text;
+  __isset = other80.__isset;
+}
+Shape::Shape(Shape&& other81) noexcept {
+  access = other81.access;
+  text = std::move(other81.text);
+  __isset = other81.__isset;
+}
+Shape& Shape::operator=(const Shape& other82) {
+  access = other82.access;
+  text = other82.text;
+  __isset = other82.__isset;
+  return *this;
+}
+Shape& Shape::operator=(Shape&& other83) noexcept {
+  access = other83.access;
+  text = std::move(other83.text);
+  __isset = other83.__isset;
+  return *this;
+}
+void Shape::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Shape(";
+  out << "access=" << to_string(access);
+  out << ", " << "text=" << to_string(text);
+  out << ")";
+}
+
+
+Route::~Route() noexcept {
+}
+
+
+void Route::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void Route::__set_consistency(const int32_t val) {
+  this->consistency = val;
+}
+
+void Route::__set_max_staleness_us(const int64_t val) {
+  this->max_staleness_us = val;
+}
+
+void Route::__set_statement_timeout_us(const int64_t val) {
+  this->statement_timeout_us = val;
+}
+
+void Route::__set_objective_us(const int64_t val) {
+  this->objective_us = val;
+}
+
+void Route::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void Route::__set_is_public(const bool val) {
+  this->is_public = val;
+}
+std::ostream& operator<<(std::ostream& out, const Route& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Route::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->consistency);
+          this->__isset.consistency = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->max_staleness_us);
+          this->__isset.max_staleness_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->statement_timeout_us);
+          this->__isset.statement_timeout_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->objective_us);
+          this->__isset.objective_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_public);
+          this->__isset.is_public = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Route::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Route");
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("consistency", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->consistency);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("max_staleness_us", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->max_staleness_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("statement_timeout_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->statement_timeout_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("objective_us", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->objective_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("is_public", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->is_public);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Route &a, Route &b) {
+  using ::std::swap;
+  swap(a.group, b.group);
+  swap(a.consistency, b.consistency);
+  swap(a.max_staleness_us, b.max_staleness_us);
+  swap(a.statement_timeout_us, b.statement_timeout_us);
+  swap(a.objective_us, b.objective_us);
+  swap(a.priority, b.priority);
+  swap(a.is_public, b.is_public);
+  swap(a.__isset, b.__isset);
+}
+
+Route::Route(const Route& other84) {
+  group = other84.group;
+  consistency = other84.consistency;
+  max_staleness_us = other84.max_staleness_us;
+  statement_timeout_us = other84.statement_timeout_us;
+  objective_us = other84.objective_us;
+  priority = other84.priority;
+  is_public = other84.is_public;
+  __isset = other84.__isset;
+}
+Route::Route(Route&& other85) noexcept {
+  group = std::move(other85.group);
+  consistency = other85.consistency;
+  max_staleness_us = other85.max_staleness_us;
+  statement_timeout_us = other85.statement_timeout_us;
+  objective_us = other85.objective_us;
+  priority = other85.priority;
+  is_public = other85.is_public;
+  __isset = other85.__isset;
+}
+Route& Route::operator=(const Route& other86) {
+  group = other86.group;
+  consistency = other86.consistency;
+  max_staleness_us = other86.max_staleness_us;
+  statement_timeout_us = other86.statement_timeout_us;
+  objective_us = other86.objective_us;
+  priority = other86.priority;
+  is_public = other86.is_public;
+  __isset = other86.__isset;
+  return *this;
+}
+Route& Route::operator=(Route&& other87) noexcept {
+  group = std::move(other87.group);
+  consistency = other87.consistency;
+  max_staleness_us = other87.max_staleness_us;
+  statement_timeout_us = other87.statement_timeout_us;
+  objective_us = other87.objective_us;
+  priority = other87.priority;
+  is_public = other87.is_public;
+  __isset = other87.__isset;
+  return *this;
+}
+void Route::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Route(";
+  out << "group=" << to_string(group);
+  out << ", " << "consistency=" << to_string(consistency);
+  out << ", " << "max_staleness_us=" << to_string(max_staleness_us);
+  out << ", " << "statement_timeout_us=" << to_string(statement_timeout_us);
+  out << ", " << "objective_us=" << to_string(objective_us);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "is_public=" << to_string(is_public);
+  out << ")";
+}
+
+
+Statement::~Statement() noexcept {
+}
+
+
+void Statement::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void Statement::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void Statement::__set_text(const std::string& val) {
+  this->text = val;
+}
+
+void Statement::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void Statement::__set_argument(const std::string& val) {
+  this->argument = val;
+}
+
+void Statement::__set_prepared(const Shape& val) {
+  this->prepared = val;
+}
+std::ostream& operator<<(std::ostream& out, const Statement& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Statement::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->argument);
+          this->__isset.argument = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->prepared.read(iprot);
+          this->__isset.prepared = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Statement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Statement");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("argument", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->argument);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prepared", ::apache::thrift::protocol::T_STRUCT, 6);
+  xfer += this->prepared.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Statement &a, Statement &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.kind, b.kind);
+  swap(a.text, b.text);
+  swap(a.name, b.name);
+  swap(a.argument, b.argument);
+  swap(a.prepared, b.prepared);
+  swap(a.__isset, b.__isset);
+}
+
+Statement::Statement(const Statement& other88) {
+  id = other88.id;
+  kind = other88.kind;
+  text = other88.text;
+  name = other88.name;
+  argument = other88.argument;
+  prepared = other88.prepared;
+  __isset = other88.__isset;
+}
+Statement::Statement(Statement&& other89) noexcept {
+  id = std::move(other89.id);
+  kind = other89.kind;
+  text = std::move(other89.text);
+  name = std::move(other89.name);
+  argument = std::move(other89.argument);
+  prepared = std::move(other89.prepared);
+  __isset = other89.__isset;
+}
+Statement& Statement::operator=(const Statement& other90) {
+  id = other90.id;
+  kind = other90.kind;
+  text = other90.text;
+  name = other90.name;
+  argument = other90.argument;
+  prepared = other90.prepared;
+  __isset = other90.__isset;
+  return *this;
+}
+Statement& Statement::operator=(Statement&& other91) noexcept {
+  id = std::move(other91.id);
+  kind = other91.kind;
+  text = std::move(other91.text);
+  name = std::move(other91.name);
+  argument = std::move(other91.argument);
+  prepared = std::move(other91.prepared);
+  __isset = other91.__isset;
+  return *this;
+}
+void Statement::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Statement(";
+  out << "id=" << to_string(id);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "text=" << to_string(text);
+  out << ", " << "name=" << to_string(name);
+  out << ", " << "argument=" << to_string(argument);
+  out << ", " << "prepared=" << to_string(prepared);
+  out << ")";
+}
+
+
+Commit::~Commit() noexcept {
+}
+
+
+void Commit::__set_age_us(const int64_t val) {
+  this->age_us = val;
+}
+
+void Commit::__set_position(const Position& val) {
+  this->position = val;
+}
+std::ostream& operator<<(std::ostream& out, const Commit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Commit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_us);
+          this->__isset.age_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->position.read(iprot);
+          this->__isset.position = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Commit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Commit");
+
+  xfer += oprot->writeFieldBegin("age_us", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->age_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->position.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Commit &a, Commit &b) {
+  using ::std::swap;
+  swap(a.age_us, b.age_us);
+  swap(a.position, b.position);
+  swap(a.__isset, b.__isset);
+}
+
+Commit::Commit(const Commit& other92) noexcept {
+  age_us = other92.age_us;
+  position = other92.position;
+  __isset = other92.__isset;
+}
+Commit::Commit(Commit&& other93) noexcept {
+  age_us = other93.age_us;
+  position = std::move(other93.position);
+  __isset = other93.__isset;
+}
+Commit& Commit::operator=(const Commit& other94) noexcept {
+  age_us = other94.age_us;
+  position = other94.position;
+  __isset = other94.__isset;
+  return *this;
+}
+Commit& Commit::operator=(Commit&& other95) noexcept {
+  age_us = other95.age_us;
+  position = std::move(other95.position);
+  __isset = other95.__isset;
+  return *this;
+}
+void Commit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Commit(";
+  out << "age_us=" << to_string(age_us);
+  out << ", " << "position=" << to_string(position);
+  out << ")";
+}
+
+
+ForwardedStatement::~ForwardedStatement() noexcept {
+}
+
+
+void ForwardedStatement::__set_operation(const int64_t val) {
+  this->operation = val;
+}
+
+void ForwardedStatement::__set_begins(const bool val) {
+  this->begins = val;
+}
+
+void ForwardedStatement::__set_transaction(const int32_t val) {
+  this->transaction = val;
+}
+
+void ForwardedStatement::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void ForwardedStatement::__set_route(const Route& val) {
+  this->route = val;
+}
+
+void ForwardedStatement::__set_statement(const Statement& val) {
+  this->statement = val;
+}
+
+void ForwardedStatement::__set_values(const std::map<std::string, std::string> & val) {
+  this->values = val;
+}
+
+void ForwardedStatement::__set_last_commit(const Commit& val) {
+  this->last_commit = val;
+__isset.last_commit = true;
+}
+std::ostream& operator<<(std::ostream& out, const ForwardedStatement& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ForwardedStatement::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->operation);
+          this->__isset.operation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->begins);
+          this->__isset.begins = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->transaction);
+          this->__isset.transaction = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->route.read(iprot);
+          this->__isset.route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->statement.read(iprot);
+          this->__isset.statement = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->values.clear();
+            uint32_t _size96;
+            ::apache::thrift::protocol::TType _ktype97;
+            ::apache::thrift::protocol::TType _vtype98;
+            xfer += iprot->readMapBegin(_ktype97, _vtype98, _size96);
+            uint32_t _i100;
+            for (_i100 = 0; _i100 < _size96; ++_i100)
+            {
+              std::string _key101;
+              xfer += iprot->readString(_key101);
+              std::string& _val102 = this->values[_key101];
+              xfer += iprot->readBinary(_val102);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.values = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->last_commit.read(iprot);
+          this->__isset.last_commit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ForwardedStatement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ForwardedStatement");
+
+  xfer += oprot->writeFieldBegin("operation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->operation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("begins", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->begins);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("transaction", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->transaction);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->route.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("statement", ::apache::thrift::protocol::T_STRUCT, 6);
+  xfer += this->statement.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("values", ::apache::thrift::protocol::T_MAP, 7);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->values.size()));
+    std::map<std::string, std::string> ::const_iterator _iter103;
+    for (_iter103 = this->values.begin(); _iter103 != this->values.end(); ++_iter103)
+    {
+      xfer += oprot->writeString(_iter103->first);
+      xfer += oprot->writeBinary(_iter103->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.last_commit) {
+    xfer += oprot->writeFieldBegin("last_commit", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->last_commit.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ForwardedStatement &a, ForwardedStatement &b) {
+  using ::std::swap;
+  swap(a.operation, b.operation);
+  swap(a.begins, b.begins);
+  swap(a.transaction, b.transaction);
+  swap(a.customer, b.customer);
+  swap(a.route, b.route);
+  swap(a.statement, b.statement);
+  swap(a.values, b.values);
+  swap(a.last_commit, b.last_commit);
+  swap(a.__isset, b.__isset);
+}
+
+ForwardedStatement::ForwardedStatement(const ForwardedStatement& other104) {
+  operation = other104.operation;
+  begins = other104.begins;
+  transaction = other104.transaction;
+  customer = other104.customer;
+  route = other104.route;
+  statement = other104.statement;
+  values = other104.values;
+  last_commit = other104.last_commit;
+  __isset = other104.__isset;
+}
+ForwardedStatement::ForwardedStatement(ForwardedStatement&& other105) noexcept {
+  operation = other105.operation;
+  begins = other105.begins;
+  transaction = other105.transaction;
+  customer = std::move(other105.customer);
+  route = std::move(other105.route);
+  statement = std::move(other105.statement);
+  values = std::move(other105.values);
+  last_commit = std::move(other105.last_commit);
+  __isset = other105.__isset;
+}
+ForwardedStatement& ForwardedStatement::operator=(const ForwardedStatement& other106) {
+  operation = other106.operation;
+  begins = other106.begins;
+  transaction = other106.transaction;
+  customer = other106.customer;
+  route = other106.route;
+  statement = other106.statement;
+  values = other106.values;
+  last_commit = other106.last_commit;
+  __isset = other106.__isset;
+  return *this;
+}
+ForwardedStatement& ForwardedStatement::operator=(ForwardedStatement&& other107) noexcept {
+  operation = other107.operation;
+  begins = other107.begins;
+  transaction = other107.transaction;
+  customer = std::move(other107.customer);
+  route = std::move(other107.route);
+  statement = std::move(other107.statement);
+  values = std::move(other107.values);
+  last_commit = std::move(other107.last_commit);
+  __isset = other107.__isset;
+  return *this;
+}
+void ForwardedStatement::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ForwardedStatement(";
+  out << "operation=" << to_string(operation);
+  out << ", " << "begins=" << to_string(begins);
+  out << ", " << "transaction=" << to_string(transaction);
+  out << ", " << "customer=" << to_string(customer);
+  out << ", " << "route=" << to_string(route);
+  out << ", " << "statement=" << to_string(statement);
+  out << ", " << "values=" << to_string(values);
+  out << ", " << "last_commit="; (__isset.last_commit ? (out << to_string(last_commit)) : (out << "<null>"));
+  out << ")";
+}
+
+
+Completed::~Completed() noexcept {
+}
+
+
+void Completed::__set_rows(const std::vector<std::string> & val) {
+  this->rows = val;
+}
+
+void Completed::__set_signature(const std::string& val) {
+  this->signature = val;
+}
+std::ostream& operator<<(std::ostream& out, const Completed& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Completed::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->rows.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
+            {
+              xfer += iprot->readBinary(this->rows[_i112]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->signature);
+          this->__isset.signature = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Completed::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Completed");
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->rows.size()));
+    std::vector<std::string> ::const_iterator _iter113;
+    for (_iter113 = this->rows.begin(); _iter113 != this->rows.end(); ++_iter113)
+    {
+      xfer += oprot->writeBinary((*_iter113));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("signature", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->signature);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Completed &a, Completed &b) {
+  using ::std::swap;
+  swap(a.rows, b.rows);
+  swap(a.signature, b.signature);
+  swap(a.__isset, b.__isset);
+}
+
+Completed::Completed(const Completed& other114) {
+  rows = other114.rows;
+  signature = other114.signature;
+  __isset = other114.__isset;
+}
+Completed::Completed(Completed&& other115) noexcept {
+  rows = std::move(other115.rows);
+  signature = std::move(other115.signature);
+  __isset = other115.__isset;
+}
+Completed& Completed::operator=(const Completed& other116) {
+  rows = other116.rows;
+  signature = other116.signature;
+  __isset = other116.__isset;
+  return *this;
+}
+Completed& Completed::operator=(Completed&& other117) noexcept {
+  rows = std::move(other117.rows);
+  signature = std::move(other117.signature);
+  __isset = other117.__isset;
+  return *this;
+}
+void Completed::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Completed(";
+  out << "rows=" << to_string(rows);
+  out << ", " << "signature=" << to_string(signature);
+  out << ")";
+}
+
+
+Refused::~Refused() noexcept {
+}
+
+
+void Refused::__set_code(const int32_t val) {
+  this->code = val;
+}
+
+void Refused::__set_message(const std::string& val) {
+  this->message = val;
+}
+
+void Refused::__set_try_elsewhere(const bool val) {
+  this->try_elsewhere = val;
+}
+std::ostream& operator<<(std::ostream& out, const Refused& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Refused::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->code);
+          this->__isset.code = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->message);
+          this->__isset.message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->try_elsewhere);
+          this->__isset.try_elsewhere = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Refused::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Refused");
+
+  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->code);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->message);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("try_elsewhere", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->try_elsewhere);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Refused &a, Refused &b) {
+  using ::std::swap;
+  swap(a.code, b.code);
+  swap(a.message, b.message);
+  swap(a.try_elsewhere, b.try_elsewhere);
+  swap(a.__isset, b.__isset);
+}
+
+Refused::Refused(const Refused& other118) {
+  code = other118.code;
+  message = other118.message;
+  try_elsewhere = other118.try_elsewhere;
+  __isset = other118.__isset;
+}
+Refused::Refused(Refused&& other119) noexcept {
+  code = other119.code;
+  message = std::move(other119.message);
+  try_elsewhere = other119.try_elsewhere;
+  __isset = other119.__isset;
+}
+Refused& Refused::operator=(const Refused& other120) {
+  code = other120.code;
+  message = other120.message;
+  try_elsewhere = other120.try_elsewhere;
+  __isset = other120.__isset;
+  return *this;
+}
+Refused& Refused::operator=(Refused&& other121) noexcept {
+  code = other121.code;
+  message = std::move(other121.message);
+  try_elsewhere = other121.try_elsewhere;
+  __isset = other121.__isset;
+  return *this;
+}
+void Refused::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Refused(";
+  out << "code=" << to_string(code);
+  out << ", " << "message=" << to_string(message);
+  out << ", " << "try_elsewhere=" << to_string(try_elsewhere);
+  out << ")";
+}
+
+
+Outcome::~Outcome() noexcept {
+}
+
+
+void Outcome::__set_completed(const Completed& val) {
+  this->completed = val;
+__isset.completed = true;
+}
+
+void Outcome::__set_refused(const Refused& val) {
+  this->refused = val;
+__isset.refused = true;
+}
+std::ostream& operator<<(std::ostream& out, const Outcome& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Outcome::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->completed.read(iprot);
+          this->__isset.completed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->refused.read(iprot);
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Outcome::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Outcome");
+
+  if (this->__isset.completed) {
+    xfer += oprot->writeFieldBegin("completed", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->completed.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.refused) {
+    xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->refused.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Outcome &a, Outcome &b) {
+  using ::std::swap;
+  swap(a.completed, b.completed);
+  swap(a.refused, b.refused);
+  swap(a.__isset, b.__isset);
+}
+
+Outcome::Outcome(const Outcome& other122) {
+  completed = other122.completed;
+  refused = other122.refused;
+  __isset = other122.__isset;
+}
+Outcome::Outcome(Outcome&& other123) noexcept {
+  completed = std::move(other123.completed);
+  refused = std::move(other123.refused);
+  __isset = other123.__isset;
+}
+Outcome& Outcome::operator=(const Outcome& other124) {
+  completed = other124.completed;
+  refused = other124.refused;
+  __isset = other124.__isset;
+  return *this;
+}
+Outcome& Outcome::operator=(Outcome&& other125) noexcept {
+  completed = std::move(other125.completed);
+  refused = std::move(other125.refused);
+  __isset = other125.__isset;
+  return *this;
+}
+void Outcome::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Outcome(";
+  out << "completed="; (__isset.completed ? (out << to_string(completed)) : (out << "<null>"));
+  out << ", " << "refused="; (__isset.refused ? (out << to_string(refused)) : (out << "<null>"));
+  out << ")";
+}
+
+
+ForwardedAnswer::~ForwardedAnswer() noexcept {
+}
+
+
+void ForwardedAnswer::__set_operation(const int64_t val) {
+  this->operation = val;
+}
+
+void ForwardedAnswer::__set_outcome(const Outcome& val) {
+  this->outcome = val;
+}
+
+void ForwardedAnswer::__set_state(const int32_t val) {
+  this->state = val;
+}
+
+void ForwardedAnswer::__set_position(const Position& val) {
+  this->position = val;
+__isset.position = true;
+}
+std::ostream& operator<<(std::ostream& out, const ForwardedAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ForwardedAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->operation);
+          this->__isset.operation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->outcome.read(iprot);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->position.read(iprot);
+          this->__isset.position = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ForwardedAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ForwardedAnswer");
+
+  xfer += oprot->writeFieldBegin("operation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->operation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->outcome.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.position) {
+    xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->position.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ForwardedAnswer &a, ForwardedAnswer &b) {
+  using ::std::swap;
+  swap(a.operation, b.operation);
+  swap(a.outcome, b.outcome);
+  swap(a.state, b.state);
+  swap(a.position, b.position);
+  swap(a.__isset, b.__isset);
+}
+
+ForwardedAnswer::ForwardedAnswer(const ForwardedAnswer& other126) {
+  operation = other126.operation;
+  outcome = other126.outcome;
+  state = other126.state;
+  position = other126.position;
+  __isset = other126.__isset;
+}
+ForwardedAnswer::ForwardedAnswer(ForwardedAnswer&& other127) noexcept {
+  operation = other127.operation;
+  outcome = std::move(other127.outcome);
+  state = other127.state;
+  position = std::move(other127.position);
+  __isset = other127.__isset;
+}
+ForwardedAnswer& ForwardedAnswer::operator=(const ForwardedAnswer& other128) {
+  operation = other128.operation;
+  outcome = other128.outcome;
+  state = other128.state;
+  position = other128.position;
+  __isset = other128.__isset;
+  return *this;
+}
+ForwardedAnswer& ForwardedAnswer::operator=(ForwardedAnswer&& other129) noexcept {
+  operation = other129.operation;
+  outcome = std::move(other129.outcome);
+  state = other129.state;
+  position = std::move(other129.position);
+  __isset = other129.__isset;
+  return *this;
+}
+void ForwardedAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ForwardedAnswer(";
+  out << "operation=" << to_string(operation);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "position="; (__isset.position ? (out << to_string(position)) : (out << "<null>"));
+  out << ")";
+}
+
+
+ForwardedEnd::~ForwardedEnd() noexcept {
+}
+
+
+void ForwardedEnd::__set_operation(const int64_t val) {
+  this->operation = val;
+}
+std::ostream& operator<<(std::ostream& out, const ForwardedEnd& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ForwardedEnd::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->operation);
+          this->__isset.operation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ForwardedEnd::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ForwardedEnd");
+
+  xfer += oprot->writeFieldBegin("operation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->operation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ForwardedEnd &a, ForwardedEnd &b) {
+  using ::std::swap;
+  swap(a.operation, b.operation);
+  swap(a.__isset, b.__isset);
+}
+
+ForwardedEnd::ForwardedEnd(const ForwardedEnd& other130) noexcept {
+  operation = other130.operation;
+  __isset = other130.__isset;
+}
+ForwardedEnd::ForwardedEnd(ForwardedEnd&& other131) noexcept {
+  operation = other131.operation;
+  __isset = other131.__isset;
+}
+ForwardedEnd& ForwardedEnd::operator=(const ForwardedEnd& other132) noexcept {
+  operation = other132.operation;
+  __isset = other132.__isset;
+  return *this;
+}
+ForwardedEnd& ForwardedEnd::operator=(ForwardedEnd&& other133) noexcept {
+  operation = other133.operation;
+  __isset = other133.__isset;
+  return *this;
+}
+void ForwardedEnd::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ForwardedEnd(";
+  out << "operation=" << to_string(operation);
+  out << ")";
+}
+
+
+ForwardPing::~ForwardPing() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const ForwardPing& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ForwardPing::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ForwardPing::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ForwardPing");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ForwardPing &a, ForwardPing &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+ForwardPing::ForwardPing(const ForwardPing& other134) noexcept {
+  (void) other134;
+}
+ForwardPing::ForwardPing(ForwardPing&& other135) noexcept {
+  (void) other135;
+}
+ForwardPing& ForwardPing::operator=(const ForwardPing& other136) noexcept {
+  (void) other136;
+  return *this;
+}
+ForwardPing& ForwardPing::operator=(ForwardPing&& other137) noexcept {
+  (void) other137;
+  return *this;
+}
+void ForwardPing::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ForwardPing(";
+  out << ")";
+}
+
+
+ForwardProgress::~ForwardProgress() noexcept {
+}
+
+
+void ForwardProgress::__set_operations(const std::vector<int64_t> & val) {
+  this->operations = val;
+}
+std::ostream& operator<<(std::ostream& out, const ForwardProgress& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ForwardProgress::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->operations.clear();
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->operations.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
+            {
+              xfer += iprot->readI64(this->operations[_i142]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.operations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ForwardProgress::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ForwardProgress");
+
+  xfer += oprot->writeFieldBegin("operations", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->operations.size()));
+    std::vector<int64_t> ::const_iterator _iter143;
+    for (_iter143 = this->operations.begin(); _iter143 != this->operations.end(); ++_iter143)
+    {
+      xfer += oprot->writeI64((*_iter143));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ForwardProgress &a, ForwardProgress &b) {
+  using ::std::swap;
+  swap(a.operations, b.operations);
+  swap(a.__isset, b.__isset);
+}
+
+ForwardProgress::ForwardProgress(const ForwardProgress& other144) {
+  operations = other144.operations;
+  __isset = other144.__isset;
+}
+ForwardProgress::ForwardProgress(ForwardProgress&& other145) noexcept {
+  operations = std::move(other145.operations);
+  __isset = other145.__isset;
+}
+ForwardProgress& ForwardProgress::operator=(const ForwardProgress& other146) {
+  operations = other146.operations;
+  __isset = other146.__isset;
+  return *this;
+}
+ForwardProgress& ForwardProgress::operator=(ForwardProgress&& other147) noexcept {
+  operations = std::move(other147.operations);
+  __isset = other147.__isset;
+  return *this;
+}
+void ForwardProgress::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ForwardProgress(";
+  out << "operations=" << to_string(operations);
+  out << ")";
+}
+
+
+ForwardMessage::~ForwardMessage() noexcept {
+}
+
+
+void ForwardMessage::__set_statement(const ForwardedStatement& val) {
+  this->statement = val;
+__isset.statement = true;
+}
+
+void ForwardMessage::__set_answer(const ForwardedAnswer& val) {
+  this->answer = val;
+__isset.answer = true;
+}
+
+void ForwardMessage::__set_ended(const ForwardedEnd& val) {
+  this->ended = val;
+__isset.ended = true;
+}
+
+void ForwardMessage::__set_ping(const ForwardPing& val) {
+  this->ping = val;
+__isset.ping = true;
+}
+
+void ForwardMessage::__set_progress(const ForwardProgress& val) {
+  this->progress = val;
+__isset.progress = true;
+}
+std::ostream& operator<<(std::ostream& out, const ForwardMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ForwardMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->statement.read(iprot);
+          this->__isset.statement = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer.read(iprot);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ended.read(iprot);
+          this->__isset.ended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ping.read(iprot);
+          this->__isset.ping = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->progress.read(iprot);
+          this->__isset.progress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ForwardMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ForwardMessage");
+
+  if (this->__isset.statement) {
+    xfer += oprot->writeFieldBegin("statement", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->statement.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.answer) {
+    xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ended) {
+    xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->ended.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ping) {
+    xfer += oprot->writeFieldBegin("ping", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->ping.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.progress) {
+    xfer += oprot->writeFieldBegin("progress", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->progress.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ForwardMessage &a, ForwardMessage &b) {
+  using ::std::swap;
+  swap(a.statement, b.statement);
+  swap(a.answer, b.answer);
+  swap(a.ended, b.ended);
+  swap(a.ping, b.ping);
+  swap(a.progress, b.progress);
+  swap(a.__isset, b.__isset);
+}
+
+ForwardMessage::ForwardMessage(const ForwardMessage& other148) {
+  statement = other148.statement;
+  answer = other148.answer;
+  ended = other148.ended;
+  ping = other148.ping;
+  progress = other148.progress;
+  __isset = other148.__isset;
+}
+ForwardMessage::ForwardMessage(ForwardMessage&& other149) noexcept {
+  statement = std::move(other149.statement);
+  answer = std::move(other149.answer);
+  ended = std::move(other149.ended);
+  ping = std::move(other149.ping);
+  progress = std::move(other149.progress);
+  __isset = other149.__isset;
+}
+ForwardMessage& ForwardMessage::operator=(const ForwardMessage& other150) {
+  statement = other150.statement;
+  answer = other150.answer;
+  ended = other150.ended;
+  ping = other150.ping;
+  progress = other150.progress;
+  __isset = other150.__isset;
+  return *this;
+}
+ForwardMessage& ForwardMessage::operator=(ForwardMessage&& other151) noexcept {
+  statement = std::move(other151.statement);
+  answer = std::move(other151.answer);
+  ended = std::move(other151.ended);
+  ping = std::move(other151.ping);
+  progress = std::move(other151.progress);
+  __isset = other151.__isset;
+  return *this;
+}
+void ForwardMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ForwardMessage(";
+  out << "statement="; (__isset.statement ? (out << to_string(statement)) : (out << "<null>"));
+  out << ", " << "answer="; (__isset.answer ? (out << to_string(answer)) : (out << "<null>"));
+  out << ", " << "ended="; (__isset.ended ? (out << to_string(ended)) : (out << "<null>"));
+  out << ", " << "ping="; (__isset.ping ? (out << to_string(ping)) : (out << "<null>"));
+  out << ", " << "progress="; (__isset.progress ? (out << to_string(progress)) : (out << "<null>"));
+  out << ")";
+}
+
 }}} // namespace
--- a/src/gossip/gen/gossip_types.h
+++ b/src/gossip/gen/gossip_types.h
@@ -35,6 +35,34 @@
 
 class Report;
 
+class Position;
+
+class Shape;
+
+class Route;
+
+class Statement;
+
+class Commit;
+
+class ForwardedStatement;
+
+class Completed;
+
+class Refused;
+
+class Outcome;
+
+class ForwardedAnswer;
+
+class ForwardedEnd;
+
+class ForwardPing;
+
+class ForwardProgress;
+
+class ForwardMessage;
+
 typedef struct _Echo__isset {
   _Echo__isset() : instance(false), incarnation(false), sequence(false), held_us(false) {}
   bool instance :1;
@@ -519,6 +547,849 @@
 
 std::ostream& operator<<(std::ostream& out, const Report& obj);
 
+typedef struct _Position__isset {
+  _Position__isset() : term(false), index(false) {}
+  bool term :1;
+  bool index :1;
+} _Position__isset;
+
+class Position : public virtual ::apache::thrift::TBase {
+ public:
+
+  Position(const Position&) noexcept;
+  Position(Position&&) noexcept;
+  Position& operator=(const Position&) noexcept;
+  Position& operator=(Position&&) noexcept;
+  Position() noexcept
+           : term(0),
+             index(0) {
+  }
+
+  virtual ~Position() noexcept;
+  int64_t term;
+  int64_t index;
+
+  _Position__isset __isset;
+
+  void __set_term(const int64_t val);
+
+  void __set_index(const int64_t val);
+
+  bool operator == (const Position & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    return true;
+  }
+  bool operator != (const Position &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Position & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Position &a, Position &b);
+
+std::ostream& operator<<(std::ostream& out, const Position& obj);
+
+typedef struct _Shape__isset {
+  _Shape__isset() : access(false), text(false) {}
+  bool access :1;
+  bool text :1;
+} _Shape__isset;
+
+class Shape : public virtual ::apache::thrift::TBase {
+ public:
+
+  Shape(const Shape&);
+  Shape(Shape&&) noexcept;
+  Shape& operator=(const Shape&);
+  Shape& operator=(Shape&&) noexcept;
+  Shape() noexcept
+        : access(0),
+          text() {
+  }
+
+  virtual ~Shape() noexcept;
+  int32_t access;
+  std::string text;
+
+  _Shape__isset __isset;
+
+  void __set_access(const int32_t val);
+
+  void __set_text(const std::string& val);
+
+  bool operator == (const Shape & rhs) const
+  {
+    if (!(access == rhs.access))
+      return false;
+    if (!(text == rhs.text))
+      return false;
+    return true;
+  }
+  bool operator != (const Shape &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Shape & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Shape &a, Shape &b);
+
+std::ostream& operator<<(std::ostream& out, const Shape& obj);
+
+typedef struct _Route__isset {
+  _Route__isset() : group(false), consistency(false), max_staleness_us(false), statement_timeout_us(false), objective_us(false), priority(false), is_public(false) {}
+  bool group :1;
+  bool consistency :1;
+  bool max_staleness_us :1;
+  bool statement_timeout_us :1;
+  bool objective_us :1;
+  bool priority :1;
+  bool is_public :1;
+} _Route__isset;
+
+class Route : public virtual ::apache::thrift::TBase {
+ public:
+
+  Route(const Route&);
+  Route(Route&&) noexcept;
+  Route& operator=(const Route&);
+  Route& operator=(Route&&) noexcept;
+  Route() noexcept
+        : group(),
+          consistency(0),
+          max_staleness_us(0),
+          statement_timeout_us(0),
+          objective_us(0),
+          priority(0),
+          is_public(0) {
+  }
+
+  virtual ~Route() noexcept;
+  std::string group;
+  int32_t consistency;
+  int64_t max_staleness_us;
+  int64_t statement_timeout_us;
+  int64_t objective_us;
+  int32_t priority;
+  bool is_public;
+
+  _Route__isset __isset;
+
+  void __set_group(const std::string& val);
+
+  void __set_consistency(const int32_t val);
+
+  void __set_max_staleness_us(const int64_t val);
+
+  void __set_statement_timeout_us(const int64_t val);
+
+  void __set_objective_us(const int64_t val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_is_public(const bool val);
+
+  bool operator == (const Route & rhs) const
+  {
+    if (!(group == rhs.group))
+      return false;
+    if (!(consistency == rhs.consistency))
+      return false;
+    if (!(max_staleness_us == rhs.max_staleness_us))
+      return false;
+    if (!(statement_timeout_us == rhs.statement_timeout_us))
+      return false;
+    if (!(objective_us == rhs.objective_us))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(is_public == rhs.is_public))
+      return false;
+    return true;
+  }
+  bool operator != (const Route &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Route & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Route &a, Route &b);
+
+std::ostream& operator<<(std::ostream& out, const Route& obj);
+
+typedef struct _Statement__isset {
+  _Statement__isset() : id(false), kind(false), text(false), name(false), argument(false), prepared(false) {}
+  bool id :1;
+  bool kind :1;
+  bool text :1;
+  bool name :1;
+  bool argument :1;
+  bool prepared :1;
+} _Statement__isset;
+
+class Statement : public virtual ::apache::thrift::TBase {
+ public:
+
+  Statement(const Statement&);
+  Statement(Statement&&) noexcept;
+  Statement& operator=(const Statement&);
+  Statement& operator=(Statement&&) noexcept;
+  Statement() noexcept
+            : id(),
+              kind(0),
+              text(),
+              name(),
+              argument() {
+  }
+
+  virtual ~Statement() noexcept;
+  std::string id;
+  int32_t kind;
+  std::string text;
+  std::string name;
+  std::string argument;
+  Shape prepared;
+
+  _Statement__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_kind(const int32_t val);
+
+  void __set_text(const std::string& val);
+
+  void __set_name(const std::string& val);
+
+  void __set_argument(const std::string& val);
+
+  void __set_prepared(const Shape& val);
+
+  bool operator == (const Statement & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(text == rhs.text))
+      return false;
+    if (!(name == rhs.name))
+      return false;
+    if (!(argument == rhs.argument))
+      return false;
+    if (!(prepared == rhs.prepared))
+      return false;
+    return true;
+  }
+  bool operator != (const Statement &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Statement & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Statement &a, Statement &b);
+
+std::ostream& operator<<(std::ostream& out, const Statement& obj);
+
+typedef struct _Commit__isset {
+  _Commit__isset() : age_us(false), position(false) {}
+  bool age_us :1;
+  bool position :1;
+} _Commit__isset;
+
+class Commit : public virtual ::apache::thrift::TBase {
+ public:
+
+  Commit(const Commit&) noexcept;
+  Commit(Commit&&) noexcept;
+  Commit& operator=(const Commit&) noexcept;
+  Commit& operator=(Commit&&) noexcept;
+  Commit() noexcept
+         : age_us(0) {
+  }
+
+  virtual ~Commit() noexcept;
+  int64_t age_us;
+  Position position;
+
+  _Commit__isset __isset;
+
+  void __set_age_us(const int64_t val);
+
+  void __set_position(const Position& val);
+
+  bool operator == (const Commit & rhs) const
+  {
+    if (!(age_us == rhs.age_us))
+      return false;
+    if (!(position == rhs.position))
+      return false;
+    return true;
+  }
+  bool operator != (const Commit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Commit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Commit &a, Commit &b);
+
+std::ostream& operator<<(std::ostream& out, const Commit& obj);
+
+typedef struct _ForwardedStatement__isset {
+  _ForwardedStatement__isset() : operation(false), begins(false), transaction(false), customer(false), route(false), statement(false), values(false), last_commit(false) {}
+  bool operation :1;
+  bool begins :1;
+  bool transaction :1;
+  bool customer :1;
+  bool route :1;
+  bool statement :1;
+  bool values :1;
+  bool last_commit :1;
+} _ForwardedStatement__isset;
+
+class ForwardedStatement : public virtual ::apache::thrift::TBase {
+ public:
+
+  ForwardedStatement(const ForwardedStatement&);
+  ForwardedStatement(ForwardedStatement&&) noexcept;
+  ForwardedStatement& operator=(const ForwardedStatement&);
+  ForwardedStatement& operator=(ForwardedStatement&&) noexcept;
+  ForwardedStatement() noexcept
+                     : operation(0),
+                       begins(0),
+                       transaction(0),
+                       customer() {
+  }
+
+  virtual ~ForwardedStatement() noexcept;
+  int64_t operation;
+  bool begins;
+  int32_t transaction;
+  std::string customer;
+  Route route;
+  Statement statement;
+  std::map<std::string, std::string>  values;
+  Commit last_commit;
+
+  _ForwardedStatement__isset __isset;
+
+  void __set_operation(const int64_t val);
+
+  void __set_begins(const bool val);
+
+  void __set_transaction(const int32_t val);
+
+  void __set_customer(const std::string& val);
+
+  void __set_route(const Route& val);
+
+  void __set_statement(const Statement& val);
+
+  void __set_values(const std::map<std::string, std::string> & val);
+
+  void __set_last_commit(const Commit& val);
+
+  bool operator == (const ForwardedStatement & rhs) const
+  {
+    if (!(operation == rhs.operation))
+      return false;
+    if (!(begins == rhs.begins))
+      return false;
+    if (!(transaction == rhs.transaction))
+      return false;
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(route == rhs.route))
+      return false;
+    if (!(statement == rhs.statement))
+      return false;
+    if (!(values == rhs.values))
+      return false;
+    if (__isset.last_commit != rhs.__isset.last_commit)
+      return false;
+    else if (__isset.last_commit && !(last_commit == rhs.last_commit))
+      return false;
+    return true;
+  }
+  bool operator != (const ForwardedStatement &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ForwardedStatement & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ForwardedStatement &a, ForwardedStatement &b);
+
+std::ostream& operator<<(std::ostream& out, const ForwardedStatement& obj);
+
+typedef struct _Completed__isset {
+  _Completed__isset() : rows(false), signature(false) {}
+  bool rows :1;
+  bool signature :1;
+} _Completed__isset;
+
+class Completed : public virtual ::apache::thrift::TBase {
+ public:
+
+  Completed(const Completed&);
+  Completed(Completed&&) noexcept;
+  Completed& operator=(const Completed&);
+  Completed& operator=(Completed&&) noexcept;
+  Completed() noexcept
+            : signature() {
+  }
+
+  virtual ~Completed() noexcept;
+  std::vector<std::string>  rows;
+  std::string signature;
+
+  _Completed__isset __isset;
+
+  void __set_rows(const std::vector<std::string> & val);
+
+  void __set_signature(const std::string& val);
+
+  bool operator == (const Completed & rhs) const
+  {
+    if (!(rows == rhs.rows))
+      return false;
+    if (!(signature == rhs.signature))
+      return false;
+    return true;
+  }
+  bool operator != (const Completed &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Completed & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Completed &a, Completed &b);
+
+std::ostream& operator<<(std::ostream& out, const Completed& obj);
+
+typedef struct _Refused__isset {
+  _Refused__isset() : code(false), message(false), try_elsewhere(false) {}
+  bool code :1;
+  bool message :1;
+  bool try_elsewhere :1;
+} _Refused__isset;
+
+class Refused : public virtual ::apache::thrift::TBase {
+ public:
+
+  Refused(const Refused&);
+  Refused(Refused&&) noexcept;
+  Refused& operator=(const Refused&);
+  Refused& operator=(Refused&&) noexcept;
+  Refused() noexcept
+          : code(0),
+            message(),
+            try_elsewhere(0) {
+  }
+
+  virtual ~Refused() noexcept;
+  int32_t code;
+  std::string message;
+  bool try_elsewhere;
+
+  _Refused__isset __isset;
+
+  void __set_code(const int32_t val);
+
+  void __set_message(const std::string& val);
+
+  void __set_try_elsewhere(const bool val);
+
+  bool operator == (const Refused & rhs) const
+  {
+    if (!(code == rhs.code))
+      return false;
+    if (!(message == rhs.message))
+      return false;
+    if (!(try_elsewhere == rhs.try_elsewhere))
+      return false;
+    return true;
+  }
+  bool operator != (const Refused &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Refused & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Refused &a, Refused &b);
+
+std::ostream& operator<<(std::ostream& out, const Refused& obj);
+
+typedef struct _Outcome__isset {
+  _Outcome__isset() : completed(false), refused(false) {}
+  bool completed :1;
+  bool refused :1;
+} _Outcome__isset;
+
+class Outcome : public virtual ::apache::thrift::TBase {
+ public:
+
+  Outcome(const Outcome&);
+  Outcome(Outcome&&) noexcept;
+  Outcome& operator=(const Outcome&);
+  Outcome& operator=(Outcome&&) noexcept;
+  Outcome() noexcept {
+  }
+
+  virtual ~Outcome() noexcept;
+  Completed completed;
+  Refused refused;
+
+  _Outcome__isset __isset;
+
+  void __set_completed(const Completed& val);
+
+  void __set_refused(const Refused& val);
+
+  bool operator == (const Outcome & rhs) const
+  {
+    if (__isset.completed != rhs.__isset.completed)
+      return false;
+    else if (__isset.completed && !(completed == rhs.completed))
+      return false;
+    if (__isset.refused != rhs.__isset.refused)
+      return false;
+    else if (__isset.refused && !(refused == rhs.refused))
+      return false;
+    return true;
+  }
+  bool operator != (const Outcome &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Outcome & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Outcome &a, Outcome &b);
+
+std::ostream& operator<<(std::ostream& out, const Outcome& obj);
+
+typedef struct _ForwardedAnswer__isset {
+  _ForwardedAnswer__isset() : operation(false), outcome(false), state(false), position(false) {}
+  bool operation :1;
+  bool outcome :1;
+  bool state :1;
+  bool position :1;
+} _ForwardedAnswer__isset;
+
+class ForwardedAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  ForwardedAnswer(const ForwardedAnswer&);
+  ForwardedAnswer(ForwardedAnswer&&) noexcept;
+  ForwardedAnswer& operator=(const ForwardedAnswer&);
+  ForwardedAnswer& operator=(ForwardedAnswer&&) noexcept;
+  ForwardedAnswer() noexcept
+                  : operation(0),
+                    state(0) {
+  }
+
+  virtual ~ForwardedAnswer() noexcept;
+  int64_t operation;
+  Outcome outcome;
+  int32_t state;
+  Position position;
+
+  _ForwardedAnswer__isset __isset;
+
+  void __set_operation(const int64_t val);
+
+  void __set_outcome(const Outcome& val);
+
+  void __set_state(const int32_t val);
+
+  void __set_position(const Position& val);
+
+  bool operator == (const ForwardedAnswer & rhs) const
+  {
+    if (!(operation == rhs.operation))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (__isset.position != rhs.__isset.position)
+      return false;
+    else if (__isset.position && !(position == rhs.position))
+      return false;
+    return true;
+  }
+  bool operator != (const ForwardedAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ForwardedAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ForwardedAnswer &a, ForwardedAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const ForwardedAnswer& obj);
+
+typedef struct _ForwardedEnd__isset {
+  _ForwardedEnd__isset() : operation(false) {}
+  bool operation :1;
+} _ForwardedEnd__isset;
+
+class ForwardedEnd : public virtual ::apache::thrift::TBase {
+ public:
+
+  ForwardedEnd(const ForwardedEnd&) noexcept;
+  ForwardedEnd(ForwardedEnd&&) noexcept;
+  ForwardedEnd& operator=(const ForwardedEnd&) noexcept;
+  ForwardedEnd& operator=(ForwardedEnd&&) noexcept;
+  ForwardedEnd() noexcept
+               : operation(0) {
+  }
+
+  virtual ~ForwardedEnd() noexcept;
+  int64_t operation;
+
+  _ForwardedEnd__isset __isset;
+
+  void __set_operation(const int64_t val);
+
+  bool operator == (const ForwardedEnd & rhs) const
+  {
+    if (!(operation == rhs.operation))
+      return false;
+    return true;
+  }
+  bool operator != (const ForwardedEnd &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ForwardedEnd & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ForwardedEnd &a, ForwardedEnd &b);
+
+std::ostream& operator<<(std::ostream& out, const ForwardedEnd& obj);
+
+
+class ForwardPing : public virtual ::apache::thrift::TBase {
+ public:
+
+  ForwardPing(const ForwardPing&) noexcept;
+  ForwardPing(ForwardPing&&) noexcept;
+  ForwardPing& operator=(const ForwardPing&) noexcept;
+  ForwardPing& operator=(ForwardPing&&) noexcept;
+  ForwardPing() noexcept {
+  }
+
+  virtual ~ForwardPing() noexcept;
+
+  bool operator == (const ForwardPing & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const ForwardPing &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ForwardPing & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ForwardPing &a, ForwardPing &b);
+
+std::ostream& operator<<(std::ostream& out, const ForwardPing& obj);
+
+typedef struct _ForwardProgress__isset {
+  _ForwardProgress__isset() : operations(false) {}
+  bool operations :1;
+} _ForwardProgress__isset;
+
+class ForwardProgress : public virtual ::apache::thrift::TBase {
+ public:
+
+  ForwardProgress(const ForwardProgress&);
+  ForwardProgress(ForwardProgress&&) noexcept;
+  ForwardProgress& operator=(const ForwardProgress&);
+  ForwardProgress& operator=(ForwardProgress&&) noexcept;
+  ForwardProgress() noexcept {
+  }
+
+  virtual ~ForwardProgress() noexcept;
+  std::vector<int64_t>  operations;
+
+  _ForwardProgress__isset __isset;
+
+  void __set_operations(const std::vector<int64_t> & val);
+
+  bool operator == (const ForwardProgress & rhs) const
+  {
+    if (!(operations == rhs.operations))
+      return false;
+    return true;
+  }
+  bool operator != (const ForwardProgress &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ForwardProgress & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ForwardProgress &a, ForwardProgress &b);
+
+std::ostream& operator<<(std::ostream& out, const ForwardProgress& obj);
+
+typedef struct _ForwardMessage__isset {
+  _ForwardMessage__isset() : statement(false), answer(false), ended(false), ping(false), progress(false) {}
+  bool statement :1;
+  bool answer :1;
+  bool ended :1;
+  bool ping :1;
+  bool progress :1;
+} _ForwardMessage__isset;
+
+class ForwardMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  ForwardMessage(const ForwardMessage&);
+  ForwardMessage(ForwardMessage&&) noexcept;
+  ForwardMessage& operator=(const ForwardMessage&);
+  ForwardMessage& operator=(ForwardMessage&&) noexcept;
+  ForwardMessage() noexcept {
+  }
+
+  virtual ~ForwardMessage() noexcept;
+  ForwardedStatement statement;
+  ForwardedAnswer answer;
+  ForwardedEnd ended;
+  ForwardPing ping;
+  ForwardProgress progress;
+
+  _ForwardMessage__isset __isset;
+
+  void __set_statement(const ForwardedStatement& val);
+
+  void __set_answer(const ForwardedAnswer& val);
+
+  void __set_ended(const ForwardedEnd& val);
+
+  void __set_ping(const ForwardPing& val);
+
+  void __set_progress(const ForwardProgress& val);
+
+  bool operator == (const ForwardMessage & rhs) const
+  {
+    if (__isset.statement != rhs.__isset.statement)
+      return false;
+    else if (__isset.statement && !(statement == rhs.statement))
+      return false;
+    if (__isset.answer != rhs.__isset.answer)
+      return false;
+    else if (__isset.answer && !(answer == rhs.answer))
+      return false;
+    if (__isset.ended != rhs.__isset.ended)
+      return false;
+    else if (__isset.ended && !(ended == rhs.ended))
+      return false;
+    if (__isset.ping != rhs.__isset.ping)
+      return false;
+    else if (__isset.ping && !(ping == rhs.ping))
+      return false;
+    if (__isset.progress != rhs.__isset.progress)
+      return false;
+    else if (__isset.progress && !(progress == rhs.progress))
+      return false;
+    return true;
+  }
+  bool operator != (const ForwardMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ForwardMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ForwardMessage &a, ForwardMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const ForwardMessage& obj);
+
 }}} // namespace
 
 #endif
--- a/src/gossip/report_codec.cc
+++ b/src/gossip/report_codec.cc
@@ -1,23 +1,15 @@
 #include "src/gossip/report_codec.h"
 
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
 #include <exception>
-#include <memory>
 
 #include "gossip_types.h"
+#include "src/gossip/thrift_bytes.h"
 
 namespace jasminelug::gossip {
 namespace {
 
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
-using CompactProtocol = TCompactProtocolT<TMemoryBuffer>;
-
 // No report holds a longer text or list.
-constexpr std::int32_t kMaxTextBytes = 4096;
-constexpr std::int32_t kMaxListLength = 4096;
+constexpr internal::ThriftLimits kLimits{4096, 4096};
 
 wire::Proof ToWire(const gateway::StateProof& proof) {
   wire::Proof out;
@@ -161,30 +153,15 @@
   return out;
 }
 
-// Throws what libthrift throws where the bytes are no report.
-wire::Report ReadWire(std::string_view bytes) {
-  // TMemoryBuffer takes a mutable pointer and only reads from it in this mode.
-  auto* data = reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data()));
-  const auto buffer = std::make_shared<TMemoryBuffer>(
-      data, static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
-  CompactProtocol protocol(buffer, kMaxTextBytes, kMaxListLength);
-  wire::Report report;
-  report.read(&protocol);
-  return report;
-}
-
 }  // namespace
 
 std::string EncodeReport(const gateway::PeerReport& report) {
-  const auto buffer = std::make_shared<TMemoryBuffer>();
-  CompactProtocol protocol(buffer);
-  ToWire(report).write(&protocol);
-  return buffer->getBufferAsString();
+  return internal::WriteWire(ToWire(report));
 }
 
 Result<gateway::PeerReport, CodecError> DecodeReport(std::string_view bytes) {
   try {
-    return FromWire(ReadWire(bytes));
+    return FromWire(internal::ReadWire<wire::Report>(bytes, kLimits));
   } catch (const std::exception& error) {
     return CodecError{error.what()};
   }
--- a/src/gossip/report_codec.h
+++ b/src/gossip/report_codec.h
@@ -6,16 +6,10 @@
 
 #include "jasminelug/common.h"
 #include "src/gateway/peer_report.h"
+#include "src/gossip/codec_error.h"
 
 namespace jasminelug::gossip {
 
-// Bytes that are no report.
-struct CodecError {
-  friend bool operator==(const CodecError&, const CodecError&) = default;
-
-  std::string m_message;
-};
-
 // Writes a report in Thrift's compact protocol.
 std::string EncodeReport(const gateway::PeerReport& report);
 
--- /dev/null
+++ b/src/gossip/thrift_bytes.h
@@ -0,0 +1,49 @@
+#ifndef SRC_GOSSIP_THRIFT_BYTES_H_
+#define SRC_GOSSIP_THRIFT_BYTES_H_
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace jasminelug::gossip::internal {
+
+// Bounds of what is read.
+struct ThriftLimits {
+  std::int32_t m_text_bytes = 0;
+  std::int32_t m_list_length = 0;
+};
+
+using MemoryBuffer = apache::thrift::transport::TMemoryBuffer;
+using CompactProtocol =
+    apache::thrift::protocol::TCompactProtocolT<MemoryBuffer>;
+
+// Writes a generated type in the compact protocol.
+template <typename Wire>
+std::string WriteWire(const Wire& wire) {
+  const auto buffer = std::make_shared<MemoryBuffer>();
+  CompactProtocol protocol(buffer);
+  wire.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+// Reads what WriteWire() wrote; throws what libthrift throws where the bytes
+// are something else.
+template <typename Wire>
+Wire ReadWire(std::string_view bytes, const ThriftLimits& limits) {
+  // TMemoryBuffer takes a mutable pointer and only reads from it in this mode.
+  auto* data = reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data()));
+  const auto buffer = std::make_shared<MemoryBuffer>(
+      data, static_cast<std::uint32_t>(bytes.size()), MemoryBuffer::OBSERVE);
+  CompactProtocol protocol(buffer, limits.m_text_bytes, limits.m_list_length);
+  Wire wire;
+  wire.read(&protocol);
+  return wire;
+}
+
+}  // namespace jasminelug::gossip::internal
+
+#endif  // SRC_GOSSIP_THRIFT_BYTES_H_
--- a/src/peers/internal/outbound_session.cc
+++ b/src/peers/internal/outbound_session.cc
@@ -179,6 +179,9 @@
     PopFront();
   }
   Delay();
+  if (m_hooks.m_on_lost) {
+    m_hooks.m_on_lost(m_peer);
+  }
   if (error == asio::error::timed_out && m_hooks.m_on_unreachable) {
     m_hooks.m_on_unreachable(m_peer);
   }
--- a/src/peers/options.h
+++ b/src/peers/options.h
@@ -53,6 +53,10 @@
   // The peer did not answer in time, cannot be reached or failed the TLS
   // handshake. This proves nothing about the daemon there.
   std::function<void(const PeerAddress& peer)> m_on_unreachable;
+
+  // An open connection to the peer ended: the message that was being sent may
+  // be lost.
+  std::function<void(const PeerAddress& peer)> m_on_lost;
 };
 
 }  // namespace jasminelug::peers
