--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -50,6 +50,9 @@
   entry.m_zone = gateway::ZoneName(settings.m_zone);
   entry.m_peer_address = gateway::Address(settings.m_peer_address + ":" +
                                           std::to_string(settings.m_peer_port));
+  const Processors& processors = settings.m_processors;
+  entry.m_processors =
+      processors.m_share * static_cast<double>(processors.m_cores);
   return entry;
 }
 
--- a/apps/gateway/settings.cc
+++ b/apps/gateway/settings.cc
@@ -18,6 +18,13 @@
                "must be an IP number and a port");
 }
 
+void ReadProcessors(ObjectReader& reader, Processors* processors) {
+  reader.Optional("share", &processors->m_share);
+  reader.Check(processors->m_share > 0, "share", "must be positive");
+  reader.Optional("cores", &processors->m_cores);
+  reader.Check(processors->m_cores > 0, "cores", "must be positive");
+}
+
 void ReadSettings(ObjectReader& reader, Settings* settings) {
   reader.Required("instance", &settings->m_instance);
   reader.Check(!settings->m_instance.empty(), "instance", "must not be empty");
@@ -33,6 +40,8 @@
   if (usable) {
     settings->m_peer_port = static_cast<std::uint16_t>(ports.front());
   }
+  reader.OptionalObject<Processors>("processors", &settings->m_processors,
+                                    ReadProcessors);
   ReadAddress(reader, "store", &settings->m_store);
   ReadAddress(reader, "promotion", &settings->m_promotion);
   reader.Optional("key_withdrawal_limit_ms", &settings->m_key_withdrawal_limit);
--- a/apps/gateway/settings.h
+++ b/apps/gateway/settings.h
@@ -11,6 +11,14 @@
 
 namespace jasminelug::gateway_app {
 
+// What a process may use of each core, 0 to 1, and how many cores it has.
+struct Processors {
+  bool operator==(const Processors&) const = default;
+
+  double m_share = 1;
+  std::int64_t m_cores = 1;
+};
+
 // What one gateway is told when it starts. Addresses are "IP:PORT".
 struct Settings {
   bool operator==(const Settings&) const = default;
@@ -24,6 +32,7 @@
   // IP number and first port of the datagrams between instances.
   std::string m_peer_address;
   std::uint16_t m_peer_port = 0;
+  Processors m_processors;
   // The metadata store, and the platform's promotion call.
   std::string m_store;
   std::string m_promotion;
--- a/src/gateway/connection_holders.cc
+++ b/src/gateway/connection_holders.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "src/core/rendezvous.h"
@@ -21,6 +22,11 @@
 constexpr int kLeastHolders = 2;
 // Connections to each member of an instance that is no holder.
 constexpr int kReserveConnections = 1;
+// An instance with this part of the largest one's processors is large.
+constexpr double kLargePart = 0.5;
+// Large instances are preferred where they have this part of all processors,
+// so that they can carry what is forwarded to them.
+constexpr double kLeastPreferredPart = 0.2;
 
 int UsedPart(int connections) {
   return connections * kUsedPartNumerator / kUsedPartDenominator;
@@ -36,9 +42,10 @@
                                      ZoneName zone) {
   m_instances.clear();
   for (const InstanceEntry& entry : entries) {
-    m_instances.emplace(entry.m_id, entry.m_zone);
+    m_instances[entry.m_id] = {entry.m_zone, entry.m_processors};
   }
-  m_instances.insert_or_assign(m_self, std::move(zone));
+  m_instances[m_self].m_zone = std::move(zone);
+  m_preferred_processors = ChoosePreferredProcessors();
   for (const auto& [name, group] : std::exchange(m_groups, {})) {
     SetConnections(name, group.m_connections);
   }
@@ -52,15 +59,32 @@
   group.m_budget = ChooseBudget(ranked, group.m_holders, connections);
 }
 
+double ConnectionHolders::ChoosePreferredProcessors() const {
+  double largest = 0;
+  double total = 0;
+  for (const auto& [id, instance] : m_instances) {
+    largest = std::max(largest, instance.m_processors);
+    total += instance.m_processors;
+  }
+  double preferred = 0;
+  for (const auto& [id, instance] : m_instances) {
+    if (instance.m_processors >= largest * kLargePart) {
+      preferred += instance.m_processors;
+    }
+  }
+  return preferred >= total * kLeastPreferredPart ? largest * kLargePart : 0;
+}
+
 std::vector<InstanceId> ConnectionHolders::Rank(const GroupName& group) const {
-  std::vector<std::pair<std::uint64_t, InstanceId>> weights;
-  for (const auto& [id, zone] : m_instances) {
-    weights.emplace_back(core::RendezvousWeight(id, group.str()), id);
+  std::vector<std::tuple<bool, std::uint64_t, InstanceId>> weights;
+  for (const auto& [id, instance] : m_instances) {
+    weights.emplace_back(instance.m_processors >= m_preferred_processors,
+                         core::RendezvousWeight(id, group.str()), id);
   }
   std::sort(weights.rbegin(), weights.rend());
   std::vector<InstanceId> ranked;
   ranked.reserve(weights.size());
-  for (const auto& [weight, id] : weights) {
+  for (const auto& [preferred, weight, id] : weights) {
     ranked.push_back(id);
   }
   return ranked;
@@ -78,7 +102,7 @@
     std::set<ZoneName> used;
     for (const InstanceId& id : ranked) {
       if (!Contains(holders, id) && holders.size() < count &&
-          used.insert(m_instances.at(id)).second) {
+          used.insert(m_instances.at(id).m_zone).second) {
         holders.push_back(id);
       }
     }
--- a/src/gateway/connection_holders.h
+++ b/src/gateway/connection_holders.h
@@ -18,8 +18,8 @@
 // statements do. Divided by all instances, each would hold so few that most
 // operations open one. So a few instances, chosen by rendezvous hashing from
 // different availability zones, hold the connections to a group, and the others
-// forward to them; each customer has one of the holders, so that its
-// connections are used again. An instance that reaches no holder has a small
+// forward to them; large instances come first. Each customer has one of the holders,
+// so that its connections are used again. An instance that reaches no holder has a small
 // reserve of its own.
 //
 // Instances may differ for a while in which instances they know. Then a group
@@ -53,6 +53,11 @@
   int BudgetFor(const GroupName& group) const;
 
  private:
+  struct Instance {
+    ZoneName m_zone;
+    double m_processors = 0;
+  };
+
   struct Group {
     int m_connections = 0;
     std::vector<InstanceId> m_holders;
@@ -60,7 +65,9 @@
     int m_budget = 1;
   };
 
-  // All instances, the highest rendezvous weight first.
+  double ChoosePreferredProcessors() const;
+  // All instances, the preferred ones first, and each kind by rendezvous
+  // weight, the highest first.
   std::vector<InstanceId> Rank(const GroupName& group) const;
   std::vector<InstanceId> ChooseHolders(const std::vector<InstanceId>& ranked,
                                         int connections) const;
@@ -69,7 +76,9 @@
                    int connections) const;
 
   const InstanceId m_self;
-  std::map<InstanceId, ZoneName> m_instances;
+  // Processors from which on an instance is preferred as a holder.
+  double m_preferred_processors = 0;
+  std::map<InstanceId, Instance> m_instances;
   std::map<GroupName, Group> m_groups;
 };
 
--- a/src/gateway/store_object.h
+++ b/src/gateway/store_object.h
@@ -39,6 +39,9 @@
   ZoneName m_zone;
   // Where its peers reach it, by datagrams.
   Address m_peer_address;
+  // What the instance has of processors, in cores of its platform's usual
+  // speed; 0 where it does not say.
+  double m_processors = 0;
   // The newest replacement record whose old primary the instance has stopped
   // using. Kept here only while its reports do not reach the coordinator.
   Revision m_acknowledged;
--- a/src/peers/internal/inbound_session.cc
+++ b/src/peers/internal/inbound_session.cc
@@ -29,7 +29,7 @@
                                self->Close("handshake: " + error.message());
                                return;
                              }
-                             self->ReadHeader();
+                             self->Read();
                            });
 }
 
@@ -49,58 +49,61 @@
       });
 }
 
-void InboundSession::ReadHeader() {
+void InboundSession::Read() {
   if (m_stopped) {
     return;
   }
-  m_stream->AsyncRead(asio::buffer(m_header),
-                      [self = shared_from_this()](asio::error_code error) {
-                        if (error) {
-                          self->Close(error.message());
-                          return;
-                        }
-                        self->ReadPayload();
-                      });
+  m_stream->AsyncReadSome(
+      asio::buffer(m_buffer),
+      [self = shared_from_this()](asio::error_code error, std::size_t size) {
+        if (error) {
+          self->Close(error.message());
+          return;
+        }
+        self->m_received.append(self->m_buffer.data(), size);
+        if (self->DeliverAll()) {
+          self->Read();
+        }
+      });
 }
 
-void InboundSession::ReadPayload() {
-  const std::uint32_t length =
-      DecodeFrameLength(std::string_view(m_header.data(), m_header.size()));
-  if (length == 0 || length > kMaxFrameBytes) {
-    Close("bad frame: length " + std::to_string(length));
-    return;
+bool InboundSession::DeliverAll() {
+  std::size_t begin = 0;
+  while (m_received.size() - begin >= kFrameHeaderBytes) {
+    const std::string_view frame = std::string_view(m_received).substr(begin);
+    const std::uint32_t length = DecodeFrameLength(frame);
+    if (length == 0 || length > kMaxFrameBytes) {
+      Close("bad frame: length " + std::to_string(length));
+      return false;
+    }
+    if (frame.size() < kFrameHeaderBytes + length) {
+      break;
+    }
+    if (!Deliver(frame.substr(kFrameHeaderBytes, length))) {
+      return false;
+    }
+    begin += kFrameHeaderBytes + length;
   }
-  m_payload.resize(length);
-  m_stream->AsyncRead(asio::buffer(m_payload),
-                      [self = shared_from_this()](asio::error_code error) {
-                        if (error) {
-                          self->Close(error.message());
-                          return;
-                        }
-                        self->Deliver();
-                      });
+  m_received.erase(0, begin);
+  return true;
 }
 
-void InboundSession::Deliver() {
-  if (m_stopped) {
-    return;
-  }
-  const Result<Envelope, Error> decoded = DecodeEnvelope(m_payload);
+bool InboundSession::Deliver(std::string_view payload) {
+  const Result<Envelope, Error> decoded = DecodeEnvelope(payload);
   if (const auto* envelope = std::get_if<Envelope>(&decoded)) {
     if (m_on_message) {
       m_on_message(m_from, *envelope);
     }
-    ReadHeader();
-    return;
+    return !m_stopped;
   }
   const Error& error = std::get<Error>(decoded);
   if (error.m_kind != ErrorKind::kUnknownBody) {
     Close("bad frame: " + error.m_message);
-    return;
+    return false;
   }
   LogWarning("message dropped",
              {{"peer", ToString(m_from)}, {"reason", error.m_message}});
-  ReadHeader();
+  return true;
 }
 
 void InboundSession::Close(std::string_view reason) {
--- a/src/peers/internal/inbound_session.h
+++ b/src/peers/internal/inbound_session.h
@@ -39,10 +39,13 @@
   void Stop();
 
  private:
+  static constexpr std::size_t kReadBytes = 4096;
+
   void ArmHandshakeTimer();
-  void ReadHeader();
-  void ReadPayload();
-  void Deliver();
+  void Read();
+  // Delivers what has come whole; false once the session is stopped.
+  bool DeliverAll();
+  bool Deliver(std::string_view payload);
   // Ends the session for a reason that is logged.
   void Close(std::string_view reason);
 
@@ -52,8 +55,9 @@
   const MessageHook m_on_message;
   const ClosedHook m_on_closed;
   asio::steady_timer m_handshake_timer;
-  std::array<char, kFrameHeaderBytes> m_header{};
-  std::string m_payload;
+  std::array<char, kReadBytes> m_buffer{};
+  // The frames that are not delivered yet.
+  std::string m_received;
   bool m_stopped = false;
 };
 
--- a/src/peers/internal/outbound_session.cc
+++ b/src/peers/internal/outbound_session.cc
@@ -2,6 +2,7 @@
 
 #include <asio/error.hpp>
 
+#include <chrono>
 #include <utility>
 
 #include "src/peers/internal/endpoint.h"
@@ -108,23 +109,52 @@
   if (!m_writing) {
     return;
   }
-  ArmTimer(m_options.m_write_timeout);
+  m_written.clear();
+  for (const std::string& frame : m_queue) {
+    m_written += frame;
+  }
+  m_written_frames = m_queue.size();
+  ArmWriteTimer();
   m_stream->AsyncWrite(
-      asio::buffer(m_queue.front()),
+      asio::buffer(m_written),
       [self = shared_from_this(), stream = m_stream](asio::error_code error) {
         if (self->m_stream != stream || self->m_state != State::kConnected) {
           return;
         }
-        self->m_timer.cancel();
         if (error) {
           self->LoseConnection(error);
           return;
         }
-        self->PopFront();
+        self->DropWritten();
         self->WriteNext();
       });
 }
 
+// One timer serves many writes: when it runs out before the present write's
+// deadline, it is set again.
+void OutboundSession::ArmWriteTimer() {
+  m_write_deadline =
+      std::chrono::steady_clock::now() + m_options.m_write_timeout;
+  if (!m_write_timer_armed) {
+    m_write_timer_armed = true;
+    ArmTimer(m_options.m_write_timeout);
+  }
+}
+
+void OutboundSession::OnWriteTimer() {
+  m_write_timer_armed = false;
+  if (!m_writing) {
+    return;
+  }
+  const auto left = m_write_deadline - std::chrono::steady_clock::now();
+  if (left <= left.zero()) {
+    LoseConnection(asio::error::timed_out);
+    return;
+  }
+  m_write_timer_armed = true;
+  ArmTimer(std::chrono::ceil<std::chrono::milliseconds>(left));
+}
+
 // The peer sends nothing on this connection, so whatever the read gives ends
 // it: the peer's close is seen before the next message is lost in it.
 void OutboundSession::WatchForClose() {
@@ -152,8 +182,8 @@
 void OutboundSession::OnTimer() {
   if (m_state == State::kConnecting) {
     FailAttempt(asio::error::timed_out);
-  } else if (m_state == State::kConnected && m_writing) {
-    LoseConnection(asio::error::timed_out);
+  } else if (m_state == State::kConnected) {
+    OnWriteTimer();
   } else if (m_state == State::kDelaying) {
     EndDelay();
   }
@@ -174,9 +204,9 @@
 void OutboundSession::LoseConnection(asio::error_code error) {
   LogInfo("connection lost",
           {{"peer", ToString(m_peer)}, {"reason", error.message()}});
-  // The frame may have been received, and must not be received twice.
+  // The frames may have been received, and must not be received twice.
   if (m_writing) {
-    PopFront();
+    DropWritten();
   }
   Delay();
   if (m_hooks.m_on_lost) {
@@ -190,6 +220,7 @@
 void OutboundSession::Delay() {
   m_stream->Close();
   m_writing = false;
+  m_write_timer_armed = false;
   m_state = State::kDelaying;
   ArmTimer(m_delay.Next());
 }
@@ -206,9 +237,11 @@
   m_queued_bytes = 0;
 }
 
-void OutboundSession::PopFront() {
-  m_queued_bytes -= m_queue.front().size();
-  m_queue.pop_front();
+void OutboundSession::DropWritten() {
+  for (; m_written_frames > 0; --m_written_frames) {
+    m_queued_bytes -= m_queue.front().size();
+    m_queue.pop_front();
+  }
 }
 
 }  // namespace jasminelug::peers::internal
--- a/src/peers/internal/outbound_session.h
+++ b/src/peers/internal/outbound_session.h
@@ -4,6 +4,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -43,7 +44,10 @@
   void Connect();
   void Handshake();
   void BecomeConnected();
+  // Writes all that is queued, in one piece.
   void WriteNext();
+  void ArmWriteTimer();
+  void OnWriteTimer();
   void WatchForClose();
   void ArmTimer(std::chrono::milliseconds limit);
   void OnTimer();
@@ -54,7 +58,8 @@
   void Delay();
   void EndDelay();
   void DropQueue();
-  void PopFront();
+  // Drops the frames of the present write from the queue.
+  void DropWritten();
 
   asio::io_context& m_io;
   const PeerAddress m_peer;
@@ -68,7 +73,12 @@
   std::shared_ptr<Stream> m_stream;
   std::deque<std::string> m_queue;
   std::size_t m_queued_bytes = 0;
+  // What is being written, of how many frames, and when it is given up.
   bool m_writing = false;
+  std::string m_written;
+  std::size_t m_written_frames = 0;
+  std::chrono::steady_clock::time_point m_write_deadline;
+  bool m_write_timer_armed = false;
   char m_read_byte = 0;
 };
 
--- a/src/peers/internal/stream.cc
+++ b/src/peers/internal/stream.cc
@@ -44,6 +44,12 @@
       m_stream);
 }
 
+void Stream::AsyncReadSome(asio::mutable_buffer buffer, ReadHandler handler) {
+  std::visit(
+      [&](auto& stream) { stream.async_read_some(buffer, std::move(handler)); },
+      m_stream);
+}
+
 void Stream::AsyncWrite(asio::const_buffer buffer, DoneHandler handler) {
   std::visit(
       [&](auto& stream) {
--- a/src/peers/internal/stream.h
+++ b/src/peers/internal/stream.h
@@ -18,6 +18,7 @@
 class Stream {
  public:
   using DoneHandler = std::function<void(asio::error_code)>;
+  using ReadHandler = std::function<void(asio::error_code, std::size_t)>;
 
   // A null `tls` makes a plain connection.
   Stream(asio::ip::tcp::socket socket, const TlsContext& tls);
@@ -32,6 +33,9 @@
   // Reads until `buffer` is full.
   void AsyncRead(asio::mutable_buffer buffer, DoneHandler handler);
 
+  // Reads what has come, at least a byte and at most `buffer`.
+  void AsyncReadSome(asio::mutable_buffer buffer, ReadHandler handler);
+
   // Writes all of `buffer`.
   void AsyncWrite(asio::const_buffer buffer, DoneHandler handler);
 
--- a/test/peers/peer_network_test.cc
+++ b/test/peers/peer_network_test.cc
@@ -36,7 +36,8 @@
           m_received.push_back(envelope);
         },
         [this](const PeerAddress& peer) { m_refused.push_back(peer); },
-        [this](const PeerAddress& peer) { m_unreachable.push_back(peer); }};
+        [this](const PeerAddress& peer) { m_unreachable.push_back(peer); },
+        [this](const PeerAddress& peer) { m_lost.push_back(peer); }};
     m_network = TakeValue(PeerNetwork::Listen(io, options, hooks));
   }
 
@@ -67,6 +68,7 @@
   std::vector<Envelope> m_received;
   std::vector<PeerAddress> m_refused;
   std::vector<PeerAddress> m_unreachable;
+  std::vector<PeerAddress> m_lost;
   std::unique_ptr<PeerNetwork> m_network;
 };
 
