--- a/apps/gateway/forwarding_duty.cc
+++ b/apps/gateway/forwarding_duty.cc
@@ -93,9 +93,11 @@
   }
   const peers::PeerAddress peer = found->second;
   if (m_greeted.insert(peer).second) {
-    SendBody(peer, peers::Hello{m_self.m_zone.str(), m_self.m_peer_address.str()});
+    SendBody(peer,
+             peers::Hello{m_self.m_zone.str(), m_self.m_peer_address.str()});
   }
-  m_sent += std::holds_alternative<gateway::ForwardedStatement>(message) ? 1 : 0;
+  m_sent +=
+      std::holds_alternative<gateway::ForwardedStatement>(message) ? 1 : 0;
   SendBody(peer, peers::Opaque{kForwardKind, gossip::EncodeForward(message)});
 }
 
@@ -135,7 +137,8 @@
   if (opaque.m_kind != kForwardKind || !IsOk(message)) {
     Log(m_logger, log4cplus::WARN_LOG_LEVEL, "ignored an unreadable message",
         {{"peer", sender.str()},
-         {"reason", IsOk(message) ? "unknown kind" : GetError(message).m_message}});
+         {"reason",
+          IsOk(message) ? "unknown kind" : GetError(message).m_message}});
     return;
   }
   OnMessage(sender,
--- a/apps/gateway/forwarding_duty.h
+++ b/apps/gateway/forwarding_duty.h
@@ -19,7 +19,8 @@
 // instances, over one connection in each direction.
 class ForwardingDuty {
  public:
-  // Listens at `self`'s peer address; throws std::runtime_error where it cannot.
+  // Listens at `self`'s peer address; throws std::runtime_error where it
+  // cannot.
   ForwardingDuty(asio::io_context& io,
                  const gateway::InstanceEntry& self,
                  gateway::Engine& engine);
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -11,9 +11,9 @@
 struct LineLoad {
   friend bool operator==(const LineLoad&, const LineLoad&) = default;
 
-  // Statements that wait for the same members.
+  // Statements that wait for the same members and go before.
   std::size_t m_waiting = 0;
-  // Connections to these members, and those in use.
+  // Statements that may be in flight to these members, and those that are.
   int m_connections = 0;
   int m_busy = 0;
   // From sending to answer, smoothed over these members.
--- a/src/gateway/connection_holders.cc
+++ b/src/gateway/connection_holders.cc
@@ -18,10 +18,18 @@
 // Connections to each member with which a holder serves many customers without
 // opening new ones.
 constexpr int kConnectionsPerHolder = 12;
+// Where each instance can have this many connections to each member, all hold
+// them and none forwards.
+constexpr int kEnoughConnections = 4;
 // One holder may be lost at any time.
 constexpr int kLeastHolders = 2;
 // Connections to each member of an instance that is no holder.
 constexpr int kReserveConnections = 1;
+// Statements that wait at a member, so that a slot that becomes free is used
+// again without a round trip.
+constexpr int kQueuedAtMember = 2;
+// Holders are not equally loaded: each may use this many slots in any case.
+constexpr int kLeastInFlight = 2;
 // An instance with this part of the largest one's processors is large.
 constexpr double kLargePart = 0.5;
 // Large instances are preferred where they have this part of all processors,
@@ -93,8 +101,12 @@
 std::vector<InstanceId> ConnectionHolders::ChooseHolders(
     const std::vector<InstanceId>& ranked,
     int connections) const {
-  const auto wanted = static_cast<std::size_t>(std::max(
-      UsedPart(connections) / kConnectionsPerHolder, kLeastHolders));
+  const int instances = std::max(static_cast<int>(ranked.size()), 1);
+  if (UsedPart(connections) / instances >= kEnoughConnections) {
+    return ranked;
+  }
+  const auto wanted = static_cast<std::size_t>(
+      std::max(UsedPart(connections) / kConnectionsPerHolder, kLeastHolders));
   const std::size_t count = std::min(wanted, ranked.size());
   std::vector<InstanceId> holders;
   while (holders.size() < count) {
@@ -145,6 +157,10 @@
   if (holders.empty()) {
     return std::nullopt;
   }
+  const bool all_hold = holders.size() == m_instances.size();
+  if (all_hold && is_usable(m_self)) {
+    return std::nullopt;
+  }
   const InstanceId key(customer.str());
   const std::size_t first =
       core::RendezvousWeight(key, group.str()) % holders.size();
@@ -157,6 +173,12 @@
   return std::nullopt;
 }
 
+int ConnectionHolders::InFlightFor(const GroupName& group, int slots) const {
+  const int holders = std::max(static_cast<int>(HoldersOf(group).size()), 1);
+  const int part = (slots + kQueuedAtMember + holders - 1) / holders;
+  return std::max(part, kLeastInFlight);
+}
+
 int ConnectionHolders::BudgetFor(const GroupName& group) const {
   const auto found = m_groups.find(group);
   return found == m_groups.end() ? kReserveConnections : found->second.m_budget;
--- a/src/gateway/connection_holders.h
+++ b/src/gateway/connection_holders.h
@@ -18,9 +18,10 @@
 // statements do. Divided by all instances, each would hold so few that most
 // operations open one. So a few instances, chosen by rendezvous hashing from
 // different availability zones, hold the connections to a group, and the others
-// forward to them; large instances come first. Each customer has one of the holders,
-// so that its connections are used again. An instance that reaches no holder has a small
-// reserve of its own.
+// forward to them; large instances come first. Each customer has one of the
+// holders, so that its connections are used again. Where connections suffice
+// for all instances, all hold them and run what they receive. An instance that
+// reaches no holder has a small reserve of its own.
 //
 // Instances may differ for a while in which instances they know. Then a group
 // has more holders than planned, within the part of the connections that is
@@ -41,8 +42,8 @@
   const std::vector<InstanceId>& HoldersOf(const GroupName& group) const;
 
   // Returns the holder that is to run the customer's operations, the first one
-  // in the customer's order that `is_usable` accepts; nullopt where that is this
-  // instance, or where it accepts none.
+  // in the customer's order that `is_usable` accepts; nullopt where that is
+  // this instance, or where it accepts none.
   std::optional<InstanceId> Choose(const GroupName& group,
                                    const CustomerName& customer,
                                    const IsUsable& is_usable) const;
@@ -52,6 +53,13 @@
   // some that are no holders may have none.
   int BudgetFor(const GroupName& group) const;
 
+  // Returns how many statements this instance may have in flight to a member
+  // with `slots` slots.
+  //
+  // Answers overload: what a member cannot run yet waits here, where the most
+  // urgent goes first, and not in the member's own queue.
+  int InFlightFor(const GroupName& group, int slots) const;
+
  private:
   struct Instance {
     ZoneName m_zone;
--- a/src/gateway/connection_table.cc
+++ b/src/gateway/connection_table.cc
@@ -1,5 +1,7 @@
 #include "src/gateway/connection_table.h"
 
+#include <algorithm>
+
 namespace jasminelug::gateway {
 
 Connection* ConnectionTable::Add(const MemberId& member,
@@ -70,6 +72,16 @@
   return ids;
 }
 
+int ConnectionTable::CountInFlight(const MemberId& member) const {
+  return static_cast<int>(std::count_if(
+      m_connections.begin(), m_connections.end(), [&member](const auto& item) {
+        const Connection& connection = *item.second;
+        return connection.m_member == member &&
+               (connection.m_stage == Connection::Stage::kOpening ||
+                !connection.m_sent.empty());
+      }));
+}
+
 std::optional<Time> ConnectionTable::OldestUnanswered(
     const MemberId& member) const {
   std::optional<Time> oldest;
--- a/src/gateway/connection_table.h
+++ b/src/gateway/connection_table.h
@@ -81,6 +81,10 @@
   std::vector<ConnectionId> All() const;
   std::vector<ConnectionId> AllOf(const MemberId& member) const;
 
+  // Returns how many connections to the member are opening or owe an answer:
+  // what its slots are, or will be, busy with.
+  int CountInFlight(const MemberId& member) const;
+
   // Returns since when the member owes an answer, or an opening; nullopt where
   // it owes none.
   std::optional<Time> OldestUnanswered(const MemberId& member) const;
--- a/src/gateway/engine.cc
+++ b/src/gateway/engine.cc
@@ -274,9 +274,9 @@
     return;  // The holder sees to it; see EndSilentForwards().
   }
   if (active.m_waiting) {
-    const std::optional<Refused> refused = CheckPrimary(*session, now);
+    const std::optional<Refused> refused = CheckWait(*session, now);
     if (refused) {
-      Refuse(session, refused->m_code, refused->m_message, now);
+      Refuse(session, *refused, now);
     }
     return;
   }
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -97,8 +97,8 @@
   // --- Other instances. ---
 
   // Runs a statement for another instance, in the session that the caller has
-  // given its operation; EngineHooks::m_answer follows, and m_close_session once
-  // the operation is over. OnSessionEnd() ends it before.
+  // given its operation; EngineHooks::m_answer follows, and m_close_session
+  // once the operation is over. OnSessionEnd() ends it before.
   void OnForwardedStatement(SessionId id,
                             const ForwardedStatement& forwarded,
                             Time now);
@@ -182,6 +182,7 @@
   void TakeRoute(Session* session);
   std::optional<Refused> BeginOperation(Session* session, Time now);
   std::optional<Refused> CheckAdmission(const Session& session, Time now) const;
+  std::optional<Refused> CheckWait(const Session& session, Time now) const;
   bool IsForMember(const Session& session, const Statement& statement) const;
   bool WritesData(const Session& session, const Statement& statement) const;
   TransactionState StateOf(const Session& session) const;
@@ -222,12 +223,16 @@
                                          Time now) const;
   bool IsPrimaryUsable(const Group& group, Time now) const;
   int BudgetOf(const MemberState& state) const;
+  int InFlightLimit(const MemberState& state) const;
+  static Waiter WaiterOf(const Session& session);
   bool MayServe(const Session& session,
                 const MemberState& state,
                 bool needs_primary,
                 const std::optional<FreshnessSample>& floor,
                 Time now) const;
-  LineLoad LoadFor(const Session& session, Time now) const;
+  LineLoad LoadFor(const Session& session,
+                   const Waiter& waiter,
+                   Time now) const;
   void Place(Session* session, const PlacementOption& option, Time now);
   void SendStatement(Session* session, Connection* connection, Time now);
   void SendBegin(Session* session, Connection* connection, Time now);
@@ -241,6 +246,10 @@
             Time now);
 
   // Answers (engine_answers.cc).
+  void ConcludeAnswer(Connection* connection,
+                      const SentStatement& sent,
+                      const Answer& answer,
+                      Time now);
   void OnStatementAnswer(Session* session,
                          Connection* connection,
                          const SentStatement& sent,
--- a/src/gateway/engine_answers.cc
+++ b/src/gateway/engine_answers.cc
@@ -152,7 +152,18 @@
     return;
   }
   const SentStatement sent = connection->m_sent.front();
+  const GroupName group = connection->m_group;
   connection->m_sent.pop_front();
+  ConcludeAnswer(connection, sent, answer, now);
+  // A slot of the member is free, also where the connection is not.
+  Dispatch(group, now);
+}
+
+void Engine::ConcludeAnswer(Connection* connection,
+                            const SentStatement& sent,
+                            const Answer& answer,
+                            Time now) {
+  const ConnectionId id = connection->m_id;
   NoteReached(*connection, true, now);
   TakeSample(connection, sent, answer, now);
   connection->m_in_transaction = answer.m_state != TransactionState::kNone;
--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -19,8 +19,7 @@
   Group& group = GroupOf(session->m_route.m_group);
   if (!TryPlace(session, now)) {
     active.m_waiting = true;
-    group.m_line.Add(
-        {active.m_objective_at, session->m_id, active.m_needs_primary});
+    group.m_line.Add(WaiterOf(*session));
   }
 }
 
@@ -28,11 +27,18 @@
   if (!session->m_active || !session->m_active->m_waiting) {
     return;
   }
-  ActiveStatement& active = *session->m_active;
-  GroupOf(session->m_route.m_group)
-      .m_line.Remove(
-          {active.m_objective_at, session->m_id, active.m_needs_primary});
-  active.m_waiting = false;
+  GroupOf(session->m_route.m_group).m_line.Remove(WaiterOf(*session));
+  session->m_active->m_waiting = false;
+}
+
+Waiter Engine::WaiterOf(const Session& session) {
+  const ActiveStatement& active = *session.m_active;
+  return {session.m_route.m_priority, active.m_objective_at, session.m_id,
+          active.m_needs_primary};
+}
+
+int Engine::InFlightLimit(const MemberState& state) const {
+  return m_holders.InFlightFor(state.m_member.m_group, state.m_member.m_slots);
 }
 
 void Engine::RetryLater(Session* session, Duration delay, Time now) {
@@ -91,13 +97,14 @@
                                                 bool is_primary,
                                                 Time now) {
   const Member& member = state->m_member;
-  if (state->m_unavailable_until > now) {
+  const int in_flight = m_connections.CountInFlight(member.m_id);
+  if (state->m_unavailable_until > now || in_flight >= InFlightLimit(*state)) {
     return std::nullopt;
   }
   PlacementOption option;
   option.m_member = member.m_id;
   option.m_turnaround = state->m_turnaround;
-  option.m_busy = state->m_busy;
+  option.m_busy = in_flight;
   option.m_slots = member.m_slots;
   option.m_same_zone = member.m_zone == m_options.m_zone;
   option.m_spares_primary = !is_primary;
@@ -155,7 +162,9 @@
          !m_members.LikelyLacks(state, now - floor->m_sent, now);
 }
 
-LineLoad Engine::LoadFor(const Session& session, Time now) const {
+LineLoad Engine::LoadFor(const Session& session,
+                         const Waiter& waiter,
+                         Time now) const {
   LineLoad load;
   const Group* group = FindGroup(session.m_route.m_group);
   if (!group) {
@@ -172,17 +181,16 @@
       continue;
     }
     replica_serves |= group->m_primary.m_member != state->m_member.m_id;
-    const int budget = BudgetOf(*state);
-    load.m_connections += budget;
-    load.m_busy += state->m_busy;
-    turnaround += state->m_turnaround * budget;
+    const int usable = std::min(BudgetOf(*state), InFlightLimit(*state));
+    load.m_connections += usable;
+    load.m_busy += m_connections.CountInFlight(state->m_member.m_id);
+    turnaround += state->m_turnaround * usable;
   }
   if (load.m_connections > 0) {
     load.m_turnaround = turnaround / load.m_connections;
   }
   // Where no replica can serve, all that wait do so for the primary.
-  load.m_waiting =
-      replica_serves ? group->m_line.CountWaiting(false) : group->m_line.size();
+  load.m_waiting = group->m_line.CountAhead(waiter, !replica_serves, now);
   return load;
 }
 
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -13,6 +13,9 @@
 constexpr std::size_t kMaxQueuedStatements = 64;
 // A primary that refuses connections or is silent for longer is not waited for.
 constexpr Duration kFailingPatience = 100ms;
+// A statement may be answered late by this part of its objective, rather than
+// be refused after it has waited.
+constexpr int kLatePartDivisor = 2;
 // Reads that may be run a second time, for each statement, and at most at once.
 constexpr double kSecondRunsPerStatement = 0.05;
 constexpr double kMostSecondRuns = 10;
@@ -92,13 +95,31 @@
   if (m_holders.BudgetFor(session.m_route.m_group) == 0) {
     return Refused{ErrorCode::kBusy, "no holder of connections is reached"};
   }
-  const LineLoad load = LoadFor(session, now);
-  if (!MayWait(load, session.m_route.m_objective)) {
+  const Duration objective = session.m_route.m_objective;
+  const Waiter waiter{session.m_route.m_priority, now + objective, session.m_id,
+                      NeedsPrimary(session, now)};
+  if (!MayWait(LoadFor(session, waiter, now), objective)) {
     return Refused{ErrorCode::kBusy, "members are at capacity"};
   }
   return std::nullopt;
 }
 
+// Answers a waiting statement that others have overtaken: once it can no longer
+// be answered close to its objective, the caller is told at once.
+std::optional<Refused> Engine::CheckWait(const Session& session,
+                                         Time now) const {
+  std::optional<Refused> refused = CheckPrimary(session, now);
+  if (refused) {
+    return refused;
+  }
+  const Time limit = session.m_active->m_objective_at +
+                     session.m_route.m_objective / kLatePartDivisor;
+  if (!MayWait(LoadFor(session, WaiterOf(session), now), limit - now)) {
+    return Refused{ErrorCode::kBusy, "members are at capacity, after a wait"};
+  }
+  return std::nullopt;
+}
+
 // Answers a lost primary, and an instance that is cut off from it: what only
 // the primary can run waits for a replacement that will be over in time, and is
 // refused at once otherwise, so that the caller can try another instance.
--- a/src/gateway/forward_table.cc
+++ b/src/gateway/forward_table.cc
@@ -65,7 +65,8 @@
 
 bool ForwardTable::IsUsable(const InstanceId& holder, Time now) const {
   const auto avoided = m_avoided_until.find(holder);
-  const bool refused = avoided != m_avoided_until.end() && now < avoided->second;
+  const bool refused =
+      avoided != m_avoided_until.end() && now < avoided->second;
   return !refused && !m_silent.contains(holder);
 }
 
--- a/src/gateway/waiting_line.cc
+++ b/src/gateway/waiting_line.cc
@@ -5,18 +5,19 @@
 namespace jasminelug::gateway {
 
 std::vector<Waiter> WaitingLine::InOrder(Time now) const {
-  const auto in_time = std::find_if(
-      m_waiters.begin(), m_waiters.end(),
+  std::vector<Waiter> order(m_waiters.begin(), m_waiters.end());
+  std::stable_partition(
+      order.begin(), order.end(),
       [now](const Waiter& waiter) { return waiter.m_objective_at >= now; });
-  std::vector<Waiter> order(in_time, m_waiters.end());
-  order.insert(order.end(), m_waiters.begin(), in_time);
   return order;
 }
 
-std::size_t WaitingLine::CountWaiting(bool needs_primary) const {
+std::size_t WaitingLine::CountAhead(const Waiter& waiter,
+                                    bool count_primary,
+                                    Time now) const {
   return static_cast<std::size_t>(std::count_if(
-      m_waiters.begin(), m_waiters.end(), [needs_primary](const Waiter& w) {
-        return w.m_needs_primary == needs_primary;
+      m_waiters.begin(), m_waiters.lower_bound(waiter), [&](const Waiter& w) {
+        return w.m_objective_at >= now && (count_primary || !w.m_needs_primary);
       }));
 }
 
--- a/src/gateway/waiting_line.h
+++ b/src/gateway/waiting_line.h
@@ -13,6 +13,8 @@
 struct Waiter {
   friend auto operator<=>(const Waiter&, const Waiter&) = default;
 
+  // Of its route; 0 is the highest.
+  int m_priority = 0;
   // When its statement ceases to meet its objective.
   Time m_objective_at;
   SessionId m_session;
@@ -21,9 +23,9 @@
 
 // The order in which waiting statements of one group are placed.
 //
-// Answers a burst: first those that still meet their objective, the most urgent
-// first; those that have missed it come last, so that a backlog does not make
-// every further statement late as well.
+// Answers a burst: first those that still meet their objective, by priority and
+// then the most urgent first; those that have missed it come last, so that a
+// backlog does not make every further statement late as well.
 class WaitingLine {
  public:
   void Add(const Waiter& waiter) { m_waiters.insert(waiter); }
@@ -32,8 +34,11 @@
   // Returns all waiters in the order in which they are to be placed at `now`.
   std::vector<Waiter> InOrder(Time now) const;
 
-  // Returns how many wait for the primary, or for any member.
-  std::size_t CountWaiting(bool needs_primary) const;
+  // Returns how many would be placed before `waiter`, were it to join at `now`:
+  // all of them, or those that any member can serve.
+  std::size_t CountAhead(const Waiter& waiter,
+                         bool count_primary,
+                         Time now) const;
 
   std::size_t size() const { return m_waiters.size(); }
   bool empty() const { return m_waiters.empty(); }
--- a/src/gossip/forward_codec.cc
+++ b/src/gossip/forward_codec.cc
@@ -175,8 +175,7 @@
   gateway::ForwardedAnswer out;
   out.m_operation = gateway::OperationId(ToUnsigned(body.operation));
   out.m_answer.m_outcome = FromWire(std::move(body.outcome));
-  out.m_answer.m_state =
-      ToEnum(body.state, gateway::TransactionState::kFailed);
+  out.m_answer.m_state = ToEnum(body.state, gateway::TransactionState::kFailed);
   if (body.__isset.position) {
     out.m_answer.m_position = FromWire(body.position);
   }
