--- a/src/gateway/connection_holders.cc
+++ b/src/gateway/connection_holders.cc
@@ -37,7 +37,7 @@
 constexpr double kLeastPreferredPart = 0.2;
 
 int UsedPart(int connections) {
-  return connections * kUsedPartNumerator / kUsedPartDenominator;
+  return std::max(connections * kUsedPartNumerator / kUsedPartDenominator, 1);
 }
 
 bool Contains(const std::vector<InstanceId>& ids, const InstanceId& id) {
@@ -107,7 +107,8 @@
   }
   const auto wanted = static_cast<std::size_t>(
       std::max(UsedPart(connections) / kConnectionsPerHolder, kLeastHolders));
-  const std::size_t count = std::min(wanted, ranked.size());
+  const std::size_t count = std::min(
+      {wanted, ranked.size(), static_cast<std::size_t>(UsedPart(connections))});
   std::vector<InstanceId> holders;
   while (holders.size() < count) {
     // One of each availability zone, then a second of each.
--- /dev/null
+++ b/test/gateway/connection_holders_test.cc
@@ -0,0 +1,199 @@
+// Which instances hold connections, and how many each.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "jasminelug/gateway.h"
+
+namespace jasminelug::gateway {
+namespace {
+
+const GroupName test_group("g");
+
+InstanceEntry MakeEntry(int number, int zones, double processors) {
+  InstanceEntry entry;
+  entry.m_id = InstanceId("i" + std::to_string(number));
+  entry.m_zone = ZoneName("z" + std::to_string(number % zones));
+  entry.m_processors = processors;
+  return entry;
+}
+
+std::vector<InstanceEntry> MakeFleet(int instances, int zones) {
+  std::vector<InstanceEntry> entries;
+  for (int i = 0; i < instances; ++i) {
+    entries.push_back(MakeEntry(i, zones, 0.25));
+  }
+  return entries;
+}
+
+ConnectionHolders ViewOf(const InstanceEntry& self,
+                         const std::vector<InstanceEntry>& fleet,
+                         int connections) {
+  ConnectionHolders holders(self.m_id);
+  holders.SetInstances(fleet, self.m_zone);
+  holders.SetConnections(test_group, connections);
+  return holders;
+}
+
+bool AcceptAll(const InstanceId&) {
+  return true;
+}
+
+class ConnectionHoldersTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ConnectionHoldersTest);
+  CPPUNIT_TEST(BudgetsAddUpToTheLimit);
+  CPPUNIT_TEST(HoldersLieInDifferentZones);
+  CPPUNIT_TEST(LargeInstancesHold);
+  CPPUNIT_TEST(FewLargeInstancesDoNotCarryAll);
+  CPPUNIT_TEST(ConnectionsThatSufficeAreNotForwarded);
+  CPPUNIT_TEST(LostHolderIsReplacedByTheNext);
+  CPPUNIT_TEST(CustomersKeepTheirHolderWhenOthersChange);
+  CPPUNIT_TEST(StatementsInFlightFollowTheSlots);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Load: every instance uses all that it may have, at any size of the fleet.
+  void BudgetsAddUpToTheLimit() {
+    struct Case {
+      int m_connections;
+      int m_instances;
+    };
+    const std::vector<Case> cases = {{21, 7},   {50, 6},   {79, 87}, {260, 80},
+                                     {12, 30},  {1, 5},    {2, 9},   {21, 1},
+                                     {20, 300}, {50, 2100}};
+    for (const Case& row : cases) {
+      const std::vector<InstanceEntry> fleet = MakeFleet(row.m_instances, 4);
+      int total = 0;
+      for (const InstanceEntry& self : fleet) {
+        total += ViewOf(self, fleet, row.m_connections).BudgetFor(test_group);
+      }
+      const std::string message = std::to_string(row.m_connections) + " to " +
+                                  std::to_string(row.m_instances);
+      CPPUNIT_ASSERT_MESSAGE(message, total <= row.m_connections);
+      CPPUNIT_ASSERT_MESSAGE(message, total * 2 >= row.m_connections);
+    }
+  }
+
+  // Fault: an availability zone is lost.
+  void HoldersLieInDifferentZones() {
+    for (const int zones : {2, 3, 5}) {
+      const std::vector<InstanceEntry> fleet = MakeFleet(60, zones);
+      const auto holders = ViewOf(fleet[0], fleet, 79).HoldersOf(test_group);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{4}, holders.size());
+      std::set<ZoneName> used;
+      for (const InstanceEntry& entry : fleet) {
+        if (std::find(holders.begin(), holders.end(), entry.m_id) !=
+            holders.end()) {
+          used.insert(entry.m_zone);
+        }
+      }
+      CPPUNIT_ASSERT_EQUAL(
+          std::min<std::size_t>(4, static_cast<std::size_t>(zones)),
+          used.size());
+    }
+  }
+
+  // Load: instances of unequal size.
+  void LargeInstancesHold() {
+    std::vector<InstanceEntry> fleet;
+    for (int i = 0; i < 40; ++i) {
+      fleet.push_back(MakeEntry(i, 4, i < 8 ? 0.5 : 0.12));
+    }
+    const ConnectionHolders view = ViewOf(fleet[20], fleet, 79);
+    for (const InstanceId& holder : view.HoldersOf(test_group)) {
+      CPPUNIT_ASSERT(holder.str().size() == 2 && holder.str() < "i8");
+    }
+  }
+
+  void FewLargeInstancesDoNotCarryAll() {
+    std::vector<InstanceEntry> fleet;
+    for (int i = 0; i < 100; ++i) {
+      fleet.push_back(MakeEntry(i, 4, i == 0 ? 1.0 : 0.25));
+    }
+    ConnectionHolders view(fleet[50].m_id);
+    view.SetInstances(fleet, fleet[50].m_zone);
+    int held_by_first = 0;
+    for (int i = 0; i < 50; ++i) {
+      const GroupName group("g" + std::to_string(i));
+      view.SetConnections(group, 79);
+      const auto& holders = view.HoldersOf(group);
+      held_by_first += static_cast<int>(
+          std::count(holders.begin(), holders.end(), fleet[0].m_id));
+    }
+    CPPUNIT_ASSERT(held_by_first < 25);
+  }
+
+  void ConnectionsThatSufficeAreNotForwarded() {
+    const std::vector<InstanceEntry> fleet = MakeFleet(6, 3);
+    for (const InstanceEntry& self : fleet) {
+      const ConnectionHolders view = ViewOf(self, fleet, 50);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{6}, view.HoldersOf(test_group).size());
+      CPPUNIT_ASSERT(!view.Choose(test_group, CustomerName("c"), AcceptAll));
+      // Unless this instance cannot serve.
+      const auto other = view.Choose(
+          test_group, CustomerName("c"),
+          [&self](const InstanceId& id) { return id != self.m_id; });
+      CPPUNIT_ASSERT(other && *other != self.m_id);
+    }
+  }
+
+  // Fault: holders are silent, one after the other.
+  void LostHolderIsReplacedByTheNext() {
+    const std::vector<InstanceEntry> fleet = MakeFleet(40, 4);
+    const ConnectionHolders view = ViewOf(fleet[0], fleet, 40);
+    std::set<InstanceId> lost;
+    const auto is_usable = [&lost](const InstanceId& id) {
+      return !lost.contains(id);
+    };
+    for (std::size_t i = 0; i < view.HoldersOf(test_group).size(); ++i) {
+      const auto holder = view.Choose(test_group, CustomerName("c"), is_usable);
+      if (!holder) {
+        return;  // This instance holds connections itself.
+      }
+      CPPUNIT_ASSERT(lost.insert(*holder).second);
+    }
+    CPPUNIT_ASSERT(!view.Choose(test_group, CustomerName("c"), is_usable));
+  }
+
+  // Load: an instance joins; customers do not all move to other connections.
+  void CustomersKeepTheirHolderWhenOthersChange() {
+    std::vector<InstanceEntry> fleet = MakeFleet(40, 4);
+    const ConnectionHolders before = ViewOf(fleet[0], fleet, 79);
+    fleet.push_back(MakeEntry(40, 4, 0.25));
+    const ConnectionHolders after = ViewOf(fleet[0], fleet, 79);
+    const auto& old_holders = before.HoldersOf(test_group);
+    int kept = 0;
+    for (const InstanceId& holder : after.HoldersOf(test_group)) {
+      kept += static_cast<int>(
+          std::count(old_holders.begin(), old_holders.end(), holder));
+    }
+    CPPUNIT_ASSERT(kept >= 3);
+  }
+
+  // Load: more statements than slots. They wait where they can be ordered.
+  void StatementsInFlightFollowTheSlots() {
+    struct Case {
+      int m_connections;
+      int m_instances;
+      int m_slots;
+    };
+    const std::vector<Case> cases = {{21, 7, 3}, {50, 6, 5}, {79, 87, 5}};
+    for (const Case& row : cases) {
+      const std::vector<InstanceEntry> fleet = MakeFleet(row.m_instances, 4);
+      const ConnectionHolders view = ViewOf(fleet[0], fleet, row.m_connections);
+      const int holders = static_cast<int>(view.HoldersOf(test_group).size());
+      const int total = holders * view.InFlightFor(test_group, row.m_slots);
+      CPPUNIT_ASSERT(total >= row.m_slots);
+      CPPUNIT_ASSERT(total <= row.m_slots + 2 + holders);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionHoldersTest);
+
+}  // namespace
+}  // namespace jasminelug::gateway
--- /dev/null
+++ b/test/gossip/forward_codec_test.cc
@@ -0,0 +1,83 @@
+#include "src/gossip/forward_codec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <iostream>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace jasminelug::gossip {
+namespace {
+
+std::vector<gateway::ForwardMessage> AllMessages() {
+  using namespace gateway;
+  ForwardedStatement statement;
+  statement.m_operation = OperationId(17);
+  statement.m_begins = false;
+  statement.m_transaction = TransactionMode::kReadOnly;
+  statement.m_customer = CustomerName("c");
+  statement.m_route = {GroupName("g"),
+                       Consistency::kReadYourWrites,
+                       Duration(1500),
+                       Duration(900),
+                       Duration(300),
+                       2,
+                       true};
+  statement.m_statement = {"id", StatementKind::kExecute,  "EXECUTE s 1", "s",
+                           "1",  {Access::kWrite, "shape"}};
+  statement.m_values = {{"a", "b"}, {"c", std::string("\0d", 2)}};
+  statement.m_last_commit = {Duration(70), LogPosition{Term(3), 99}};
+  const Answer completed = {Completed{{"r1", "r2"}, "signature"},
+                            TransactionState::kOpen, LogPosition{Term(1), 2}};
+  const Answer refused = {Refused{ErrorCode::kMalformed, "why", true},
+                          TransactionState::kFailed, std::nullopt};
+  return {ForwardedStatement{},
+          statement,
+          ForwardedAnswer{OperationId(1), completed},
+          ForwardedAnswer{OperationId(2), refused},
+          ForwardedEnd{OperationId(3)},
+          ForwardPing{},
+          ForwardProgress{},
+          ForwardProgress{{OperationId(4), OperationId(5)}}};
+}
+
+class ForwardCodecTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ForwardCodecTest);
+  CPPUNIT_TEST(ReadsWhatItWrote);
+  CPPUNIT_TEST(RefusesDamagedBytes);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ReadsWhatItWrote() {
+    for (const gateway::ForwardMessage& message : AllMessages()) {
+      const auto read = DecodeForward(EncodeForward(message));
+      CPPUNIT_ASSERT(IsOk(read));
+      CPPUNIT_ASSERT(message == GetValue(read));
+    }
+  }
+
+  // No bytes end the process, whatever they are.
+  void RefusesDamagedBytes() {
+    const unsigned seed = std::random_device()();
+    std::cout << "seed " << seed << "\n";
+    std::mt19937 random(seed);
+    int refused = 0;
+    for (const gateway::ForwardMessage& message : AllMessages()) {
+      const std::string whole = EncodeForward(message);
+      for (int i = 0; i < 500; ++i) {
+        std::string bytes = whole.substr(0, random() % whole.size());
+        if (!bytes.empty()) {
+          bytes[random() % bytes.size()] = static_cast<char>(random());
+        }
+        refused += IsOk(DecodeForward(bytes)) ? 0 : 1;
+      }
+    }
+    CPPUNIT_ASSERT(refused > 0);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ForwardCodecTest);
+
+}  // namespace
+}  // namespace jasminelug::gossip
