--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -371,9 +371,9 @@
   if (!configuration) {
     return;
   }
-  std::vector<gateway::CustomerName> customers;
+  gateway::PeerView::CustomerAccounts customers;
   for (const auto& [customer, limits] : configuration->m_customers) {
-    customers.push_back(customer);
+    customers.emplace(customer, m_engine.holders().HoldersFor(customer));
   }
   const auto shares =
       m_peers.Shares(m_engine.limiter().Demand(now), customers, now);
--- a/src/gateway/connection_holders.cc
+++ b/src/gateway/connection_holders.cc
@@ -150,6 +150,26 @@
   return found == m_groups.end() ? kNone : found->second.m_holders;
 }
 
+std::size_t ConnectionHolders::FirstFor(const GroupName& group,
+                                        const CustomerName& customer,
+                                        std::size_t holders) {
+  const InstanceId key(customer.str());
+  return core::RendezvousWeight(key, group.str()) % holders;
+}
+
+std::set<InstanceId> ConnectionHolders::HoldersFor(
+    const CustomerName& customer) const {
+  std::set<InstanceId> all;
+  for (const auto& [name, group] : m_groups) {
+    const std::vector<InstanceId>& holders = group.m_holders;
+    if (holders.empty() || holders.size() == m_instances.size()) {
+      return {};
+    }
+    all.insert(holders[FirstFor(name, customer, holders.size())]);
+  }
+  return all;
+}
+
 std::optional<InstanceId> ConnectionHolders::Choose(
     const GroupName& group,
     const CustomerName& customer,
@@ -162,9 +182,7 @@
   if (all_hold && is_usable(m_self)) {
     return std::nullopt;
   }
-  const InstanceId key(customer.str());
-  const std::size_t first =
-      core::RendezvousWeight(key, group.str()) % holders.size();
+  const std::size_t first = FirstFor(group, customer, holders.size());
   for (std::size_t i = 0; i < holders.size(); ++i) {
     const InstanceId& holder = holders[(first + i) % holders.size()];
     if (is_usable(holder)) {
--- a/src/gateway/connection_holders.h
+++ b/src/gateway/connection_holders.h
@@ -4,6 +4,8 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "src/gateway/ids.h"
@@ -48,6 +50,10 @@
                                    const CustomerName& customer,
                                    const IsUsable& is_usable) const;
 
+  // Returns the instances at which the customer's operations run while all
+  // holders are usable; none where every instance runs what it receives.
+  std::set<InstanceId> HoldersFor(const CustomerName& customer) const;
+
   // Returns how many connections this instance may have to each member. Over
   // instances that know each other they add up to what a member takes, so that
   // some that are no holders may have none.
@@ -77,6 +83,10 @@
   // All instances, the preferred ones first, and each kind by rendezvous
   // weight, the highest first.
   std::vector<InstanceId> Rank(const GroupName& group) const;
+  // Returns where the customer's order of the group's holders begins.
+  static std::size_t FirstFor(const GroupName& group,
+                              const CustomerName& customer,
+                              std::size_t holders);
   std::vector<InstanceId> ChooseHolders(const std::vector<InstanceId>& ranked,
                                         int connections) const;
   int ChooseBudget(const std::vector<InstanceId>& ranked,
--- a/src/gateway/customer_limiter.cc
+++ b/src/gateway/customer_limiter.cc
@@ -38,19 +38,23 @@
 
 }  // namespace
 
+double CustomerLimiter::CapacityOf(const Bucket& bucket) const {
+  const int accounts = bucket.m_share.m_accounts > 0 ? bucket.m_share.m_accounts
+                                                     : m_instance_count;
+  const double least = std::clamp(kFleetSpareOperations / accounts,
+                                  kLeastCapacity, kMostLeastCapacity);
+  const double stored =
+      accounts > kFleetSpareOperations ? kLargeFleetStoredPart : 1;
+  const double burst = bucket.m_limits.m_burst_operations;
+  return std::max(burst * bucket.m_share.m_part * stored, least);
+}
+
 void CustomerLimiter::Refill(Bucket* bucket, Time now) const {
   const double seconds = ToSeconds(now - bucket->m_refilled);
   bucket->m_refilled = now;
   const double rate = bucket->m_limits.m_operations_per_second;
-  const double part = bucket->m_share.m_part;
-  const double least = std::clamp(kFleetSpareOperations / m_instance_count,
-                                  kLeastCapacity, kMostLeastCapacity);
-  const double stored =
-      m_instance_count > kFleetSpareOperations ? kLargeFleetStoredPart : 1;
-  const double capacity =
-      std::max(bucket->m_limits.m_burst_operations * part * stored, least);
-  bucket->m_tokens += rate * part * seconds;
-  bucket->m_tokens = std::min(bucket->m_tokens, capacity);
+  bucket->m_tokens += rate * bucket->m_share.m_part * seconds;
+  bucket->m_tokens = std::min(bucket->m_tokens, CapacityOf(*bucket));
 }
 
 double CustomerLimiter::Overdraft(const Bucket& bucket) const {
--- a/src/gateway/customer_limiter.h
+++ b/src/gateway/customer_limiter.h
@@ -32,6 +32,8 @@
   // Operations a second that all instances admit; unset where some instance is
   // not heard.
   std::optional<double> m_fleet_admitted;
+  // Instances among which the limits are divided; 0 where that is not known.
+  int m_accounts = 0;
 };
 
 // Keeps each customer within this instance's share of its rate and burst.
@@ -82,6 +84,7 @@
     Time m_counted;
   };
 
+  double CapacityOf(const Bucket& bucket) const;
   void Refill(Bucket* bucket, Time now) const;
   double Overdraft(const Bucket& bucket) const;
   static double Decay(const Bucket& bucket, Time now);
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -137,6 +137,7 @@
 
   CustomerLimiter& limiter() { return m_limiter; }
   MemberTable& members() { return m_members; }
+  const ConnectionHolders& holders() const { return m_holders; }
   const Configuration* configuration() const { return m_configuration.get(); }
   std::size_t session_count() const { return m_sessions.size(); }
   std::size_t connection_count() const { return m_connections.size(); }
@@ -181,6 +182,7 @@
   std::optional<Refused> CheckCaller(const Session& session, Time now) const;
   void TakeRoute(Session* session);
   std::optional<Refused> BeginOperation(Session* session, Time now);
+  std::optional<Refused> AdmitHere(Session* session, Time now);
   std::optional<Refused> CheckAdmission(const Session& session, Time now) const;
   std::optional<Refused> CheckWait(const Session& session, Time now) const;
   bool IsForMember(const Session& session, const Statement& statement) const;
--- a/src/gateway/engine_forwarding.cc
+++ b/src/gateway/engine_forwarding.cc
@@ -56,7 +56,8 @@
   }
   const bool was_forwarded = !session->m_active->m_tried_holders.empty();
   const std::optional<Refused> refused =
-      was_forwarded ? CheckAdmission(*session, now) : std::nullopt;
+      was_forwarded || !session->m_is_admitted ? AdmitHere(session, now)
+                                               : std::nullopt;
   if (refused) {
     Refuse(session, *refused, now);
     return;
@@ -225,6 +226,12 @@
         forwarded.m_transaction == TransactionMode::kReadOnly;
     transaction.m_last_activity = now;
     session->m_transaction = transaction;
+    const std::optional<Refused> refused = BeginOperation(session, now);
+    if (refused) {
+      session->m_transaction.reset();
+      Reply(session, *refused);
+      return;
+    }
   }
   OnStatement(id, statement, now);
 }
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -73,16 +73,23 @@
 }
 
 std::optional<Refused> Engine::BeginOperation(Session* session, Time now) {
-  const bool runs_here = !ChooseHolder(*session, now);
-  std::optional<Refused> refused =
-      runs_here ? CheckAdmission(*session, now) : std::nullopt;
-  if (refused) {
+  session->m_is_admitted = false;
+  if (ChooseHolder(*session, now)) {
+    return std::nullopt;  // The holder admits it.
+  }
+  return AdmitHere(session, now);
+}
+
+std::optional<Refused> Engine::AdmitHere(Session* session, Time now) {
+  std::optional<Refused> refused = CheckAdmission(*session, now);
+  if (refused || session->m_is_admitted) {
     return refused;
   }
-  if (!session->m_customer.empty() && !session->m_is_forwarded &&
+  if (!session->m_customer.empty() &&
       !m_limiter.Take(session->m_customer, now)) {
     return Refused{ErrorCode::kBusy, m_limiter.Describe(session->m_customer)};
   }
+  session->m_is_admitted = true;
   return std::nullopt;
 }
 
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -30,8 +30,8 @@
 };
 
 // A statement for the instance that holds connections to its group. It carries
-// all that the holder needs to know of the caller's session; the sender has
-// checked the key and taken the operation from the customer's limits.
+// all that the holder needs to know of the caller's session. The sender has
+// checked the key; the holder takes the operation from the customer's limits.
 struct ForwardedStatement {
   friend bool operator==(const ForwardedStatement&,
                          const ForwardedStatement&) = default;
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -16,9 +16,11 @@
 // Part of a customer's limits that is divided evenly, whatever the demand: new
 // callers are let in before the next report tells of them.
 constexpr double kEvenPart = 0.3;
-// Demand that each instance is taken to have, in operations a second: shares
+// Demand that each instance at which they may run is taken to have, in operations a second: shares
 // of customers that nobody asks for stay even.
 constexpr double kPriorDemand = 0.02;
+// Demand of an instance at which the customer's operations do not usually run.
+constexpr double kLeastDemand = 0.0001;
 
 }  // namespace
 
@@ -180,12 +182,18 @@
   return {customer, 0, 0};
 }
 
-std::vector<PeerView::Part> PeerView::PartsFor(const CustomerName& customer,
-                                               Time now) const {
+std::vector<PeerView::Part> PeerView::PartsFor(
+    const CustomerName& customer,
+    const std::set<InstanceId>& accounts,
+    Time now) const {
+  const auto is_account = [&accounts](const InstanceId& id) {
+    return accounts.empty() || accounts.contains(id);
+  };
   std::vector<Part> parts;
   for (const auto& [id, peer] : m_peers) {
     Part part;
     part.m_fresh = IsFresh(peer, now);
+    part.m_accounts = is_account(id) ? 1 : 0;
     if (peer.m_report) {
       const CustomerDemand demand = DemandIn(peer.m_report->m_demand, customer);
       part.m_demand = demand.m_operations_per_second;
@@ -197,6 +205,9 @@
     Part part;
     part.m_fresh = IsFresh(cell, now);
     part.m_instances = static_cast<int>(cell.m_entries.size());
+    part.m_accounts = static_cast<int>(std::count_if(
+        cell.m_entries.begin(), cell.m_entries.end(),
+        [&](const InstanceEntry& entry) { return is_account(entry.m_id); }));
     if (cell.m_digest) {
       const CustomerDemand demand = DemandIn(cell.m_digest->m_demand, customer);
       part.m_demand = demand.m_operations_per_second;
@@ -205,54 +216,67 @@
     parts.push_back(part);
   }
   for (Part& part : parts) {
-    part.m_demand += kPriorDemand * part.m_instances;
+    part.m_demand += kPriorDemand * part.m_accounts;
   }
   return parts;
 }
 
+CustomerShare PeerView::ShareOf(const CustomerDemand& own_demand,
+                                const std::set<InstanceId>& accounts,
+                                Time now) const {
+  const double even = 1.0 / instance_count();
+  const bool is_account = accounts.empty() || accounts.contains(m_self);
+  const double own = own_demand.m_operations_per_second +
+                     (is_account ? kPriorDemand : kLeastDemand);
+  const std::vector<Part> parts =
+      PartsFor(own_demand.m_customer, accounts, now);
+  double total = own;
+  for (const Part& part : parts) {
+    total += part.m_demand;
+  }
+  // What silent parts may still be using is set aside.
+  double set_aside = 0;
+  double heard = own;
+  double admitted = own_demand.m_admitted_per_second;
+  int heard_count = 1;
+  int heard_accounts = is_account ? 1 : 0;
+  for (const Part& part : parts) {
+    if (part.m_fresh) {
+      heard += part.m_demand;
+      admitted += part.m_admitted;
+      heard_count += part.m_instances;
+      heard_accounts += part.m_accounts;
+      continue;
+    }
+    const double even_part = even * part.m_instances;
+    const double last =
+        kEvenPart * even_part + (1 - kEvenPart) * part.m_demand / total;
+    set_aside += std::max(even_part, last);
+  }
+  const double left = std::max(1 - set_aside, even * heard_count / 2);
+  const double even_share = is_account ? kEvenPart / heard_accounts : 0;
+  CustomerShare share;
+  share.m_part = left * (even_share + (1 - kEvenPart) * own / heard);
+  const bool alone = heard_count == 1 && !parts.empty();
+  if (alone) {
+    share.m_part = std::min(share.m_part, even);
+  }
+  if (heard_count == instance_count()) {
+    share.m_fleet_admitted = admitted;
+  }
+  share.m_accounts = accounts.empty() ? instance_count()
+                                      : static_cast<int>(accounts.size());
+  return share;
+}
+
 std::map<CustomerName, CustomerShare> PeerView::Shares(
     const std::vector<CustomerDemand>& own_demand,
-    const std::vector<CustomerName>& customers,
+    const CustomerAccounts& customers,
     Time now) const {
-  const double even = 1.0 / instance_count();
   std::map<CustomerName, CustomerShare> shares;
-  for (const CustomerName& customer : customers) {
-    const CustomerDemand own_part = DemandIn(own_demand, customer);
-    const double own = kPriorDemand + own_part.m_operations_per_second;
-    const std::vector<Part> parts = PartsFor(customer, now);
-    double total = own;
-    for (const Part& part : parts) {
-      total += part.m_demand;
-    }
-    // What silent parts may still be using is set aside.
-    double set_aside = 0;
-    double heard = own;
-    double admitted = own_part.m_admitted_per_second;
-    int heard_count = 1;
-    for (const Part& part : parts) {
-      if (part.m_fresh) {
-        heard += part.m_demand;
-        admitted += part.m_admitted;
-        heard_count += part.m_instances;
-        continue;
-      }
-      const double even_part = even * part.m_instances;
-      const double last =
-          kEvenPart * even_part + (1 - kEvenPart) * part.m_demand / total;
-      set_aside += std::max(even_part, last);
-    }
-    const double left = std::max(1 - set_aside, even * heard_count / 2);
-    CustomerShare share;
-    share.m_part =
-        left * (kEvenPart / heard_count + (1 - kEvenPart) * own / heard);
-    const bool alone = heard_count == 1 && !parts.empty();
-    if (alone) {
-      share.m_part = std::min(share.m_part, even);
-    }
-    if (heard_count == instance_count()) {
-      share.m_fleet_admitted = admitted;
-    }
-    shares.emplace(customer, share);
+  for (const auto& [customer, accounts] : customers) {
+    shares.emplace(customer,
+                   ShareOf(DemandIn(own_demand, customer), accounts, now));
   }
   return shares;
 }
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "src/gateway/ids.h"
@@ -67,15 +68,20 @@
   // Returns how many peers are heard.
   int CountHeard(Time now) const;
 
+  // The instances at which each customer's operations usually run; where there
+  // are none, at any.
+  using CustomerAccounts = std::map<CustomerName, std::set<InstanceId>>;
+
   // Returns this instance's share of each customer's limits, given its own
-  // demand. The shares of all instances that hear each other add up to one; a
+  // demand. What is divided whatever the demand goes to the instances at which
+  // the customer's operations usually run. The shares of all instances that hear each other add up to one; a
   // silent peer keeps an equal part, or its last one where that was more.
   //
   // Answers callers that are spread unevenly over the instances, and a customer
   // that moves its load from one instance to others.
   std::map<CustomerName, CustomerShare> Shares(
       const std::vector<CustomerDemand>& own_demand,
-      const std::vector<CustomerName>& customers,
+      const CustomerAccounts& customers,
       Time now) const;
 
   // Whether every other registered instance has acknowledged the revision, in
@@ -135,6 +141,8 @@
     double m_demand = 0;
     double m_admitted = 0;
     int m_instances = 1;
+    // Of these, those at which the customer's operations usually run.
+    int m_accounts = 1;
     bool m_fresh = false;
   };
 
@@ -146,7 +154,12 @@
   bool IsFresh(const Peer& peer, Time now) const;
   bool IsFresh(const Cell& cell, Time now) const;
   void TakeDigests(const PeerReport& report, bool from_cell, Time now);
-  std::vector<Part> PartsFor(const CustomerName& customer, Time now) const;
+  std::vector<Part> PartsFor(const CustomerName& customer,
+                             const std::set<InstanceId>& accounts,
+                             Time now) const;
+  CustomerShare ShareOf(const CustomerDemand& own_demand,
+                        const std::set<InstanceId>& accounts,
+                        Time now) const;
   std::optional<Time> SentTimeOf(std::uint64_t sequence) const;
   static CustomerDemand DemandIn(const std::vector<CustomerDemand>& demand,
                                  const CustomerName& customer);
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -85,9 +85,10 @@
   std::optional<ConnectionId> m_connection;
   // The operation that is active runs at another instance.
   std::optional<RemoteRun> m_remote;
-  // It runs another instance's operation: that one has checked the key and the
-  // customer's limits.
+  // It runs another instance's operation: that one has checked the key.
   bool m_is_forwarded = false;
+  // The operation was taken from the customer's limits.
+  bool m_is_admitted = false;
   // When it was started or last answered.
   Time m_last_activity;
 };
