--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -110,6 +110,8 @@
   option.m_spares_primary = !is_primary;
   if (m_connections.FindIdle(member.m_id, session.m_customer)) {
     option.m_source = ConnectionSource::kIdle;
+  } else if (state->m_no_opening_until > now) {
+    return std::nullopt;
   } else if (state->m_connections < BudgetOf(*state)) {
     option.m_source = ConnectionSource::kOpen;
   } else if (m_connections.FindOldestIdle(member.m_id)) {
--- a/src/gateway/member_table.cc
+++ b/src/gateway/member_table.cc
@@ -103,7 +103,7 @@
   }
   const int doublings = std::min(state->m_failures, kMaxDelayDoublings);
   state->m_failures += 1;
-  state->m_unavailable_until = now + kFirstRetryDelay * (1 << doublings);
+  state->m_no_opening_until = now + kFirstRetryDelay * (1 << doublings);
 }
 
 void MemberTable::NoteBusy(const MemberId& id, Time now) {
--- a/src/gateway/member_table.h
+++ b/src/gateway/member_table.h
@@ -14,8 +14,10 @@
 // A member and what this instance has seen of it.
 struct MemberState {
   Member m_member;
-  // Not to be tried before.
+  // Not to be sent anything before.
   Time m_unavailable_until;
+  // No further connection is to be opened before.
+  Time m_no_opening_until;
   // Failures to connect since the last success.
   int m_failures = 0;
   // From a statement's sending to its answer, smoothed.
@@ -61,7 +63,8 @@
   // is just one.
   std::optional<MemberId> SelfDeclaredPrimary(const GroupName& group) const;
 
-  // Notes a failed connection: the member is left alone for a delay that grows.
+  // Notes a failed connection: no other is opened for a delay that grows. Those
+  // that are open stay in use: the member may just have too many.
   void NoteFailure(const MemberId& id, Time now);
 
   // Notes that the member refused a statement for lack of capacity.
--- a/test/gateway/engine_members_test.cc
+++ b/test/gateway/engine_members_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(OverdueStatementIsNotRun);
   CPPUNIT_TEST(OneLostAnswerIsNoLostPrimary);
   CPPUNIT_TEST(ConnectionsStayWithinTheBudget);
+  CPPUNIT_TEST(RefusedOpeningLeavesOtherConnectionsInUse);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -342,6 +343,25 @@
                                                        silent.m_now));
   }
 
+  // Load: all instances come back at once, and the member still counts the
+  // connections that they had before.
+  void RefusedOpeningLeavesOtherConnectionsInUse() {
+    EngineFixture fixture;
+    const SessionId first = fixture.Open("strict");
+    fixture.Write(first);
+    fixture.AnswerAllAt("p", 3);
+    const SessionId second = fixture.Open("strict", "key-b");
+    fixture.Write(second);
+    const ConnectionId refused = fixture.m_opening.front();
+    fixture.m_opening.clear();
+    fixture.m_connections.at(refused).m_closed = true;
+    fixture.m_engine.OnConnectionClosed(refused, ErrorCode::kConnectionLimit,
+                                        fixture.m_now);
+    fixture.Write(first);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.OwedBy("p"));
+    CPPUNIT_ASSERT(fixture.m_opening.empty());
+  }
+
   void ConnectionsStayWithinTheBudget() {
     for (const int instances : {1, 2, 4, 30}) {
       std::vector<InstanceEntry> entries;
