--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -1,11 +1,39 @@
 #include "src/gateway/admission.h"
 
+#include <algorithm>
+
 namespace jasminelug::gateway {
+namespace {
+
+// Weight of a new interval in the smoothed one, as a divisor.
+constexpr int kSmoothing = 8;
+
+}  // namespace
+
+void PlacementPace::NotePlaced(Time now) {
+  const Duration interval = now - m_last;
+  const bool known = m_interval && now - m_placed < kForgottenAfter;
+  m_interval = known ? *m_interval + (interval - *m_interval) / kSmoothing
+                     : interval;
+  m_placed = now;
+  m_last = now;
+}
+
+std::optional<Duration> PlacementPace::Interval(Time now) const {
+  if (!m_interval || now - m_placed >= kForgottenAfter) {
+    return std::nullopt;
+  }
+  return std::max(*m_interval, now - m_last);
+}
 
 Duration ExpectedAnswerTime(const LineLoad& load) {
   if (load.m_waiting == 0 && load.m_busy < load.m_connections) {
     return load.m_turnaround;
   }
+  if (load.m_interval) {
+    const auto ahead = static_cast<std::int64_t>(load.m_waiting) + 1;
+    return load.m_turnaround + *load.m_interval * ahead;
+  }
   const auto connections = std::max<std::int64_t>(load.m_connections, 1);
   const auto ahead = static_cast<std::int64_t>(load.m_waiting) + 1;
   return load.m_turnaround + load.m_turnaround * ahead / connections;
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -2,6 +2,7 @@
 #define SRC_GATEWAY_ADMISSION_H_
 
 #include <cstddef>
+#include <optional>
 
 #include "src/gateway/ids.h"
 
@@ -18,6 +19,33 @@
   int m_busy = 0;
   // From sending to answer, smoothed over these members.
   Duration m_turnaround{0};
+  // From one placement of a waiting statement to the next; see PlacementPace.
+  std::optional<Duration> m_interval;
+};
+
+// How fast waiting statements are placed.
+//
+// Answers a member whose slots and connections are taken by open transactions
+// and by other instances: what is left for those that wait is seen in their own
+// placements, not in the number of slots.
+class PlacementPace {
+ public:
+  // Statements wait from now on, where none did before.
+  void NoteBegin(Time now) { m_last = now; }
+
+  // A waiting statement was placed.
+  void NotePlaced(Time now);
+
+  // Returns the interval between placements, at least the time since the last
+  // one; nullopt where none was seen for kForgottenAfter.
+  std::optional<Duration> Interval(Time now) const;
+
+  static constexpr Duration kForgottenAfter = 3s;
+
+ private:
+  std::optional<Duration> m_interval;
+  Time m_placed;
+  Time m_last;
 };
 
 // Returns the expected time until a statement that joins now is answered.
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -169,6 +169,9 @@
     PrimaryView m_primary;
     FreshnessFloor m_floor;
     WaitingLine m_line;
+    // Of all waiting statements, and of those placed at the primary.
+    PlacementPace m_pace;
+    PlacementPace m_primary_pace;
     std::optional<Time> m_primary_failing_since;
   };
 
--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -19,6 +19,10 @@
   Group& group = GroupOf(session->m_route.m_group);
   if (!TryPlace(session, now)) {
     active.m_waiting = true;
+    if (group.m_line.empty()) {
+      group.m_pace.NoteBegin(now);
+      group.m_primary_pace.NoteBegin(now);
+    }
     group.m_line.Add(WaiterOf(*session));
   }
 }
@@ -64,6 +68,10 @@
     }
     if (TryPlace(session, now)) {
       LeaveLine(session);
+      group.m_pace.NotePlaced(now);
+      if (session->m_active->m_member == group.m_primary.m_member) {
+        group.m_primary_pace.NotePlaced(now);
+      }
     }
   }
 }
@@ -193,6 +201,10 @@
   }
   // Where no replica can serve, all that wait do so for the primary.
   load.m_waiting = group->m_line.CountAhead(waiter, !replica_serves, now);
+  if (!group->m_line.empty()) {
+    load.m_interval = replica_serves ? group->m_pace.Interval(now)
+                                     : group->m_primary_pace.Interval(now);
+  }
   return load;
 }
 
--- a/test/gateway/decisions_test.cc
+++ b/test/gateway/decisions_test.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(LineServesTheUrgentFirstAndTheLateLast);
   CPPUNIT_TEST(LineServesTheHigherPriorityFirst);
   CPPUNIT_TEST(AdmissionBoundsTheWait);
+  CPPUNIT_TEST(AdmissionFollowsThePaceOfTheLine);
   CPPUNIT_TEST(MissingMembersAreKeptForAWhile);
   CPPUNIT_TEST(RegistrarKeepsTheEntry);
   CPPUNIT_TEST(CodesThatProveNothingKept);
@@ -258,6 +259,31 @@
     }
   }
 
+  // Load: open transactions leave one slot in three to what waits.
+  void AdmissionFollowsThePaceOfTheLine() {
+    PlacementPace pace;
+    Time now(100s);
+    CPPUNIT_ASSERT(!pace.Interval(now));
+    pace.NoteBegin(now);
+    for (int i = 0; i < 60; ++i) {
+      now += 75ms;
+      pace.NotePlaced(now);
+    }
+    LineLoad load;
+    load.m_connections = 3;
+    load.m_busy = 3;
+    load.m_turnaround = 75ms;
+    load.m_waiting = 8;
+    CPPUNIT_ASSERT(MayWait(load, 400ms));
+    load.m_interval = pace.Interval(now);
+    CPPUNIT_ASSERT(!MayWait(load, 400ms));
+    load.m_waiting = 2;
+    CPPUNIT_ASSERT(MayWait(load, 400ms));
+    // A line that stands still is noticed before its next placement.
+    CPPUNIT_ASSERT(*pace.Interval(now + 900ms) >= 900ms);
+    CPPUNIT_ASSERT(!pace.Interval(now + PlacementPace::kForgottenAfter));
+  }
+
   // Fault: the store was away, and entries lapsed meanwhile.
   void MissingMembersAreKeptForAWhile() {
     MemberDirectory directory;
