gateway: a coordinator reads the instances after its intent

Ruled out: a shorter pause between reads of the list (each is a store call for each instance). Change: acknowledgements count only on a list that was asked for after the intent was seen; the coordinator asks for it at once. A refresh during a pause returns at once too. The new tests failed to build before, as what they call was not there. An executed statement is forwarded without its text.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -129,6 +129,7 @@
   };
   hooks.m_abandon_write = [this] { m_record_client.Abandon(); };
   hooks.m_abandon_promotion = [this] { m_promotion_client.Abandon(); };
+  hooks.m_read_instances = [this] { m_refresh.m_instances(); };
   hooks.m_ask_status = [this](const gateway::MemberId& member) {
     m_engine.AskStatus(member, Now());
   };
@@ -452,6 +453,7 @@
   UpdatePrimaries(now);
   gateway::FleetCondition fleet;
   fleet.m_all_acknowledged = m_peers.AllAcknowledged(m_coordinator.revision());
+  fleet.m_instances_known = m_instances_known;
   fleet.m_rank = m_peers.Rank(now);
   fleet.m_contact_fresh =
       m_registrar.is_registered() &&
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -30,6 +30,9 @@
   // Takes the instances' entries as the store holds them.
   void OnInstances(const gateway::StoreObjects& objects, gateway::Time now);
 
+  // The instances' entries are known as of `sent`.
+  void OnInstancesProved(gateway::Time sent) { m_instances_known = sent; }
+
   // Takes the replacement record as the store holds it.
   void OnReplacements(const gateway::StoreObjects& objects, gateway::Time now);
 
@@ -53,6 +56,7 @@
   struct RefreshHooks {
     std::function<void()> m_configuration;
     std::function<void()> m_replacements;
+    std::function<void()> m_instances;
   };
   void SetRefreshHooks(RefreshHooks hooks) { m_refresh = std::move(hooks); }
 
@@ -107,6 +111,7 @@
   gossip::DatagramPeers m_datagrams;
   gateway::StoreObjects m_objects;
   std::vector<gateway::InstanceEntry> m_entries;
+  gateway::Time m_instances_known;
   RefreshHooks m_refresh;
   gateway::Time m_refreshed;
   // Since when others have had a newer state than this instance.
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -397,7 +397,7 @@
   m_instances_link = MakeStoreLink(
       StoreKind::kInstances, kUnprovedKindWait,
       [this](const auto& objects) { OnInstances(objects); },
-      [](gateway::Time) {});
+      [this](gateway::Time sent) { m_fleet.OnInstancesProved(sent); });
   m_members_link = MakeStoreLink(
       StoreKind::kMembers, kUnprovedKindWait,
       [this](const auto& objects) { OnMembers(objects); },
@@ -407,7 +407,8 @@
       [this](const auto& objects) { OnEvacuations(objects); },
       [](gateway::Time) {});
   m_fleet.SetRefreshHooks({[this] { m_configuration_link->Refresh(Now()); },
-                           [this] { m_replacements_link->Refresh(Now()); }});
+                           [this] { m_replacements_link->Refresh(Now()); },
+                           [this] { m_instances_link->Refresh(Now()); }});
   for (StoreLink* link : Links()) {
     link->Start(Now());
   }
--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -13,8 +13,8 @@
 void PlacementPace::NotePlaced(Time now) {
   const Duration interval = now - m_last;
   const bool known = m_interval && now - m_placed < kForgottenAfter;
-  m_interval = known ? *m_interval + (interval - *m_interval) / kSmoothing
-                     : interval;
+  m_interval =
+      known ? *m_interval + (interval - *m_interval) / kSmoothing : interval;
   m_placed = now;
   m_last = now;
 }
--- a/src/gateway/engine_forwarding.cc
+++ b/src/gateway/engine_forwarding.cc
@@ -89,6 +89,8 @@
   if (active.m_statement.m_kind == StatementKind::kExecute) {
     forwarded.m_statement.m_prepared =
         session->m_prepared.at(active.m_statement.m_name);
+    // Name and argument say all that the holder sends on.
+    forwarded.m_statement.m_text.clear();
   }
   forwarded.m_values = session->m_values;
   if (session->m_last_commit) {
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -16,8 +16,8 @@
 // Part of a customer's limits that is divided evenly, whatever the demand: new
 // callers are let in before the next report tells of them.
 constexpr double kEvenPart = 0.3;
-// Demand that each instance at which they may run is taken to have, in operations a second: shares
-// of customers that nobody asks for stay even.
+// Demand that each instance at which they may run is taken to have, in
+// operations a second: shares of customers that nobody asks for stay even.
 constexpr double kPriorDemand = 0.02;
 // Demand of an instance at which the customer's operations do not usually run.
 constexpr double kLeastDemand = 0.0001;
@@ -264,8 +264,8 @@
   if (heard_count == instance_count()) {
     share.m_fleet_admitted = admitted;
   }
-  share.m_accounts = accounts.empty() ? instance_count()
-                                      : static_cast<int>(accounts.size());
+  share.m_accounts =
+      accounts.empty() ? instance_count() : static_cast<int>(accounts.size());
   return share;
 }
 
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -74,8 +74,9 @@
 
   // Returns this instance's share of each customer's limits, given its own
   // demand. What is divided whatever the demand goes to the instances at which
-  // the customer's operations usually run. The shares of all instances that hear each other add up to one; a
-  // silent peer keeps an equal part, or its last one where that was more.
+  // the customer's operations usually run. The shares of all instances that
+  // hear each other add up to one; a silent peer keeps an equal part, or its
+  // last one where that was more.
   //
   // Answers callers that are spread unevenly over the instances, and a customer
   // that moves its load from one instance to others.
--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -25,6 +25,8 @@
 constexpr Duration kCatchUpLimit = 600ms;
 // A promoted member leads within this time, or has been lost.
 constexpr Duration kConfirmLimit = 3s;
+// Pause between two requests for the list of instances.
+constexpr Duration kReadInterval = 200ms;
 // Pause between two questions to the same members.
 constexpr Duration kAskInterval = 40ms;
 
@@ -223,11 +225,8 @@
                                      Time now) {
   switch (m_stage) {
     case Stage::kIdle: {
-      const bool lapsed =
-          now - m_intent_seen > m_options.m_proof_limit + kProofMargin;
-      const bool others_stopped = fleet.m_all_acknowledged || lapsed;
-      if (!others_stopped || !group.m_quiet || now < m_next_try ||
-          !IsOwnTurn(now)) {
+      if (!HaveOthersStopped(fleet, now) || !group.m_quiet ||
+          now < m_next_try || !IsOwnTurn(now)) {
         return;
       }
       if (m_repeat) {
@@ -282,6 +281,21 @@
   }
 }
 
+bool ReplacementCoordinator::HaveOthersStopped(const FleetCondition& fleet,
+                                               Time now) {
+  if (now - m_intent_seen > m_options.m_proof_limit + kProofMargin) {
+    return true;
+  }
+  if (fleet.m_instances_known >= m_intent_seen) {
+    return fleet.m_all_acknowledged;
+  }
+  if (now - m_instances_asked >= kReadInterval) {
+    m_instances_asked = now;
+    m_hooks.m_read_instances();
+  }
+  return false;
+}
+
 void ReplacementCoordinator::Ask(const GroupCondition& group, Time now) {
   if (m_stage != Stage::kAsking) {
     m_stage = Stage::kAsking;
--- a/src/gateway/replacement_coordinator.h
+++ b/src/gateway/replacement_coordinator.h
@@ -50,8 +50,11 @@
   friend bool operator==(const FleetCondition&,
                          const FleetCondition&) = default;
 
-  // Every other instance has acknowledged the record's revision.
+  // Every other registered instance has acknowledged the record's revision.
   bool m_all_acknowledged = false;
+  // The registered instances are known as of this time: the list of them was
+  // asked for no earlier.
+  Time m_instances_known;
   // This instance's place among those that are up, so that one acts first.
   int m_rank = 0;
   // This instance has proved contact with the store lately.
@@ -81,7 +84,9 @@
 // 2. Every instance that reads the intent stops using the old primary and
 //    acknowledges the revision. One that cannot read it stops when its proof of
 //    contact with the store is m_proof_limit old.
-// 3. The winner waits for all acknowledgements or for that limit, asks the
+// 3. The winner waits for all acknowledgements or for that limit; an instance
+// that registered before the intent counts, so the list of instances is read
+// after it. It asks the
 //    candidates how far their logs are, and promotes the furthest. The fencing
 //    token is the revision of the intent, so it grows with every intent.
 // 4. Once the new primary says of itself that it leads, the winner writes it
@@ -107,6 +112,8 @@
     // Drops the write or the promotion that is under way.
     std::function<void()> m_abandon_write;
     std::function<void()> m_abandon_promotion;
+    // Reads the registered instances anew.
+    std::function<void()> m_read_instances;
     // Asks a member for its status; OnStatus() may follow.
     std::function<void(const MemberId& member)> m_ask_status;
     // Reports a step, for the log.
@@ -177,6 +184,7 @@
   void Confirm(const GroupCondition& group, Time now);
   void Finish(Time now);
   bool IsOwnTurn(Time now) const;
+  bool HaveOthersStopped(const FleetCondition& fleet, Time now);
   void Reset();
 
   const ReplacementOptions m_options;
@@ -192,6 +200,8 @@
   Time m_intent_seen;
   Time m_called;
   Time m_next_try;
+  // When the registered instances were asked for last.
+  Time m_instances_asked;
   bool m_writing = false;
   // The member that the platform has promoted, until the record names it.
   std::optional<MemberId> m_promoted;
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -39,9 +39,11 @@
 void StoreFollower::Refresh(Time now) {
   if (m_stage == Stage::kWatching) {
     m_hooks.m_abandon();
+  }
+  if (m_stage == Stage::kPausing && m_list_next) {
+    Start(now);
+  } else if (m_stage == Stage::kWatching || m_stage == Stage::kPausing) {
     Watch(kNoWait, now);
-  } else if (m_stage == Stage::kPausing) {
-    Resume(now);
   }
 }
 
--- a/test/gateway/peer_view_test.cc
+++ b/test/gateway/peer_view_test.cc
@@ -277,7 +277,8 @@
     for (std::size_t i = 0; i < fleet.m_views.size(); ++i) {
       const CustomerShare share =
           fleet.m_views[i]
-              .Shares(fleet.m_reports[i].m_demand, {{test_customer, {}}}, fleet.m_now)
+              .Shares(fleet.m_reports[i].m_demand, {{test_customer, {}}},
+                      fleet.m_now)
               .at(test_customer);
       sum += share.m_part;
       CPPUNIT_ASSERT(share.m_fleet_admitted);
--- a/test/gateway/replacement_coordinator_test.cc
+++ b/test/gateway/replacement_coordinator_test.cc
@@ -22,6 +22,7 @@
     std::vector<PromotionOrder> m_orders;
     std::vector<MemberId> m_asked;
     int m_abandoned_promotions = 0;
+    int m_instances_read = 0;
   };
 
   explicit Fleet(const std::vector<std::string>& names) {
@@ -47,6 +48,9 @@
     hooks.m_abandon_promotion = [this, name] {
       m_instances[name].m_abandoned_promotions += 1;
     };
+    hooks.m_read_instances = [this, name] {
+      m_instances[name].m_instances_read += 1;
+    };
     hooks.m_ask_status = [this, name](const MemberId& member) {
       m_instances[name].m_asked.push_back(member);
     };
@@ -127,6 +131,8 @@
 FleetCondition Up(bool acknowledged) {
   FleetCondition fleet;
   fleet.m_all_acknowledged = acknowledged;
+  // The list of instances is always as new as can be.
+  fleet.m_instances_known = Time::max();
   fleet.m_contact_fresh = true;
   fleet.m_coordinator_heard = true;
   return fleet;
@@ -143,6 +149,7 @@
   CPPUNIT_TEST_SUITE(ReplacementCoordinatorTest);
   CPPUNIT_TEST(ProposesByOpinions);
   CPPUNIT_TEST(WaitsForAcknowledgementsOrTheProofLimit);
+  CPPUNIT_TEST(InstancesAreReadAfterTheIntent);
   CPPUNIT_TEST(PromotesTheFurthestCandidate);
   CPPUNIT_TEST(NamesThePrimaryOnlyOnceItLeads);
   CPPUNIT_TEST(TriesAnotherCandidateAfterARefusal);
@@ -235,6 +242,30 @@
     }
   }
 
+  // Fault: an instance registers just before the intent, reads the record, and
+  // is then cut off from the store. The list that the coordinator has does not
+  // name it, so that all on the list have acknowledged.
+  void InstancesAreReadAfterTheIntent() {
+    Fleet fleet({"a"});
+    FleetCondition old_list = Up(true);
+    old_list.m_instances_known = fleet.m_now;
+    fleet.Pass(20ms);
+    fleet.Tick("a", Lost(fleet), old_list);
+    fleet.ApplyWrites();
+    fleet.Pass(20ms);
+    fleet.Tick("a", Lost(fleet), old_list);
+    CPPUNIT_ASSERT(fleet.m_instances["a"].m_asked.empty());
+    CPPUNIT_ASSERT_EQUAL(1, fleet.m_instances["a"].m_instances_read);
+    FleetCondition new_list = Up(false);
+    new_list.m_instances_known = fleet.m_now;
+    fleet.Pass(20ms);
+    fleet.Tick("a", Lost(fleet), new_list);
+    CPPUNIT_ASSERT(fleet.m_instances["a"].m_asked.empty());
+    new_list.m_all_acknowledged = true;
+    fleet.Tick("a", Lost(fleet), new_list);
+    CPPUNIT_ASSERT(!fleet.m_instances["a"].m_asked.empty());
+  }
+
   void PromotesTheFurthestCandidate() {
     Fleet fleet({"a"});
     Promote(&fleet, "a");
--- a/test/gateway/store_follower_test.cc
+++ b/test/gateway/store_follower_test.cc
@@ -180,6 +180,14 @@
     harness.m_follower.Refresh(Time(2s));
     CPPUNIT_ASSERT_EQUAL(1, harness.m_abandoned);
     CPPUNIT_ASSERT(harness.m_watches.back().m_wait <= 1ms);
+    // In a pause after a change too.
+    harness.m_follower.SetPauseAfterChange(500ms);
+    harness.m_follower.OnChanges(
+        StoreChanges{{{false, Zone("b", 10)}}, Revision(10)}, Time(2s));
+    const std::size_t before = harness.m_watches.size();
+    harness.m_follower.Refresh(Time(2s) + 10ms);
+    CPPUNIT_ASSERT_EQUAL(before + 1, harness.m_watches.size());
+    CPPUNIT_ASSERT(harness.m_watches.back().m_wait <= 1ms);
   }
 };
 
