gateway: a holder that cannot tell the primary sends operations elsewhere

Ruled out: the replacement itself (0.27 s from intent to promotion). Change: such a refusal says that another instance may serve; the sender asks the next holder. The test failed first.

--- a/src/gateway/connection_holders.cc
+++ b/src/gateway/connection_holders.cc
@@ -145,9 +145,9 @@
 
 const std::vector<InstanceId>& ConnectionHolders::HoldersOf(
     const GroupName& group) const {
-  static const std::vector<InstanceId> kNone;
+  static const std::vector<InstanceId> none;
   const auto found = m_groups.find(group);
-  return found == m_groups.end() ? kNone : found->second.m_holders;
+  return found == m_groups.end() ? none : found->second.m_holders;
 }
 
 std::size_t ConnectionHolders::FirstFor(const GroupName& group,
--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -118,16 +118,15 @@
   option.m_spares_primary = !is_primary;
   if (m_connections.FindIdle(member.m_id, session.m_customer)) {
     option.m_source = ConnectionSource::kIdle;
-  } else if (state->m_no_opening_until > now) {
-    return std::nullopt;
-  } else if (state->m_connections < BudgetOf(*state)) {
-    option.m_source = ConnectionSource::kOpen;
-  } else if (m_connections.FindOldestIdle(member.m_id)) {
-    option.m_source = ConnectionSource::kReplace;
-  } else {
-    return std::nullopt;
-  }
-  return option;
+    return option;
+  }
+  const bool within_budget = state->m_connections < BudgetOf(*state);
+  option.m_source =
+      within_budget ? ConnectionSource::kOpen : ConnectionSource::kReplace;
+  const bool may_open =
+      state->m_no_opening_until <= now &&
+      (within_budget || m_connections.FindOldestIdle(member.m_id));
+  return may_open ? std::optional(option) : std::nullopt;
 }
 
 std::vector<PlacementOption> Engine::OptionsFor(Session* session, Time now) {
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -150,7 +150,9 @@
                          ? session.m_active->m_deadline
                          : now + session.m_route.m_statement_timeout;
   if (!usable_from || *usable_from < now || *usable_from > limit) {
-    return Refused{ErrorCode::kBusy, "there is no primary at present"};
+    // Another instance may have read a record that this one has not.
+    return Refused{ErrorCode::kBusy, "there is no primary at present",
+                   /*m_try_elsewhere=*/true};
   }
   return std::nullopt;
 }
--- a/test/gateway/connection_holders_test.cc
+++ b/test/gateway/connection_holders_test.cc
@@ -24,6 +24,7 @@
 
 std::vector<InstanceEntry> MakeFleet(int instances, int zones) {
   std::vector<InstanceEntry> entries;
+  entries.reserve(static_cast<std::size_t>(instances));
   for (int i = 0; i < instances; ++i) {
     entries.push_back(MakeEntry(i, zones, 0.25));
   }
@@ -100,6 +101,7 @@
   // Load: instances of unequal size.
   void LargeInstancesHold() {
     std::vector<InstanceEntry> fleet;
+    fleet.reserve(40);
     for (int i = 0; i < 40; ++i) {
       fleet.push_back(MakeEntry(i, 4, i < 8 ? 0.5 : 0.12));
     }
@@ -111,6 +113,7 @@
 
   void FewLargeInstancesDoNotCarryAll() {
     std::vector<InstanceEntry> fleet;
+    fleet.reserve(100);
     for (int i = 0; i < 100; ++i) {
       fleet.push_back(MakeEntry(i, 4, i == 0 ? 1.0 : 0.25));
     }
--- a/test/gateway/engine_members_test.cc
+++ b/test/gateway/engine_members_test.cc
@@ -365,6 +365,7 @@
   void ConnectionsStayWithinTheBudget() {
     for (const int instances : {1, 2, 4, 30}) {
       std::vector<InstanceEntry> entries;
+      entries.reserve(static_cast<std::size_t>(instances));
       for (int i = 0; i < instances; ++i) {
         entries.push_back(EngineFixture::Entry("i" + std::to_string(i)));
       }
--- a/test/gateway/forwarding_test.cc
+++ b/test/gateway/forwarding_test.cc
@@ -87,6 +87,7 @@
   CPPUNIT_TEST(HolderRunsATransaction);
   CPPUNIT_TEST(HolderReadsWhatTheSessionWrote);
   CPPUNIT_TEST(HolderThatStopsSendsElsewhere);
+  CPPUNIT_TEST(HolderWithoutAPrimarySendsElsewhere);
   CPPUNIT_TEST(HolderForgetsIdleTransactions);
   CPPUNIT_TEST(HostConfirmsWhatIsAtWork);
   CPPUNIT_TEST(HostDropsEarlierRunsOfASender);
@@ -110,7 +111,7 @@
     CPPUNIT_ASSERT(sender.Succeeded(id));
     // The next read must see the write.
     sender.Read(id);
-    const auto& read = sender.Statements().back().second;
+    const ForwardedStatement read = sender.Statements().back().second;
     CPPUNIT_ASSERT(read.m_last_commit);
     CPPUNIT_ASSERT((LogPosition{Term(1), 7}) == read.m_last_commit->m_position);
     CPPUNIT_ASSERT(read.m_operation != sent.m_operation);
@@ -387,6 +388,29 @@
     CPPUNIT_ASSERT(holder.m_connections.empty());
   }
 
+  // Fault: the store refuses the holder, which has heard of a newer replacement
+  // record and cannot read it, or cannot prove the one that it has.
+  void HolderWithoutAPrimarySendsElsewhere() {
+    for (const bool unread : {true, false}) {
+      EngineFixture holder;
+      if (unread) {
+        holder.m_engine.SetPrimary(EngineFixture::Group(),
+                                   {MemberId("p"), false, {}}, true,
+                                   holder.m_now);
+      } else {
+        holder.AdvanceWithoutContact(EngineOptions().m_primary_proof_limit +
+                                     100ms);
+      }
+      const SessionId id(std::uint64_t{1} << 63);
+      holder.m_engine.OnForwardedStatement(
+          id,
+          MakeForwarded(Consistency::kPrimary, StatementKind::kWrite, "WRITE"),
+          holder.m_now);
+      const Answer answer = *holder.LastAnswer(id);
+      CPPUNIT_ASSERT(std::get<Refused>(answer.m_outcome).m_try_elsewhere);
+    }
+  }
+
   // Fault: the sender was lost in the middle of a transaction.
   void HolderForgetsIdleTransactions() {
     EngineFixture holder;
