gateway: a record that was heard of and not read stays unread when a newer one follows

Ruled out: the coordinator (all had acknowledged); the proof of contact. Change: the wait counts from the first such record. The test failed first.

--- a/src/gateway/primary_decision.cc
+++ b/src/gateway/primary_decision.cc
@@ -1,5 +1,7 @@
 #include "src/gateway/primary_decision.h"
 
+#include <algorithm>
+
 namespace jasminelug::gateway {
 namespace {
 
@@ -9,17 +11,23 @@
 }  // namespace
 
 void HeardRecord::Hear(Revision revision, Time now) {
-  if (revision > m_newest) {
-    m_newest = revision;
-    m_heard = now;
+  if (!m_heard.empty() && revision <= m_heard.back().m_revision) {
+    return;
+  }
+  m_heard.push_back({revision, now});
+  if (m_heard.size() > kMostHeard) {
+    m_heard.pop_front();
   }
 }
 
 std::optional<Revision> HeardRecord::Unread(Revision own, Time now) const {
-  if (m_newest <= own || now - m_heard < kPatience) {
+  const auto unread = std::find_if(
+      m_heard.begin(), m_heard.end(),
+      [own](const Heard& heard) { return heard.m_revision > own; });
+  if (unread == m_heard.end() || now - unread->m_first_heard < kPatience) {
     return std::nullopt;
   }
-  return m_newest;
+  return m_heard.back().m_revision;
 }
 
 PrimaryDecision DecidePrimary(const GroupName& group,
--- a/src/gateway/primary_decision.h
+++ b/src/gateway/primary_decision.h
@@ -1,6 +1,8 @@
 #ifndef SRC_GATEWAY_PRIMARY_DECISION_H_
 #define SRC_GATEWAY_PRIMARY_DECISION_H_
 
+#include <cstddef>
+#include <deque>
 #include <optional>
 
 #include "src/gateway/engine.h"
@@ -23,13 +25,21 @@
   // Another instance has read the record of this revision.
   void Hear(Revision revision, Time now);
 
-  // Returns the revision that others have read and this instance, which has
-  // read `own`, has not, once that has lasted for kPatience.
+  // Returns the newest revision that others have read, once this instance,
+  // which has read `own`, has lacked a newer one for kPatience. It stays unread
+  // however many newer ones are heard of.
   std::optional<Revision> Unread(Revision own, Time now) const;
 
  private:
-  Revision m_newest;
-  Time m_heard;
+  struct Heard {
+    Revision m_revision;
+    Time m_first_heard;
+  };
+
+  static constexpr std::size_t kMostHeard = 64;
+
+  // The oldest first.
+  std::deque<Heard> m_heard;
 };
 
 // What an instance may make of a group's primary.
--- a/test/gateway/primary_decision_test.cc
+++ b/test/gateway/primary_decision_test.cc
@@ -85,6 +85,12 @@
         CPPUNIT_ASSERT(Revision(7) == *unread);
       }
     }
+    // Fault: while the store does not answer here, the replacement ends, and
+    // the record changes once more. What was out of use stays so.
+    heard.Hear(Revision(9), Time(20s));
+    CPPUNIT_ASSERT(Revision(9) == heard.Unread(Revision(6), Time(20s)));
+    CPPUNIT_ASSERT(!heard.Unread(Revision(7), Time(20s)));
+    CPPUNIT_ASSERT(heard.Unread(Revision(7), Time(20s) + 300ms));
     const ReplacementCoordinator coordinator = MakeCoordinator();
     const PrimaryDecision decision = DecidePrimary(
         GroupName("g"), coordinator, MemberId("p"), std::nullopt, true);
