--- a/src/gateway/connection_holders.h
+++ b/src/gateway/connection_holders.h
@@ -18,7 +18,7 @@
 // Answers scarce connections: a member takes a few dozen, a connection belongs
 // to one customer, and opening one takes a member's slot for longer than many
 // statements do. Divided by all instances, each would hold so few that most
-// operations open one. So a few instances, chosen by rendezvous hashing from
+// operations open one. So a few instances, found by rendezvous hashing in
 // different availability zones, hold the connections to a group, and the others
 // forward to them; large instances come first. Each customer has one of the
 // holders, so that its connections are used again. Where connections suffice
