gateway: one check of whether an operation may start anew

The retry after a refusal had the check that forwarding names MayStartAnew(). Behaviour stays: 116 tests of the gateway pass, format and lint of the file are clean.

--- a/src/gateway/engine_answers.cc
+++ b/src/gateway/engine_answers.cc
@@ -281,11 +281,9 @@
                          Connection* connection,
                          ErrorCode code,
                          Time now) {
-  const bool may_restart = !session->m_transaction ||
-                           session->m_transaction->m_answered_statements == 0;
   const bool not_run =
       ProvesNothingKept(code) || code == ErrorCode::kUnknownStatement;
-  if (!may_restart || !not_run || code == ErrorCode::kAborted) {
+  if (!MayStartAnew(*session) || !not_run || code == ErrorCode::kAborted) {
     return false;
   }
   ActiveStatement& active = *session->m_active;
