store: one odd entry neither ends a reader nor hides the others

Cause: the answer of a list or a watch was parsed as one document. A number beyond a double (1e999) or a byte that is not UTF-8 in any entry made the whole answer unreadable, so the reader stopped following that kind; a deeply nested entry overflowed the stack when the parsed document was copied, and the process ended; a fraction or a number beyond 32 bits became other slots; an address without a usable port was announced as a member.

Ruled out: the HTTP parser and the limit of bodies (both hold); the parser itself, which does not recurse, only the copy did.

Change: the text of an answer is split without recursion and each entry is decoded by itself, with a bound on nesting; whole numbers and addresses are checked.

--- a/jasminelug/common.h
+++ b/jasminelug/common.h
@@ -10,6 +10,7 @@
 #include "src/common/json_document.h"
 #include "src/common/json_lines_layout.h"
 #include "src/common/json_log_event.h"
+#include "src/common/json_split.h"
 #include "src/common/log_field.h"
 #include "src/common/logging.h"
 #include "src/common/object_reader.h"
--- a/test/platform_adapter/store_objects_test.cc
+++ b/test/platform_adapter/store_objects_test.cc
@@ -42,7 +42,8 @@
  public:
   void ReadsTheConfiguration() {
     const gateway::StoreObject object =
-        DecodeObject(StoreKind::kConfiguration, Object("main", kManifest));
+        DecodeObject(StoreKind::kConfiguration,
+                     Object("main", kManifest).dump());
     const auto configuration =
         std::get<std::shared_ptr<const gateway::Configuration>>(object.m_value);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, configuration->m_version);
@@ -66,7 +67,7 @@
 
   void ReadsMembers() {
     const gateway::StoreObject object =
-        DecodeObject(StoreKind::kMembers, Object("i-7", kMember));
+        DecodeObject(StoreKind::kMembers, Object("i-7", kMember).dump());
     const auto& member = std::get<gateway::Member>(object.m_value);
     CPPUNIT_ASSERT(gateway::MemberId("i-7") == member.m_id);
     CPPUNIT_ASSERT(gateway::MemberRole::kPrimary == member.m_role);
@@ -96,7 +97,7 @@
     objects.push_back(unknown_state);
     for (const json& object : objects) {
       const gateway::StoreObject decoded =
-          DecodeObject(StoreKind::kMembers, object);
+          DecodeObject(StoreKind::kMembers, object.dump());
       CPPUNIT_ASSERT_MESSAGE(
           object.dump(),
           std::holds_alternative<gateway::UnreadableObject>(decoded.m_value));
@@ -125,7 +126,7 @@
           std::holds_alternative<gateway::InstanceEntry>(value)
               ? StoreKind::kInstances
               : StoreKind::kReplacements;
-      CPPUNIT_ASSERT(value == DecodeObject(kind, object).m_value);
+      CPPUNIT_ASSERT(value == DecodeObject(kind, object.dump()).m_value);
     }
   }
 };
