--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -20,31 +20,16 @@
 constexpr gateway::Duration kReportInterval = 200ms;
 // Number of instances of each other cell that receive a digest.
 constexpr std::size_t kDigestReceivers = 2;
+// Minimum pause between two digests for the other cells.
+constexpr gateway::Duration kDigestInterval = 380ms;
+// Bytes of queued reports that are sent on each tick: this number, or this part
+// of all queued bytes if that is more. A link drops datagrams of a large burst.
+constexpr std::size_t kBurstBytes = 16 * 1024;
+constexpr std::size_t kBurstPart = 4;
 // The coordinator of a replacement acts only if its replacement record was
 // verified against the store, by itself or through a peer's report, within this
 // time.
 constexpr gateway::Duration kCoordinatorContactLimit = 2s;
-// The live instance of rank 0 polls the store for the whole fleet: its watches
-// return after kPollerWatchWait, and its reports verify the state for the other
-// instances. The watches of the others wait longer.
-constexpr gateway::Duration kPollerWatchWait = 1100ms;
-constexpr gateway::Duration kNonPollerWatchWait = 25s;
-// If the configuration or the replacement record was last verified longer ago
-// than this, the instance calls the store at once. Each rank adds
-// kStaleContactRankDelay to the limit, at most kMaxRankDelays times, so that
-// the call of the first instance serves all others.
-constexpr gateway::Duration kStaleContactAge = 2200ms;
-constexpr gateway::Duration kStaleContactRankDelay = 250ms;
-constexpr int kMaxRankDelays = 4;
-// Minimum pause between two calls that refresh stale state.
-constexpr gateway::Duration kRefreshInterval = 400ms;
-// If others have had a newer state for longer than this, the instance calls the
-// store at once instead of waiting for its watch.
-constexpr gateway::Duration kNewerStateTimeout = 400ms;
-// Time for which an instance polls the store for the whole fleet after it had
-// to refresh a stale contact.
-constexpr gateway::Duration kActingPollerTime = 5s;
-
 gateway::InstanceEntry MakeEntry(const Settings& settings) {
   const auto since_epoch =
       std::chrono::duration_cast<std::chrono::microseconds>(
@@ -80,7 +65,7 @@
       m_removal_client(io, *adapter::ParseEndpoint(settings.m_store)),
       m_promotion_client(io, *adapter::ParseEndpoint(settings.m_promotion)),
       m_registrar(m_entry, MakeRegistrarHooks()),
-      m_peers(m_entry.m_id, m_entry.m_incarnation, m_entry.m_zone),
+      m_peers(m_entry),
       m_coordinator(gateway::ReplacementOptions{m_entry.m_id},
                     MakeCoordinatorHooks()),
       m_datagrams(io,
@@ -135,7 +120,7 @@
   };
   hooks.m_abandon_write = [this] { m_record_client.Abandon(); };
   hooks.m_abandon_promotion = [this] { m_promotion_client.Abandon(); };
-  hooks.m_read_instances = [this] { m_refresh.m_instances(); };
+  hooks.m_read_instances = [this] { m_hooks.m_read_instances(); };
   hooks.m_request_status = [this](const gateway::MemberId& member) {
     m_engine.RequestStatus(member, Now());
   };
@@ -153,6 +138,7 @@
 }
 
 void FleetDuty::OnInstances(const gateway::StoreObjects& objects,
+                            gateway::Revision complete,
                             gateway::Time now) {
   m_objects = objects;
   m_entries.clear();
@@ -160,18 +146,18 @@
     if (const auto* entry =
             std::get_if<gateway::InstanceEntry>(&object.m_value)) {
       m_entries.push_back(*entry);
+      m_entries.back().m_revision = object.m_revision;
     }
   }
   m_peers.SetInstances(m_entries, now);
   m_engine.SetInstances(m_entries, now);
   m_engine.limiter().SetInstanceCount(m_peers.instance_count());
-  m_registrar.OnEntries(objects, now);
-  UpdateShares(now);
+  m_registrar.OnEntries(objects, complete, now);
+  UpdateHolders(now);
 }
 
 void FleetDuty::OnReplacements(const gateway::StoreObjects& objects,
                                gateway::Time now) {
-  m_newer_record_since.reset();
   m_coordinator.OnEntries(objects, now);
   UpdatePrimaries(now);
   if (AcknowledgedRevision(now) != m_reported_revision) {
@@ -224,6 +210,7 @@
 
 gateway::PeerReport FleetDuty::MakeReport(gateway::Time now) const {
   gateway::PeerReport report;
+  report.m_copies = m_hooks.m_copies();
   report.m_demand = m_engine.limiter().Demand(now);
   report.m_acknowledged = AcknowledgedRevision(now);
   const gateway::Configuration* configuration = m_engine.configuration();
@@ -253,36 +240,56 @@
 
 void FleetDuty::SendReports(gateway::Time now) {
   m_last_report = now;
+  m_peers.UpdateRole(now);
   gateway::PeerReport report = MakeReport(now);
+  const bool acknowledges = report.m_acknowledged != m_reported_revision;
   m_reported_revision = report.m_acknowledged;
   m_peers.FillHeader(&report, now);
-  const std::string bytes = gossip::EncodeReport(report);
-  for (const gateway::InstanceEntry& peer : m_peers.Peers()) {
-    SendTo(peer, bytes);
+  const gateway::FleetShares shares =
+      m_peers.AllShares(report.m_demand, m_holders, now);
+  for (const gateway::InstanceEntry& peer : m_peers.ReportReceivers(now)) {
+    Queue(peer, m_peers.ReportFor(peer, report, shares, now));
   }
-  if (m_peers.SendsDigest(now)) {
-    SendDigest(report, now);
+  if (m_peers.has_other_cells() && m_peers.is_head()) {
+    QueueForOtherCells(&report, shares, acknowledges, now);
   }
+  SendQueued();
 }
 
-void FleetDuty::SendDigest(const gateway::PeerReport& own, gateway::Time now) {
-  gateway::PeerReport report;
-  report.m_sender = own.m_sender;
-  report.m_incarnation = own.m_incarnation;
-  report.m_sequence = own.m_sequence;
-  report.m_cells = {m_peers.Digest(own, now)};
-  const std::string bytes = gossip::EncodeReport(report);
+void FleetDuty::QueueForOtherCells(gateway::PeerReport* own,
+                                   const gateway::FleetShares& shares,
+                                   bool acknowledges,
+                                   gateway::Time now) {
+  const bool digest_due = now - m_last_digest >= kDigestInterval;
+  if (digest_due || acknowledges) {
+    m_last_digest = now;
+    own->m_cells = {m_peers.Digest(*own, now)};
+  }
   for (const gateway::InstanceEntry& peer :
-       m_peers.DigestReceivers(kDigestReceivers)) {
-    SendTo(peer, bytes);
+       m_peers.DigestReceivers(kDigestReceivers, now)) {
+    Queue(peer, m_peers.ReportFor(peer, *own, shares, now));
   }
 }
 
-void FleetDuty::SendTo(const gateway::InstanceEntry& peer,
-                       const std::string& bytes) {
+void FleetDuty::Queue(const gateway::InstanceEntry& peer,
+                      const gateway::PeerReport& report) {
   const auto endpoint = adapter::ParseEndpoint(peer.m_peer_address.str());
   if (endpoint) {
-    m_datagrams.Send(ToDatagramEndpoint(*endpoint), bytes);
+    m_outgoing.push_back(
+        {ToDatagramEndpoint(*endpoint), gossip::EncodeReport(report)});
+    m_outgoing_bytes += m_outgoing.back().m_bytes.size();
+  }
+}
+
+void FleetDuty::SendQueued() {
+  std::size_t left = std::max(kBurstBytes, m_outgoing_bytes / kBurstPart);
+  while (left > 0 && !m_outgoing.empty()) {
+    const OutgoingReport& report = m_outgoing.front();
+    const std::size_t size = report.m_bytes.size();
+    m_datagrams.Send(report.m_receiver, report.m_bytes);
+    m_outgoing.pop_front();
+    m_outgoing_bytes -= size;
+    left -= std::min(left, size);
   }
 }
 
@@ -296,8 +303,12 @@
   const gateway::Time now = Now();
   const gateway::PeerReport& read = GetValue(report);
   if (!m_peers.OnReport(read, now)) {
+    if (!m_peers.IsRegistered(read.m_sender, read.m_incarnation)) {
+      m_hooks.m_unknown_peer(read.m_sender, read.m_address);
+    }
     return;
   }
+  m_hooks.m_peer_copies(read.m_sender, read.m_copies, now);
   UpdateContacts(read, now);
   for (const gateway::PeerSample& sample : m_peers.SamplesOf(read.m_sender)) {
     m_engine.AddSample(sample.m_group, {sample.m_sent, sample.m_position}, now);
@@ -309,68 +320,47 @@
   const gateway::Configuration* configuration = m_engine.configuration();
   if (configuration && report.m_configuration) {
     UpdateContact(report, *report.m_configuration, configuration->m_revision,
-                  &m_engine.key_contact(), &m_newer_configuration_since, now);
+                  &m_engine.key_contact());
   }
   if (report.m_replacements) {
     m_peer_record.RecordPeerRevision(report.m_replacements->m_revision, now);
     UpdateContact(report, *report.m_replacements, m_coordinator.revision(),
-                  &m_engine.primary_contact(), &m_newer_record_since, now);
+                  &m_engine.primary_contact());
   }
 }
 
 void FleetDuty::UpdateContact(const gateway::PeerReport& report,
                               const gateway::VerifiedRevision& peer_state,
                               gateway::Revision own,
-                              gateway::StoreContact* contact,
-                              std::optional<gateway::Time>* newer_since,
-                              gateway::Time now) {
-  if (peer_state.m_revision > own) {
-    *newer_since = newer_since->value_or(now);
-    return;
-  }
+                              gateway::StoreContact* contact) {
   const auto verified = m_peers.VerifiedTime(report.m_sender, peer_state);
   if (verified && peer_state.m_revision == own) {
     contact->RecordContact(*verified);
   }
 }
 
-void FleetDuty::RefreshStaleState(gateway::Time now) {
-  if (now - m_last_refresh < kRefreshInterval) {
-    return;
-  }
-  const gateway::Duration limit =
-      kStaleContactAge +
-      std::min(m_peers.Rank(now), kMaxRankDelays) * kStaleContactRankDelay;
+gateway::FollowerCandidate FleetDuty::Candidate(gateway::Time now) const {
+  gateway::FollowerCandidate self;
+  self.m_rank = m_peers.FollowerRank(now);
+  self.m_live_count = m_peers.CountLive(now) > 0 ? m_peers.cell_size() : 1;
   const auto keys = m_engine.key_contact().Age(now);
   const auto primaries = m_engine.primary_contact().Age(now);
-  const auto overdue = [now](const std::optional<gateway::Time>& since) {
-    return since && now - *since > kNewerStateTimeout;
-  };
-  if (overdue(m_newer_configuration_since)) {
-    m_newer_configuration_since.reset();
-    m_last_refresh = now;
-    m_refresh.m_configuration();
-  }
-  if (overdue(m_newer_record_since)) {
-    m_newer_record_since.reset();
-    m_last_refresh = now;
-    m_refresh.m_replacements();
-  }
-  if (keys && *keys > limit) {
-    m_last_refresh = now;
-    m_acting_poller_until = now + kActingPollerTime;
-    m_refresh.m_configuration();
-  }
-  if (primaries && *primaries > limit) {
-    m_last_refresh = now;
-    m_acting_poller_until = now + kActingPollerTime;
-    m_refresh.m_replacements();
+  if (keys && primaries) {
+    self.m_contact_age = std::max(*keys, *primaries);
   }
+  return self;
 }
 
-gateway::Duration FleetDuty::WatchWait(gateway::Time now) const {
-  const bool polls = m_peers.Rank(now) == 0 || now < m_acting_poller_until;
-  return polls ? kPollerWatchWait : kNonPollerWatchWait;
+void FleetDuty::UpdateHolders(gateway::Time now) {
+  m_holders.clear();
+  const gateway::Configuration* configuration = m_engine.configuration();
+  if (!configuration) {
+    return;
+  }
+  for (const auto& [customer, limits] : configuration->m_customers) {
+    m_holders.emplace(customer, m_engine.holders().HoldersFor(customer));
+  }
+  UpdateShares(now);
 }
 
 void FleetDuty::UpdateShares(gateway::Time now) {
@@ -378,12 +368,8 @@
   if (!configuration) {
     return;
   }
-  gateway::PeerView::CustomerHolders customers;
-  for (const auto& [customer, limits] : configuration->m_customers) {
-    customers.emplace(customer, m_engine.holders().HoldersFor(customer));
-  }
   const auto shares =
-      m_peers.Shares(m_engine.limiter().Demand(now), customers, now);
+      m_peers.Shares(m_engine.limiter().Demand(now), m_holders, now);
   for (const auto& [customer, share] : shares) {
     m_engine.limiter().SetShare(customer, share, now);
   }
@@ -475,12 +461,12 @@
     m_registrar.Acknowledge(AcknowledgedRevision(now), now);
   }
   const bool acknowledges = AcknowledgedRevision(now) != m_reported_revision;
-  RefreshStaleState(now);
   if (acknowledges || now - m_last_report >= kReportInterval) {
     SendReports(now);
     UpdateShares(now);
     RemoveUnresponsivePeers(now);
   }
+  SendQueued();
 }
 
 void FleetDuty::Stop(gateway::Time now) {
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -4,6 +4,9 @@
 #include <log4cplus/logger.h>
 
 #include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <cstddef>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -28,13 +31,45 @@
             const Settings& settings,
             gateway::Engine& engine);
 
-  // Applies the entries of the registered instances, as the store holds them.
-  void OnInstances(const gateway::StoreObjects& objects, gateway::Time now);
+  // Hooks to the copies of the store's objects, and to this instance's other
+  // duties. The owner must set them before the first tick.
+  struct Hooks {
+    // Reads the registered instances from the store at once.
+    std::function<void()> m_read_instances;
+    // Returns the revisions of the copies of the store's objects.
+    std::function<std::vector<gateway::CopyRevision>()> m_copies;
+    // Called with the copies that a peer of this cell reported.
+    std::function<void(const gateway::InstanceId& sender,
+                       const std::vector<gateway::CopyRevision>& copies,
+                       gateway::Time now)>
+        m_peer_copies;
+    // Called for a report of an instance that is not registered as far as this
+    // instance knows.
+    std::function<void(const gateway::InstanceId& sender,
+                       const gateway::Address& address)>
+        m_unknown_peer;
+  };
+  void SetHooks(Hooks hooks) { m_hooks = std::move(hooks); }
+
+  // Handles instances that an outdated list of the store may name, before the
+  // first call of OnInstances().
+  void OnNeighbours(const gateway::StoreObjects& objects, gateway::Time now) {
+    m_registrar.OnEntries(objects, gateway::Revision(), now);
+  }
+
+  // Applies the entries of the registered instances, as of the store's revision
+  // `complete`.
+  void OnInstances(const gateway::StoreObjects& objects,
+                   gateway::Revision complete,
+                   gateway::Time now);
 
   // Records that the instances' entries are no older than `sent`, the time at
   // which a call to the store was sent.
   void OnInstancesVerified(gateway::Time sent) { m_instances_as_of = sent; }
 
+  // Called when the engine has taken over a new configuration.
+  void OnConfiguration(gateway::Time now) { UpdateHolders(now); }
+
   // Applies the replacement record, as the store holds it.
   void OnReplacements(const gateway::StoreObjects& objects, gateway::Time now);
 
@@ -43,49 +78,42 @@
                 const gateway::MemberStatus& status,
                 gateway::Time now);
 
-  // Called when the engine has taken over a new configuration.
-  void OnConfiguration() { m_newer_configuration_since.reset(); }
-
   // Decides again which primary the engine uses in each group. Called when the
   // members or the replacement record have changed, and on each tick.
   void UpdatePrimaries(gateway::Time now);
 
   void OnTick(gateway::Time now);
 
+  // Sends the reports to the peers at once, because a state that they contain
+  // has changed.
+  void SendReports(gateway::Time now);
+
+  // Returns this instance as a candidate for following the store.
+  gateway::FollowerCandidate Candidate(gateway::Time now) const;
+
   // Deletes this instance's entry from the store and starts no further
   // replacement.
   void Stop(gateway::Time now);
 
-  // Hooks that read the state of one kind from the store at once. The owner
-  // must set them before the first tick.
-  struct RefreshHooks {
-    std::function<void()> m_configuration;
-    std::function<void()> m_replacements;
-    std::function<void()> m_instances;
-  };
-  void SetRefreshHooks(RefreshHooks hooks) { m_refresh = std::move(hooks); }
-
-  // Returns how long a watch may wait before it returns without a change. One
-  // instance polls the store with a short wait, and its reports verify the
-  // state for the other instances, which wait longer.
-  gateway::Duration WatchWait(gateway::Time now) const;
-
   // Returns this instance's entry, or the entries of all registered instances
   // as the store holds them.
   const gateway::InstanceEntry& entry() const { return m_entry; }
   const std::vector<gateway::InstanceEntry>& entries() const {
     return m_entries;
   }
-  int instance_count() const { return m_peers.instance_count(); }
   bool is_registered() const { return m_registrar.is_registered(); }
 
  private:
   gateway::InstanceRegistrar::Hooks MakeRegistrarHooks();
   gateway::ReplacementCoordinator::Hooks MakeCoordinatorHooks();
   void OnDatagram(std::string_view bytes);
-  void SendReports(gateway::Time now);
-  void SendDigest(const gateway::PeerReport& own, gateway::Time now);
-  void SendTo(const gateway::InstanceEntry& peer, const std::string& bytes);
+  void Queue(const gateway::InstanceEntry& peer,
+             const gateway::PeerReport& report);
+  void QueueForOtherCells(gateway::PeerReport* own,
+                          const gateway::FleetShares& shares,
+                          bool acknowledges,
+                          gateway::Time now);
+  void SendQueued();
   gateway::PeerReport MakeReport(gateway::Time now) const;
   gateway::Revision AcknowledgedRevision(gateway::Time now) const;
   bool AreAllPrimariesUnused() const;
@@ -93,10 +121,8 @@
   void UpdateContact(const gateway::PeerReport& report,
                      const gateway::VerifiedRevision& peer_state,
                      gateway::Revision own,
-                     gateway::StoreContact* contact,
-                     std::optional<gateway::Time>* newer_since,
-                     gateway::Time now);
-  void RefreshStaleState(gateway::Time now);
+                     gateway::StoreContact* contact);
+  void UpdateHolders(gateway::Time now);
   void UpdateShares(gateway::Time now);
   void RemoveUnresponsivePeers(gateway::Time now);
   std::vector<gateway::GroupCondition> GroupConditions(gateway::Time now) const;
@@ -116,18 +142,19 @@
   gateway::ReplacementCoordinator m_coordinator;
   gateway::PeerReadRevisions m_peer_record;
   gossip::DatagramSocket m_datagrams;
+  // A report that waits to be sent.
+  struct OutgoingReport {
+    asio::ip::udp::endpoint m_receiver;
+    std::string m_bytes;
+  };
+  std::deque<OutgoingReport> m_outgoing;
+  std::size_t m_outgoing_bytes = 0;
+  gateway::CustomerHolders m_holders;
+  gateway::Time m_last_digest;
   gateway::StoreObjects m_objects;
   std::vector<gateway::InstanceEntry> m_entries;
   gateway::Time m_instances_as_of;
-  RefreshHooks m_refresh;
-  gateway::Time m_last_refresh;
-  // Time since which other instances have reported a newer state than this
-  // instance has; unset if none has.
-  std::optional<gateway::Time> m_newer_configuration_since;
-  std::optional<gateway::Time> m_newer_record_since;
-  // Until this time, the instance polls the store for the whole fleet even if
-  // its rank is not 0.
-  gateway::Time m_acting_poller_until;
+  Hooks m_hooks;
   gateway::Time m_last_report;
   // Acknowledged revision in the last report.
   gateway::Revision m_reported_revision;
--- a/apps/gateway/forwarding_duty.cc
+++ b/apps/gateway/forwarding_duty.cc
@@ -11,6 +11,8 @@
 
 // Kind of the opaque peer messages that carry forwarded operations.
 constexpr char kForwardKind[] = "f";
+// Kind of those about copies of the store's objects.
+constexpr char kStateKind[] = "s";
 // Maximum number of connections that other instances may open to this one.
 constexpr std::size_t kMaxInbound = 1024;
 
@@ -59,15 +61,19 @@
 void ForwardingDuty::SetInstances(
     const std::vector<gateway::InstanceEntry>& entries) {
   for (const gateway::InstanceEntry& entry : entries) {
-    const auto address = peers::ParsePeerAddress(entry.m_peer_address.str());
-    if (IsOk(address)) {
-      m_addresses.insert_or_assign(entry.m_id, GetValue(address));
-    } else {
-      Log(m_logger, log4cplus::WARN_LOG_LEVEL,
-          "an instance has an invalid address",
-          {{"peer", entry.m_id.str()},
-           {"reason", GetError(address).m_message}});
-    }
+    SetAddress(entry.m_id, entry.m_peer_address);
+  }
+}
+
+void ForwardingDuty::SetAddress(const gateway::InstanceId& instance,
+                                const gateway::Address& address) {
+  const auto parsed = peers::ParsePeerAddress(address.str());
+  if (IsOk(parsed)) {
+    m_addresses.insert_or_assign(instance, GetValue(parsed));
+  } else {
+    Log(m_logger, log4cplus::WARN_LOG_LEVEL,
+        "an instance has an invalid address",
+        {{"peer", instance.str()}, {"reason", GetError(parsed).m_message}});
   }
 }
 
@@ -86,20 +92,30 @@
   }
 }
 
-void ForwardingDuty::Send(const gateway::InstanceId& instance,
-                          const gateway::ForwardMessage& message) {
+void ForwardingDuty::SendOpaque(const gateway::InstanceId& instance,
+                                const peers::Opaque& body) {
   const auto found = m_addresses.find(instance);
   if (found == m_addresses.end()) {
-    return;  // The engine gives up the operation when no answer arrives.
+    return;  // The sender gives up when no answer arrives.
   }
   const peers::PeerAddress peer = found->second;
   if (m_greeted.insert(peer).second) {
     SendBody(peer,
              peers::Hello{m_self.m_zone.str(), m_self.m_peer_address.str()});
   }
+  SendBody(peer, body);
+}
+
+void ForwardingDuty::Send(const gateway::InstanceId& instance,
+                          const gateway::ForwardMessage& message) {
   m_sent +=
       std::holds_alternative<gateway::ForwardedStatement>(message) ? 1 : 0;
-  SendBody(peer, peers::Opaque{kForwardKind, gossip::EncodeForward(message)});
+  SendOpaque(instance, {kForwardKind, gossip::EncodeForward(message)});
+}
+
+void ForwardingDuty::SendState(const gateway::InstanceId& instance,
+                               const gateway::StateMessage& message) {
+  SendOpaque(instance, {kStateKind, gossip::EncodeState(message)});
 }
 
 void ForwardingDuty::Answer(gateway::SessionId session,
@@ -134,12 +150,17 @@
     return;
   }
   const auto& opaque = std::get<peers::Opaque>(envelope.m_body);
+  if (opaque.m_kind == kStateKind) {
+    OnStateEnvelope(sender, opaque.m_payload);
+    return;
+  }
+  if (opaque.m_kind != kForwardKind) {
+    LogUnreadable(sender, "unknown kind");
+    return;
+  }
   const auto message = gossip::DecodeForward(opaque.m_payload);
-  if (opaque.m_kind != kForwardKind || !IsOk(message)) {
-    Log(m_logger, log4cplus::WARN_LOG_LEVEL, "ignored an unreadable message",
-        {{"peer", sender.str()},
-         {"reason",
-          IsOk(message) ? "unknown kind" : GetError(message).m_message}});
+  if (!IsOk(message)) {
+    LogUnreadable(sender, GetError(message).m_message);
     return;
   }
   OnMessage(sender,
@@ -148,6 +169,22 @@
             GetValue(message));
 }
 
+void ForwardingDuty::OnStateEnvelope(const gateway::InstanceId& sender,
+                                     const std::string& payload) {
+  const auto message = gossip::DecodeState(payload);
+  if (!IsOk(message)) {
+    LogUnreadable(sender, GetError(message).m_message);
+    return;
+  }
+  m_on_state(sender, GetValue(message));
+}
+
+void ForwardingDuty::LogUnreadable(const gateway::InstanceId& sender,
+                                   const std::string& reason) {
+  Log(m_logger, log4cplus::WARN_LOG_LEVEL, "ignored an unreadable message",
+      {{"peer", sender.str()}, {"reason", reason}});
+}
+
 void ForwardingDuty::OnMessage(const gateway::InstanceId& sender,
                                gateway::Incarnation incarnation,
                                const gateway::ForwardMessage& message) {
--- a/apps/gateway/forwarding_duty.h
+++ b/apps/gateway/forwarding_duty.h
@@ -5,9 +5,12 @@
 
 #include <asio/io_context.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "jasminelug/gateway.h"
@@ -16,7 +19,8 @@
 namespace jasminelug::gateway_app {
 
 // Transports forwarded operations between this instance's engine and the other
-// instances. Each pair of instances uses one connection in each direction.
+// instances, and messages about copies of the store's objects. Each pair of
+// instances uses one connection in each direction.
 class ForwardingDuty {
  public:
   // Listens on the peer address of `self`. Throws std::runtime_error if it
@@ -28,6 +32,19 @@
   // Updates the peer addresses from the registered instances' entries.
   void SetInstances(const std::vector<gateway::InstanceEntry>& entries);
 
+  // Updates the peer address of one instance. Ignores an invalid address.
+  void SetAddress(const gateway::InstanceId& instance,
+                  const gateway::Address& address);
+
+  // Sets the hook that handles messages about copies of the store's objects.
+  using StateHook = std::function<void(const gateway::InstanceId& sender,
+                                       const gateway::StateMessage& message)>;
+  void SetStateHook(StateHook hook) { m_on_state = std::move(hook); }
+
+  // Sends a message about copies of the store's objects.
+  void SendState(const gateway::InstanceId& instance,
+                 const gateway::StateMessage& message);
+
   // Sends a message of the engine to another instance.
   void Send(const gateway::InstanceId& instance,
             const gateway::ForwardMessage& message);
@@ -49,6 +66,12 @@
  private:
   peers::PeerHooks MakePeerHooks();
   void OnEnvelope(const peers::Envelope& envelope);
+  void OnStateEnvelope(const gateway::InstanceId& sender,
+                       const std::string& payload);
+  void LogUnreadable(const gateway::InstanceId& sender,
+                     const std::string& reason);
+  void SendOpaque(const gateway::InstanceId& instance,
+                  const peers::Opaque& body);
   void OnStatement(const gateway::ForwardOrigin& origin,
                    const gateway::ForwardedStatement& statement);
   void OnMessage(const gateway::InstanceId& sender,
@@ -62,6 +85,7 @@
   gateway::Engine& m_engine;
   const gateway::InstanceEntry m_self;
   gateway::ForwardHost m_host;
+  StateHook m_on_state;
   std::map<gateway::InstanceId, peers::PeerAddress> m_addresses;
   // Peers to which this instance's address was sent on the current connection.
   std::set<peers::PeerAddress> m_greeted;
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -15,25 +15,6 @@
 using gateway::operator""ms;
 using gateway::operator""s;
 
-// The first watches of the configuration and of the replacement record return
-// after this time if nothing changes; FleetDuty::WatchWait() sets the time for
-// later watches. Each return leads to another call, and the platform charges
-// for each call.
-constexpr gateway::Duration kInitialWatchWait = 1200ms;
-// Wait of the watches for the other kinds, whose state need not be verified
-// continuously.
-constexpr gateway::Duration kOtherKindWatchWait = 28s;
-// Pause after a change before the next watch, multiplied by the number of
-// instances. Some kinds change many times a second, for example while the fleet
-// starts; the pause bounds how often each instance reads them.
-constexpr gateway::Duration kPausePerInstance = 15ms;
-// Maximum delay between two retries: kShortRetryDelay for the configuration,
-// whose link finds out first that the store is back and then refreshes the
-// other lost links; kLongRetryDelay for the other kinds. The platform charges
-// for each call. If the store is unavailable to all instances, the first one
-// that reaches it again verifies the state for the others.
-constexpr gateway::Duration kShortRetryDelay = 800ms;
-constexpr gateway::Duration kLongRetryDelay = 2s;
 // An instance is not ready for new callers if its keys were last verified
 // longer ago than this.
 constexpr gateway::Duration kReadyContactLimit = 3s;
@@ -59,22 +40,6 @@
   return options;
 }
 
-const char* NameOf(StoreKind kind) {
-  switch (kind) {
-    case StoreKind::kConfiguration:
-      return "configuration";
-    case StoreKind::kMembers:
-      return "members";
-    case StoreKind::kEvacuations:
-      return "evacuations";
-    case StoreKind::kInstances:
-      return "instances";
-    case StoreKind::kReplacements:
-      return "replacements";
-  }
-  return "";
-}
-
 }  // namespace
 
 GatewayProcess::GatewayProcess(Settings settings, ReloadHook reload)
@@ -84,12 +49,18 @@
       m_io(1),
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_timer(m_io),
-      m_random(std::random_device()()),
       m_statement_log(log4cplus::Logger::getInstance("statements")),
       m_engine(MakeEngineOptions(m_settings), MakeEngineHooks()),
       m_members(m_io, MakeMemberHooks()),
       m_fleet(m_io, m_settings, m_engine),
-      m_forwarding(m_io, m_fleet.entry(), m_engine) {}
+      m_forwarding(m_io, m_fleet.entry(), m_engine),
+      m_state(m_io, m_settings, m_fleet.entry(), MakeStateHooks()) {
+  m_fleet.SetHooks(MakeFleetHooks());
+  m_forwarding.SetStateHook([this](const gateway::InstanceId& sender,
+                                   const gateway::StateMessage& message) {
+    m_state.OnMessage(sender, message, Now());
+  });
+}
 
 gateway::EngineHooks GatewayProcess::MakeEngineHooks() {
   gateway::EngineHooks hooks;
@@ -185,35 +156,107 @@
   return hooks;
 }
 
-std::unique_ptr<StoreLink> GatewayProcess::MakeStoreLink(
-    StoreKind kind,
-    gateway::Duration wait,
-    std::function<void(const gateway::StoreObjects&)> changed,
-    std::function<void(gateway::Time)> verified) {
-  StoreLink::Hooks hooks;
-  hooks.m_changed = std::move(changed);
-  hooks.m_verified = std::move(verified);
-  hooks.m_lost = [this, kind](const std::string& reason) {
-    Log(m_logger, log4cplus::WARN_LOG_LEVEL, "lost contact with the store",
-        {{"kind", std::string(NameOf(kind))}, {"reason", reason}});
+StateDuty::Hooks GatewayProcess::MakeStateHooks() {
+  StateDuty::Hooks hooks;
+  hooks.m_changed = [this](StoreKind kind, const gateway::StoreObjects& objects,
+                           gateway::Revision complete) {
+    OnStateChanged(kind, objects, complete);
   };
-  hooks.m_regained = [this, kind] {
-    Log(m_logger, log4cplus::INFO_LOG_LEVEL, "regained contact with the store",
-        {{"kind", std::string(NameOf(kind))}});
-    if (kind == StoreKind::kConfiguration) {
-      RefreshLostLinks();
-    }
+  hooks.m_verified = [this](StoreKind kind, gateway::Time as_of,
+                            bool own_call) {
+    OnStateVerified(kind, as_of, own_call);
+  };
+  hooks.m_contact_age = [this](StoreKind kind, gateway::Time now) {
+    return ContactAge(kind, now);
+  };
+  hooks.m_neighbours = [this](const gateway::StoreObjects& objects) {
+    OnNeighbours(objects);
+  };
+  hooks.m_send = [this](const gateway::InstanceId& instance,
+                        const gateway::StateMessage& message) {
+    m_forwarding.SendState(instance, message);
   };
-  hooks.m_random = [this] {
-    return std::uniform_real_distribution<double>(0, 1)(m_random);
+  return hooks;
+}
+
+FleetDuty::Hooks GatewayProcess::MakeFleetHooks() {
+  FleetDuty::Hooks hooks;
+  hooks.m_read_instances = [this] {
+    m_state.Refresh(StoreKind::kInstances, Now());
+  };
+  hooks.m_copies = [this] { return m_state.Copies(); };
+  hooks.m_peer_copies = [this](const gateway::InstanceId& sender,
+                               const std::vector<gateway::CopyRevision>& copies,
+                               gateway::Time now) {
+    m_state.OnReport(sender, copies, now);
   };
-  gateway::StoreFollowerOptions options;
-  options.m_watch_wait = wait;
-  options.m_max_retry_delay =
-      kind == StoreKind::kConfiguration ? kShortRetryDelay : kLongRetryDelay;
-  return std::make_unique<StoreLink>(
-      m_io, *adapter::ParseEndpoint(m_settings.m_store), kind, options,
-      std::move(hooks));
+  hooks.m_unknown_peer = [this](const gateway::InstanceId& sender,
+                                const gateway::Address& address) {
+    m_forwarding.SetAddress(sender, address);
+    m_state.OnUnknownReporter(sender);
+  };
+  return hooks;
+}
+
+void GatewayProcess::OnStateChanged(StoreKind kind,
+                                    const gateway::StoreObjects& objects,
+                                    gateway::Revision complete) {
+  const gateway::Time now = Now();
+  switch (kind) {
+    case StoreKind::kConfiguration:
+      OnConfiguration(objects);
+      break;
+    case StoreKind::kMembers:
+      OnMembers(objects);
+      return;
+    case StoreKind::kEvacuations:
+      OnEvacuations(objects);
+      break;
+    case StoreKind::kInstances:
+      m_fleet.OnInstances(objects, complete, now);
+      m_forwarding.SetInstances(m_fleet.entries());
+      return;
+    case StoreKind::kReplacements:
+      m_fleet.OnReplacements(objects, now);
+      break;
+  }
+  // The peers request these changes as soon as they are reported.
+  m_fleet.SendReports(now);
+}
+
+void GatewayProcess::OnStateVerified(StoreKind kind,
+                                     gateway::Time as_of,
+                                     bool own_call) {
+  if (kind == StoreKind::kConfiguration) {
+    m_engine.key_contact().RecordContact(as_of);
+  } else if (kind == StoreKind::kReplacements) {
+    m_engine.primary_contact().RecordContact(as_of);
+  } else if (kind == StoreKind::kInstances && own_call) {
+    m_fleet.OnInstancesVerified(as_of);
+  }
+}
+
+std::optional<gateway::Duration> GatewayProcess::ContactAge(StoreKind kind,
+                                                            gateway::Time now) {
+  if (kind == StoreKind::kConfiguration) {
+    return m_engine.key_contact().Age(now);
+  }
+  if (kind == StoreKind::kReplacements) {
+    return m_engine.primary_contact().Age(now);
+  }
+  return std::nullopt;
+}
+
+void GatewayProcess::OnNeighbours(const gateway::StoreObjects& objects) {
+  m_fleet.OnNeighbours(objects, Now());
+  std::vector<gateway::InstanceEntry> entries;
+  for (const auto& [name, object] : objects) {
+    if (const auto* entry =
+            std::get_if<gateway::InstanceEntry>(&object.m_value)) {
+      entries.push_back(*entry);
+    }
+  }
+  m_forwarding.SetInstances(entries);
 }
 
 void GatewayProcess::OnConfiguration(const gateway::StoreObjects& objects) {
@@ -234,7 +277,7 @@
     return;
   }
   m_engine.SetConfiguration(*read, Now());
-  m_fleet.OnConfiguration();
+  m_fleet.OnConfiguration(Now());
   Log(m_logger, log4cplus::INFO_LOG_LEVEL, "configuration in force",
       {{"version", (*read)->m_version},
        {"routes", static_cast<std::int64_t>((*read)->m_routes.size())},
@@ -266,34 +309,9 @@
   m_engine.SetEvacuatedZones(zones, Now());
 }
 
-void GatewayProcess::OnInstances(const gateway::StoreObjects& objects) {
-  m_fleet.OnInstances(objects, Now());
-  m_forwarding.SetInstances(m_fleet.entries());
-}
-
-void GatewayProcess::RefreshLink(StoreLink* link) {
-  // A lost link retries on its own, with increasing delays.
-  if (!link->is_lost()) {
-    link->Refresh(Now());
-  }
-}
-
-void GatewayProcess::RefreshLostLinks() {
-  for (StoreLink* link : Links()) {
-    if (link->is_lost()) {
-      link->Refresh(Now());
-    }
-  }
-}
-
 bool GatewayProcess::IsReady() const {
-  for (StoreLink* link : Links()) {
-    if (!link || !link->is_listed()) {
-      return false;
-    }
-  }
-  return !m_stopping_since && m_engine.configuration() != nullptr &&
-         m_fleet.is_registered() &&
+  return !m_stopping_since && m_state.is_complete() &&
+         m_engine.configuration() != nullptr && m_fleet.is_registered() &&
          const_cast<gateway::Engine&>(m_engine).key_contact().IsFresh(
              Now(), kReadyContactLimit);
 }
@@ -310,15 +328,7 @@
 
 void GatewayProcess::OnTick() {
   const gateway::Time now = Now();
-  m_configuration_link->SetWatchWait(m_fleet.WatchWait(now));
-  m_replacements_link->SetWatchWait(m_fleet.WatchWait(now));
-  const gateway::Duration pause = m_fleet.instance_count() * kPausePerInstance;
-  m_configuration_link->SetPauseAfterChange(pause);
-  m_instances_link->SetPauseAfterChange(pause);
-  m_members_link->SetPauseAfterChange(pause);
-  for (StoreLink* link : Links()) {
-    link->OnTick(now);
-  }
+  m_state.OnTick(m_fleet.Candidate(now), now);
   if (m_directory.OnTick(now)) {
     m_engine.SetMembers(m_directory.Members(), now);
   }
@@ -386,10 +396,10 @@
           std::to_string(m_completed) + "\n";
   text +=
       "jasminelug_statements_refused_total " + std::to_string(m_refused) + "\n";
-  for (const StoreLink* link : Links()) {
+  for (const StateDuty::CallCount& count : m_state.CallCounts()) {
     text += "jasminelug_store_calls_total{kind=\"";
-    text += NameOf(link->kind());
-    text += "\"} " + std::to_string(link->calls()) + "\n";
+    text += NameOf(count.m_kind);
+    text += "\"} " + std::to_string(count.m_calls) + "\n";
   }
   text +=
       "jasminelug_sessions " + std::to_string(m_engine.session_count()) + "\n";
@@ -402,45 +412,6 @@
   return text;
 }
 
-void GatewayProcess::StartLinks() {
-  m_configuration_link = MakeStoreLink(
-      StoreKind::kConfiguration, kInitialWatchWait,
-      [this](const auto& objects) { OnConfiguration(objects); },
-      [this](gateway::Time sent) {
-        m_engine.key_contact().RecordContact(sent);
-      });
-  m_replacements_link = MakeStoreLink(
-      StoreKind::kReplacements, kInitialWatchWait,
-      [this](const auto& objects) { m_fleet.OnReplacements(objects, Now()); },
-      [this](gateway::Time sent) {
-        m_engine.primary_contact().RecordContact(sent);
-      });
-  m_instances_link = MakeStoreLink(
-      StoreKind::kInstances, kOtherKindWatchWait,
-      [this](const auto& objects) { OnInstances(objects); },
-      [this](gateway::Time sent) { m_fleet.OnInstancesVerified(sent); });
-  m_members_link = MakeStoreLink(
-      StoreKind::kMembers, kOtherKindWatchWait,
-      [this](const auto& objects) { OnMembers(objects); },
-      [](gateway::Time) {});
-  m_evacuations_link = MakeStoreLink(
-      StoreKind::kEvacuations, kOtherKindWatchWait,
-      [this](const auto& objects) { OnEvacuations(objects); },
-      [](gateway::Time) {});
-  m_fleet.SetRefreshHooks({[this] { RefreshLink(m_configuration_link.get()); },
-                           [this] { RefreshLink(m_replacements_link.get()); },
-                           [this] { RefreshLink(m_instances_link.get()); }});
-  for (StoreLink* link : Links()) {
-    link->Start(Now());
-  }
-}
-
-std::array<StoreLink*, 5> GatewayProcess::Links() const {
-  return {m_configuration_link.get(), m_replacements_link.get(),
-          m_instances_link.get(), m_members_link.get(),
-          m_evacuations_link.get()};
-}
-
 int GatewayProcess::Run() {
   Log(m_logger, log4cplus::INFO_LOG_LEVEL, "starting",
       {{"zone", m_settings.m_zone}, {"store", m_settings.m_store}});
@@ -450,7 +421,7 @@
       m_io, *adapter::ParseEndpoint(m_settings.m_status),
       adapter::StatusListener::Hooks{[this] { return IsReady(); },
                                      [this] { return Metrics(); }});
-  StartLinks();
+  m_state.Start(Now());
   AwaitSignal();
   ScheduleTick();
   m_io.run();
--- a/apps/gateway/gateway_process.h
+++ b/apps/gateway/gateway_process.h
@@ -3,21 +3,20 @@
 
 #include <log4cplus/logger.h>
 
-#include <array>
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
-#include <random>
 #include <string>
+#include <vector>
 
 #include "apps/gateway/fleet_duty.h"
 #include "apps/gateway/forwarding_duty.h"
 #include "apps/gateway/settings.h"
+#include "apps/gateway/state_duty.h"
 #include "apps/gateway/statement_log.h"
-#include "apps/gateway/store_link.h"
 #include "jasminelug/gateway.h"
 #include "platform/caller_listener.h"
 #include "platform/member_links.h"
@@ -44,25 +43,26 @@
   gateway::EngineHooks MakeEngineHooks();
   adapter::CallerListener::Hooks MakeCallerHooks();
   adapter::MemberLinks::Hooks MakeMemberHooks();
-  std::unique_ptr<StoreLink> MakeStoreLink(
-      gateway::StoreKind kind,
-      gateway::Duration wait,
-      std::function<void(const gateway::StoreObjects&)> changed,
-      std::function<void(gateway::Time)> verified);
+  StateDuty::Hooks MakeStateHooks();
+  FleetDuty::Hooks MakeFleetHooks();
 
+  void OnStateChanged(gateway::StoreKind kind,
+                      const gateway::StoreObjects& objects,
+                      gateway::Revision complete);
+  void OnStateVerified(gateway::StoreKind kind,
+                       gateway::Time as_of,
+                       bool own_call);
+  std::optional<gateway::Duration> ContactAge(gateway::StoreKind kind,
+                                              gateway::Time now);
+  void OnNeighbours(const gateway::StoreObjects& objects);
   void OnConfiguration(const gateway::StoreObjects& objects);
   void OnMembers(const gateway::StoreObjects& objects);
   void OnEvacuations(const gateway::StoreObjects& objects);
-  void OnInstances(const gateway::StoreObjects& objects);
   void ScheduleTick();
   void OnTick();
   void AwaitSignal();
   void OnSignal(int signal);
   void BeginShutdown();
-  void StartLinks();
-  std::array<StoreLink*, 5> Links() const;
-  void RefreshLink(StoreLink* link);
-  void RefreshLostLinks();
   bool IsReady() const;
   std::string Metrics() const;
 
@@ -72,18 +72,13 @@
   asio::io_context m_io;
   asio::signal_set m_signals;
   asio::steady_timer m_timer;
-  std::mt19937_64 m_random;
   StatementLog m_statement_log;
   gateway::Engine m_engine;
   gateway::MemberDirectory m_directory;
   adapter::MemberLinks m_members;
   FleetDuty m_fleet;
   ForwardingDuty m_forwarding;
-  std::unique_ptr<StoreLink> m_configuration_link;
-  std::unique_ptr<StoreLink> m_replacements_link;
-  std::unique_ptr<StoreLink> m_instances_link;
-  std::unique_ptr<StoreLink> m_members_link;
-  std::unique_ptr<StoreLink> m_evacuations_link;
+  StateDuty m_state;
   std::unique_ptr<adapter::CallerListener> m_callers;
   std::unique_ptr<adapter::StatusListener> m_status;
   std::optional<gateway::Time> m_stopping_since;
--- a/apps/gateway/store_link.cc
+++ b/apps/gateway/store_link.cc
@@ -19,9 +19,9 @@
   gateway::StoreFollower::Hooks follower;
   follower.m_list = [this](const std::string& after) {
     m_calls += 1;
-    m_client.List(m_kind, after, [this](const auto& result) {
-      m_follower.OnPage(result, Now());
-    });
+    m_client.List(
+        m_kind, after, adapter::ListConsistency::kCurrent,
+        [this](const auto& result) { m_follower.OnPage(result, Now()); });
   };
   follower.m_watch = [this](gateway::Revision since, gateway::Duration wait) {
     m_calls += 1;
--- a/apps/gateway/store_link.h
+++ b/apps/gateway/store_link.h
@@ -30,18 +30,9 @@
             const gateway::StoreFollowerOptions& options,
             Hooks hooks);
 
-  void Start(gateway::Time now) { m_follower.Start(now); }
-  void OnTick(gateway::Time now) { m_follower.OnTick(now); }
-  void Refresh(gateway::Time now) { m_follower.Refresh(now); }
-  void SetWatchWait(gateway::Duration wait) { m_follower.SetWatchWait(wait); }
-  void SetPauseAfterChange(gateway::Duration pause) {
-    m_follower.SetPauseAfterChange(pause);
-  }
-  bool is_lost() const { return m_follower.is_lost(); }
+  gateway::StoreFollower& follower() { return m_follower; }
   // Number of calls to the store since the start; exported as a metric.
   std::uint64_t calls() const { return m_calls; }
-  gateway::StoreKind kind() const { return m_kind; }
-  bool is_listed() const { return m_follower.is_listed(); }
 
  private:
   gateway::StoreFollower::Hooks MakeFollowerHooks(Hooks hooks);
--- a/src/common/json_split.cc
+++ b/src/common/json_split.cc
@@ -81,8 +81,8 @@
     if (!is_at_end() && m_text[m_at] == '"') {
       return SkipString();
     }
-    m_at = std::min(m_text.find_first_of(" \t\r\n,:\"[]{}", m_at),
-                    m_text.size());
+    m_at =
+        std::min(m_text.find_first_of(" \t\r\n,:\"[]{}", m_at), m_text.size());
     return true;
   }
 
--- a/src/gateway/instance_registrar.cc
+++ b/src/gateway/instance_registrar.cc
@@ -11,7 +11,12 @@
   return "instance." + id.str();
 }
 
-void InstanceRegistrar::OnEntries(const StoreObjects& objects, Time now) {
+void InstanceRegistrar::OnEntries(const StoreObjects& objects,
+                                  Revision complete,
+                                  Time now) {
+  if (complete < m_written) {
+    return;
+  }
   m_listed = true;
   const auto own = objects.find(NameOf(m_entry.m_id));
   m_registered = false;
@@ -43,10 +48,16 @@
     m_registered = true;
     m_outdated = false;
     m_revision = GetValue(result).m_revision;
+    m_written = *m_revision;
     return;
   }
-  // After a conflict or a lost answer, the watch reports what the store holds.
-  m_next_call = now + kRetryDelay;
+  const StoreErrorKind error = GetError(result).m_kind;
+  if (error == StoreErrorKind::kNotFound) {
+    m_revision.reset();
+  }
+  // After a conflict or a lost answer, newer entries show what the store holds.
+  m_next_call =
+      now + (error == StoreErrorKind::kConflict ? kConflictDelay : kRetryDelay);
 }
 
 void InstanceRegistrar::OnTick(Time now) {
--- a/src/gateway/instance_registrar.h
+++ b/src/gateway/instance_registrar.h
@@ -29,14 +29,17 @@
 
   static constexpr Duration kCallTimeout = 800ms;
   static constexpr Duration kRetryDelay = 150ms;
+  // Delay after a conflict, within which newer entries usually arrive.
+  static constexpr Duration kConflictDelay = 600ms;
 
   InstanceRegistrar(InstanceEntry entry, Hooks hooks);
 
   // Returns the name of the store object that holds an instance's entry.
   static std::string NameOf(const InstanceId& id);
 
-  // Handles the current entries of the store.
-  void OnEntries(const StoreObjects& objects, Time now);
+  // Handles the entries of the store, as of its revision `complete`. They are
+  // ignored if they are older than the last write of this instance.
+  void OnEntries(const StoreObjects& objects, Revision complete, Time now);
   void OnWritten(const Result<StoreObject, StoreError>& result, Time now);
   void OnTick(Time now);
 
@@ -56,6 +59,8 @@
   InstanceEntry m_entry;
   const Hooks m_hooks;
   std::optional<Revision> m_revision;
+  // Revision of the last write of this run.
+  Revision m_written;
   bool m_listed = false;
   bool m_registered = false;
   bool m_calling = false;
--- a/src/gateway/peer_report.h
+++ b/src/gateway/peer_report.h
@@ -6,7 +6,9 @@
 #include <vector>
 
 #include "src/gateway/customer_limiter.h"
+#include "src/gateway/fleet_shares.h"
 #include "src/gateway/ids.h"
+#include "src/gateway/state_update.h"
 
 namespace jasminelug::gateway {
 
@@ -64,6 +66,21 @@
   // Newest revision of the replacement record that all instances of the cell
   // have acknowledged.
   Revision m_acknowledged;
+  // StoreFollower::complete() of the sender's copy of the instances' entries:
+  // the acknowledgement includes every instance that registered up to it.
+  Revision m_instances{};
+};
+
+// State of the fleet without the receiver, which a head reports to the other
+// instances of its cell.
+struct FleetSummary {
+  friend bool operator==(const FleetSummary&, const FleetSummary&) = default;
+
+  // Whether all instances have reported recently.
+  bool m_complete = false;
+  // Load of the customers that have demand anywhere in the fleet.
+  std::vector<CustomerLoad> m_loads;
+  std::vector<GroupReachability> m_reachability;
 };
 
 // State that an instance sends to its peers several times per second.
@@ -72,6 +89,8 @@
 
   InstanceId m_sender;
   Incarnation m_incarnation;
+  // Address at which the sender accepts messages of other instances.
+  Address m_address;
   // Increases with each report of one incarnation.
   std::uint64_t m_sequence = 0;
   std::vector<ReportEcho> m_echoes;
@@ -88,10 +107,14 @@
   // unset before the first contact.
   std::optional<VerifiedRevision> m_configuration;
   std::optional<VerifiedRevision> m_replacements;
-  // In a report to another cell, the digest of the sender's cell. In a report
-  // within the cell, the digests that the sender received from other cells
-  // since its previous report.
+  // Revisions of the sender's copies of the store's objects.
+  std::vector<CopyRevision> m_copies;
+  // Whether the sender is a head of its cell.
+  bool m_is_head = false;
+  // In a report of a head to another cell, the digest of the sender's cell.
   std::vector<CellDigest> m_cells;
+  // In a report of a head to an instance of its cell that is no head.
+  std::optional<FleetSummary> m_summary{};
 };
 
 }  // namespace jasminelug::gateway
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -1,38 +1,41 @@
 #include "src/gateway/peer_view.h"
 
 #include <algorithm>
+#include <iterator>
+#include <limits>
 #include <utility>
 
+#include "src/core/rendezvous.h"
+#include "src/gateway/cell_order.h"
+
 namespace jasminelug::gateway {
 namespace {
 
 // Number of this instance's own reports whose sending times are kept.
 constexpr std::size_t kMaxSentReports = 64;
-// Number of instances of a cell that send its digest; two, so that one may
-// fail.
-constexpr int kDigestSenders = 2;
+// Maximum age of a report that is echoed. The echo of an older one would prove
+// nothing that is still of use.
+constexpr Duration kMaxEchoAge = 5s;
+// Number of heads of a cell; two, so that one may fail.
+constexpr int kHeads = 2;
+// Delay before an instance takes the role of a missing head, for each position
+// by which it follows the first kHeads instances, and the number of positions
+// to which it is added. Instances of later positions add a random part of
+// kHeadSpreadPerInstance for each instance of the cell.
+constexpr Duration kHeadDelay = 300ms;
+constexpr int kMaxHeadDelays = 4;
+constexpr Duration kHeadSpreadPerInstance = 20ms;
 // Maximum uncertainty of the time of a peer's samples. A sample that is less
 // certain would be taken for a much older one, and reads would require
 // positions that the replicas cannot have received yet.
 constexpr Duration kMaxUncertainty = 300ms;
-// Fraction of a customer's limits that is divided evenly among the holders,
-// regardless of demand. It admits callers that are new to an instance before
-// the next report includes their demand.
-constexpr double kEvenFraction = 0.3;
-// Demand that is assumed for each holder of a customer in addition to its
-// measured demand, in operations per second. It keeps the shares of a customer
-// without demand even.
-constexpr double kPriorDemand = 0.02;
-// Demand that is assumed for an instance that is not a holder of the customer,
-// in operations per second.
-constexpr double kMinDemand = 0.0001;
-
 }  // namespace
 
-PeerView::PeerView(InstanceId self, Incarnation incarnation, ZoneName zone)
-    : m_self(std::move(self)),
-      m_incarnation(incarnation),
-      m_zone(std::move(zone)) {}
+PeerView::PeerView(InstanceEntry self)
+    : m_own_entry(std::move(self)),
+      m_self(m_own_entry.m_id),
+      m_incarnation(m_own_entry.m_incarnation),
+      m_zone(m_own_entry.m_zone) {}
 
 void PeerView::SetInstances(const std::vector<InstanceEntry>& entries,
                             Time now) {
@@ -46,7 +49,9 @@
     }
     m_instance_count += 1;
     if (!single && entry.m_zone != m_zone) {
-      cells[entry.m_zone].m_entries.push_back(entry);
+      Cell& cell = cells[entry.m_zone];
+      cell.m_entries.push_back(entry);
+      cell.m_newest_entry = std::max(cell.m_newest_entry, entry.m_revision);
       continue;
     }
     Peer peer;
@@ -60,6 +65,7 @@
   }
   m_peers = std::move(peers);
   for (auto& [zone, cell] : cells) {
+    std::sort(cell.m_entries.begin(), cell.m_entries.end(), IsBeforeInCell);
     const auto known = m_cells.find(zone);
     if (known != m_cells.end()) {
       cell.m_digest = known->second.m_digest;
@@ -67,6 +73,21 @@
     }
   }
   m_cells = std::move(cells);
+  KeepHeads();
+}
+
+// Removes the heads whose run is no longer registered.
+void PeerView::KeepHeads() {
+  std::map<InstanceId, Peer> heads;
+  for (const auto& [zone, cell] : m_cells) {
+    for (const InstanceEntry& entry : cell.m_entries) {
+      const auto known = m_heads.find(entry.m_id);
+      if (known != m_heads.end() && known->second.m_entry.IsSameRun(entry)) {
+        heads.insert(*known);
+      }
+    }
+  }
+  m_heads = std::move(heads);
 }
 
 void PeerView::FillHeader(PeerReport* report, Time now) {
@@ -77,21 +98,22 @@
   }
   report->m_sender = m_self;
   report->m_incarnation = m_incarnation;
+  report->m_address = m_own_entry.m_peer_address;
   report->m_sequence = m_sequence;
-  for (const auto& [id, peer] : m_peers) {
-    if (!peer.m_report) {
-      continue;
+  for (const auto* peers : {&m_peers, &m_heads}) {
+    for (const auto& [id, peer] : *peers) {
+      if (!peer.m_report || now - peer.m_received > kMaxEchoAge) {
+        continue;
+      }
+      report->m_echoes.push_back({id, peer.m_report->m_incarnation,
+                                  peer.m_report->m_sequence,
+                                  now - peer.m_received});
     }
-    report->m_echoes.push_back({id, peer.m_report->m_incarnation,
-                                peer.m_report->m_sequence,
-                                now - peer.m_received});
   }
-  report->m_cells = std::exchange(m_digests_to_forward, {});
+  report->m_is_head = is_head();
 }
 
-void PeerView::RecordDigests(const PeerReport& report,
-                             bool from_cell,
-                             Time now) {
+void PeerView::RecordDigests(const PeerReport& report, Time now) {
   for (const CellDigest& digest : report.m_cells) {
     const auto cell = m_cells.find(digest.m_zone);
     if (cell == m_cells.end()) {
@@ -99,9 +121,6 @@
     }
     cell->second.m_digest = digest;
     cell->second.m_received = now;
-    if (!from_cell) {
-      m_digests_to_forward.push_back(digest);
-    }
   }
 }
 
@@ -118,29 +137,55 @@
   return std::nullopt;
 }
 
-bool PeerView::OnReport(const PeerReport& report, Time now) {
-  const auto found = m_peers.find(report.m_sender);
-  if (found == m_peers.end()) {
-    RecordDigests(report, /*from_cell=*/false, now);
-    return false;
+const PeerView::Peer* PeerView::Find(const InstanceId& id) const {
+  const auto peer = m_peers.find(id);
+  if (peer != m_peers.end()) {
+    return &peer->second;
+  }
+  const auto head = m_heads.find(id);
+  return head == m_heads.end() ? nullptr : &head->second;
+}
+
+// Returns the peer that sent `report`, or nullptr if it is not a known
+// incarnation of an instance. A head of another cell is added.
+PeerView::Peer* PeerView::FindSender(const PeerReport& report) {
+  const auto known = m_peers.find(report.m_sender);
+  if (known != m_peers.end()) {
+    const InstanceEntry& entry = known->second.m_entry;
+    return entry.m_incarnation == report.m_incarnation ? &known->second
+                                                       : nullptr;
+  }
+  for (const auto& [zone, cell] : m_cells) {
+    for (const InstanceEntry& entry : cell.m_entries) {
+      if (entry.m_id == report.m_sender &&
+          entry.m_incarnation == report.m_incarnation) {
+        Peer& head = m_heads[entry.m_id];
+        head.m_entry = entry;
+        return &head;
+      }
+    }
   }
-  if (found->second.m_entry.m_incarnation != report.m_incarnation) {
+  return nullptr;
+}
+
+bool PeerView::OnReport(const PeerReport& report, Time now) {
+  Peer* peer = FindSender(report);
+  if (!peer) {
     return false;
   }
-  RecordDigests(report, /*from_cell=*/true, now);
-  Peer& peer = found->second;
-  if (peer.m_report && peer.m_report->m_sequence >= report.m_sequence) {
+  RecordDigests(report, now);
+  if (peer->m_report && peer->m_report->m_sequence >= report.m_sequence) {
     return false;
   }
-  peer.m_report = report;
-  peer.m_received = now;
+  peer->m_report = report;
+  peer->m_received = now;
   for (const ReportEcho& echo : report.m_echoes) {
     if (echo.m_instance != m_self || echo.m_incarnation != m_incarnation) {
       continue;
     }
     const std::optional<Time> sent = SentTimeOf(echo.m_sequence);
     if (sent) {
-      peer.m_earliest_creation = *sent + echo.m_held;
+      peer->m_earliest_creation = *sent + echo.m_held;
     }
   }
   return true;
@@ -170,11 +215,11 @@
 std::optional<Time> PeerView::VerifiedTime(
     const InstanceId& sender,
     const VerifiedRevision& verified) const {
-  const auto found = m_peers.find(sender);
-  if (found == m_peers.end() || !found->second.m_earliest_creation) {
+  const Peer* peer = Find(sender);
+  if (!peer || !peer->m_earliest_creation) {
     return std::nullopt;
   }
-  return *found->second.m_earliest_creation - verified.m_age;
+  return *peer->m_earliest_creation - verified.m_age;
 }
 
 int PeerView::CountLive(Time now) const {
@@ -183,103 +228,27 @@
       [&](const auto& item) { return IsLive(item.second, now); }));
 }
 
-CustomerDemand PeerView::DemandIn(const std::vector<CustomerDemand>& demand,
-                                  const CustomerName& customer) {
-  for (const CustomerDemand& item : demand) {
-    if (item.m_customer == customer) {
-      return item;
-    }
-  }
-  return {customer, 0, 0};
-}
-
-std::vector<PeerView::FleetPart> PeerView::FleetPartsFor(
-    const CustomerName& customer,
-    const std::set<InstanceId>& holders,
-    Time now) const {
-  const auto is_holder = [&holders](const InstanceId& id) {
-    return holders.empty() || holders.contains(id);
-  };
-  std::vector<FleetPart> parts;
+FleetShares PeerView::AllShares(const std::vector<CustomerDemand>& own_demand,
+                                const CustomerHolders& holders,
+                                Time now) const {
+  std::vector<FleetPart> parts = {{{&m_own_entry}, &own_demand, true}};
   for (const auto& [id, peer] : m_peers) {
     FleetPart part;
+    part.m_instances = {&peer.m_entry};
+    part.m_demand = peer.m_report ? &peer.m_report->m_demand : nullptr;
     part.m_live = IsLive(peer, now);
-    part.m_holder_count = is_holder(id) ? 1 : 0;
-    if (peer.m_report) {
-      const CustomerDemand demand = DemandIn(peer.m_report->m_demand, customer);
-      part.m_demand = demand.m_operations_per_second;
-      part.m_admitted = demand.m_admitted_per_second;
-    }
     parts.push_back(part);
   }
   for (const auto& [zone, cell] : m_cells) {
     FleetPart part;
-    part.m_live = IsLive(cell, now);
-    part.m_instances = static_cast<int>(cell.m_entries.size());
-    part.m_holder_count = static_cast<int>(std::count_if(
-        cell.m_entries.begin(), cell.m_entries.end(),
-        [&](const InstanceEntry& entry) { return is_holder(entry.m_id); }));
-    if (cell.m_digest) {
-      const CustomerDemand demand = DemandIn(cell.m_digest->m_demand, customer);
-      part.m_demand = demand.m_operations_per_second;
-      part.m_admitted = demand.m_admitted_per_second;
+    for (const InstanceEntry& entry : cell.m_entries) {
+      part.m_instances.push_back(&entry);
     }
+    part.m_demand = cell.m_digest ? &cell.m_digest->m_demand : nullptr;
+    part.m_live = IsLive(cell, now);
     parts.push_back(part);
   }
-  for (FleetPart& part : parts) {
-    part.m_demand += kPriorDemand * part.m_holder_count;
-  }
-  return parts;
-}
-
-CustomerShare PeerView::ShareOf(const CustomerDemand& own_demand,
-                                const std::set<InstanceId>& holders,
-                                Time now) const {
-  const double even = 1.0 / instance_count();
-  const bool is_holder = holders.empty() || holders.contains(m_self);
-  const double own = own_demand.m_operations_per_second +
-                     (is_holder ? kPriorDemand : kMinDemand);
-  const std::vector<FleetPart> parts =
-      FleetPartsFor(own_demand.m_customer, holders, now);
-  double total = own;
-  for (const FleetPart& part : parts) {
-    total += part.m_demand;
-  }
-  // Fraction of the limits that unresponsive parts of the fleet may still be
-  // using. It is set aside and not divided among the live instances.
-  double reserved = 0;
-  double live_demand = own;
-  double admitted = own_demand.m_admitted_per_second;
-  int live_count = 1;
-  int live_holders = is_holder ? 1 : 0;
-  for (const FleetPart& part : parts) {
-    if (part.m_live) {
-      live_demand += part.m_demand;
-      admitted += part.m_admitted;
-      live_count += part.m_instances;
-      live_holders += part.m_holder_count;
-      continue;
-    }
-    const double even_part = even * part.m_instances;
-    const double last =
-        kEvenFraction * even_part + (1 - kEvenFraction) * part.m_demand / total;
-    reserved += std::max(even_part, last);
-  }
-  const double available = std::max(1 - reserved, even * live_count / 2);
-  const double even_share = is_holder ? kEvenFraction / live_holders : 0;
-  CustomerShare share;
-  share.m_fraction =
-      available * (even_share + (1 - kEvenFraction) * own / live_demand);
-  const bool alone = live_count == 1 && !parts.empty();
-  if (alone) {
-    share.m_fraction = std::min(share.m_fraction, even);
-  }
-  if (live_count == instance_count()) {
-    share.m_fleet_admitted = admitted;
-  }
-  share.m_holder_count =
-      holders.empty() ? instance_count() : static_cast<int>(holders.size());
-  return share;
+  return {std::move(parts), holders};
 }
 
 std::map<CustomerName, CustomerShare> PeerView::Shares(
@@ -287,35 +256,235 @@
     const CustomerHolders& customers,
     Time now) const {
   std::map<CustomerName, CustomerShare> shares;
+  if (!is_head()) {
+    const FleetSummary* summary = ReceivedSummary(now);
+    for (const auto& [customer, holders] : customers) {
+      shares.emplace(
+          customer,
+          ShareFrom(summary, DemandIn(own_demand, customer), holders));
+    }
+    return shares;
+  }
+  const FleetShares all = AllShares(own_demand, customers, now);
   for (const auto& [customer, holders] : customers) {
     shares.emplace(customer,
-                   ShareOf(DemandIn(own_demand, customer), holders, now));
+                   all.ShareOf(m_self, DemandIn(own_demand, customer)));
   }
   return shares;
 }
 
-bool PeerView::SendsDigest(Time now) const {
-  return !m_cells.empty() && Rank(now) < kDigestSenders;
+// Returns the summary of the first live head, or nullptr if there is none.
+const FleetSummary* PeerView::ReceivedSummary(Time now) const {
+  const Peer* first = nullptr;
+  for (const auto& [id, peer] : m_peers) {
+    const bool usable =
+        IsLive(peer, now) && peer.m_report->m_summary.has_value();
+    if (usable && (!first || IsBeforeInCell(peer.m_entry, first->m_entry))) {
+      first = &peer;
+    }
+  }
+  return first ? &*first->m_report->m_summary : nullptr;
+}
+
+// Returns this instance's share from the summary of a head; null if there is
+// none.
+CustomerShare PeerView::ShareFrom(const FleetSummary* summary,
+                                  const CustomerDemand& own_demand,
+                                  const std::set<InstanceId>& holders) const {
+  const int holder_count =
+      holders.empty() ? instance_count() : static_cast<int>(holders.size());
+  const bool is_holder = holders.empty() || holders.contains(m_self);
+  // The load of a customer that the summary does not contain.
+  CustomerLoad load;
+  load.m_live_holders = holder_count;
+  if (!summary) {
+    load.m_available = 1.0 / instance_count();
+    load.m_live_holders = 1;
+    return ComputeShare(load, own_demand, holder_count, is_holder,
+                        /*complete=*/false);
+  }
+  const auto known =
+      std::find_if(summary->m_loads.begin(), summary->m_loads.end(),
+                   [&](const CustomerLoad& item) {
+                     return item.m_customer == own_demand.m_customer;
+                   });
+  if (known != summary->m_loads.end()) {
+    load = *known;
+  }
+  return ComputeShare(load, own_demand, holder_count, is_holder,
+                      summary->m_complete);
+}
+
+CustomerDemand PeerView::DemandIn(const std::vector<CustomerDemand>& demand,
+                                  const CustomerName& customer) {
+  for (const CustomerDemand& item : demand) {
+    if (item.m_customer == customer) {
+      return item;
+    }
+  }
+  return {customer, 0, 0};
+}
+
+int PeerView::Position() const {
+  return static_cast<int>(
+      std::count_if(m_peers.begin(), m_peers.end(), [this](const auto& item) {
+        return IsBeforeInCell(item.second.m_entry, m_own_entry);
+      }));
+}
+
+bool PeerView::ReportsAsHead(const Peer& peer, Time now) const {
+  return peer.m_report && peer.m_report->m_is_head &&
+         now - peer.m_received < kReportMaxAge;
+}
+
+Duration PeerView::HeadDelay() const {
+  const int behind = std::max(Position() - kHeads + 1, 0);
+  const Duration delay = std::min(behind, kMaxHeadDelays) * kHeadDelay;
+  if (behind <= kMaxHeadDelays) {
+    return delay;
+  }
+  const double random =
+      static_cast<double>(core::RendezvousWeight(m_self, m_zone.str())) /
+      static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  const Duration spread =
+      static_cast<int>(m_peers.size()) * kHeadSpreadPerInstance;
+  return delay + std::chrono::duration_cast<Duration>(spread * random);
+}
+
+void PeerView::UpdateRole(Time now) {
+  const auto heads_before = static_cast<int>(
+      std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& item) {
+        return IsBeforeInCell(item.second.m_entry, m_own_entry) &&
+               ReportsAsHead(item.second, now);
+      }));
+  if (heads_before >= kHeads) {
+    m_vacant_since.reset();
+    m_is_head = false;
+    return;
+  }
+  m_vacant_since = m_vacant_since.value_or(now);
+  if (!m_is_head && now - *m_vacant_since >= HeadDelay()) {
+    m_is_head = true;
+    m_head_since = now;
+  }
+}
+
+std::vector<InstanceEntry> PeerView::ReportReceivers(Time now) const {
+  std::vector<InstanceEntry> receivers;
+  for (const auto& [id, peer] : m_peers) {
+    receivers.push_back(peer.m_entry);
+  }
+  if (is_head()) {
+    return receivers;
+  }
+  std::sort(receivers.begin(), receivers.end(), IsBeforeInCell);
+  const auto others = receivers.begin() +
+                      std::min<std::ptrdiff_t>(kHeads, std::ssize(receivers));
+  receivers.erase(std::remove_if(others, receivers.end(),
+                                 [&](const InstanceEntry& entry) {
+                                   return !ReportsAsHead(m_peers.at(entry.m_id),
+                                                         now);
+                                 }),
+                  receivers.end());
+  return receivers;
+}
+
+PeerReport PeerView::ReportFor(const InstanceEntry& receiver,
+                               const PeerReport& own,
+                               const FleetShares& shares,
+                               Time now) const {
+  PeerReport report = own;
+  if (m_cells.empty()) {
+    return report;
+  }
+  std::erase_if(report.m_echoes, [&receiver](const ReportEcho& echo) {
+    return echo.m_instance != receiver.m_id;
+  });
+  const auto peer = m_peers.find(receiver.m_id);
+  const bool in_cell = peer != m_peers.end();
+  const bool to_head = in_cell && ReportsAsHead(peer->second, now);
+  if (!is_head() || to_head) {
+    return report;
+  }
+  // The digest or the summary contains these for the whole cell.
+  report.m_demand.clear();
+  report.m_reachable.clear();
+  report.m_unreachable.clear();
+  if (in_cell) {
+    report.m_summary = SummaryFor(receiver, own, shares, now);
+  } else {
+    report.m_samples.clear();
+  }
+  return report;
+}
+
+FleetSummary PeerView::SummaryFor(const InstanceEntry& receiver,
+                                  const PeerReport& own,
+                                  const FleetShares& shares,
+                                  Time now) const {
+  FleetSummary summary;
+  summary.m_complete = shares.is_complete();
+  const Peer& peer = m_peers.at(receiver.m_id);
+  if (IsLive(peer, now)) {
+    for (const CustomerName& customer : shares.CustomersWithDemand()) {
+      const CustomerDemand demand = DemandIn(peer.m_report->m_demand, customer);
+      summary.m_loads.push_back(shares.LoadWithout(demand));
+    }
+  }
+  std::map<GroupName, GroupReachability> sums;
+  AddReachability(own.m_reachable, own.m_unreachable, &sums);
+  for (const auto& [id, other] : m_peers) {
+    if (id != receiver.m_id && IsLive(other, now)) {
+      AddReachability(other.m_report->m_reachable,
+                      other.m_report->m_unreachable, &sums);
+    }
+  }
+  for (const auto& [zone, cell] : m_cells) {
+    if (!IsLive(cell, now)) {
+      continue;
+    }
+    for (const GroupReachability& item : cell.m_digest->m_reachability) {
+      sums[item.m_group].m_reachable += item.m_reachable;
+      sums[item.m_group].m_unreachable += item.m_unreachable;
+    }
+  }
+  for (auto& [group, item] : sums) {
+    item.m_group = group;
+    summary.m_reachability.push_back(item);
+  }
+  return summary;
+}
+
+void PeerView::AddReachability(
+    const std::vector<GroupName>& reachable,
+    const std::vector<GroupName>& unreachable,
+    std::map<GroupName, GroupReachability>* sums) const {
+  for (const GroupName& group : reachable) {
+    (*sums)[group].m_reachable += 1;
+  }
+  for (const GroupName& group : unreachable) {
+    (*sums)[group].m_unreachable += 1;
+  }
 }
 
 CellDigest PeerView::Digest(const PeerReport& own, Time now) const {
   CellDigest digest;
   digest.m_zone = m_zone;
   digest.m_acknowledged = own.m_acknowledged;
+  for (const CopyRevision& copy : own.m_copies) {
+    if (copy.m_kind == StoreKind::kInstances) {
+      digest.m_instances = copy.m_complete;
+    }
+  }
   std::map<CustomerName, CustomerDemand> demand;
   std::map<GroupName, GroupReachability> reachability;
-  const auto add = [&demand, &reachability](const PeerReport& report) {
+  const auto add = [this, &demand, &reachability](const PeerReport& report) {
     for (const CustomerDemand& item : report.m_demand) {
       CustomerDemand& sum = demand[item.m_customer];
       sum.m_operations_per_second += item.m_operations_per_second;
       sum.m_admitted_per_second += item.m_admitted_per_second;
     }
-    for (const GroupName& group : report.m_reachable) {
-      reachability[group].m_reachable += 1;
-    }
-    for (const GroupName& group : report.m_unreachable) {
-      reachability[group].m_unreachable += 1;
-    }
+    AddReachability(report.m_reachable, report.m_unreachable, &reachability);
   };
   add(own);
   for (const auto& [id, peer] : m_peers) {
@@ -339,15 +508,35 @@
   return digest;
 }
 
-std::vector<InstanceEntry> PeerView::DigestReceivers(std::size_t count) {
+std::vector<InstanceEntry> PeerView::HeadsOf(const ZoneName& zone,
+                                             Time now) const {
+  std::vector<InstanceEntry> heads;
+  for (const auto& [id, head] : m_heads) {
+    // Whether the head is live is not known before it echoes a report of this
+    // instance, which it must therefore receive first.
+    const bool reports = now - head.m_received < kReportMaxAge;
+    if (head.m_entry.m_zone == zone && reports) {
+      heads.push_back(head.m_entry);
+    }
+  }
+  return heads;
+}
+
+std::vector<InstanceEntry> PeerView::DigestReceivers(std::size_t count,
+                                                     Time now) {
   std::vector<InstanceEntry> receivers;
   for (const auto& [zone, cell] : m_cells) {
-    for (std::size_t i = 0; i < std::min(count, cell.m_entries.size()); ++i) {
-      const std::size_t index = (m_next_receiver + i) % cell.m_entries.size();
-      receivers.push_back(cell.m_entries[index]);
+    std::vector<InstanceEntry> heads = HeadsOf(zone, now);
+    if (heads.empty()) {
+      const std::size_t first = std::min(count, cell.m_entries.size());
+      heads.assign(cell.m_entries.begin(),
+                   cell.m_entries.begin() + static_cast<std::ptrdiff_t>(first));
+      heads.push_back(
+          cell.m_entries[(first + m_next_receiver) % cell.m_entries.size()]);
     }
+    receivers.insert(receivers.end(), heads.begin(), heads.end());
   }
-  m_next_receiver += count;
+  m_next_receiver += 1;
   return receivers;
 }
 
@@ -364,16 +553,27 @@
   return own_cell &&
          std::all_of(m_cells.begin(), m_cells.end(), [&](const auto& item) {
            const Cell& cell = item.second;
-           return (cell.m_digest &&
-                   cell.m_digest->m_acknowledged >= revision) ||
-                  std::all_of(cell.m_entries.begin(), cell.m_entries.end(),
-                              in_entry);
+           const bool in_digest =
+               cell.m_digest && cell.m_digest->m_acknowledged >= revision &&
+               cell.m_digest->m_instances >= cell.m_newest_entry;
+           return in_digest || std::all_of(cell.m_entries.begin(),
+                                           cell.m_entries.end(), in_entry);
          });
 }
 
 PeerView::ReachabilityCounts PeerView::CountReachability(const GroupName& group,
                                                          Time now) const {
   ReachabilityCounts reachability;
+  if (!is_head()) {
+    const FleetSummary* summary = ReceivedSummary(now);
+    for (const GroupReachability& item :
+         summary ? summary->m_reachability : std::vector<GroupReachability>()) {
+      if (item.m_group == group) {
+        reachability = {item.m_unreachable, item.m_reachable};
+      }
+    }
+    return reachability;
+  }
   for (const auto& [id, peer] : m_peers) {
     if (!IsLive(peer, now)) {
       continue;
@@ -405,8 +605,10 @@
 std::vector<InstanceId> PeerView::ExpiredPeers(Time now) const {
   std::vector<InstanceId> expired;
   for (const auto& [id, peer] : m_peers) {
+    // The others report to this instance only while it is a head.
     const Time last_contact =
-        peer.m_report ? peer.m_received : peer.m_known_since;
+        std::max(peer.m_report ? peer.m_received : peer.m_known_since,
+                 m_cells.empty() ? Time() : m_head_since);
     if (now - last_contact > kExpiryTime) {
       expired.push_back(id);
     }
@@ -414,25 +616,54 @@
   return expired;
 }
 
+bool PeerView::IsLiveBeforeSelf(const Peer& peer, Time now) const {
+  return IsBeforeInCell(peer.m_entry, m_own_entry) && IsLive(peer, now);
+}
+
 int PeerView::Rank(Time now) const {
-  int rank = 0;
-  for (const auto& [id, peer] : m_peers) {
-    rank += id < m_self && IsLive(peer, now) ? 1 : 0;
-  }
-  return rank;
+  const auto live_before = static_cast<int>(std::count_if(
+      m_peers.begin(), m_peers.end(),
+      [&](const auto& item) { return IsLiveBeforeSelf(item.second, now); }));
+  // An instance that is no head does not know which others are live.
+  return is_head() ? live_before : std::max(live_before, Position());
 }
 
-bool PeerView::IsUnresponsive(const InstanceId& id, Time now) const {
-  const auto found = m_peers.find(id);
-  return found != m_peers.end() && !IsLive(found->second, now);
+bool PeerView::MayFollowBeforeSelf(const Peer& peer, Time now) const {
+  return IsLiveBeforeSelf(peer, now) && !peer.m_report->m_copies.empty();
 }
 
-std::vector<InstanceEntry> PeerView::Peers() const {
-  std::vector<InstanceEntry> entries;
-  for (const auto& [id, peer] : m_peers) {
-    entries.push_back(peer.m_entry);
+int PeerView::FollowerRank(Time now) const {
+  const auto count = [&](const std::map<InstanceId, Peer>& peers) {
+    return static_cast<int>(
+        std::count_if(peers.begin(), peers.end(), [&](const auto& item) {
+          return MayFollowBeforeSelf(item.second, now);
+        }));
+  };
+  const int in_cell = count(m_peers);
+  return in_cell == 0 ? count(m_heads)
+                      : in_cell + static_cast<int>(m_cells.size());
+}
+
+bool PeerView::IsRegistered(const InstanceId& id,
+                            Incarnation incarnation) const {
+  const auto is_run = [&](const InstanceEntry& entry) {
+    return entry.m_id == id && entry.m_incarnation == incarnation;
+  };
+  const auto peer = m_peers.find(id);
+  if (peer != m_peers.end()) {
+    return is_run(peer->second.m_entry);
   }
-  return entries;
+  return std::any_of(m_cells.begin(), m_cells.end(), [&](const auto& item) {
+    return std::any_of(item.second.m_entries.begin(),
+                       item.second.m_entries.end(), is_run);
+  });
+}
+
+bool PeerView::IsUnresponsive(const InstanceId& id, Time now) const {
+  const auto found = m_peers.find(id);
+  const bool judged =
+      found != m_peers.end() && (is_head() || found->second.m_report);
+  return judged && !IsLive(found->second, now);
 }
 
 }  // namespace jasminelug::gateway
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <vector>
 
+#include "src/gateway/fleet_shares.h"
 #include "src/gateway/ids.h"
 #include "src/gateway/peer_report.h"
 #include "src/gateway/store_object.h"
@@ -29,9 +30,12 @@
 //
 // In a fleet of up to kMaxSingleCellInstances instances, all instances report
 // to each other. In a larger fleet the instances of an availability zone form a
-// cell. All instances of a cell report to each other, and the first two of them
-// send a digest of the cell to the other cells. The amount of reports thus
-// grows with the size of the cell and not with the size of the fleet.
+// cell. Its heads, usually the first two instances in the order of
+// IsBeforeInCell(), exchange reports with all instances of the cell and with
+// the heads of the other cells. They add a digest of the cell for the other
+// cells, and a summary of the fleet for the other instances of the cell, which
+// report to the heads only. The number of reports thus grows linearly with the
+// size of the cell, and with the number of cells.
 //
 // Clocks of different instances are not compared. A report that echoes this
 // instance's report number n, and says that it has held it for a time h, was
@@ -49,19 +53,18 @@
   // Maximum number of instances that all report to each other, without cells.
   static constexpr std::size_t kMaxSingleCellInstances = 16;
 
-  PeerView(InstanceId self, Incarnation incarnation, ZoneName zone);
+  explicit PeerView(InstanceEntry self);
 
   // Sets the registered instances. The list may contain this instance.
   void SetInstances(const std::vector<InstanceEntry>& entries, Time now);
 
   // Sets the sender, the incarnation, the sequence number, the echoes and the
-  // digests to forward in a report that is sent at `now`.
+  // role in a report that is sent at `now`.
   void FillHeader(PeerReport* report, Time now);
 
-  // Stores a report. Returns false if the report is not newer than the stored
-  // one or if its sender is not a known incarnation of an instance of this
-  // cell. Digests in a report from an instance outside this cell are stored
-  // although the result is false.
+  // Stores a report of an instance of this cell or of a head of another one.
+  // Returns false if the report is not newer than the stored one or if its
+  // sender is not a known incarnation of an instance.
   bool OnReport(const PeerReport& report, Time now);
 
   // Returns the samples in the newest report of `sender`. Returns none if the
@@ -77,25 +80,17 @@
   // Returns the number of live peers.
   int CountLive(Time now) const;
 
-  // The holders of each customer: the instances at which the customer's
-  // operations usually run. An empty set stands for all instances.
-  using CustomerHolders = std::map<CustomerName, std::set<InstanceId>>;
-
   // Returns this instance's share of each customer's limits, given its own
-  // demand. The fraction that is divided regardless of demand goes to the
-  // customer's holders. The shares of all instances that receive each other's
-  // reports add up to one. An unresponsive peer is assumed to keep an equal
-  // share, or its last share if that was larger.
-  //
-  // This serves callers that are spread unevenly over the instances, and
-  // customers that move their load from one instance to others.
+  // demand: computed here, or, if this instance is no head, as a head has
+  // reported it. See FleetShares.
   std::map<CustomerName, CustomerShare> Shares(
       const std::vector<CustomerDemand>& own_demand,
       const CustomerHolders& customers,
       Time now) const;
 
   // Returns whether every other registered instance has acknowledged the
-  // revision in its current incarnation.
+  // revision in its current incarnation. The digest of another cell counts only
+  // if its sender knew all instances of that cell that are registered.
   bool AllAcknowledged(Revision revision) const;
 
   // Number of other instances that cannot reach a group's primary, and of those
@@ -110,27 +105,58 @@
   std::vector<InstanceId> ExpiredPeers(Time now) const;
 
   // Returns the position of this instance among the live instances of its cell,
-  // ordered by id. The first has rank 0.
+  // in the order of IsBeforeInCell(). The first has rank 0.
   int Rank(Time now) const;
 
+  // Returns the position of this instance in the order in which instances
+  // follow the store for the fleet. First come the heads of the cells, in the
+  // order of IsBeforeInCell(), then the other instances of each cell. Only live
+  // instances that have copies of the store's objects count.
+  int FollowerRank(Time now) const;
+
+  // Returns whether this incarnation of the instance is registered.
+  bool IsRegistered(const InstanceId& id, Incarnation incarnation) const;
+
   // Returns whether `id` is an unresponsive peer of this cell.
   bool IsUnresponsive(const InstanceId& id, Time now) const;
 
-  // Returns the other instances of this cell.
-  std::vector<InstanceEntry> Peers() const;
-
-  // Returns whether this instance has to send the digest of its cell to the
-  // other cells.
-  bool SendsDigest(Time now) const;
+  // Decides whether this instance is a head. Must be called before each report.
+  //
+  // Under the loss of all heads, the other instances do not hear from each
+  // other; each of them takes the role after a delay that grows with its
+  // position, and tells all others at once.
+  void UpdateRole(Time now);
+  bool is_head() const { return m_cells.empty() || m_is_head; }
+
+  // Returns the instances of this cell that receive this instance's reports.
+  std::vector<InstanceEntry> ReportReceivers(Time now) const;
+
+  // Returns what a receiver gets of `own`, this instance's report. `shares` are
+  // those of the whole fleet.
+  PeerReport ReportFor(const InstanceEntry& receiver,
+                       const PeerReport& own,
+                       const FleetShares& shares,
+                       Time now) const;
+
+  // Returns the shares of all instances. The arguments and this object must
+  // outlive the result.
+  FleetShares AllShares(const std::vector<CustomerDemand>& own_demand,
+                        const CustomerHolders& holders,
+                        Time now) const;
 
   // Returns the digest of this cell. `own` is this instance's own report.
   CellDigest Digest(const PeerReport& own, Time now) const;
 
-  // Returns up to `count` instances of each other cell. Successive calls return
-  // different instances.
-  std::vector<InstanceEntry> DigestReceivers(std::size_t count);
+  // Returns the receivers of the digest in the other cells: the heads from
+  // which reports arrive, or else the first `count` instances of the cell and
+  // another one that differs between successive calls.
+  std::vector<InstanceEntry> DigestReceivers(std::size_t count, Time now);
 
   int instance_count() const { return m_instance_count; }
+  // Number of registered instances of this cell, including this one.
+  int cell_size() const { return static_cast<int>(m_peers.size()) + 1; }
+  // Whether the fleet has other cells.
+  bool has_other_cells() const { return !m_cells.empty(); }
 
  private:
   struct Peer {
@@ -146,46 +172,57 @@
   // State of another cell.
   struct Cell {
     std::vector<InstanceEntry> m_entries;
+    // Newest revision of an entry.
+    Revision m_newest_entry;
     std::optional<CellDigest> m_digest;
     Time m_received;
   };
 
-  // A part of the fleet whose demand is known as a sum: one peer of this cell,
-  // or another cell as a whole.
-  struct FleetPart {
-    double m_demand = 0;
-    double m_admitted = 0;
-    int m_instances = 1;
-    // Number of these instances that are holders of the customer.
-    int m_holder_count = 1;
-    bool m_live = false;
-  };
-
   struct SentReport {
     std::uint64_t m_sequence = 0;
     Time m_sent;
   };
 
   bool IsLive(const Peer& peer, Time now) const;
+  bool IsLiveBeforeSelf(const Peer& peer, Time now) const;
+  bool MayFollowBeforeSelf(const Peer& peer, Time now) const;
+  const Peer* Find(const InstanceId& id) const;
+  Peer* FindSender(const PeerReport& report);
+  void KeepHeads();
+  std::vector<InstanceEntry> HeadsOf(const ZoneName& zone, Time now) const;
   bool IsLive(const Cell& cell, Time now) const;
-  void RecordDigests(const PeerReport& report, bool from_cell, Time now);
-  std::vector<FleetPart> FleetPartsFor(const CustomerName& customer,
-                                       const std::set<InstanceId>& holders,
-                                       Time now) const;
-  CustomerShare ShareOf(const CustomerDemand& own_demand,
-                        const std::set<InstanceId>& holders,
-                        Time now) const;
+  void RecordDigests(const PeerReport& report, Time now);
+  int Position() const;
+  bool ReportsAsHead(const Peer& peer, Time now) const;
+  Duration HeadDelay() const;
+  FleetSummary SummaryFor(const InstanceEntry& receiver,
+                          const PeerReport& own,
+                          const FleetShares& shares,
+                          Time now) const;
+  const FleetSummary* ReceivedSummary(Time now) const;
+  CustomerShare ShareFrom(const FleetSummary* summary,
+                          const CustomerDemand& own_demand,
+                          const std::set<InstanceId>& holders) const;
+  void AddReachability(const std::vector<GroupName>& reachable,
+                       const std::vector<GroupName>& unreachable,
+                       std::map<GroupName, GroupReachability>* sums) const;
   std::optional<Time> SentTimeOf(std::uint64_t sequence) const;
   static CustomerDemand DemandIn(const std::vector<CustomerDemand>& demand,
                                  const CustomerName& customer);
 
+  const InstanceEntry m_own_entry;
   const InstanceId m_self;
   const Incarnation m_incarnation;
   const ZoneName m_zone;
   std::map<InstanceId, Peer> m_peers;
+  // Heads of other cells that have sent reports.
+  std::map<InstanceId, Peer> m_heads;
   std::map<ZoneName, Cell> m_cells;
-  // Digests received from other cells that were not yet forwarded in this cell.
-  std::vector<CellDigest> m_digests_to_forward;
+  bool m_is_head = false;
+  Time m_head_since;
+  // Time since which the cell has lacked a head that comes before this
+  // instance.
+  std::optional<Time> m_vacant_since;
   std::size_t m_next_receiver = 0;
   int m_instance_count = 1;
   std::uint64_t m_sequence = 0;
--- a/src/gateway/primary_decision.h
+++ b/src/gateway/primary_decision.h
@@ -20,7 +20,7 @@
 // contact with the store has reached its maximum age.
 class PeerReadRevisions {
  public:
-  // This instance's own watch usually delivers a new record within this time.
+  // A peer that has read a new record usually delivers it within this time.
   static constexpr Duration kGracePeriod = 200ms;
 
   // Records that another instance has read the record of this revision.
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -20,6 +20,7 @@
 void StoreFollower::Start(Time now) {
   m_list_began = now;
   m_pending_objects.clear();
+  m_pending_revision.reset();
   List("", now);
 }
 
@@ -36,13 +37,46 @@
   m_hooks.m_watch(m_revision, wait);
 }
 
+void StoreFollower::SetFollowing(bool following, Time now) {
+  if (following == m_following) {
+    return;
+  }
+  m_following = following;
+  if (following && m_stage == Stage::kStopped) {
+    Resume(now);
+  } else if (!following && m_stage == Stage::kPausing) {
+    m_stage = Stage::kStopped;
+  }
+}
+
+void StoreFollower::Adopt(const StoreObjects& objects, Revision changed) {
+  if (m_listed && changed <= m_revision) {
+    return;
+  }
+  m_objects = objects;
+  m_revision = changed;
+  m_changed = changed;
+  m_listed = true;
+  m_must_list = false;
+  m_hooks.m_changed(m_objects);
+}
+
+void StoreFollower::Confirm(Revision changed, Revision complete) {
+  if (m_listed && changed == m_changed) {
+    m_revision = std::max(m_revision, complete);
+  }
+}
+
 void StoreFollower::Refresh(Time now) {
+  if (m_stage == Stage::kListing) {
+    return;
+  }
   if (m_stage == Stage::kWatching) {
     m_hooks.m_abandon();
   }
-  if (m_stage == Stage::kPausing && m_must_list) {
+  if (m_must_list) {
     Start(now);
-  } else if (m_stage == Stage::kWatching || m_stage == Stage::kPausing) {
+  } else {
     Watch(kNoWait, now);
   }
 }
@@ -55,6 +89,14 @@
   }
 }
 
+void StoreFollower::Continue(Time now) {
+  if (m_following) {
+    Watch(m_watch_wait, now);
+  } else {
+    m_stage = Stage::kStopped;
+  }
+}
+
 void StoreFollower::Succeed() {
   m_failures = 0;
   if (m_lost) {
@@ -73,28 +115,37 @@
     return;
   }
   const StorePage& page = GetValue(result);
+  // The watch starts at the revision of the first page, so it delivers changes
+  // that were made between two pages.
+  m_pending_revision = m_pending_revision.value_or(page.m_revision);
   for (const StoreObject& object : page.m_objects) {
     m_pending_objects.insert_or_assign(object.m_name, object);
   }
   if (page.m_more && !page.m_objects.empty()) {
-    // The watch starts at the revision of the first page, so it delivers
-    // changes that were made between two pages.
-    if (m_pending_objects.size() == page.m_objects.size()) {
-      m_revision = page.m_revision;
-    }
     List(page.m_objects.back().m_name, now);
     return;
   }
-  if (m_pending_objects.size() == page.m_objects.size()) {
-    m_revision = page.m_revision;
+  ApplyList();
+  Continue(now);
+}
+
+void StoreFollower::ApplyList() {
+  // A copy that was adopted while the list was read may be newer than the list.
+  const Revision revision = m_pending_revision.value_or(Revision());
+  const bool newer = !m_listed || revision >= m_revision;
+  if (newer) {
+    m_objects = std::move(m_pending_objects);
+    m_revision = revision;
+    m_changed = revision;
   }
-  m_objects = std::exchange(m_pending_objects, {});
+  m_pending_objects.clear();
   m_listed = true;
   m_must_list = false;
   Succeed();
   m_hooks.m_verified(m_list_began);
-  m_hooks.m_changed(m_objects);
-  Watch(m_watch_wait, now);
+  if (newer) {
+    m_hooks.m_changed(m_objects);
+  }
 }
 
 void StoreFollower::OnChanges(const Result<StoreChanges, StoreError>& result,
@@ -108,6 +159,26 @@
     return;
   }
   const StoreChanges& changes = GetValue(result);
+  const bool changed = !changes.m_changes.empty();
+  // A copy that was adopted during the call may be newer than the response.
+  const bool newer = changes.m_revision >= m_revision;
+  if (newer) {
+    ApplyChanges(changes);
+  }
+  Succeed();
+  m_hooks.m_verified(m_sent);
+  if (changed && newer) {
+    m_hooks.m_changed(m_objects);
+  }
+  if (changed && m_following && m_pause_after_change > Duration::zero()) {
+    m_stage = Stage::kPausing;
+    m_resume_at = now + m_pause_after_change;
+    return;
+  }
+  Continue(now);
+}
+
+void StoreFollower::ApplyChanges(const StoreChanges& changes) {
   for (const StoreChange& change : changes.m_changes) {
     if (change.m_removed) {
       m_objects.erase(change.m_object.m_name);
@@ -116,26 +187,22 @@
     }
   }
   m_revision = changes.m_revision;
-  Succeed();
-  m_hooks.m_verified(m_sent);
   if (!changes.m_changes.empty()) {
-    m_hooks.m_changed(m_objects);
-    if (m_pause_after_change > Duration::zero()) {
-      m_stage = Stage::kPausing;
-      m_resume_at = now + m_pause_after_change;
-      return;
-    }
+    m_changed = changes.m_revision;
   }
-  Watch(m_watch_wait, now);
 }
 
 void StoreFollower::Pause(const StoreError& error, Time now) {
-  m_stage = Stage::kPausing;
   const bool history_gone = error.m_kind == StoreErrorKind::kHistoryGone;
   if (!m_lost && !history_gone) {
     m_lost = true;
     m_hooks.m_lost(error.m_message);
   }
+  if (!m_following && !history_gone) {
+    m_stage = Stage::kStopped;
+    return;
+  }
+  m_stage = Stage::kPausing;
   const int doublings = std::min(m_failures, kMaxDelayDoublings);
   Duration delay = std::min(kFirstRetryDelay * (1 << doublings),
                             m_options.m_max_retry_delay);
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "jasminelug/common.h"
@@ -36,6 +37,10 @@
 // After a failed call, the follower retries from the last known revision, with
 // a delay that doubles up to a maximum. The first watch after a failure does
 // not wait for a change, so that contact is confirmed at once.
+//
+// Only some instances follow the store. The others take their copy from them
+// (Adopt()) and call the store only for a Refresh(). See also:
+// FollowerElection, StateRelay.
 class StoreFollower {
  public:
   struct Hooks {
@@ -63,6 +68,19 @@
   // Starts by listing the objects.
   void Start(Time now);
 
+  // Sets whether this follower keeps calling the store. If not, it completes
+  // the call that is in progress and stops. The default is true.
+  void SetFollowing(bool following, Time now);
+
+  // Replaces the copy by that of another instance, which contains all changes
+  // up to the revision `changed`. Does nothing if the own copy is not older.
+  void Adopt(const StoreObjects& objects, Revision changed);
+
+  // Records that no object of this kind has changed after the revision
+  // `changed` up to the revision `complete`. Does nothing if the own copy
+  // contains a later change or lacks one.
+  void Confirm(Revision changed, Revision complete);
+
   void OnPage(const Result<StorePage, StoreError>& result, Time now);
   void OnChanges(const Result<StoreChanges, StoreError>& result, Time now);
   void OnTick(Time now);
@@ -84,7 +102,17 @@
   // Returns whether contact is lost: a call failed and none has succeeded
   // since.
   bool is_lost() const { return m_lost; }
+  // Returns whether the follower keeps calling the store, see SetFollowing(),
+  // and whether it then waits to repeat a failed call.
+  bool is_following() const { return m_following; }
+  bool is_retrying() const { return m_lost && m_stage == Stage::kPausing; }
   const StoreObjects& objects() const { return m_objects; }
+  // Returns the revision of the store at which the copy was last changed or
+  // listed. Copies of different instances with the same revision are equal.
+  Revision changed() const { return m_changed; }
+  // Returns the revision of the store up to which the copy contains all
+  // changes; at least changed().
+  Revision complete() const { return m_revision; }
 
  private:
   enum class Stage { kStopped, kListing, kWatching, kPausing };
@@ -93,7 +121,10 @@
   void Watch(Duration wait, Time now);
   void Pause(const StoreError& error, Time now);
   void Resume(Time now);
+  void Continue(Time now);
   void Succeed();
+  void ApplyList();
+  void ApplyChanges(const StoreChanges& changes);
 
   const StoreFollowerOptions m_options;
   const Hooks m_hooks;
@@ -104,7 +135,11 @@
   Duration m_current_wait{0};
   StoreObjects m_objects;
   StoreObjects m_pending_objects;
+  // Revision of the first page of the list in progress.
+  std::optional<Revision> m_pending_revision;
   Revision m_revision;
+  Revision m_changed;
+  bool m_following = true;
   bool m_listed = false;
   bool m_must_list = true;
   bool m_lost = false;
--- a/src/gateway/store_object.h
+++ b/src/gateway/store_object.h
@@ -1,6 +1,7 @@
 #ifndef SRC_GATEWAY_STORE_OBJECT_H_
 #define SRC_GATEWAY_STORE_OBJECT_H_
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,6 +23,13 @@
   kReplacements,
 };
 
+inline constexpr std::array kStoreKinds = {
+    StoreKind::kConfiguration, StoreKind::kMembers, StoreKind::kEvacuations,
+    StoreKind::kInstances, StoreKind::kReplacements};
+
+// Returns the name of a kind for logs and metrics.
+const char* NameOf(StoreKind kind);
+
 // An availability zone whose members accept no new work.
 struct EvacuatedZone {
   friend bool operator==(const EvacuatedZone&, const EvacuatedZone&) = default;
@@ -46,6 +54,9 @@
   // has stopped using. It is stored here only while the instance's reports do
   // not reach the coordinator.
   Revision m_acknowledged;
+  // Revision of the store at which it holds this entry; 0 if unknown. It is not
+  // part of what the instance writes.
+  Revision m_revision;
 
   // Returns whether `other` belongs to the same run of the same instance.
   bool IsSameRun(const InstanceEntry& other) const {
@@ -111,6 +122,9 @@
   std::string m_name;
   Revision m_revision;
   StoreValue m_value;
+  // The object in the form in which the store sent it, which other instances
+  // can decode as well.
+  std::string m_encoded{};
 };
 
 // A change to one object.
--- a/src/gossip/forward_codec.cc
+++ b/src/gossip/forward_codec.cc
@@ -10,6 +10,8 @@
 namespace jasminelug::gossip {
 namespace {
 
+using internal::ToEnum;
+
 // Bounds on strings, in bytes, and on lists. A message between instances holds
 // at most 1 MiB.
 constexpr internal::ThriftLimits kLimits{1 << 20, 64 * 1024};
@@ -22,16 +24,6 @@
   return static_cast<std::uint64_t>(number);
 }
 
-// Converts a number to an enumerator. Throws TException if `number` is not one
-// of the enumerators from 0 to `last`.
-template <typename Enum>
-Enum ToEnum(std::int32_t number, Enum last) {
-  if (number < 0 || number > static_cast<std::int32_t>(last)) {
-    throw apache::thrift::TException("unknown enumerator");
-  }
-  return static_cast<Enum>(number);
-}
-
 wire::Position ToWire(const gateway::LogPosition& position) {
   wire::Position out;
   out.term = ToSigned(position.m_term.value());
--- a/src/gossip/gen/gossip_types.cpp
+++ b/src/gossip/gen/gossip_types.cpp
@@ -780,6 +780,10 @@
 void Cell::__set_acknowledged(const int64_t val) {
   this->acknowledged = val;
 }
+
+void Cell::__set_instances(const int64_t val) {
+  this->instances = val;
+}
 std::ostream& operator<<(std::ostream& out, const Cell& obj)
 {
   obj.printTo(out);
@@ -864,6 +868,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->instances);
+          this->__isset.instances = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -913,6 +925,10 @@
   xfer += oprot->writeI64(this->acknowledged);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->instances);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -924,6 +940,7 @@
   swap(a.demand, b.demand);
   swap(a.opinions, b.opinions);
   swap(a.acknowledged, b.acknowledged);
+  swap(a.instances, b.instances);
   swap(a.__isset, b.__isset);
 }
 
@@ -932,6 +949,7 @@
   demand = other32.demand;
   opinions = other32.opinions;
   acknowledged = other32.acknowledged;
+  instances = other32.instances;
   __isset = other32.__isset;
 }
 Cell::Cell(Cell&& other33) noexcept {
@@ -939,6 +957,7 @@
   demand = std::move(other33.demand);
   opinions = std::move(other33.opinions);
   acknowledged = other33.acknowledged;
+  instances = other33.instances;
   __isset = other33.__isset;
 }
 Cell& Cell::operator=(const Cell& other34) {
@@ -946,6 +965,7 @@
   demand = other34.demand;
   opinions = other34.opinions;
   acknowledged = other34.acknowledged;
+  instances = other34.instances;
   __isset = other34.__isset;
   return *this;
 }
@@ -954,6 +974,7 @@
   demand = std::move(other35.demand);
   opinions = std::move(other35.opinions);
   acknowledged = other35.acknowledged;
+  instances = other35.instances;
   __isset = other35.__isset;
   return *this;
 }
@@ -964,71 +985,187 @@
   out << ", " << "demand=" << to_string(demand);
   out << ", " << "opinions=" << to_string(opinions);
   out << ", " << "acknowledged=" << to_string(acknowledged);
+  out << ", " << "instances=" << to_string(instances);
   out << ")";
 }
 
 
-Report::~Report() noexcept {
+Copy::~Copy() noexcept {
 }
 
 
-void Report::__set_sender(const std::string& val) {
-  this->sender = val;
+void Copy::__set_kind(const int32_t val) {
+  this->kind = val;
 }
 
-void Report::__set_incarnation(const int64_t val) {
-  this->incarnation = val;
+void Copy::__set_changed(const int64_t val) {
+  this->changed = val;
 }
 
-void Report::__set_sequence(const int64_t val) {
-  this->sequence = val;
+void Copy::__set_complete(const int64_t val) {
+  this->complete = val;
+}
+std::ostream& operator<<(std::ostream& out, const Copy& obj)
+{
+  obj.printTo(out);
+  return out;
 }
 
-void Report::__set_echoes(const std::vector<Echo> & val) {
-  this->echoes = val;
+
+uint32_t Copy::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->changed);
+          this->__isset.changed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->complete);
+          this->__isset.complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
 }
 
-void Report::__set_demand(const std::vector<Demand> & val) {
-  this->demand = val;
+uint32_t Copy::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Copy");
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->changed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->complete);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
 }
 
-void Report::__set_samples(const std::vector<Sample> & val) {
-  this->samples = val;
+void swap(Copy &a, Copy &b) {
+  using ::std::swap;
+  swap(a.kind, b.kind);
+  swap(a.changed, b.changed);
+  swap(a.complete, b.complete);
+  swap(a.__isset, b.__isset);
 }
 
-void Report::__set_unreachable(const std::vector<std::string> & val) {
-  this->unreachable = val;
+Copy::Copy(const Copy& other36) noexcept {
+  kind = other36.kind;
+  changed = other36.changed;
+  complete = other36.complete;
+  __isset = other36.__isset;
+}
+Copy::Copy(Copy&& other37) noexcept {
+  kind = other37.kind;
+  changed = other37.changed;
+  complete = other37.complete;
+  __isset = other37.__isset;
+}
+Copy& Copy::operator=(const Copy& other38) noexcept {
+  kind = other38.kind;
+  changed = other38.changed;
+  complete = other38.complete;
+  __isset = other38.__isset;
+  return *this;
+}
+Copy& Copy::operator=(Copy&& other39) noexcept {
+  kind = other39.kind;
+  changed = other39.changed;
+  complete = other39.complete;
+  __isset = other39.__isset;
+  return *this;
+}
+void Copy::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Copy(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "changed=" << to_string(changed);
+  out << ", " << "complete=" << to_string(complete);
+  out << ")";
 }
 
-void Report::__set_reachable(const std::vector<std::string> & val) {
-  this->reachable = val;
+
+Load::~Load() noexcept {
 }
 
-void Report::__set_acknowledged(const int64_t val) {
-  this->acknowledged = val;
+
+void Load::__set_customer(const std::string& val) {
+  this->customer = val;
 }
 
-void Report::__set_configuration(const Proof& val) {
-  this->configuration = val;
-__isset.configuration = true;
+void Load::__set_demand(const double val) {
+  this->demand = val;
 }
 
-void Report::__set_replacements(const Proof& val) {
-  this->replacements = val;
-__isset.replacements = true;
+void Load::__set_admitted(const double val) {
+  this->admitted = val;
 }
 
-void Report::__set_cells(const std::vector<Cell> & val) {
-  this->cells = val;
+void Load::__set_available(const double val) {
+  this->available = val;
 }
-std::ostream& operator<<(std::ostream& out, const Report& obj)
+
+void Load::__set_live_holders(const int32_t val) {
+  this->live_holders = val;
+}
+std::ostream& operator<<(std::ostream& out, const Load& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Report::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Load::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1051,168 +1188,40 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->sender);
-          this->__isset.sender = true;
+          xfer += iprot->readString(this->customer);
+          this->__isset.customer = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->incarnation);
-          this->__isset.incarnation = true;
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->demand);
+          this->__isset.demand = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->admitted);
+          this->__isset.admitted = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->echoes.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->echoes.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
-            {
-              xfer += this->echoes[_i40].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.echoes = true;
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->available);
+          this->__isset.available = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->demand.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->demand.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
-            {
-              xfer += this->demand[_i45].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.demand = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->samples.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->samples.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
-            {
-              xfer += this->samples[_i50].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.samples = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->unreachable.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->unreachable.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
-            {
-              xfer += iprot->readString(this->unreachable[_i55]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.unreachable = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->reachable.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->reachable.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
-            {
-              xfer += iprot->readString(this->reachable[_i60]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.reachable = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->acknowledged);
-          this->__isset.acknowledged = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->configuration.read(iprot);
-          this->__isset.configuration = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->replacements.read(iprot);
-          this->__isset.replacements = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->cells.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->cells.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
-            {
-              xfer += this->cells[_i65].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.cells = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->live_holders);
+          this->__isset.live_holders = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1229,107 +1238,29 @@
   return xfer;
 }
 
-uint32_t Report::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Load::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Report");
+  xfer += oprot->writeStructBegin("Load");
 
-  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->sender);
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->customer);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->demand);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->admitted);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("echoes", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->echoes.size()));
-    std::vector<Echo> ::const_iterator _iter66;
-    for (_iter66 = this->echoes.begin(); _iter66 != this->echoes.end(); ++_iter66)
-    {
-      xfer += (*_iter66).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("available", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->available);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 5);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<Demand> ::const_iterator _iter67;
-    for (_iter67 = this->demand.begin(); _iter67 != this->demand.end(); ++_iter67)
-    {
-      xfer += (*_iter67).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("samples", ::apache::thrift::protocol::T_LIST, 6);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->samples.size()));
-    std::vector<Sample> ::const_iterator _iter68;
-    for (_iter68 = this->samples.begin(); _iter68 != this->samples.end(); ++_iter68)
-    {
-      xfer += (*_iter68).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("unreachable", ::apache::thrift::protocol::T_LIST, 7);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->unreachable.size()));
-    std::vector<std::string> ::const_iterator _iter69;
-    for (_iter69 = this->unreachable.begin(); _iter69 != this->unreachable.end(); ++_iter69)
-    {
-      xfer += oprot->writeString((*_iter69));
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("reachable", ::apache::thrift::protocol::T_LIST, 8);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->reachable.size()));
-    std::vector<std::string> ::const_iterator _iter70;
-    for (_iter70 = this->reachable.begin(); _iter70 != this->reachable.end(); ++_iter70)
-    {
-      xfer += oprot->writeString((*_iter70));
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("acknowledged", ::apache::thrift::protocol::T_I64, 9);
-  xfer += oprot->writeI64(this->acknowledged);
-  xfer += oprot->writeFieldEnd();
-
-  if (this->__isset.configuration) {
-    xfer += oprot->writeFieldBegin("configuration", ::apache::thrift::protocol::T_STRUCT, 10);
-    xfer += this->configuration.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.replacements) {
-    xfer += oprot->writeFieldBegin("replacements", ::apache::thrift::protocol::T_STRUCT, 11);
-    xfer += this->replacements.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 12);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<Cell> ::const_iterator _iter71;
-    for (_iter71 = this->cells.begin(); _iter71 != this->cells.end(); ++_iter71)
-    {
-      xfer += (*_iter71).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("live_holders", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->live_holders);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1337,123 +1268,85 @@
   return xfer;
 }
 
-void swap(Report &a, Report &b) {
+void swap(Load &a, Load &b) {
   using ::std::swap;
-  swap(a.sender, b.sender);
-  swap(a.incarnation, b.incarnation);
-  swap(a.sequence, b.sequence);
-  swap(a.echoes, b.echoes);
+  swap(a.customer, b.customer);
   swap(a.demand, b.demand);
-  swap(a.samples, b.samples);
-  swap(a.unreachable, b.unreachable);
-  swap(a.reachable, b.reachable);
-  swap(a.acknowledged, b.acknowledged);
-  swap(a.configuration, b.configuration);
-  swap(a.replacements, b.replacements);
-  swap(a.cells, b.cells);
+  swap(a.admitted, b.admitted);
+  swap(a.available, b.available);
+  swap(a.live_holders, b.live_holders);
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other72) {
-  sender = other72.sender;
-  incarnation = other72.incarnation;
-  sequence = other72.sequence;
-  echoes = other72.echoes;
-  demand = other72.demand;
-  samples = other72.samples;
-  unreachable = other72.unreachable;
-  reachable = other72.reachable;
-  acknowledged = other72.acknowledged;
-  configuration = other72.configuration;
-  replacements = other72.replacements;
-  cells = other72.cells;
-  __isset = other72.__isset;
-}
-Report::Report(Report&& other73) noexcept {
-  sender = std::move(other73.sender);
-  incarnation = other73.incarnation;
-  sequence = other73.sequence;
-  echoes = std::move(other73.echoes);
-  demand = std::move(other73.demand);
-  samples = std::move(other73.samples);
-  unreachable = std::move(other73.unreachable);
-  reachable = std::move(other73.reachable);
-  acknowledged = other73.acknowledged;
-  configuration = std::move(other73.configuration);
-  replacements = std::move(other73.replacements);
-  cells = std::move(other73.cells);
-  __isset = other73.__isset;
-}
-Report& Report::operator=(const Report& other74) {
-  sender = other74.sender;
-  incarnation = other74.incarnation;
-  sequence = other74.sequence;
-  echoes = other74.echoes;
-  demand = other74.demand;
-  samples = other74.samples;
-  unreachable = other74.unreachable;
-  reachable = other74.reachable;
-  acknowledged = other74.acknowledged;
-  configuration = other74.configuration;
-  replacements = other74.replacements;
-  cells = other74.cells;
-  __isset = other74.__isset;
+Load::Load(const Load& other40) {
+  customer = other40.customer;
+  demand = other40.demand;
+  admitted = other40.admitted;
+  available = other40.available;
+  live_holders = other40.live_holders;
+  __isset = other40.__isset;
+}
+Load::Load(Load&& other41) noexcept {
+  customer = std::move(other41.customer);
+  demand = other41.demand;
+  admitted = other41.admitted;
+  available = other41.available;
+  live_holders = other41.live_holders;
+  __isset = other41.__isset;
+}
+Load& Load::operator=(const Load& other42) {
+  customer = other42.customer;
+  demand = other42.demand;
+  admitted = other42.admitted;
+  available = other42.available;
+  live_holders = other42.live_holders;
+  __isset = other42.__isset;
   return *this;
 }
-Report& Report::operator=(Report&& other75) noexcept {
-  sender = std::move(other75.sender);
-  incarnation = other75.incarnation;
-  sequence = other75.sequence;
-  echoes = std::move(other75.echoes);
-  demand = std::move(other75.demand);
-  samples = std::move(other75.samples);
-  unreachable = std::move(other75.unreachable);
-  reachable = std::move(other75.reachable);
-  acknowledged = other75.acknowledged;
-  configuration = std::move(other75.configuration);
-  replacements = std::move(other75.replacements);
-  cells = std::move(other75.cells);
-  __isset = other75.__isset;
+Load& Load::operator=(Load&& other43) noexcept {
+  customer = std::move(other43.customer);
+  demand = other43.demand;
+  admitted = other43.admitted;
+  available = other43.available;
+  live_holders = other43.live_holders;
+  __isset = other43.__isset;
   return *this;
 }
-void Report::printTo(std::ostream& out) const {
+void Load::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Report(";
-  out << "sender=" << to_string(sender);
-  out << ", " << "incarnation=" << to_string(incarnation);
-  out << ", " << "sequence=" << to_string(sequence);
-  out << ", " << "echoes=" << to_string(echoes);
+  out << "Load(";
+  out << "customer=" << to_string(customer);
   out << ", " << "demand=" << to_string(demand);
-  out << ", " << "samples=" << to_string(samples);
-  out << ", " << "unreachable=" << to_string(unreachable);
-  out << ", " << "reachable=" << to_string(reachable);
-  out << ", " << "acknowledged=" << to_string(acknowledged);
-  out << ", " << "configuration="; (__isset.configuration ? (out << to_string(configuration)) : (out << "<null>"));
-  out << ", " << "replacements="; (__isset.replacements ? (out << to_string(replacements)) : (out << "<null>"));
-  out << ", " << "cells=" << to_string(cells);
+  out << ", " << "admitted=" << to_string(admitted);
+  out << ", " << "available=" << to_string(available);
+  out << ", " << "live_holders=" << to_string(live_holders);
   out << ")";
 }
 
 
-Position::~Position() noexcept {
+Summary::~Summary() noexcept {
 }
 
 
-void Position::__set_term(const int64_t val) {
-  this->term = val;
+void Summary::__set_complete(const bool val) {
+  this->complete = val;
 }
 
-void Position::__set_index(const int64_t val) {
-  this->index = val;
+void Summary::__set_loads(const std::vector<Load> & val) {
+  this->loads = val;
 }
-std::ostream& operator<<(std::ostream& out, const Position& obj)
+
+void Summary::__set_opinions(const std::vector<Opinions> & val) {
+  this->opinions = val;
+}
+std::ostream& operator<<(std::ostream& out, const Summary& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Position::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Summary::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1475,17 +1368,49 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->complete);
+          this->__isset.complete = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->loads.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
+            {
+              xfer += this->loads[_i48].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->opinions.clear();
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->opinions.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
+            {
+              xfer += this->opinions[_i53].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.opinions = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1502,17 +1427,37 @@
   return xfer;
 }
 
-uint32_t Position::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Summary::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Position");
+  xfer += oprot->writeStructBegin("Summary");
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->complete);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<Load> ::const_iterator _iter54;
+    for (_iter54 = this->loads.begin(); _iter54 != this->loads.end(); ++_iter54)
+    {
+      xfer += (*_iter54).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("opinions", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->opinions.size()));
+    std::vector<Opinions> ::const_iterator _iter55;
+    for (_iter55 = this->opinions.begin(); _iter55 != this->opinions.end(); ++_iter55)
+    {
+      xfer += (*_iter55).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1520,63 +1465,128 @@
   return xfer;
 }
 
-void swap(Position &a, Position &b) {
+void swap(Summary &a, Summary &b) {
   using ::std::swap;
-  swap(a.term, b.term);
-  swap(a.index, b.index);
+  swap(a.complete, b.complete);
+  swap(a.loads, b.loads);
+  swap(a.opinions, b.opinions);
   swap(a.__isset, b.__isset);
 }
 
-Position::Position(const Position& other76) noexcept {
-  term = other76.term;
-  index = other76.index;
-  __isset = other76.__isset;
+Summary::Summary(const Summary& other56) {
+  complete = other56.complete;
+  loads = other56.loads;
+  opinions = other56.opinions;
+  __isset = other56.__isset;
 }
-Position::Position(Position&& other77) noexcept {
-  term = other77.term;
-  index = other77.index;
-  __isset = other77.__isset;
+Summary::Summary(Summary&& other57) noexcept {
+  complete = other57.complete;
+  loads = std::move(other57.loads);
+  opinions = std::move(other57.opinions);
+  __isset = other57.__isset;
 }
-Position& Position::operator=(const Position& other78) noexcept {
-  term = other78.term;
-  index = other78.index;
-  __isset = other78.__isset;
+Summary& Summary::operator=(const Summary& other58) {
+  complete = other58.complete;
+  loads = other58.loads;
+  opinions = other58.opinions;
+  __isset = other58.__isset;
   return *this;
 }
-Position& Position::operator=(Position&& other79) noexcept {
-  term = other79.term;
-  index = other79.index;
-  __isset = other79.__isset;
+Summary& Summary::operator=(Summary&& other59) noexcept {
+  complete = other59.complete;
+  loads = std::move(other59.loads);
+  opinions = std::move(other59.opinions);
+  __isset = other59.__isset;
   return *this;
 }
-void Position::printTo(std::ostream& out) const {
+void Summary::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Position(";
-  out << "term=" << to_string(term);
-  out << ", " << "index=" << to_string(index);
+  out << "Summary(";
+  out << "complete=" << to_string(complete);
+  out << ", " << "loads=" << to_string(loads);
+  out << ", " << "opinions=" << to_string(opinions);
   out << ")";
 }
 
 
-Shape::~Shape() noexcept {
+Report::~Report() noexcept {
 }
 
 
-void Shape::__set_access(const int32_t val) {
-  this->access = val;
+void Report::__set_sender(const std::string& val) {
+  this->sender = val;
 }
 
-void Shape::__set_text(const std::string& val) {
-  this->text = val;
+void Report::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
 }
-std::ostream& operator<<(std::ostream& out, const Shape& obj)
+
+void Report::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void Report::__set_echoes(const std::vector<Echo> & val) {
+  this->echoes = val;
+}
+
+void Report::__set_demand(const std::vector<Demand> & val) {
+  this->demand = val;
+}
+
+void Report::__set_samples(const std::vector<Sample> & val) {
+  this->samples = val;
+}
+
+void Report::__set_unreachable(const std::vector<std::string> & val) {
+  this->unreachable = val;
+}
+
+void Report::__set_reachable(const std::vector<std::string> & val) {
+  this->reachable = val;
+}
+
+void Report::__set_acknowledged(const int64_t val) {
+  this->acknowledged = val;
+}
+
+void Report::__set_configuration(const Proof& val) {
+  this->configuration = val;
+__isset.configuration = true;
+}
+
+void Report::__set_replacements(const Proof& val) {
+  this->replacements = val;
+__isset.replacements = true;
+}
+
+void Report::__set_cells(const std::vector<Cell> & val) {
+  this->cells = val;
+}
+
+void Report::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void Report::__set_copies(const std::vector<Copy> & val) {
+  this->copies = val;
+}
+
+void Report::__set_is_head(const bool val) {
+  this->is_head = val;
+}
+
+void Report::__set_summary(const Summary& val) {
+  this->summary = val;
+__isset.summary = true;
+}
+std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Shape::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Report::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1598,128 +1608,1341 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->access);
-          this->__isset.access = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->sender);
+          this->__isset.sender = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->text);
-          this->__isset.text = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      default:
-        xfer += iprot->skip(ftype);
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
         break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t Shape::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Shape");
-
-  xfer += oprot->writeFieldBegin("access", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->access);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->text);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(Shape &a, Shape &b) {
-  using ::std::swap;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->echoes.clear();
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->echoes.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
+            {
+              xfer += this->echoes[_i64].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.echoes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demand.clear();
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->demand.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
+            {
+              xfer += this->demand[_i69].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->samples.clear();
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->samples.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
+            {
+              xfer += this->samples[_i74].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.samples = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unreachable.clear();
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->unreachable.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
+            {
+              xfer += iprot->readString(this->unreachable[_i79]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.unreachable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->reachable.clear();
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->reachable.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
+            {
+              xfer += iprot->readString(this->reachable[_i84]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.reachable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->acknowledged);
+          this->__isset.acknowledged = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configuration.read(iprot);
+          this->__isset.configuration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->replacements.read(iprot);
+          this->__isset.replacements = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cells.clear();
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->cells.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
+            {
+              xfer += this->cells[_i89].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cells = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->copies.clear();
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->copies.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
+            {
+              xfer += this->copies[_i94].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.copies = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_head);
+          this->__isset.is_head = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->summary.read(iprot);
+          this->__isset.summary = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Report::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Report");
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->sender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("echoes", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->echoes.size()));
+    std::vector<Echo> ::const_iterator _iter95;
+    for (_iter95 = this->echoes.begin(); _iter95 != this->echoes.end(); ++_iter95)
+    {
+      xfer += (*_iter95).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
+    std::vector<Demand> ::const_iterator _iter96;
+    for (_iter96 = this->demand.begin(); _iter96 != this->demand.end(); ++_iter96)
+    {
+      xfer += (*_iter96).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("samples", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->samples.size()));
+    std::vector<Sample> ::const_iterator _iter97;
+    for (_iter97 = this->samples.begin(); _iter97 != this->samples.end(); ++_iter97)
+    {
+      xfer += (*_iter97).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unreachable", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->unreachable.size()));
+    std::vector<std::string> ::const_iterator _iter98;
+    for (_iter98 = this->unreachable.begin(); _iter98 != this->unreachable.end(); ++_iter98)
+    {
+      xfer += oprot->writeString((*_iter98));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reachable", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->reachable.size()));
+    std::vector<std::string> ::const_iterator _iter99;
+    for (_iter99 = this->reachable.begin(); _iter99 != this->reachable.end(); ++_iter99)
+    {
+      xfer += oprot->writeString((*_iter99));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("acknowledged", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->acknowledged);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.configuration) {
+    xfer += oprot->writeFieldBegin("configuration", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->configuration.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.replacements) {
+    xfer += oprot->writeFieldBegin("replacements", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->replacements.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
+    std::vector<Cell> ::const_iterator _iter100;
+    for (_iter100 = this->cells.begin(); _iter100 != this->cells.end(); ++_iter100)
+    {
+      xfer += (*_iter100).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 13);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("copies", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->copies.size()));
+    std::vector<Copy> ::const_iterator _iter101;
+    for (_iter101 = this->copies.begin(); _iter101 != this->copies.end(); ++_iter101)
+    {
+      xfer += (*_iter101).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("is_head", ::apache::thrift::protocol::T_BOOL, 15);
+  xfer += oprot->writeBool(this->is_head);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.summary) {
+    xfer += oprot->writeFieldBegin("summary", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->summary.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Report &a, Report &b) {
+  using ::std::swap;
+  swap(a.sender, b.sender);
+  swap(a.incarnation, b.incarnation);
+  swap(a.sequence, b.sequence);
+  swap(a.echoes, b.echoes);
+  swap(a.demand, b.demand);
+  swap(a.samples, b.samples);
+  swap(a.unreachable, b.unreachable);
+  swap(a.reachable, b.reachable);
+  swap(a.acknowledged, b.acknowledged);
+  swap(a.configuration, b.configuration);
+  swap(a.replacements, b.replacements);
+  swap(a.cells, b.cells);
+  swap(a.address, b.address);
+  swap(a.copies, b.copies);
+  swap(a.is_head, b.is_head);
+  swap(a.summary, b.summary);
+  swap(a.__isset, b.__isset);
+}
+
+Report::Report(const Report& other102) {
+  sender = other102.sender;
+  incarnation = other102.incarnation;
+  sequence = other102.sequence;
+  echoes = other102.echoes;
+  demand = other102.demand;
+  samples = other102.samples;
+  unreachable = other102.unreachable;
+  reachable = other102.reachable;
+  acknowledged = other102.acknowledged;
+  configuration = other102.configuration;
+  replacements = other102.replacements;
+  cells = other102.cells;
+  address = other102.address;
+  copies = other102.copies;
+  is_head = other102.is_head;
+  summary = other102.summary;
+  __isset = other102.__isset;
+}
+Report::Report(Report&& other103) noexcept {
+  sender = std::move(other103.sender);
+  incarnation = other103.incarnation;
+  sequence = other103.sequence;
+  echoes = std::move(other103.echoes);
+  demand = std::move(other103.demand);
+  samples = std::move(other103.samples);
+  unreachable = std::move(other103.unreachable);
+  reachable = std::move(other103.reachable);
+  acknowledged = other103.acknowledged;
+  configuration = std::move(other103.configuration);
+  replacements = std::move(other103.replacements);
+  cells = std::move(other103.cells);
+  address = std::move(other103.address);
+  copies = std::move(other103.copies);
+  is_head = other103.is_head;
+  summary = std::move(other103.summary);
+  __isset = other103.__isset;
+}
+Report& Report::operator=(const Report& other104) {
+  sender = other104.sender;
+  incarnation = other104.incarnation;
+  sequence = other104.sequence;
+  echoes = other104.echoes;
+  demand = other104.demand;
+  samples = other104.samples;
+  unreachable = other104.unreachable;
+  reachable = other104.reachable;
+  acknowledged = other104.acknowledged;
+  configuration = other104.configuration;
+  replacements = other104.replacements;
+  cells = other104.cells;
+  address = other104.address;
+  copies = other104.copies;
+  is_head = other104.is_head;
+  summary = other104.summary;
+  __isset = other104.__isset;
+  return *this;
+}
+Report& Report::operator=(Report&& other105) noexcept {
+  sender = std::move(other105.sender);
+  incarnation = other105.incarnation;
+  sequence = other105.sequence;
+  echoes = std::move(other105.echoes);
+  demand = std::move(other105.demand);
+  samples = std::move(other105.samples);
+  unreachable = std::move(other105.unreachable);
+  reachable = std::move(other105.reachable);
+  acknowledged = other105.acknowledged;
+  configuration = std::move(other105.configuration);
+  replacements = std::move(other105.replacements);
+  cells = std::move(other105.cells);
+  address = std::move(other105.address);
+  copies = std::move(other105.copies);
+  is_head = other105.is_head;
+  summary = std::move(other105.summary);
+  __isset = other105.__isset;
+  return *this;
+}
+void Report::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Report(";
+  out << "sender=" << to_string(sender);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "echoes=" << to_string(echoes);
+  out << ", " << "demand=" << to_string(demand);
+  out << ", " << "samples=" << to_string(samples);
+  out << ", " << "unreachable=" << to_string(unreachable);
+  out << ", " << "reachable=" << to_string(reachable);
+  out << ", " << "acknowledged=" << to_string(acknowledged);
+  out << ", " << "configuration="; (__isset.configuration ? (out << to_string(configuration)) : (out << "<null>"));
+  out << ", " << "replacements="; (__isset.replacements ? (out << to_string(replacements)) : (out << "<null>"));
+  out << ", " << "cells=" << to_string(cells);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "copies=" << to_string(copies);
+  out << ", " << "is_head=" << to_string(is_head);
+  out << ", " << "summary="; (__isset.summary ? (out << to_string(summary)) : (out << "<null>"));
+  out << ")";
+}
+
+
+Position::~Position() noexcept {
+}
+
+
+void Position::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void Position::__set_index(const int64_t val) {
+  this->index = val;
+}
+std::ostream& operator<<(std::ostream& out, const Position& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Position::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Position::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Position");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Position &a, Position &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.index, b.index);
+  swap(a.__isset, b.__isset);
+}
+
+Position::Position(const Position& other106) noexcept {
+  term = other106.term;
+  index = other106.index;
+  __isset = other106.__isset;
+}
+Position::Position(Position&& other107) noexcept {
+  term = other107.term;
+  index = other107.index;
+  __isset = other107.__isset;
+}
+Position& Position::operator=(const Position& other108) noexcept {
+  term = other108.term;
+  index = other108.index;
+  __isset = other108.__isset;
+  return *this;
+}
+Position& Position::operator=(Position&& other109) noexcept {
+  term = other109.term;
+  index = other109.index;
+  __isset = other109.__isset;
+  return *this;
+}
+void Position::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Position(";
+  out << "term=" << to_string(term);
+  out << ", " << "index=" << to_string(index);
+  out << ")";
+}
+
+
+Shape::~Shape() noexcept {
+}
+
+
+void Shape::__set_access(const int32_t val) {
+  this->access = val;
+}
+
+void Shape::__set_text(const std::string& val) {
+  this->text = val;
+}
+std::ostream& operator<<(std::ostream& out, const Shape& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Shape::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->access);
+          this->__isset.access = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Shape::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Shape");
+
+  xfer += oprot->writeFieldBegin("access", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->access);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Shape &a, Shape &b) {
+  using ::std::swap;
   swap(a.access, b.access);
   swap(a.text, b.text);
   swap(a.__isset, b.__isset);
 }
 
-Shape::Shape(const Shape& other80) {
-  access = other80.access;
-  text = other80.text;
-  __isset = other80.__isset;
+Shape::Shape(const Shape& other110) {
+  access = other110.access;
+  text = other110.text;
+  __isset = other110.__isset;
+}
+Shape::Shape(Shape&& other111) noexcept {
+  access = other111.access;
+  text = std::move(other111.text);
+  __isset = other111.__isset;
+}
+Shape& Shape::operator=(const Shape& other112) {
+  access = other112.access;
+  text = other112.text;
+  __isset = other112.__isset;
+  return *this;
+}
+Shape& Shape::operator=(Shape&& other113) noexcept {
+  access = other113.access;
+  text = std::move(other113.text);
+  __isset = other113.__isset;
+  return *this;
+}
+void Shape::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Shape(";
+  out << "access=" << to_string(access);
+  out << ", " << "text=" << to_string(text);
+  out << ")";
+}
+
+
+Route::~Route() noexcept {
+}
+
+
+void Route::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void Route::__set_consistency(const int32_t val) {
+  this->consistency = val;
+}
+
+void Route::__set_max_staleness_us(const int64_t val) {
+  this->max_staleness_us = val;
+}
+
+void Route::__set_statement_timeout_us(const int64_t val) {
+  this->statement_timeout_us = val;
+}
+
+void Route::__set_objective_us(const int64_t val) {
+  this->objective_us = val;
+}
+
+void Route::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void Route::__set_is_public(const bool val) {
+  this->is_public = val;
+}
+std::ostream& operator<<(std::ostream& out, const Route& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Route::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->consistency);
+          this->__isset.consistency = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->max_staleness_us);
+          this->__isset.max_staleness_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->statement_timeout_us);
+          this->__isset.statement_timeout_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->objective_us);
+          this->__isset.objective_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_public);
+          this->__isset.is_public = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Route::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Route");
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("consistency", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->consistency);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("max_staleness_us", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->max_staleness_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("statement_timeout_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->statement_timeout_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("objective_us", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->objective_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("is_public", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->is_public);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Route &a, Route &b) {
+  using ::std::swap;
+  swap(a.group, b.group);
+  swap(a.consistency, b.consistency);
+  swap(a.max_staleness_us, b.max_staleness_us);
+  swap(a.statement_timeout_us, b.statement_timeout_us);
+  swap(a.objective_us, b.objective_us);
+  swap(a.priority, b.priority);
+  swap(a.is_public, b.is_public);
+  swap(a.__isset, b.__isset);
+}
+
+Route::Route(const Route& other114) {
+  group = other114.group;
+  consistency = other114.consistency;
+  max_staleness_us = other114.max_staleness_us;
+  statement_timeout_us = other114.statement_timeout_us;
+  objective_us = other114.objective_us;
+  priority = other114.priority;
+  is_public = other114.is_public;
+  __isset = other114.__isset;
+}
+Route::Route(Route&& other115) noexcept {
+  group = std::move(other115.group);
+  consistency = other115.consistency;
+  max_staleness_us = other115.max_staleness_us;
+  statement_timeout_us = other115.statement_timeout_us;
+  objective_us = other115.objective_us;
+  priority = other115.priority;
+  is_public = other115.is_public;
+  __isset = other115.__isset;
+}
+Route& Route::operator=(const Route& other116) {
+  group = other116.group;
+  consistency = other116.consistency;
+  max_staleness_us = other116.max_staleness_us;
+  statement_timeout_us = other116.statement_timeout_us;
+  objective_us = other116.objective_us;
+  priority = other116.priority;
+  is_public = other116.is_public;
+  __isset = other116.__isset;
+  return *this;
+}
+Route& Route::operator=(Route&& other117) noexcept {
+  group = std::move(other117.group);
+  consistency = other117.consistency;
+  max_staleness_us = other117.max_staleness_us;
+  statement_timeout_us = other117.statement_timeout_us;
+  objective_us = other117.objective_us;
+  priority = other117.priority;
+  is_public = other117.is_public;
+  __isset = other117.__isset;
+  return *this;
+}
+void Route::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Route(";
+  out << "group=" << to_string(group);
+  out << ", " << "consistency=" << to_string(consistency);
+  out << ", " << "max_staleness_us=" << to_string(max_staleness_us);
+  out << ", " << "statement_timeout_us=" << to_string(statement_timeout_us);
+  out << ", " << "objective_us=" << to_string(objective_us);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "is_public=" << to_string(is_public);
+  out << ")";
+}
+
+
+Statement::~Statement() noexcept {
+}
+
+
+void Statement::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void Statement::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void Statement::__set_text(const std::string& val) {
+  this->text = val;
+}
+
+void Statement::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void Statement::__set_argument(const std::string& val) {
+  this->argument = val;
+}
+
+void Statement::__set_prepared(const Shape& val) {
+  this->prepared = val;
+}
+std::ostream& operator<<(std::ostream& out, const Statement& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Statement::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->argument);
+          this->__isset.argument = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->prepared.read(iprot);
+          this->__isset.prepared = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Statement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Statement");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("argument", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->argument);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prepared", ::apache::thrift::protocol::T_STRUCT, 6);
+  xfer += this->prepared.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Statement &a, Statement &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.kind, b.kind);
+  swap(a.text, b.text);
+  swap(a.name, b.name);
+  swap(a.argument, b.argument);
+  swap(a.prepared, b.prepared);
+  swap(a.__isset, b.__isset);
+}
+
+Statement::Statement(const Statement& other118) {
+  id = other118.id;
+  kind = other118.kind;
+  text = other118.text;
+  name = other118.name;
+  argument = other118.argument;
+  prepared = other118.prepared;
+  __isset = other118.__isset;
 }
-Shape::Shape(Shape&& other81) noexcept {
-  access = other81.access;
-  text = std::move(other81.text);
-  __isset = other81.__isset;
+Statement::Statement(Statement&& other119) noexcept {
+  id = std::move(other119.id);
+  kind = other119.kind;
+  text = std::move(other119.text);
+  name = std::move(other119.name);
+  argument = std::move(other119.argument);
+  prepared = std::move(other119.prepared);
+  __isset = other119.__isset;
 }
-Shape& Shape::operator=(const Shape& other82) {
-  access = other82.access;
-  text = other82.text;
-  __isset = other82.__isset;
+Statement& Statement::operator=(const Statement& other120) {
+  id = other120.id;
+  kind = other120.kind;
+  text = other120.text;
+  name = other120.name;
+  argument = other120.argument;
+  prepared = other120.prepared;
+  __isset = other120.__isset;
   return *this;
 }
-Shape& Shape::operator=(Shape&& other83) noexcept {
-  access = other83.access;
-  text = std::move(other83.text);
-  __isset = other83.__isset;
+Statement& Statement::operator=(Statement&& other121) noexcept {
+  id = std::move(other121.id);
+  kind = other121.kind;
+  text = std::move(other121.text);
+  name = std::move(other121.name);
+  argument = std::move(other121.argument);
+  prepared = std::move(other121.prepared);
+  __isset = other121.__isset;
   return *this;
 }
-void Shape::printTo(std::ostream& out) const {
+void Statement::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Shape(";
-  out << "access=" << to_string(access);
+  out << "Statement(";
+  out << "id=" << to_string(id);
+  out << ", " << "kind=" << to_string(kind);
   out << ", " << "text=" << to_string(text);
+  out << ", " << "name=" << to_string(name);
+  out << ", " << "argument=" << to_string(argument);
+  out << ", " << "prepared=" << to_string(prepared);
   out << ")";
 }
 
 
-Route::~Route() noexcept {
+Commit::~Commit() noexcept {
 }
 
 
-void Route::__set_group(const std::string& val) {
-  this->group = val;
+void Commit::__set_age_us(const int64_t val) {
+  this->age_us = val;
 }
 
-void Route::__set_consistency(const int32_t val) {
-  this->consistency = val;
+void Commit::__set_position(const Position& val) {
+  this->position = val;
+}
+std::ostream& operator<<(std::ostream& out, const Commit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Commit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_us);
+          this->__isset.age_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->position.read(iprot);
+          this->__isset.position = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Commit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Commit");
+
+  xfer += oprot->writeFieldBegin("age_us", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->age_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->position.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Commit &a, Commit &b) {
+  using ::std::swap;
+  swap(a.age_us, b.age_us);
+  swap(a.position, b.position);
+  swap(a.__isset, b.__isset);
+}
+
+Commit::Commit(const Commit& other122) noexcept {
+  age_us = other122.age_us;
+  position = other122.position;
+  __isset = other122.__isset;
+}
+Commit::Commit(Commit&& other123) noexcept {
+  age_us = other123.age_us;
+  position = std::move(other123.position);
+  __isset = other123.__isset;
+}
+Commit& Commit::operator=(const Commit& other124) noexcept {
+  age_us = other124.age_us;
+  position = other124.position;
+  __isset = other124.__isset;
+  return *this;
+}
+Commit& Commit::operator=(Commit&& other125) noexcept {
+  age_us = other125.age_us;
+  position = std::move(other125.position);
+  __isset = other125.__isset;
+  return *this;
+}
+void Commit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Commit(";
+  out << "age_us=" << to_string(age_us);
+  out << ", " << "position=" << to_string(position);
+  out << ")";
+}
+
+
+ForwardedStatement::~ForwardedStatement() noexcept {
+}
+
+
+void ForwardedStatement::__set_operation(const int64_t val) {
+  this->operation = val;
+}
+
+void ForwardedStatement::__set_begins(const bool val) {
+  this->begins = val;
+}
+
+void ForwardedStatement::__set_transaction(const int32_t val) {
+  this->transaction = val;
 }
 
-void Route::__set_max_staleness_us(const int64_t val) {
-  this->max_staleness_us = val;
+void ForwardedStatement::__set_customer(const std::string& val) {
+  this->customer = val;
 }
 
-void Route::__set_statement_timeout_us(const int64_t val) {
-  this->statement_timeout_us = val;
+void ForwardedStatement::__set_route(const Route& val) {
+  this->route = val;
 }
 
-void Route::__set_objective_us(const int64_t val) {
-  this->objective_us = val;
+void ForwardedStatement::__set_statement(const Statement& val) {
+  this->statement = val;
 }
 
-void Route::__set_priority(const int32_t val) {
-  this->priority = val;
+void ForwardedStatement::__set_values(const std::map<std::string, std::string> & val) {
+  this->values = val;
 }
 
-void Route::__set_is_public(const bool val) {
-  this->is_public = val;
+void ForwardedStatement::__set_last_commit(const Commit& val) {
+  this->last_commit = val;
+__isset.last_commit = true;
 }
-std::ostream& operator<<(std::ostream& out, const Route& obj)
+std::ostream& operator<<(std::ostream& out, const ForwardedStatement& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Route::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ForwardedStatement::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1741,57 +2964,80 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->group);
-          this->__isset.group = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->operation);
+          this->__isset.operation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->consistency);
-          this->__isset.consistency = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->begins);
+          this->__isset.begins = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->max_staleness_us);
-          this->__isset.max_staleness_us = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->transaction);
+          this->__isset.transaction = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->statement_timeout_us);
-          this->__isset.statement_timeout_us = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          this->__isset.customer = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->objective_us);
-          this->__isset.objective_us = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->route.read(iprot);
+          this->__isset.route = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->priority);
-          this->__isset.priority = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->statement.read(iprot);
+          this->__isset.statement = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 7:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->is_public);
-          this->__isset.is_public = true;
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->values.clear();
+            uint32_t _size126;
+            ::apache::thrift::protocol::TType _ktype127;
+            ::apache::thrift::protocol::TType _vtype128;
+            xfer += iprot->readMapBegin(_ktype127, _vtype128, _size126);
+            uint32_t _i130;
+            for (_i130 = 0; _i130 < _size126; ++_i130)
+            {
+              std::string _key131;
+              xfer += iprot->readString(_key131);
+              std::string& _val132 = this->values[_key131];
+              xfer += iprot->readBinary(_val132);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.values = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->last_commit.read(iprot);
+          this->__isset.last_commit = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1808,37 +3054,230 @@
   return xfer;
 }
 
-uint32_t Route::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ForwardedStatement::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Route");
+  xfer += oprot->writeStructBegin("ForwardedStatement");
 
-  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldBegin("operation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->operation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("consistency", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->consistency);
+  xfer += oprot->writeFieldBegin("begins", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->begins);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("max_staleness_us", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->max_staleness_us);
+  xfer += oprot->writeFieldBegin("transaction", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->transaction);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("statement_timeout_us", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->statement_timeout_us);
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->customer);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("objective_us", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->objective_us);
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->route.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 6);
-  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldBegin("statement", ::apache::thrift::protocol::T_STRUCT, 6);
+  xfer += this->statement.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("is_public", ::apache::thrift::protocol::T_BOOL, 7);
-  xfer += oprot->writeBool(this->is_public);
+  xfer += oprot->writeFieldBegin("values", ::apache::thrift::protocol::T_MAP, 7);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->values.size()));
+    std::map<std::string, std::string> ::const_iterator _iter133;
+    for (_iter133 = this->values.begin(); _iter133 != this->values.end(); ++_iter133)
+    {
+      xfer += oprot->writeString(_iter133->first);
+      xfer += oprot->writeBinary(_iter133->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.last_commit) {
+    xfer += oprot->writeFieldBegin("last_commit", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->last_commit.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ForwardedStatement &a, ForwardedStatement &b) {
+  using ::std::swap;
+  swap(a.operation, b.operation);
+  swap(a.begins, b.begins);
+  swap(a.transaction, b.transaction);
+  swap(a.customer, b.customer);
+  swap(a.route, b.route);
+  swap(a.statement, b.statement);
+  swap(a.values, b.values);
+  swap(a.last_commit, b.last_commit);
+  swap(a.__isset, b.__isset);
+}
+
+ForwardedStatement::ForwardedStatement(const ForwardedStatement& other134) {
+  operation = other134.operation;
+  begins = other134.begins;
+  transaction = other134.transaction;
+  customer = other134.customer;
+  route = other134.route;
+  statement = other134.statement;
+  values = other134.values;
+  last_commit = other134.last_commit;
+  __isset = other134.__isset;
+}
+ForwardedStatement::ForwardedStatement(ForwardedStatement&& other135) noexcept {
+  operation = other135.operation;
+  begins = other135.begins;
+  transaction = other135.transaction;
+  customer = std::move(other135.customer);
+  route = std::move(other135.route);
+  statement = std::move(other135.statement);
+  values = std::move(other135.values);
+  last_commit = std::move(other135.last_commit);
+  __isset = other135.__isset;
+}
+ForwardedStatement& ForwardedStatement::operator=(const ForwardedStatement& other136) {
+  operation = other136.operation;
+  begins = other136.begins;
+  transaction = other136.transaction;
+  customer = other136.customer;
+  route = other136.route;
+  statement = other136.statement;
+  values = other136.values;
+  last_commit = other136.last_commit;
+  __isset = other136.__isset;
+  return *this;
+}
+ForwardedStatement& ForwardedStatement::operator=(ForwardedStatement&& other137) noexcept {
+  operation = other137.operation;
+  begins = other137.begins;
+  transaction = other137.transaction;
+  customer = std::move(other137.customer);
+  route = std::move(other137.route);
+  statement = std::move(other137.statement);
+  values = std::move(other137.values);
+  last_commit = std::move(other137.last_commit);
+  __isset = other137.__isset;
+  return *this;
+}
+void ForwardedStatement::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ForwardedStatement(";
+  out << "operation=" << to_string(operation);
+  out << ", " << "begins=" << to_string(begins);
+  out << ", " << "transaction=" << to_string(transaction);
+  out << ", " << "customer=" << to_string(customer);
+  out << ", " << "route=" << to_string(route);
+  out << ", " << "statement=" << to_string(statement);
+  out << ", " << "values=" << to_string(values);
+  out << ", " << "last_commit="; (__isset.last_commit ? (out << to_string(last_commit)) : (out << "<null>"));
+  out << ")";
+}
+
+
+Completed::~Completed() noexcept {
+}
+
+
+void Completed::__set_rows(const std::vector<std::string> & val) {
+  this->rows = val;
+}
+
+void Completed::__set_signature(const std::string& val) {
+  this->signature = val;
+}
+std::ostream& operator<<(std::ostream& out, const Completed& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Completed::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->rows.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
+            {
+              xfer += iprot->readBinary(this->rows[_i142]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->signature);
+          this->__isset.signature = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Completed::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Completed");
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->rows.size()));
+    std::vector<std::string> ::const_iterator _iter143;
+    for (_iter143 = this->rows.begin(); _iter143 != this->rows.end(); ++_iter143)
+    {
+      xfer += oprot->writeBinary((*_iter143));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("signature", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->signature);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1846,109 +3285,67 @@
   return xfer;
 }
 
-void swap(Route &a, Route &b) {
+void swap(Completed &a, Completed &b) {
   using ::std::swap;
-  swap(a.group, b.group);
-  swap(a.consistency, b.consistency);
-  swap(a.max_staleness_us, b.max_staleness_us);
-  swap(a.statement_timeout_us, b.statement_timeout_us);
-  swap(a.objective_us, b.objective_us);
-  swap(a.priority, b.priority);
-  swap(a.is_public, b.is_public);
+  swap(a.rows, b.rows);
+  swap(a.signature, b.signature);
   swap(a.__isset, b.__isset);
 }
 
-Route::Route(const Route& other84) {
-  group = other84.group;
-  consistency = other84.consistency;
-  max_staleness_us = other84.max_staleness_us;
-  statement_timeout_us = other84.statement_timeout_us;
-  objective_us = other84.objective_us;
-  priority = other84.priority;
-  is_public = other84.is_public;
-  __isset = other84.__isset;
-}
-Route::Route(Route&& other85) noexcept {
-  group = std::move(other85.group);
-  consistency = other85.consistency;
-  max_staleness_us = other85.max_staleness_us;
-  statement_timeout_us = other85.statement_timeout_us;
-  objective_us = other85.objective_us;
-  priority = other85.priority;
-  is_public = other85.is_public;
-  __isset = other85.__isset;
-}
-Route& Route::operator=(const Route& other86) {
-  group = other86.group;
-  consistency = other86.consistency;
-  max_staleness_us = other86.max_staleness_us;
-  statement_timeout_us = other86.statement_timeout_us;
-  objective_us = other86.objective_us;
-  priority = other86.priority;
-  is_public = other86.is_public;
-  __isset = other86.__isset;
+Completed::Completed(const Completed& other144) {
+  rows = other144.rows;
+  signature = other144.signature;
+  __isset = other144.__isset;
+}
+Completed::Completed(Completed&& other145) noexcept {
+  rows = std::move(other145.rows);
+  signature = std::move(other145.signature);
+  __isset = other145.__isset;
+}
+Completed& Completed::operator=(const Completed& other146) {
+  rows = other146.rows;
+  signature = other146.signature;
+  __isset = other146.__isset;
   return *this;
 }
-Route& Route::operator=(Route&& other87) noexcept {
-  group = std::move(other87.group);
-  consistency = other87.consistency;
-  max_staleness_us = other87.max_staleness_us;
-  statement_timeout_us = other87.statement_timeout_us;
-  objective_us = other87.objective_us;
-  priority = other87.priority;
-  is_public = other87.is_public;
-  __isset = other87.__isset;
+Completed& Completed::operator=(Completed&& other147) noexcept {
+  rows = std::move(other147.rows);
+  signature = std::move(other147.signature);
+  __isset = other147.__isset;
   return *this;
 }
-void Route::printTo(std::ostream& out) const {
+void Completed::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Route(";
-  out << "group=" << to_string(group);
-  out << ", " << "consistency=" << to_string(consistency);
-  out << ", " << "max_staleness_us=" << to_string(max_staleness_us);
-  out << ", " << "statement_timeout_us=" << to_string(statement_timeout_us);
-  out << ", " << "objective_us=" << to_string(objective_us);
-  out << ", " << "priority=" << to_string(priority);
-  out << ", " << "is_public=" << to_string(is_public);
+  out << "Completed(";
+  out << "rows=" << to_string(rows);
+  out << ", " << "signature=" << to_string(signature);
   out << ")";
 }
 
 
-Statement::~Statement() noexcept {
-}
-
-
-void Statement::__set_id(const std::string& val) {
-  this->id = val;
-}
-
-void Statement::__set_kind(const int32_t val) {
-  this->kind = val;
+Refused::~Refused() noexcept {
 }
 
-void Statement::__set_text(const std::string& val) {
-  this->text = val;
-}
 
-void Statement::__set_name(const std::string& val) {
-  this->name = val;
+void Refused::__set_code(const int32_t val) {
+  this->code = val;
 }
 
-void Statement::__set_argument(const std::string& val) {
-  this->argument = val;
+void Refused::__set_message(const std::string& val) {
+  this->message = val;
 }
 
-void Statement::__set_prepared(const Shape& val) {
-  this->prepared = val;
+void Refused::__set_try_elsewhere(const bool val) {
+  this->try_elsewhere = val;
 }
-std::ostream& operator<<(std::ostream& out, const Statement& obj)
+std::ostream& operator<<(std::ostream& out, const Refused& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Statement::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Refused::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1970,49 +3367,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->id);
-          this->__isset.id = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->kind);
-          this->__isset.kind = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->text);
-          this->__isset.text = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->name);
-          this->__isset.name = true;
+          xfer += iprot->readI32(this->code);
+          this->__isset.code = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->argument);
-          this->__isset.argument = true;
+          xfer += iprot->readString(this->message);
+          this->__isset.message = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->prepared.read(iprot);
-          this->__isset.prepared = true;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->try_elsewhere);
+          this->__isset.try_elsewhere = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2029,33 +3402,21 @@
   return xfer;
 }
 
-uint32_t Statement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Refused::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Statement");
-
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->id);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->kind);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeBinary(this->text);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("Refused");
 
-  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->code);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("argument", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeBinary(this->argument);
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->message);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("prepared", ::apache::thrift::protocol::T_STRUCT, 6);
-  xfer += this->prepared.write(oprot);
+  xfer += oprot->writeFieldBegin("try_elsewhere", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->try_elsewhere);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
