@@ -2063,87 +3424,71 @@
   return xfer;
 }
 
-void swap(Statement &a, Statement &b) {
+void swap(Refused &a, Refused &b) {
   using ::std::swap;
-  swap(a.id, b.id);
-  swap(a.kind, b.kind);
-  swap(a.text, b.text);
-  swap(a.name, b.name);
-  swap(a.argument, b.argument);
-  swap(a.prepared, b.prepared);
+  swap(a.code, b.code);
+  swap(a.message, b.message);
+  swap(a.try_elsewhere, b.try_elsewhere);
   swap(a.__isset, b.__isset);
 }
 
-Statement::Statement(const Statement& other88) {
-  id = other88.id;
-  kind = other88.kind;
-  text = other88.text;
-  name = other88.name;
-  argument = other88.argument;
-  prepared = other88.prepared;
-  __isset = other88.__isset;
-}
-Statement::Statement(Statement&& other89) noexcept {
-  id = std::move(other89.id);
-  kind = other89.kind;
-  text = std::move(other89.text);
-  name = std::move(other89.name);
-  argument = std::move(other89.argument);
-  prepared = std::move(other89.prepared);
-  __isset = other89.__isset;
-}
-Statement& Statement::operator=(const Statement& other90) {
-  id = other90.id;
-  kind = other90.kind;
-  text = other90.text;
-  name = other90.name;
-  argument = other90.argument;
-  prepared = other90.prepared;
-  __isset = other90.__isset;
+Refused::Refused(const Refused& other148) {
+  code = other148.code;
+  message = other148.message;
+  try_elsewhere = other148.try_elsewhere;
+  __isset = other148.__isset;
+}
+Refused::Refused(Refused&& other149) noexcept {
+  code = other149.code;
+  message = std::move(other149.message);
+  try_elsewhere = other149.try_elsewhere;
+  __isset = other149.__isset;
+}
+Refused& Refused::operator=(const Refused& other150) {
+  code = other150.code;
+  message = other150.message;
+  try_elsewhere = other150.try_elsewhere;
+  __isset = other150.__isset;
   return *this;
 }
-Statement& Statement::operator=(Statement&& other91) noexcept {
-  id = std::move(other91.id);
-  kind = other91.kind;
-  text = std::move(other91.text);
-  name = std::move(other91.name);
-  argument = std::move(other91.argument);
-  prepared = std::move(other91.prepared);
-  __isset = other91.__isset;
+Refused& Refused::operator=(Refused&& other151) noexcept {
+  code = other151.code;
+  message = std::move(other151.message);
+  try_elsewhere = other151.try_elsewhere;
+  __isset = other151.__isset;
   return *this;
 }
-void Statement::printTo(std::ostream& out) const {
+void Refused::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Statement(";
-  out << "id=" << to_string(id);
-  out << ", " << "kind=" << to_string(kind);
-  out << ", " << "text=" << to_string(text);
-  out << ", " << "name=" << to_string(name);
-  out << ", " << "argument=" << to_string(argument);
-  out << ", " << "prepared=" << to_string(prepared);
+  out << "Refused(";
+  out << "code=" << to_string(code);
+  out << ", " << "message=" << to_string(message);
+  out << ", " << "try_elsewhere=" << to_string(try_elsewhere);
   out << ")";
 }
 
 
-Commit::~Commit() noexcept {
+Outcome::~Outcome() noexcept {
 }
 
 
-void Commit::__set_age_us(const int64_t val) {
-  this->age_us = val;
+void Outcome::__set_completed(const Completed& val) {
+  this->completed = val;
+__isset.completed = true;
 }
 
-void Commit::__set_position(const Position& val) {
-  this->position = val;
+void Outcome::__set_refused(const Refused& val) {
+  this->refused = val;
+__isset.refused = true;
 }
-std::ostream& operator<<(std::ostream& out, const Commit& obj)
+std::ostream& operator<<(std::ostream& out, const Outcome& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Commit::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Outcome::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2165,17 +3510,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->age_us);
-          this->__isset.age_us = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->completed.read(iprot);
+          this->__isset.completed = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->position.read(iprot);
-          this->__isset.position = true;
+          xfer += this->refused.read(iprot);
+          this->__isset.refused = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2192,106 +3537,92 @@
   return xfer;
 }
 
-uint32_t Commit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Outcome::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Commit");
-
-  xfer += oprot->writeFieldBegin("age_us", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->age_us);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->position.write(oprot);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("Outcome");
 
+  if (this->__isset.completed) {
+    xfer += oprot->writeFieldBegin("completed", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->completed.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.refused) {
+    xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->refused.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Commit &a, Commit &b) {
+void swap(Outcome &a, Outcome &b) {
   using ::std::swap;
-  swap(a.age_us, b.age_us);
-  swap(a.position, b.position);
+  swap(a.completed, b.completed);
+  swap(a.refused, b.refused);
   swap(a.__isset, b.__isset);
 }
 
-Commit::Commit(const Commit& other92) noexcept {
-  age_us = other92.age_us;
-  position = other92.position;
-  __isset = other92.__isset;
+Outcome::Outcome(const Outcome& other152) {
+  completed = other152.completed;
+  refused = other152.refused;
+  __isset = other152.__isset;
 }
-Commit::Commit(Commit&& other93) noexcept {
-  age_us = other93.age_us;
-  position = std::move(other93.position);
-  __isset = other93.__isset;
+Outcome::Outcome(Outcome&& other153) noexcept {
+  completed = std::move(other153.completed);
+  refused = std::move(other153.refused);
+  __isset = other153.__isset;
 }
-Commit& Commit::operator=(const Commit& other94) noexcept {
-  age_us = other94.age_us;
-  position = other94.position;
-  __isset = other94.__isset;
+Outcome& Outcome::operator=(const Outcome& other154) {
+  completed = other154.completed;
+  refused = other154.refused;
+  __isset = other154.__isset;
   return *this;
 }
-Commit& Commit::operator=(Commit&& other95) noexcept {
-  age_us = other95.age_us;
-  position = std::move(other95.position);
-  __isset = other95.__isset;
+Outcome& Outcome::operator=(Outcome&& other155) noexcept {
+  completed = std::move(other155.completed);
+  refused = std::move(other155.refused);
+  __isset = other155.__isset;
   return *this;
 }
-void Commit::printTo(std::ostream& out) const {
+void Outcome::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Commit(";
-  out << "age_us=" << to_string(age_us);
-  out << ", " << "position=" << to_string(position);
+  out << "Outcome(";
+  out << "completed="; (__isset.completed ? (out << to_string(completed)) : (out << "<null>"));
+  out << ", " << "refused="; (__isset.refused ? (out << to_string(refused)) : (out << "<null>"));
   out << ")";
 }
 
 
-ForwardedStatement::~ForwardedStatement() noexcept {
+ForwardedAnswer::~ForwardedAnswer() noexcept {
 }
 
 
-void ForwardedStatement::__set_operation(const int64_t val) {
+void ForwardedAnswer::__set_operation(const int64_t val) {
   this->operation = val;
 }
 
-void ForwardedStatement::__set_begins(const bool val) {
-  this->begins = val;
-}
-
-void ForwardedStatement::__set_transaction(const int32_t val) {
-  this->transaction = val;
-}
-
-void ForwardedStatement::__set_customer(const std::string& val) {
-  this->customer = val;
-}
-
-void ForwardedStatement::__set_route(const Route& val) {
-  this->route = val;
-}
-
-void ForwardedStatement::__set_statement(const Statement& val) {
-  this->statement = val;
+void ForwardedAnswer::__set_outcome(const Outcome& val) {
+  this->outcome = val;
 }
 
-void ForwardedStatement::__set_values(const std::map<std::string, std::string> & val) {
-  this->values = val;
+void ForwardedAnswer::__set_state(const int32_t val) {
+  this->state = val;
 }
 
-void ForwardedStatement::__set_last_commit(const Commit& val) {
-  this->last_commit = val;
-__isset.last_commit = true;
+void ForwardedAnswer::__set_position(const Position& val) {
+  this->position = val;
+__isset.position = true;
 }
-std::ostream& operator<<(std::ostream& out, const ForwardedStatement& obj)
+std::ostream& operator<<(std::ostream& out, const ForwardedAnswer& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ForwardedStatement::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ForwardedAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2321,72 +3652,25 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->begins);
-          this->__isset.begins = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->outcome.read(iprot);
+          this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->transaction);
-          this->__isset.transaction = true;
+          xfer += iprot->readI32(this->state);
+          this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->customer);
-          this->__isset.customer = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->route.read(iprot);
-          this->__isset.route = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->statement.read(iprot);
-          this->__isset.statement = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_MAP) {
-          {
-            this->values.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _ktype97;
-            ::apache::thrift::protocol::TType _vtype98;
-            xfer += iprot->readMapBegin(_ktype97, _vtype98, _size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
-            {
-              std::string _key101;
-              xfer += iprot->readString(_key101);
-              std::string& _val102 = this->values[_key101];
-              xfer += iprot->readBinary(_val102);
-            }
-            xfer += iprot->readMapEnd();
-          }
-          this->__isset.values = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->last_commit.read(iprot);
-          this->__isset.last_commit = true;
+          xfer += this->position.read(iprot);
+          this->__isset.position = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2403,51 +3687,26 @@
   return xfer;
 }
 
-uint32_t ForwardedStatement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ForwardedAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ForwardedStatement");
+  xfer += oprot->writeStructBegin("ForwardedAnswer");
 
   xfer += oprot->writeFieldBegin("operation", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->operation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("begins", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->begins);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("transaction", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->transaction);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->customer);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRUCT, 5);
-  xfer += this->route.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("statement", ::apache::thrift::protocol::T_STRUCT, 6);
-  xfer += this->statement.write(oprot);
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->outcome.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("values", ::apache::thrift::protocol::T_MAP, 7);
-  {
-    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->values.size()));
-    std::map<std::string, std::string> ::const_iterator _iter103;
-    for (_iter103 = this->values.begin(); _iter103 != this->values.end(); ++_iter103)
-    {
-      xfer += oprot->writeString(_iter103->first);
-      xfer += oprot->writeBinary(_iter103->second);
-    }
-    xfer += oprot->writeMapEnd();
-  }
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->state);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.last_commit) {
-    xfer += oprot->writeFieldBegin("last_commit", ::apache::thrift::protocol::T_STRUCT, 8);
-    xfer += this->last_commit.write(oprot);
+  if (this->__isset.position) {
+    xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->position.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -2455,99 +3714,71 @@
   return xfer;
 }
 
-void swap(ForwardedStatement &a, ForwardedStatement &b) {
+void swap(ForwardedAnswer &a, ForwardedAnswer &b) {
   using ::std::swap;
   swap(a.operation, b.operation);
-  swap(a.begins, b.begins);
-  swap(a.transaction, b.transaction);
-  swap(a.customer, b.customer);
-  swap(a.route, b.route);
-  swap(a.statement, b.statement);
-  swap(a.values, b.values);
-  swap(a.last_commit, b.last_commit);
+  swap(a.outcome, b.outcome);
+  swap(a.state, b.state);
+  swap(a.position, b.position);
   swap(a.__isset, b.__isset);
 }
 
-ForwardedStatement::ForwardedStatement(const ForwardedStatement& other104) {
-  operation = other104.operation;
-  begins = other104.begins;
-  transaction = other104.transaction;
-  customer = other104.customer;
-  route = other104.route;
-  statement = other104.statement;
-  values = other104.values;
-  last_commit = other104.last_commit;
-  __isset = other104.__isset;
-}
-ForwardedStatement::ForwardedStatement(ForwardedStatement&& other105) noexcept {
-  operation = other105.operation;
-  begins = other105.begins;
-  transaction = other105.transaction;
-  customer = std::move(other105.customer);
-  route = std::move(other105.route);
-  statement = std::move(other105.statement);
-  values = std::move(other105.values);
-  last_commit = std::move(other105.last_commit);
-  __isset = other105.__isset;
-}
-ForwardedStatement& ForwardedStatement::operator=(const ForwardedStatement& other106) {
-  operation = other106.operation;
-  begins = other106.begins;
-  transaction = other106.transaction;
-  customer = other106.customer;
-  route = other106.route;
-  statement = other106.statement;
-  values = other106.values;
-  last_commit = other106.last_commit;
-  __isset = other106.__isset;
+ForwardedAnswer::ForwardedAnswer(const ForwardedAnswer& other156) {
+  operation = other156.operation;
+  outcome = other156.outcome;
+  state = other156.state;
+  position = other156.position;
+  __isset = other156.__isset;
+}
+ForwardedAnswer::ForwardedAnswer(ForwardedAnswer&& other157) noexcept {
+  operation = other157.operation;
+  outcome = std::move(other157.outcome);
+  state = other157.state;
+  position = std::move(other157.position);
+  __isset = other157.__isset;
+}
+ForwardedAnswer& ForwardedAnswer::operator=(const ForwardedAnswer& other158) {
+  operation = other158.operation;
+  outcome = other158.outcome;
+  state = other158.state;
+  position = other158.position;
+  __isset = other158.__isset;
   return *this;
 }
-ForwardedStatement& ForwardedStatement::operator=(ForwardedStatement&& other107) noexcept {
-  operation = other107.operation;
-  begins = other107.begins;
-  transaction = other107.transaction;
-  customer = std::move(other107.customer);
-  route = std::move(other107.route);
-  statement = std::move(other107.statement);
-  values = std::move(other107.values);
-  last_commit = std::move(other107.last_commit);
-  __isset = other107.__isset;
+ForwardedAnswer& ForwardedAnswer::operator=(ForwardedAnswer&& other159) noexcept {
+  operation = other159.operation;
+  outcome = std::move(other159.outcome);
+  state = other159.state;
+  position = std::move(other159.position);
+  __isset = other159.__isset;
   return *this;
 }
-void ForwardedStatement::printTo(std::ostream& out) const {
+void ForwardedAnswer::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ForwardedStatement(";
+  out << "ForwardedAnswer(";
   out << "operation=" << to_string(operation);
-  out << ", " << "begins=" << to_string(begins);
-  out << ", " << "transaction=" << to_string(transaction);
-  out << ", " << "customer=" << to_string(customer);
-  out << ", " << "route=" << to_string(route);
-  out << ", " << "statement=" << to_string(statement);
-  out << ", " << "values=" << to_string(values);
-  out << ", " << "last_commit="; (__isset.last_commit ? (out << to_string(last_commit)) : (out << "<null>"));
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "position="; (__isset.position ? (out << to_string(position)) : (out << "<null>"));
   out << ")";
 }
 
 
-Completed::~Completed() noexcept {
+ForwardedEnd::~ForwardedEnd() noexcept {
 }
 
 
-void Completed::__set_rows(const std::vector<std::string> & val) {
-  this->rows = val;
-}
-
-void Completed::__set_signature(const std::string& val) {
-  this->signature = val;
+void ForwardedEnd::__set_operation(const int64_t val) {
+  this->operation = val;
 }
-std::ostream& operator<<(std::ostream& out, const Completed& obj)
+std::ostream& operator<<(std::ostream& out, const ForwardedEnd& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Completed::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ForwardedEnd::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2569,29 +3800,9 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->rows.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->rows.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
-            {
-              xfer += iprot->readBinary(this->rows[_i112]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.rows = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->signature);
-          this->__isset.signature = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->operation);
+          this->__isset.operation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2608,25 +3819,13 @@
   return xfer;
 }
 
-uint32_t Completed::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ForwardedEnd::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Completed");
-
-  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->rows.size()));
-    std::vector<std::string> ::const_iterator _iter113;
-    for (_iter113 = this->rows.begin(); _iter113 != this->rows.end(); ++_iter113)
-    {
-      xfer += oprot->writeBinary((*_iter113));
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ForwardedEnd");
 
-  xfer += oprot->writeFieldBegin("signature", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->signature);
+  xfer += oprot->writeFieldBegin("operation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->operation);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2634,67 +3833,49 @@
   return xfer;
 }
 
-void swap(Completed &a, Completed &b) {
+void swap(ForwardedEnd &a, ForwardedEnd &b) {
   using ::std::swap;
-  swap(a.rows, b.rows);
-  swap(a.signature, b.signature);
+  swap(a.operation, b.operation);
   swap(a.__isset, b.__isset);
 }
 
-Completed::Completed(const Completed& other114) {
-  rows = other114.rows;
-  signature = other114.signature;
-  __isset = other114.__isset;
+ForwardedEnd::ForwardedEnd(const ForwardedEnd& other160) noexcept {
+  operation = other160.operation;
+  __isset = other160.__isset;
 }
-Completed::Completed(Completed&& other115) noexcept {
-  rows = std::move(other115.rows);
-  signature = std::move(other115.signature);
-  __isset = other115.__isset;
+ForwardedEnd::ForwardedEnd(ForwardedEnd&& other161) noexcept {
+  operation = other161.operation;
+  __isset = other161.__isset;
 }
-Completed& Completed::operator=(const Completed& other116) {
-  rows = other116.rows;
-  signature = other116.signature;
-  __isset = other116.__isset;
+ForwardedEnd& ForwardedEnd::operator=(const ForwardedEnd& other162) noexcept {
+  operation = other162.operation;
+  __isset = other162.__isset;
   return *this;
 }
-Completed& Completed::operator=(Completed&& other117) noexcept {
-  rows = std::move(other117.rows);
-  signature = std::move(other117.signature);
-  __isset = other117.__isset;
+ForwardedEnd& ForwardedEnd::operator=(ForwardedEnd&& other163) noexcept {
+  operation = other163.operation;
+  __isset = other163.__isset;
   return *this;
 }
-void Completed::printTo(std::ostream& out) const {
+void ForwardedEnd::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Completed(";
-  out << "rows=" << to_string(rows);
-  out << ", " << "signature=" << to_string(signature);
+  out << "ForwardedEnd(";
+  out << "operation=" << to_string(operation);
   out << ")";
 }
 
 
-Refused::~Refused() noexcept {
-}
-
-
-void Refused::__set_code(const int32_t val) {
-  this->code = val;
-}
-
-void Refused::__set_message(const std::string& val) {
-  this->message = val;
+ForwardPing::~ForwardPing() noexcept {
 }
 
-void Refused::__set_try_elsewhere(const bool val) {
-  this->try_elsewhere = val;
-}
-std::ostream& operator<<(std::ostream& out, const Refused& obj)
+std::ostream& operator<<(std::ostream& out, const ForwardPing& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Refused::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ForwardPing::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2713,131 +3894,67 @@
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->code);
-          this->__isset.code = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->message);
-          this->__isset.message = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->try_elsewhere);
-          this->__isset.try_elsewhere = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
+    xfer += iprot->skip(ftype);
     xfer += iprot->readFieldEnd();
   }
 
   xfer += iprot->readStructEnd();
 
   return xfer;
-}
-
-uint32_t Refused::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Refused");
-
-  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->code);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->message);
-  xfer += oprot->writeFieldEnd();
+}
 
-  xfer += oprot->writeFieldBegin("try_elsewhere", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->try_elsewhere);
-  xfer += oprot->writeFieldEnd();
+uint32_t ForwardPing::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ForwardPing");
 
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Refused &a, Refused &b) {
+void swap(ForwardPing &a, ForwardPing &b) {
   using ::std::swap;
-  swap(a.code, b.code);
-  swap(a.message, b.message);
-  swap(a.try_elsewhere, b.try_elsewhere);
-  swap(a.__isset, b.__isset);
+  (void) a;
+  (void) b;
 }
 
-Refused::Refused(const Refused& other118) {
-  code = other118.code;
-  message = other118.message;
-  try_elsewhere = other118.try_elsewhere;
-  __isset = other118.__isset;
+ForwardPing::ForwardPing(const ForwardPing& other164) noexcept {
+  (void) other164;
 }
-Refused::Refused(Refused&& other119) noexcept {
-  code = other119.code;
-  message = std::move(other119.message);
-  try_elsewhere = other119.try_elsewhere;
-  __isset = other119.__isset;
+ForwardPing::ForwardPing(ForwardPing&& other165) noexcept {
+  (void) other165;
 }
-Refused& Refused::operator=(const Refused& other120) {
-  code = other120.code;
-  message = other120.message;
-  try_elsewhere = other120.try_elsewhere;
-  __isset = other120.__isset;
+ForwardPing& ForwardPing::operator=(const ForwardPing& other166) noexcept {
+  (void) other166;
   return *this;
 }
-Refused& Refused::operator=(Refused&& other121) noexcept {
-  code = other121.code;
-  message = std::move(other121.message);
-  try_elsewhere = other121.try_elsewhere;
-  __isset = other121.__isset;
+ForwardPing& ForwardPing::operator=(ForwardPing&& other167) noexcept {
+  (void) other167;
   return *this;
 }
-void Refused::printTo(std::ostream& out) const {
+void ForwardPing::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Refused(";
-  out << "code=" << to_string(code);
-  out << ", " << "message=" << to_string(message);
-  out << ", " << "try_elsewhere=" << to_string(try_elsewhere);
+  out << "ForwardPing(";
   out << ")";
 }
 
 
-Outcome::~Outcome() noexcept {
+ForwardProgress::~ForwardProgress() noexcept {
 }
 
 
-void Outcome::__set_completed(const Completed& val) {
-  this->completed = val;
-__isset.completed = true;
-}
-
-void Outcome::__set_refused(const Refused& val) {
-  this->refused = val;
-__isset.refused = true;
+void ForwardProgress::__set_operations(const std::vector<int64_t> & val) {
+  this->operations = val;
 }
-std::ostream& operator<<(std::ostream& out, const Outcome& obj)
+std::ostream& operator<<(std::ostream& out, const ForwardProgress& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Outcome::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ForwardProgress::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2859,17 +3976,21 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->completed.read(iprot);
-          this->__isset.completed = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->refused.read(iprot);
-          this->__isset.refused = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->operations.clear();
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->operations.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
+            {
+              xfer += iprot->readI64(this->operations[_i172]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.operations = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2886,92 +4007,96 @@
   return xfer;
 }
 
-uint32_t Outcome::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ForwardProgress::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Outcome");
+  xfer += oprot->writeStructBegin("ForwardProgress");
 
-  if (this->__isset.completed) {
-    xfer += oprot->writeFieldBegin("completed", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->completed.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.refused) {
-    xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->refused.write(oprot);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldBegin("operations", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->operations.size()));
+    std::vector<int64_t> ::const_iterator _iter173;
+    for (_iter173 = this->operations.begin(); _iter173 != this->operations.end(); ++_iter173)
+    {
+      xfer += oprot->writeI64((*_iter173));
+    }
+    xfer += oprot->writeListEnd();
   }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Outcome &a, Outcome &b) {
+void swap(ForwardProgress &a, ForwardProgress &b) {
   using ::std::swap;
-  swap(a.completed, b.completed);
-  swap(a.refused, b.refused);
+  swap(a.operations, b.operations);
   swap(a.__isset, b.__isset);
 }
 
-Outcome::Outcome(const Outcome& other122) {
-  completed = other122.completed;
-  refused = other122.refused;
-  __isset = other122.__isset;
+ForwardProgress::ForwardProgress(const ForwardProgress& other174) {
+  operations = other174.operations;
+  __isset = other174.__isset;
 }
-Outcome::Outcome(Outcome&& other123) noexcept {
-  completed = std::move(other123.completed);
-  refused = std::move(other123.refused);
-  __isset = other123.__isset;
+ForwardProgress::ForwardProgress(ForwardProgress&& other175) noexcept {
+  operations = std::move(other175.operations);
+  __isset = other175.__isset;
 }
-Outcome& Outcome::operator=(const Outcome& other124) {
-  completed = other124.completed;
-  refused = other124.refused;
-  __isset = other124.__isset;
+ForwardProgress& ForwardProgress::operator=(const ForwardProgress& other176) {
+  operations = other176.operations;
+  __isset = other176.__isset;
   return *this;
 }
-Outcome& Outcome::operator=(Outcome&& other125) noexcept {
-  completed = std::move(other125.completed);
-  refused = std::move(other125.refused);
-  __isset = other125.__isset;
+ForwardProgress& ForwardProgress::operator=(ForwardProgress&& other177) noexcept {
+  operations = std::move(other177.operations);
+  __isset = other177.__isset;
   return *this;
 }
-void Outcome::printTo(std::ostream& out) const {
+void ForwardProgress::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Outcome(";
-  out << "completed="; (__isset.completed ? (out << to_string(completed)) : (out << "<null>"));
-  out << ", " << "refused="; (__isset.refused ? (out << to_string(refused)) : (out << "<null>"));
+  out << "ForwardProgress(";
+  out << "operations=" << to_string(operations);
   out << ")";
 }
 
 
-ForwardedAnswer::~ForwardedAnswer() noexcept {
+ForwardMessage::~ForwardMessage() noexcept {
 }
 
 
-void ForwardedAnswer::__set_operation(const int64_t val) {
-  this->operation = val;
+void ForwardMessage::__set_statement(const ForwardedStatement& val) {
+  this->statement = val;
+__isset.statement = true;
 }
 
-void ForwardedAnswer::__set_outcome(const Outcome& val) {
-  this->outcome = val;
+void ForwardMessage::__set_answer(const ForwardedAnswer& val) {
+  this->answer = val;
+__isset.answer = true;
 }
 
-void ForwardedAnswer::__set_state(const int32_t val) {
-  this->state = val;
+void ForwardMessage::__set_ended(const ForwardedEnd& val) {
+  this->ended = val;
+__isset.ended = true;
 }
 
-void ForwardedAnswer::__set_position(const Position& val) {
-  this->position = val;
-__isset.position = true;
+void ForwardMessage::__set_ping(const ForwardPing& val) {
+  this->ping = val;
+__isset.ping = true;
 }
-std::ostream& operator<<(std::ostream& out, const ForwardedAnswer& obj)
+
+void ForwardMessage::__set_progress(const ForwardProgress& val) {
+  this->progress = val;
+__isset.progress = true;
+}
+std::ostream& operator<<(std::ostream& out, const ForwardMessage& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ForwardedAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ForwardMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2993,33 +4118,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->operation);
-          this->__isset.operation = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->statement.read(iprot);
+          this->__isset.statement = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->outcome.read(iprot);
-          this->__isset.outcome = true;
+          xfer += this->answer.read(iprot);
+          this->__isset.answer = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->state);
-          this->__isset.state = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ended.read(iprot);
+          this->__isset.ended = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->position.read(iprot);
-          this->__isset.position = true;
+          xfer += this->ping.read(iprot);
+          this->__isset.ping = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->progress.read(iprot);
+          this->__isset.progress = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3036,26 +4169,34 @@
   return xfer;
 }
 
-uint32_t ForwardedAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ForwardMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ForwardedAnswer");
-
-  xfer += oprot->writeFieldBegin("operation", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->operation);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->outcome.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->state);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ForwardMessage");
 
-  if (this->__isset.position) {
-    xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->position.write(oprot);
+  if (this->__isset.statement) {
+    xfer += oprot->writeFieldBegin("statement", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->statement.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.answer) {
+    xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ended) {
+    xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->ended.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ping) {
+    xfer += oprot->writeFieldBegin("ping", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->ping.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.progress) {
+    xfer += oprot->writeFieldBegin("progress", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->progress.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -3063,71 +4204,81 @@
   return xfer;
 }
 
-void swap(ForwardedAnswer &a, ForwardedAnswer &b) {
+void swap(ForwardMessage &a, ForwardMessage &b) {
   using ::std::swap;
-  swap(a.operation, b.operation);
-  swap(a.outcome, b.outcome);
-  swap(a.state, b.state);
-  swap(a.position, b.position);
+  swap(a.statement, b.statement);
+  swap(a.answer, b.answer);
+  swap(a.ended, b.ended);
+  swap(a.ping, b.ping);
+  swap(a.progress, b.progress);
   swap(a.__isset, b.__isset);
 }
 
-ForwardedAnswer::ForwardedAnswer(const ForwardedAnswer& other126) {
-  operation = other126.operation;
-  outcome = other126.outcome;
-  state = other126.state;
-  position = other126.position;
-  __isset = other126.__isset;
-}
-ForwardedAnswer::ForwardedAnswer(ForwardedAnswer&& other127) noexcept {
-  operation = other127.operation;
-  outcome = std::move(other127.outcome);
-  state = other127.state;
-  position = std::move(other127.position);
-  __isset = other127.__isset;
-}
-ForwardedAnswer& ForwardedAnswer::operator=(const ForwardedAnswer& other128) {
-  operation = other128.operation;
-  outcome = other128.outcome;
-  state = other128.state;
-  position = other128.position;
-  __isset = other128.__isset;
+ForwardMessage::ForwardMessage(const ForwardMessage& other178) {
+  statement = other178.statement;
+  answer = other178.answer;
+  ended = other178.ended;
+  ping = other178.ping;
+  progress = other178.progress;
+  __isset = other178.__isset;
+}
+ForwardMessage::ForwardMessage(ForwardMessage&& other179) noexcept {
+  statement = std::move(other179.statement);
+  answer = std::move(other179.answer);
+  ended = std::move(other179.ended);
+  ping = std::move(other179.ping);
+  progress = std::move(other179.progress);
+  __isset = other179.__isset;
+}
+ForwardMessage& ForwardMessage::operator=(const ForwardMessage& other180) {
+  statement = other180.statement;
+  answer = other180.answer;
+  ended = other180.ended;
+  ping = other180.ping;
+  progress = other180.progress;
+  __isset = other180.__isset;
   return *this;
 }
-ForwardedAnswer& ForwardedAnswer::operator=(ForwardedAnswer&& other129) noexcept {
-  operation = other129.operation;
-  outcome = std::move(other129.outcome);
-  state = other129.state;
-  position = std::move(other129.position);
-  __isset = other129.__isset;
+ForwardMessage& ForwardMessage::operator=(ForwardMessage&& other181) noexcept {
+  statement = std::move(other181.statement);
+  answer = std::move(other181.answer);
+  ended = std::move(other181.ended);
+  ping = std::move(other181.ping);
+  progress = std::move(other181.progress);
+  __isset = other181.__isset;
   return *this;
 }
-void ForwardedAnswer::printTo(std::ostream& out) const {
+void ForwardMessage::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ForwardedAnswer(";
-  out << "operation=" << to_string(operation);
-  out << ", " << "outcome=" << to_string(outcome);
-  out << ", " << "state=" << to_string(state);
-  out << ", " << "position="; (__isset.position ? (out << to_string(position)) : (out << "<null>"));
+  out << "ForwardMessage(";
+  out << "statement="; (__isset.statement ? (out << to_string(statement)) : (out << "<null>"));
+  out << ", " << "answer="; (__isset.answer ? (out << to_string(answer)) : (out << "<null>"));
+  out << ", " << "ended="; (__isset.ended ? (out << to_string(ended)) : (out << "<null>"));
+  out << ", " << "ping="; (__isset.ping ? (out << to_string(ping)) : (out << "<null>"));
+  out << ", " << "progress="; (__isset.progress ? (out << to_string(progress)) : (out << "<null>"));
   out << ")";
 }
 
 
-ForwardedEnd::~ForwardedEnd() noexcept {
+KnownObject::~KnownObject() noexcept {
 }
 
 
-void ForwardedEnd::__set_operation(const int64_t val) {
-  this->operation = val;
+void KnownObject::__set_name(const std::string& val) {
+  this->name = val;
 }
-std::ostream& operator<<(std::ostream& out, const ForwardedEnd& obj)
+
+void KnownObject::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const KnownObject& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ForwardedEnd::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t KnownObject::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3149,9 +4300,17 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->operation);
-          this->__isset.operation = true;
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3168,13 +4327,17 @@
   return xfer;
 }
 
-uint32_t ForwardedEnd::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t KnownObject::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ForwardedEnd");
+  xfer += oprot->writeStructBegin("KnownObject");
 
-  xfer += oprot->writeFieldBegin("operation", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->operation);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3182,49 +4345,67 @@
   return xfer;
 }
 
-void swap(ForwardedEnd &a, ForwardedEnd &b) {
+void swap(KnownObject &a, KnownObject &b) {
   using ::std::swap;
-  swap(a.operation, b.operation);
+  swap(a.name, b.name);
+  swap(a.revision, b.revision);
   swap(a.__isset, b.__isset);
 }
 
-ForwardedEnd::ForwardedEnd(const ForwardedEnd& other130) noexcept {
-  operation = other130.operation;
-  __isset = other130.__isset;
+KnownObject::KnownObject(const KnownObject& other182) {
+  name = other182.name;
+  revision = other182.revision;
+  __isset = other182.__isset;
 }
-ForwardedEnd::ForwardedEnd(ForwardedEnd&& other131) noexcept {
-  operation = other131.operation;
-  __isset = other131.__isset;
+KnownObject::KnownObject(KnownObject&& other183) noexcept {
+  name = std::move(other183.name);
+  revision = other183.revision;
+  __isset = other183.__isset;
 }
-ForwardedEnd& ForwardedEnd::operator=(const ForwardedEnd& other132) noexcept {
-  operation = other132.operation;
-  __isset = other132.__isset;
+KnownObject& KnownObject::operator=(const KnownObject& other184) {
+  name = other184.name;
+  revision = other184.revision;
+  __isset = other184.__isset;
   return *this;
 }
-ForwardedEnd& ForwardedEnd::operator=(ForwardedEnd&& other133) noexcept {
-  operation = other133.operation;
-  __isset = other133.__isset;
+KnownObject& KnownObject::operator=(KnownObject&& other185) noexcept {
+  name = std::move(other185.name);
+  revision = other185.revision;
+  __isset = other185.__isset;
   return *this;
 }
-void ForwardedEnd::printTo(std::ostream& out) const {
+void KnownObject::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ForwardedEnd(";
-  out << "operation=" << to_string(operation);
+  out << "KnownObject(";
+  out << "name=" << to_string(name);
+  out << ", " << "revision=" << to_string(revision);
   out << ")";
 }
 
 
-ForwardPing::~ForwardPing() noexcept {
+StateRequest::~StateRequest() noexcept {
 }
 
-std::ostream& operator<<(std::ostream& out, const ForwardPing& obj)
+
+void StateRequest::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void StateRequest::__set_changed(const int64_t val) {
+  this->changed = val;
+}
+
+void StateRequest::__set_known(const std::vector<KnownObject> & val) {
+  this->known = val;
+}
+std::ostream& operator<<(std::ostream& out, const StateRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ForwardPing::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t StateRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3243,7 +4424,48 @@
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    xfer += iprot->skip(ftype);
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->changed);
+          this->__isset.changed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->known.clear();
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            this->known.resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
+            {
+              xfer += this->known[_i190].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
     xfer += iprot->readFieldEnd();
   }
 
@@ -3252,58 +4474,116 @@
   return xfer;
 }
 
-uint32_t ForwardPing::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t StateRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ForwardPing");
+  xfer += oprot->writeStructBegin("StateRequest");
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->changed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->known.size()));
+    std::vector<KnownObject> ::const_iterator _iter191;
+    for (_iter191 = this->known.begin(); _iter191 != this->known.end(); ++_iter191)
+    {
+      xfer += (*_iter191).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(ForwardPing &a, ForwardPing &b) {
+void swap(StateRequest &a, StateRequest &b) {
   using ::std::swap;
-  (void) a;
-  (void) b;
+  swap(a.kind, b.kind);
+  swap(a.changed, b.changed);
+  swap(a.known, b.known);
+  swap(a.__isset, b.__isset);
 }
 
-ForwardPing::ForwardPing(const ForwardPing& other134) noexcept {
-  (void) other134;
+StateRequest::StateRequest(const StateRequest& other192) {
+  kind = other192.kind;
+  changed = other192.changed;
+  known = other192.known;
+  __isset = other192.__isset;
 }
-ForwardPing::ForwardPing(ForwardPing&& other135) noexcept {
-  (void) other135;
+StateRequest::StateRequest(StateRequest&& other193) noexcept {
+  kind = other193.kind;
+  changed = other193.changed;
+  known = std::move(other193.known);
+  __isset = other193.__isset;
 }
-ForwardPing& ForwardPing::operator=(const ForwardPing& other136) noexcept {
-  (void) other136;
+StateRequest& StateRequest::operator=(const StateRequest& other194) {
+  kind = other194.kind;
+  changed = other194.changed;
+  known = other194.known;
+  __isset = other194.__isset;
   return *this;
 }
-ForwardPing& ForwardPing::operator=(ForwardPing&& other137) noexcept {
-  (void) other137;
+StateRequest& StateRequest::operator=(StateRequest&& other195) noexcept {
+  kind = other195.kind;
+  changed = other195.changed;
+  known = std::move(other195.known);
+  __isset = other195.__isset;
   return *this;
 }
-void ForwardPing::printTo(std::ostream& out) const {
+void StateRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ForwardPing(";
+  out << "StateRequest(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "changed=" << to_string(changed);
+  out << ", " << "known=" << to_string(known);
   out << ")";
 }
 
 
-ForwardProgress::~ForwardProgress() noexcept {
+StateUpdate::~StateUpdate() noexcept {
 }
 
 
-void ForwardProgress::__set_operations(const std::vector<int64_t> & val) {
-  this->operations = val;
+void StateUpdate::__set_kind(const int32_t val) {
+  this->kind = val;
 }
-std::ostream& operator<<(std::ostream& out, const ForwardProgress& obj)
+
+void StateUpdate::__set_base(const int64_t val) {
+  this->base = val;
+}
+
+void StateUpdate::__set_changed(const int64_t val) {
+  this->changed = val;
+}
+
+void StateUpdate::__set_objects(const std::vector<std::string> & val) {
+  this->objects = val;
+}
+
+void StateUpdate::__set_removed(const std::vector<std::string> & val) {
+  this->removed = val;
+}
+
+void StateUpdate::__set_age_us(const int64_t val) {
+  this->age_us = val;
+__isset.age_us = true;
+}
+std::ostream& operator<<(std::ostream& out, const StateUpdate& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ForwardProgress::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t StateUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3325,21 +4605,73 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->changed);
+          this->__isset.changed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->operations.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->operations.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            this->objects.clear();
+            uint32_t _size196;
+            ::apache::thrift::protocol::TType _etype199;
+            xfer += iprot->readListBegin(_etype199, _size196);
+            this->objects.resize(_size196);
+            uint32_t _i200;
+            for (_i200 = 0; _i200 < _size196; ++_i200)
             {
-              xfer += iprot->readI64(this->operations[_i142]);
+              xfer += iprot->readBinary(this->objects[_i200]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.operations = true;
+          this->__isset.objects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed.clear();
+            uint32_t _size201;
+            ::apache::thrift::protocol::TType _etype204;
+            xfer += iprot->readListBegin(_etype204, _size201);
+            this->removed.resize(_size201);
+            uint32_t _i205;
+            for (_i205 = 0; _i205 < _size201; ++_i205)
+            {
+              xfer += iprot->readString(this->removed[_i205]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_us);
+          this->__isset.age_us = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3356,96 +4688,140 @@
   return xfer;
 }
 
-uint32_t ForwardProgress::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t StateUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ForwardProgress");
+  xfer += oprot->writeStructBegin("StateUpdate");
 
-  xfer += oprot->writeFieldBegin("operations", ::apache::thrift::protocol::T_LIST, 1);
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->base);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->changed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 4);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->operations.size()));
-    std::vector<int64_t> ::const_iterator _iter143;
-    for (_iter143 = this->operations.begin(); _iter143 != this->operations.end(); ++_iter143)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->objects.size()));
+    std::vector<std::string> ::const_iterator _iter206;
+    for (_iter206 = this->objects.begin(); _iter206 != this->objects.end(); ++_iter206)
+    {
+      xfer += oprot->writeBinary((*_iter206));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
+    std::vector<std::string> ::const_iterator _iter207;
+    for (_iter207 = this->removed.begin(); _iter207 != this->removed.end(); ++_iter207)
     {
-      xfer += oprot->writeI64((*_iter143));
+      xfer += oprot->writeString((*_iter207));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.age_us) {
+    xfer += oprot->writeFieldBegin("age_us", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->age_us);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(ForwardProgress &a, ForwardProgress &b) {
+void swap(StateUpdate &a, StateUpdate &b) {
   using ::std::swap;
-  swap(a.operations, b.operations);
+  swap(a.kind, b.kind);
+  swap(a.base, b.base);
+  swap(a.changed, b.changed);
+  swap(a.objects, b.objects);
+  swap(a.removed, b.removed);
+  swap(a.age_us, b.age_us);
   swap(a.__isset, b.__isset);
 }
 
-ForwardProgress::ForwardProgress(const ForwardProgress& other144) {
-  operations = other144.operations;
-  __isset = other144.__isset;
-}
-ForwardProgress::ForwardProgress(ForwardProgress&& other145) noexcept {
-  operations = std::move(other145.operations);
-  __isset = other145.__isset;
-}
-ForwardProgress& ForwardProgress::operator=(const ForwardProgress& other146) {
-  operations = other146.operations;
-  __isset = other146.__isset;
+StateUpdate::StateUpdate(const StateUpdate& other208) {
+  kind = other208.kind;
+  base = other208.base;
+  changed = other208.changed;
+  objects = other208.objects;
+  removed = other208.removed;
+  age_us = other208.age_us;
+  __isset = other208.__isset;
+}
+StateUpdate::StateUpdate(StateUpdate&& other209) noexcept {
+  kind = other209.kind;
+  base = other209.base;
+  changed = other209.changed;
+  objects = std::move(other209.objects);
+  removed = std::move(other209.removed);
+  age_us = other209.age_us;
+  __isset = other209.__isset;
+}
+StateUpdate& StateUpdate::operator=(const StateUpdate& other210) {
+  kind = other210.kind;
+  base = other210.base;
+  changed = other210.changed;
+  objects = other210.objects;
+  removed = other210.removed;
+  age_us = other210.age_us;
+  __isset = other210.__isset;
   return *this;
 }
-ForwardProgress& ForwardProgress::operator=(ForwardProgress&& other147) noexcept {
-  operations = std::move(other147.operations);
-  __isset = other147.__isset;
+StateUpdate& StateUpdate::operator=(StateUpdate&& other211) noexcept {
+  kind = other211.kind;
+  base = other211.base;
+  changed = other211.changed;
+  objects = std::move(other211.objects);
+  removed = std::move(other211.removed);
+  age_us = other211.age_us;
+  __isset = other211.__isset;
   return *this;
 }
-void ForwardProgress::printTo(std::ostream& out) const {
+void StateUpdate::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ForwardProgress(";
-  out << "operations=" << to_string(operations);
+  out << "StateUpdate(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "base=" << to_string(base);
+  out << ", " << "changed=" << to_string(changed);
+  out << ", " << "objects=" << to_string(objects);
+  out << ", " << "removed=" << to_string(removed);
+  out << ", " << "age_us="; (__isset.age_us ? (out << to_string(age_us)) : (out << "<null>"));
   out << ")";
 }
 
 
-ForwardMessage::~ForwardMessage() noexcept {
-}
-
-
-void ForwardMessage::__set_statement(const ForwardedStatement& val) {
-  this->statement = val;
-__isset.statement = true;
-}
-
-void ForwardMessage::__set_answer(const ForwardedAnswer& val) {
-  this->answer = val;
-__isset.answer = true;
+StateMessage::~StateMessage() noexcept {
 }
 
-void ForwardMessage::__set_ended(const ForwardedEnd& val) {
-  this->ended = val;
-__isset.ended = true;
-}
 
-void ForwardMessage::__set_ping(const ForwardPing& val) {
-  this->ping = val;
-__isset.ping = true;
+void StateMessage::__set_request(const StateRequest& val) {
+  this->request = val;
+__isset.request = true;
 }
 
-void ForwardMessage::__set_progress(const ForwardProgress& val) {
-  this->progress = val;
-__isset.progress = true;
+void StateMessage::__set_update(const StateUpdate& val) {
+  this->update = val;
+__isset.update = true;
 }
-std::ostream& operator<<(std::ostream& out, const ForwardMessage& obj)
+std::ostream& operator<<(std::ostream& out, const StateMessage& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ForwardMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t StateMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3468,40 +4844,16 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->statement.read(iprot);
-          this->__isset.statement = true;
+          xfer += this->request.read(iprot);
+          this->__isset.request = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->answer.read(iprot);
-          this->__isset.answer = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->ended.read(iprot);
-          this->__isset.ended = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->ping.read(iprot);
-          this->__isset.ping = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->progress.read(iprot);
-          this->__isset.progress = true;
+          xfer += this->update.read(iprot);
+          this->__isset.update = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3518,34 +4870,19 @@
   return xfer;
 }
 
-uint32_t ForwardMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t StateMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ForwardMessage");
+  xfer += oprot->writeStructBegin("StateMessage");
 
-  if (this->__isset.statement) {
-    xfer += oprot->writeFieldBegin("statement", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->statement.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.answer) {
-    xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->answer.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.ended) {
-    xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->ended.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.ping) {
-    xfer += oprot->writeFieldBegin("ping", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->ping.write(oprot);
+  if (this->__isset.request) {
+    xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->request.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.progress) {
-    xfer += oprot->writeFieldBegin("progress", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->progress.write(oprot);
+  if (this->__isset.update) {
+    xfer += oprot->writeFieldBegin("update", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->update.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -3553,58 +4890,40 @@
   return xfer;
 }
 
-void swap(ForwardMessage &a, ForwardMessage &b) {
+void swap(StateMessage &a, StateMessage &b) {
   using ::std::swap;
-  swap(a.statement, b.statement);
-  swap(a.answer, b.answer);
-  swap(a.ended, b.ended);
-  swap(a.ping, b.ping);
-  swap(a.progress, b.progress);
+  swap(a.request, b.request);
+  swap(a.update, b.update);
   swap(a.__isset, b.__isset);
 }
 
-ForwardMessage::ForwardMessage(const ForwardMessage& other148) {
-  statement = other148.statement;
-  answer = other148.answer;
-  ended = other148.ended;
-  ping = other148.ping;
-  progress = other148.progress;
-  __isset = other148.__isset;
+StateMessage::StateMessage(const StateMessage& other212) {
+  request = other212.request;
+  update = other212.update;
+  __isset = other212.__isset;
 }
-ForwardMessage::ForwardMessage(ForwardMessage&& other149) noexcept {
-  statement = std::move(other149.statement);
-  answer = std::move(other149.answer);
-  ended = std::move(other149.ended);
-  ping = std::move(other149.ping);
-  progress = std::move(other149.progress);
-  __isset = other149.__isset;
+StateMessage::StateMessage(StateMessage&& other213) noexcept {
+  request = std::move(other213.request);
+  update = std::move(other213.update);
+  __isset = other213.__isset;
 }
-ForwardMessage& ForwardMessage::operator=(const ForwardMessage& other150) {
-  statement = other150.statement;
-  answer = other150.answer;
-  ended = other150.ended;
-  ping = other150.ping;
-  progress = other150.progress;
-  __isset = other150.__isset;
+StateMessage& StateMessage::operator=(const StateMessage& other214) {
+  request = other214.request;
+  update = other214.update;
+  __isset = other214.__isset;
   return *this;
 }
-ForwardMessage& ForwardMessage::operator=(ForwardMessage&& other151) noexcept {
-  statement = std::move(other151.statement);
-  answer = std::move(other151.answer);
-  ended = std::move(other151.ended);
-  ping = std::move(other151.ping);
-  progress = std::move(other151.progress);
-  __isset = other151.__isset;
+StateMessage& StateMessage::operator=(StateMessage&& other215) noexcept {
+  request = std::move(other215.request);
+  update = std::move(other215.update);
+  __isset = other215.__isset;
   return *this;
 }
-void ForwardMessage::printTo(std::ostream& out) const {
+void StateMessage::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ForwardMessage(";
-  out << "statement="; (__isset.statement ? (out << to_string(statement)) : (out << "<null>"));
-  out << ", " << "answer="; (__isset.answer ? (out << to_string(answer)) : (out << "<null>"));
-  out << ", " << "ended="; (__isset.ended ? (out << to_string(ended)) : (out << "<null>"));
-  out << ", " << "ping="; (__isset.ping ? (out << to_string(ping)) : (out << "<null>"));
-  out << ", " << "progress="; (__isset.progress ? (out << to_string(progress)) : (out << "<null>"));
+  out << "StateMessage(";
+  out << "request="; (__isset.request ? (out << to_string(request)) : (out << "<null>"));
+  out << ", " << "update="; (__isset.update ? (out << to_string(update)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gossip/gen/gossip_types.h
+++ b/src/gossip/gen/gossip_types.h
@@ -33,6 +33,12 @@
 
 class Cell;
 
+class Copy;
+
+class Load;
+
+class Summary;
+
 class Report;
 
 class Position;
@@ -63,6 +69,14 @@
 
 class ForwardMessage;
 
+class KnownObject;
+
+class StateRequest;
+
+class StateUpdate;
+
+class StateMessage;
+
 typedef struct _Echo__isset {
   _Echo__isset() : instance(false), incarnation(false), sequence(false), held_us(false) {}
   bool instance :1;
@@ -366,11 +380,12 @@
 std::ostream& operator<<(std::ostream& out, const Opinions& obj);
 
 typedef struct _Cell__isset {
-  _Cell__isset() : zone(false), demand(false), opinions(false), acknowledged(false) {}
+  _Cell__isset() : zone(false), demand(false), opinions(false), acknowledged(false), instances(false) {}
   bool zone :1;
   bool demand :1;
   bool opinions :1;
   bool acknowledged :1;
+  bool instances :1;
 } _Cell__isset;
 
 class Cell : public virtual ::apache::thrift::TBase {
@@ -382,7 +397,8 @@
   Cell& operator=(Cell&&) noexcept;
   Cell() noexcept
        : zone(),
-         acknowledged(0) {
+         acknowledged(0),
+         instances(0) {
   }
 
   virtual ~Cell() noexcept;
@@ -390,6 +406,7 @@
   std::vector<Demand>  demand;
   std::vector<Opinions>  opinions;
   int64_t acknowledged;
+  int64_t instances;
 
   _Cell__isset __isset;
 
@@ -401,6 +418,8 @@
 
   void __set_acknowledged(const int64_t val);
 
+  void __set_instances(const int64_t val);
+
   bool operator == (const Cell & rhs) const
   {
     if (!(zone == rhs.zone))
@@ -411,6 +430,8 @@
       return false;
     if (!(acknowledged == rhs.acknowledged))
       return false;
+    if (!(instances == rhs.instances))
+      return false;
     return true;
   }
   bool operator != (const Cell &rhs) const {
@@ -429,8 +450,197 @@
 
 std::ostream& operator<<(std::ostream& out, const Cell& obj);
 
+typedef struct _Copy__isset {
+  _Copy__isset() : kind(false), changed(false), complete(false) {}
+  bool kind :1;
+  bool changed :1;
+  bool complete :1;
+} _Copy__isset;
+
+class Copy : public virtual ::apache::thrift::TBase {
+ public:
+
+  Copy(const Copy&) noexcept;
+  Copy(Copy&&) noexcept;
+  Copy& operator=(const Copy&) noexcept;
+  Copy& operator=(Copy&&) noexcept;
+  Copy() noexcept
+       : kind(0),
+         changed(0),
+         complete(0) {
+  }
+
+  virtual ~Copy() noexcept;
+  int32_t kind;
+  int64_t changed;
+  int64_t complete;
+
+  _Copy__isset __isset;
+
+  void __set_kind(const int32_t val);
+
+  void __set_changed(const int64_t val);
+
+  void __set_complete(const int64_t val);
+
+  bool operator == (const Copy & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(changed == rhs.changed))
+      return false;
+    if (!(complete == rhs.complete))
+      return false;
+    return true;
+  }
+  bool operator != (const Copy &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Copy & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Copy &a, Copy &b);
+
+std::ostream& operator<<(std::ostream& out, const Copy& obj);
+
+typedef struct _Load__isset {
+  _Load__isset() : customer(false), demand(false), admitted(false), available(false), live_holders(false) {}
+  bool customer :1;
+  bool demand :1;
+  bool admitted :1;
+  bool available :1;
+  bool live_holders :1;
+} _Load__isset;
+
+class Load : public virtual ::apache::thrift::TBase {
+ public:
+
+  Load(const Load&);
+  Load(Load&&) noexcept;
+  Load& operator=(const Load&);
+  Load& operator=(Load&&) noexcept;
+  Load() noexcept
+       : customer(),
+         demand(0),
+         admitted(0),
+         available(0),
+         live_holders(0) {
+  }
+
+  virtual ~Load() noexcept;
+  std::string customer;
+  double demand;
+  double admitted;
+  double available;
+  int32_t live_holders;
+
+  _Load__isset __isset;
+
+  void __set_customer(const std::string& val);
+
+  void __set_demand(const double val);
+
+  void __set_admitted(const double val);
+
+  void __set_available(const double val);
+
+  void __set_live_holders(const int32_t val);
+
+  bool operator == (const Load & rhs) const
+  {
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(demand == rhs.demand))
+      return false;
+    if (!(admitted == rhs.admitted))
+      return false;
+    if (!(available == rhs.available))
+      return false;
+    if (!(live_holders == rhs.live_holders))
+      return false;
+    return true;
+  }
+  bool operator != (const Load &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Load & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Load &a, Load &b);
+
+std::ostream& operator<<(std::ostream& out, const Load& obj);
+
+typedef struct _Summary__isset {
+  _Summary__isset() : complete(false), loads(false), opinions(false) {}
+  bool complete :1;
+  bool loads :1;
+  bool opinions :1;
+} _Summary__isset;
+
+class Summary : public virtual ::apache::thrift::TBase {
+ public:
+
+  Summary(const Summary&);
+  Summary(Summary&&) noexcept;
+  Summary& operator=(const Summary&);
+  Summary& operator=(Summary&&) noexcept;
+  Summary() noexcept
+          : complete(0) {
+  }
+
+  virtual ~Summary() noexcept;
+  bool complete;
+  std::vector<Load>  loads;
+  std::vector<Opinions>  opinions;
+
+  _Summary__isset __isset;
+
+  void __set_complete(const bool val);
+
+  void __set_loads(const std::vector<Load> & val);
+
+  void __set_opinions(const std::vector<Opinions> & val);
+
+  bool operator == (const Summary & rhs) const
+  {
+    if (!(complete == rhs.complete))
+      return false;
+    if (!(loads == rhs.loads))
+      return false;
+    if (!(opinions == rhs.opinions))
+      return false;
+    return true;
+  }
+  bool operator != (const Summary &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Summary & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Summary &a, Summary &b);
+
+std::ostream& operator<<(std::ostream& out, const Summary& obj);
+
 typedef struct _Report__isset {
-  _Report__isset() : sender(false), incarnation(false), sequence(false), echoes(false), demand(false), samples(false), unreachable(false), reachable(false), acknowledged(false), configuration(false), replacements(false), cells(false) {}
+  _Report__isset() : sender(false), incarnation(false), sequence(false), echoes(false), demand(false), samples(false), unreachable(false), reachable(false), acknowledged(false), configuration(false), replacements(false), cells(false), address(false), copies(false), is_head(false), summary(false) {}
   bool sender :1;
   bool incarnation :1;
   bool sequence :1;
@@ -443,6 +653,10 @@
   bool configuration :1;
   bool replacements :1;
   bool cells :1;
+  bool address :1;
+  bool copies :1;
+  bool is_head :1;
+  bool summary :1;
 } _Report__isset;
 
 class Report : public virtual ::apache::thrift::TBase {
@@ -456,7 +670,9 @@
          : sender(),
            incarnation(0),
            sequence(0),
-           acknowledged(0) {
+           acknowledged(0),
+           address(),
+           is_head(0) {
   }
 
   virtual ~Report() noexcept;
@@ -472,6 +688,10 @@
   Proof configuration;
   Proof replacements;
   std::vector<Cell>  cells;
+  std::string address;
+  std::vector<Copy>  copies;
+  bool is_head;
+  Summary summary;
 
   _Report__isset __isset;
 
@@ -499,6 +719,14 @@
 
   void __set_cells(const std::vector<Cell> & val);
 
+  void __set_address(const std::string& val);
+
+  void __set_copies(const std::vector<Copy> & val);
+
+  void __set_is_head(const bool val);
+
+  void __set_summary(const Summary& val);
+
   bool operator == (const Report & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -529,6 +757,16 @@
       return false;
     if (!(cells == rhs.cells))
       return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(copies == rhs.copies))
+      return false;
+    if (!(is_head == rhs.is_head))
+      return false;
+    if (__isset.summary != rhs.__isset.summary)
+      return false;
+    else if (__isset.summary && !(summary == rhs.summary))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
@@ -1390,6 +1628,250 @@
 
 std::ostream& operator<<(std::ostream& out, const ForwardMessage& obj);
 
+typedef struct _KnownObject__isset {
+  _KnownObject__isset() : name(false), revision(false) {}
+  bool name :1;
+  bool revision :1;
+} _KnownObject__isset;
+
+class KnownObject : public virtual ::apache::thrift::TBase {
+ public:
+
+  KnownObject(const KnownObject&);
+  KnownObject(KnownObject&&) noexcept;
+  KnownObject& operator=(const KnownObject&);
+  KnownObject& operator=(KnownObject&&) noexcept;
+  KnownObject() noexcept
+              : name(),
+                revision(0) {
+  }
+
+  virtual ~KnownObject() noexcept;
+  std::string name;
+  int64_t revision;
+
+  _KnownObject__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const KnownObject & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const KnownObject &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const KnownObject & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(KnownObject &a, KnownObject &b);
+
+std::ostream& operator<<(std::ostream& out, const KnownObject& obj);
+
+typedef struct _StateRequest__isset {
+  _StateRequest__isset() : kind(false), changed(false), known(false) {}
+  bool kind :1;
+  bool changed :1;
+  bool known :1;
+} _StateRequest__isset;
+
+class StateRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  StateRequest(const StateRequest&);
+  StateRequest(StateRequest&&) noexcept;
+  StateRequest& operator=(const StateRequest&);
+  StateRequest& operator=(StateRequest&&) noexcept;
+  StateRequest() noexcept
+               : kind(0),
+                 changed(0) {
+  }
+
+  virtual ~StateRequest() noexcept;
+  int32_t kind;
+  int64_t changed;
+  std::vector<KnownObject>  known;
+
+  _StateRequest__isset __isset;
+
+  void __set_kind(const int32_t val);
+
+  void __set_changed(const int64_t val);
+
+  void __set_known(const std::vector<KnownObject> & val);
+
+  bool operator == (const StateRequest & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(changed == rhs.changed))
+      return false;
+    if (!(known == rhs.known))
+      return false;
+    return true;
+  }
+  bool operator != (const StateRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StateRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StateRequest &a, StateRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const StateRequest& obj);
+
+typedef struct _StateUpdate__isset {
+  _StateUpdate__isset() : kind(false), base(false), changed(false), objects(false), removed(false), age_us(false) {}
+  bool kind :1;
+  bool base :1;
+  bool changed :1;
+  bool objects :1;
+  bool removed :1;
+  bool age_us :1;
+} _StateUpdate__isset;
+
+class StateUpdate : public virtual ::apache::thrift::TBase {
+ public:
+
+  StateUpdate(const StateUpdate&);
+  StateUpdate(StateUpdate&&) noexcept;
+  StateUpdate& operator=(const StateUpdate&);
+  StateUpdate& operator=(StateUpdate&&) noexcept;
+  StateUpdate() noexcept
+              : kind(0),
+                base(0),
+                changed(0),
+                age_us(0) {
+  }
+
+  virtual ~StateUpdate() noexcept;
+  int32_t kind;
+  int64_t base;
+  int64_t changed;
+  std::vector<std::string>  objects;
+  std::vector<std::string>  removed;
+  int64_t age_us;
+
+  _StateUpdate__isset __isset;
+
+  void __set_kind(const int32_t val);
+
+  void __set_base(const int64_t val);
+
+  void __set_changed(const int64_t val);
+
+  void __set_objects(const std::vector<std::string> & val);
+
+  void __set_removed(const std::vector<std::string> & val);
+
+  void __set_age_us(const int64_t val);
+
+  bool operator == (const StateUpdate & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(base == rhs.base))
+      return false;
+    if (!(changed == rhs.changed))
+      return false;
+    if (!(objects == rhs.objects))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    if (__isset.age_us != rhs.__isset.age_us)
+      return false;
+    else if (__isset.age_us && !(age_us == rhs.age_us))
+      return false;
+    return true;
+  }
+  bool operator != (const StateUpdate &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StateUpdate & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StateUpdate &a, StateUpdate &b);
+
+std::ostream& operator<<(std::ostream& out, const StateUpdate& obj);
+
+typedef struct _StateMessage__isset {
+  _StateMessage__isset() : request(false), update(false) {}
+  bool request :1;
+  bool update :1;
+} _StateMessage__isset;
+
+class StateMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  StateMessage(const StateMessage&);
+  StateMessage(StateMessage&&) noexcept;
+  StateMessage& operator=(const StateMessage&);
+  StateMessage& operator=(StateMessage&&) noexcept;
+  StateMessage() noexcept {
+  }
+
+  virtual ~StateMessage() noexcept;
+  StateRequest request;
+  StateUpdate update;
+
+  _StateMessage__isset __isset;
+
+  void __set_request(const StateRequest& val);
+
+  void __set_update(const StateUpdate& val);
+
+  bool operator == (const StateMessage & rhs) const
+  {
+    if (__isset.request != rhs.__isset.request)
+      return false;
+    else if (__isset.request && !(request == rhs.request))
+      return false;
+    if (__isset.update != rhs.__isset.update)
+      return false;
+    else if (__isset.update && !(update == rhs.update))
+      return false;
+    return true;
+  }
+  bool operator != (const StateMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StateMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StateMessage &a, StateMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const StateMessage& obj);
+
 }}} // namespace
 
 #endif
--- a/src/gossip/gossip.thrift
+++ b/src/gossip/gossip.thrift
@@ -1,6 +1,6 @@
 // Messages between gateways in the compact protocol. Reports are sent in
-// datagrams, one report in each; messages about forwarded operations are sent
-// over connections.
+// datagrams, one report in each; messages about forwarded operations and about
+// copies of the store's objects are sent over connections.
 //
 // After a change, regenerate gen/ in the folder src/gossip:
 //
@@ -60,6 +60,38 @@
   // Newest revision of the replacement record that all instances of the cell
   // have acknowledged.
   4: i64 acknowledged;
+  // Revision of the store up to which the sender knows the instances of the
+  // cell.
+  5: i64 instances;
+}
+
+// Revisions of the sender's copy of one kind of the store's objects.
+struct Copy {
+  1: i32 kind;
+  // Revision at which the copy was last changed.
+  2: i64 changed;
+  // Revision up to which the copy contains all changes.
+  3: i64 complete;
+}
+
+// Load of a customer at all instances but the receiver.
+struct Load {
+  1: string customer;
+  // Operations per second.
+  2: double demand;
+  3: double admitted;
+  // Fraction of the limits that is divided among the live instances.
+  4: double available;
+  // Number of live holders, including the receiver if it is one.
+  5: i32 live_holders;
+}
+
+// State of the fleet without the receiver.
+struct Summary {
+  // Whether all instances have reported recently.
+  1: bool complete;
+  2: list<Load> loads;
+  3: list<Opinions> opinions;
 }
 
 // State that an instance reports to its peers several times a second.
@@ -80,9 +112,15 @@
   // Unset until the first verification.
   10: optional Proof configuration;
   11: optional Proof replacements;
-  // In reports to another cell: the summary of the sender's cell. In reports
-  // within the cell: the summaries that the sender has recently received.
+  // In reports to another cell: the summary of the sender's cell.
   12: list<Cell> cells;
+  // Address at which the sender accepts messages of other instances.
+  13: string address;
+  14: list<Copy> copies;
+  // Whether the sender is a head of its cell.
+  15: bool is_head;
+  // In reports of a head to the other instances of its cell.
+  16: optional Summary summary;
 }
 
 // Position in a database group's log.
@@ -190,3 +228,36 @@
   4: ForwardPing ping;
   5: ForwardProgress progress;
 }
+
+// Object that the receiver's copy contains at this revision.
+struct KnownObject {
+  1: string name;
+  2: i64 revision;
+}
+
+// Requests the changes that the sender's copy of one kind lacks.
+struct StateRequest {
+  1: i32 kind;
+  // Revision at which the sender's copy was last changed; 0 if it has none.
+  2: i64 changed;
+  3: list<KnownObject> known;
+}
+
+// Difference between the copy of the requester and that of the sender.
+struct StateUpdate {
+  1: i32 kind;
+  // Revision of the requester's copy, to which the update applies.
+  2: i64 base;
+  // Revision of the sender's copy.
+  3: i64 changed;
+  // Objects in the form in which the store sent them.
+  4: list<binary> objects;
+  5: list<string> removed;
+  // Time since the sender's copy was last verified.
+  6: optional i64 age_us;
+}
+
+union StateMessage {
+  1: StateRequest request;
+  2: StateUpdate update;
+}
--- a/src/gossip/report_codec.cc
+++ b/src/gossip/report_codec.cc
@@ -26,20 +26,55 @@
   return out;
 }
 
+wire::Opinions ToWire(const gateway::GroupReachability& reachability) {
+  wire::Opinions out;
+  out.group = reachability.m_group.str();
+  out.reachable = reachability.m_reachable;
+  out.unreachable = reachability.m_unreachable;
+  return out;
+}
+
+wire::Load ToWire(const gateway::CustomerLoad& load) {
+  wire::Load out;
+  out.customer = load.m_customer.str();
+  out.demand = load.m_others_demand;
+  out.admitted = load.m_others_admitted;
+  out.available = load.m_available;
+  out.live_holders = load.m_live_holders;
+  return out;
+}
+
+wire::Summary ToWire(const gateway::FleetSummary& summary) {
+  wire::Summary out;
+  out.complete = summary.m_complete;
+  for (const gateway::CustomerLoad& load : summary.m_loads) {
+    out.loads.push_back(ToWire(load));
+  }
+  for (const gateway::GroupReachability& item : summary.m_reachability) {
+    out.opinions.push_back(ToWire(item));
+  }
+  return out;
+}
+
 wire::Cell ToWire(const gateway::CellDigest& digest) {
   wire::Cell out;
   out.zone = digest.m_zone.str();
   for (const gateway::CustomerDemand& demand : digest.m_demand) {
     out.demand.push_back(ToWire(demand));
   }
-  for (const gateway::GroupReachability& opinions : digest.m_reachability) {
-    wire::Opinions item;
-    item.group = opinions.m_group.str();
-    item.reachable = opinions.m_reachable;
-    item.unreachable = opinions.m_unreachable;
-    out.opinions.push_back(item);
+  for (const gateway::GroupReachability& item : digest.m_reachability) {
+    out.opinions.push_back(ToWire(item));
   }
   out.acknowledged = static_cast<std::int64_t>(digest.m_acknowledged.value());
+  out.instances = static_cast<std::int64_t>(digest.m_instances.value());
+  return out;
+}
+
+wire::Copy ToWire(const gateway::CopyRevision& copy) {
+  wire::Copy out;
+  out.kind = static_cast<std::int32_t>(copy.m_kind);
+  out.changed = static_cast<std::int64_t>(copy.m_changed.value());
+  out.complete = static_cast<std::int64_t>(copy.m_complete.value());
   return out;
 }
 
@@ -47,6 +82,7 @@
   wire::Report out;
   out.sender = report.m_sender.str();
   out.incarnation = static_cast<std::int64_t>(report.m_incarnation.value());
+  out.address = report.m_address.str();
   out.sequence = static_cast<std::int64_t>(report.m_sequence);
   for (const gateway::ReportEcho& echo : report.m_echoes) {
     wire::Echo item;
@@ -83,6 +119,13 @@
   if (report.m_replacements) {
     out.__set_replacements(ToWire(*report.m_replacements));
   }
+  for (const gateway::CopyRevision& copy : report.m_copies) {
+    out.copies.push_back(ToWire(copy));
+  }
+  out.is_head = report.m_is_head;
+  if (report.m_summary) {
+    out.__set_summary(ToWire(*report.m_summary));
+  }
   return out;
 }
 
@@ -100,6 +143,28 @@
           demand.admitted_per_second};
 }
 
+gateway::GroupReachability FromWire(const wire::Opinions& opinions) {
+  return {gateway::GroupName(opinions.group), opinions.reachable,
+          opinions.unreachable};
+}
+
+gateway::CustomerLoad FromWire(const wire::Load& load) {
+  return {gateway::CustomerName(load.customer), load.demand, load.admitted,
+          load.available, load.live_holders};
+}
+
+gateway::FleetSummary FromWire(const wire::Summary& summary) {
+  gateway::FleetSummary out;
+  out.m_complete = summary.complete;
+  for (const wire::Load& load : summary.loads) {
+    out.m_loads.push_back(FromWire(load));
+  }
+  for (const wire::Opinions& opinions : summary.opinions) {
+    out.m_reachability.push_back(FromWire(opinions));
+  }
+  return out;
+}
+
 gateway::CellDigest FromWire(const wire::Cell& cell) {
   gateway::CellDigest out;
   out.m_zone = gateway::ZoneName(cell.zone);
@@ -107,18 +172,25 @@
     out.m_demand.push_back(FromWire(demand));
   }
   for (const wire::Opinions& opinions : cell.opinions) {
-    out.m_reachability.push_back({gateway::GroupName(opinions.group),
-                                  opinions.reachable, opinions.unreachable});
+    out.m_reachability.push_back(FromWire(opinions));
   }
   out.m_acknowledged = gateway::Revision(ToUnsigned(cell.acknowledged));
+  out.m_instances = gateway::Revision(ToUnsigned(cell.instances));
   return out;
 }
 
+gateway::CopyRevision FromWire(const wire::Copy& copy) {
+  return {internal::ToEnum(copy.kind, gateway::StoreKind::kReplacements),
+          gateway::Revision(ToUnsigned(copy.changed)),
+          gateway::Revision(ToUnsigned(copy.complete))};
+}
+
 gateway::PeerReport FromWire(const wire::Report& report) {
   gateway::PeerReport out;
   out.m_sender = gateway::InstanceId(report.sender);
   out.m_incarnation = gateway::Incarnation(ToUnsigned(report.incarnation));
   out.m_sequence = ToUnsigned(report.sequence);
+  out.m_address = gateway::Address(report.address);
   for (const wire::Echo& echo : report.echoes) {
     out.m_echoes.push_back({gateway::InstanceId(echo.instance),
                             gateway::Incarnation(ToUnsigned(echo.incarnation)),
@@ -150,6 +222,13 @@
   if (report.__isset.replacements) {
     out.m_replacements = FromWire(report.replacements);
   }
+  for (const wire::Copy& copy : report.copies) {
+    out.m_copies.push_back(FromWire(copy));
+  }
+  out.m_is_head = report.is_head;
+  if (report.__isset.summary) {
+    out.m_summary = FromWire(report.summary);
+  }
   return out;
 }
 
--- a/src/gossip/thrift_bytes.h
+++ b/src/gossip/thrift_bytes.h
@@ -1,6 +1,7 @@
 #ifndef SRC_GOSSIP_THRIFT_BYTES_H_
 #define SRC_GOSSIP_THRIFT_BYTES_H_
 
+#include <thrift/Thrift.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
@@ -30,6 +31,16 @@
   return buffer->getBufferAsString();
 }
 
+// Converts a number to an enumerator. Throws TException if `number` is not one
+// of the enumerators from 0 to `last`.
+template <typename Enum>
+Enum ToEnum(std::int32_t number, Enum last) {
+  if (number < 0 || number > static_cast<std::int32_t>(last)) {
+    throw apache::thrift::TException("unknown enumerator");
+  }
+  return static_cast<Enum>(number);
+}
+
 // Deserializes what WriteWire() wrote. Throws the exceptions of libthrift if
 // the bytes are malformed.
 template <typename Wire>
--- a/test/common/json_split_test.cc
+++ b/test/common/json_split_test.cc
@@ -46,8 +46,10 @@
     const auto members = SplitJsonObject(
         R"( {"a": 1, "b" : {"a": [2]}, "c\"d": "x:y", "a": 3} )");
     CPPUNIT_ASSERT(members.has_value());
-    const std::vector<JsonMember> expected = {
-        {"a", "1"}, {"b", R"({"a": [2]})"}, {R"(c\"d)", R"("x:y")"}, {"a", "3"}};
+    const std::vector<JsonMember> expected = {{"a", "1"},
+                                              {"b", R"({"a": [2]})"},
+                                              {R"(c\"d)", R"("x:y")"},
+                                              {"a", "3"}};
     CPPUNIT_ASSERT(expected == *members);
     CPPUNIT_ASSERT(std::optional<std::string_view>("1") ==
                    FindJsonMember(*members, "a"));
@@ -77,8 +79,7 @@
     CPPUNIT_ASSERT(items.has_value());
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, items->size());
     CPPUNIT_ASSERT_EQUAL(deep.size(), items->at(1).size());
-    CPPUNIT_ASSERT(
-        !SplitJsonList(std::string(depth, '[')).has_value());
+    CPPUNIT_ASSERT(!SplitJsonList(std::string(depth, '[')).has_value());
   }
 };
 
--- /dev/null
+++ b/test/gateway/copy_bootstrap_test.cc
@@ -0,0 +1,187 @@
+#include "src/gateway/copy_bootstrap.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace jasminelug::gateway {
+namespace {
+
+InstanceEntry Entry(std::size_t index) {
+  InstanceEntry entry;
+  entry.m_id = InstanceId("i" + std::to_string(1000 + index));
+  entry.m_zone = ZoneName("north");
+  return entry;
+}
+
+// Instances of one cell that start. A request and its answer take
+// kRequestTime each way, a list takes kListTime.
+class Cell {
+ public:
+  static constexpr Duration kRequestTime = 2ms;
+  static constexpr Duration kListTime = 8ms;
+
+  Cell(std::size_t size, unsigned seed) : m_random(seed) {
+    m_copy_at.resize(size);
+    for (std::size_t i = 0; i < size; ++i) {
+      m_entries.push_back(Entry(i));
+    }
+    for (std::size_t i = 0; i < size; ++i) {
+      CopyBootstrap::Hooks hooks;
+      hooks.m_ask = [this, i](const InstanceId& neighbour) {
+        m_asked.push_back({i, neighbour});
+      };
+      hooks.m_list = [this, i] {
+        m_lists += 1;
+        SetCopyAt(i, m_now + kListTime);
+      };
+      hooks.m_random = [this] {
+        return std::uniform_real_distribution<double>(0, 1)(m_random);
+      };
+      m_bootstraps.push_back(std::make_unique<CopyBootstrap>(
+          m_entries[i].m_id, m_entries[i].m_zone, hooks));
+    }
+  }
+
+  void SetCopyAt(std::size_t index, Time time) {
+    if (!m_copy_at[index] || time < *m_copy_at[index]) {
+      m_copy_at[index] = time;
+    }
+  }
+
+  // Starts an instance, which learns of the instances in `known`.
+  void Start(std::size_t index, const std::vector<InstanceEntry>& known) {
+    m_bootstraps[index]->Start(m_now);
+    m_bootstraps[index]->OnNeighbours(known, m_now);
+  }
+
+  void Run(Duration duration) {
+    for (const Time end = m_now + duration; m_now < end; m_now += 1ms) {
+      for (const Asked& asked : m_asked) {
+        Answer(asked);
+      }
+      for (std::size_t i = 0; i < m_bootstraps.size(); ++i) {
+        if (m_copy_at[i] && m_now >= *m_copy_at[i]) {
+          m_bootstraps[i]->Finish();
+        }
+        m_bootstraps[i]->OnTick(m_now);
+      }
+    }
+  }
+
+  bool AllHaveCopies() const {
+    for (const auto& bootstrap : m_bootstraps) {
+      if (!bootstrap->is_finished()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  std::mt19937 m_random;
+  Time m_now = Time(100s);
+  std::vector<InstanceEntry> m_entries;
+  int m_lists = 0;
+
+ private:
+  struct Asked {
+    std::size_t m_by;
+    InstanceId m_neighbour;
+  };
+
+  // An instance that was asked answers as soon as it has a copy.
+  void Answer(const Asked& asked) {
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+      const bool has_copy = m_copy_at[i] && m_now >= *m_copy_at[i];
+      if (m_entries[i].m_id == asked.m_neighbour && has_copy) {
+        SetCopyAt(asked.m_by, m_now + 2 * kRequestTime);
+      }
+    }
+  }
+
+  std::vector<std::unique_ptr<CopyBootstrap>> m_bootstraps;
+  std::vector<std::optional<Time>> m_copy_at;
+  std::vector<Asked> m_asked;
+};
+
+class CopyBootstrapTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CopyBootstrapTest);
+  CPPUNIT_TEST(RestartedInstanceTakesACopyFromANeighbour);
+  CPPUNIT_TEST(RestartOfAllTakesFewLists);
+  CPPUNIT_TEST(LostFirstInstanceDelaysOthersBriefly);
+  CPPUNIT_TEST(ListsAreRepeatedSlowlyUntilOneSucceeds);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void RestartedInstanceTakesACopyFromANeighbour() {
+    Cell cell(20, 1);
+    for (std::size_t i = 0; i < 19; ++i) {
+      cell.SetCopyAt(i, cell.m_now);
+    }
+    cell.Start(19, cell.m_entries);
+    cell.Run(50ms);
+    CPPUNIT_ASSERT(cell.AllHaveCopies());
+    CPPUNIT_ASSERT_EQUAL(0, cell.m_lists);
+  }
+
+  // All instances of a cell restart at the same moment, and nobody has a copy.
+  void RestartOfAllTakesFewLists() {
+    const unsigned seed = std::random_device()();
+    for (const std::size_t size : {std::size_t{7}, std::size_t{58}}) {
+      Cell cell(size, seed);
+      for (std::size_t i = 0; i < size; ++i) {
+        cell.Start(i, cell.m_entries);
+      }
+      cell.Run(200ms);
+      const std::string message = "seed " + std::to_string(seed);
+      CPPUNIT_ASSERT_MESSAGE(message, cell.AllHaveCopies());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(message, 1, cell.m_lists);
+    }
+  }
+
+  // The first instance of the cell, which would list first, does not come back.
+  void LostFirstInstanceDelaysOthersBriefly() {
+    const unsigned seed = std::random_device()();
+    Cell cell(30, seed);
+    for (std::size_t i = 1; i < 30; ++i) {
+      cell.Start(i, cell.m_entries);
+    }
+    cell.Run(1200ms);
+    const std::string message = "seed " + std::to_string(seed);
+    CPPUNIT_ASSERT_MESSAGE(message, cell.m_lists >= 1);
+    CPPUNIT_ASSERT_MESSAGE(message, cell.m_lists < 30);
+  }
+
+  // The lists fail because the store is unavailable.
+  void ListsAreRepeatedSlowlyUntilOneSucceeds() {
+    int lists = 0;
+    CopyBootstrap::Hooks hooks;
+    hooks.m_ask = [](const InstanceId&) {};
+    hooks.m_list = [&lists] { lists += 1; };
+    hooks.m_random = [] { return 0.5; };
+    CopyBootstrap bootstrap(InstanceId("i1000"), ZoneName("north"), hooks);
+    std::vector<InstanceEntry> entries;
+    for (std::size_t i = 0; i < 10; ++i) {
+      entries.push_back(Entry(i));
+    }
+    bootstrap.Start(Time(1s));
+    bootstrap.OnNeighbours(entries, Time(1s));
+    for (Time now(1s); now < Time(31s); now += 20ms) {
+      bootstrap.OnTick(now);
+    }
+    // 10 instances together make about one call per second.
+    CPPUNIT_ASSERT(lists >= 2);
+    CPPUNIT_ASSERT(lists <= 4);
+    bootstrap.Finish();
+    bootstrap.OnTick(Time(99s));
+    CPPUNIT_ASSERT(lists <= 4);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CopyBootstrapTest);
+
+}  // namespace
+}  // namespace jasminelug::gateway
--- a/test/gateway/decisions_test.cc
+++ b/test/gateway/decisions_test.cc
@@ -333,14 +333,14 @@
     InstanceEntry earlier = entry;
     earlier.m_incarnation = Incarnation(6);
     registrar.OnEntries({{"instance.a", {"instance.a", Revision(4), earlier}}},
-                        Time(1s));
+                        Revision(4), Time(1s));
     CPPUNIT_ASSERT(Revision(4) == *writes.at(0));
     CPPUNIT_ASSERT(!registrar.is_registered());
     registrar.OnWritten(StoreObject{"instance.a", Revision(5), entry},
                         Time(1s));
     CPPUNIT_ASSERT(registrar.is_registered());
     // An entry that was removed is created again.
-    registrar.OnEntries({}, Time(2s));
+    registrar.OnEntries({}, Revision(6), Time(2s));
     CPPUNIT_ASSERT(!writes.at(1));
     // The call is repeated if its answer is lost.
     registrar.OnTick(Time(2s) + InstanceRegistrar::kCallTimeout + 1ms);
--- a/test/gateway/peer_view_test.cc
+++ b/test/gateway/peer_view_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,7 +30,7 @@
       entries.push_back(Entry("i" + std::to_string(i)));
     }
     for (const InstanceEntry& entry : entries) {
-      m_views.emplace_back(entry.m_id, entry.m_incarnation, entry.m_zone);
+      m_views.emplace_back(entry);
       m_views.back().SetInstances(entries, m_now);
       m_demand.push_back({});
     }
@@ -83,14 +84,14 @@
   static constexpr int kZones = 3;
   static constexpr int kInZone = 8;
 
-  LargeFleet() {
-    for (int i = 0; i < kZones * kInZone; ++i) {
+  explicit LargeFleet(int in_zone = kInZone) {
+    for (int i = 0; i < kZones * in_zone; ++i) {
       InstanceEntry entry = Entry("i" + std::to_string(100 + i));
       entry.m_zone = ZoneName("z" + std::to_string(i % kZones));
       m_entries.push_back(entry);
     }
     for (const InstanceEntry& entry : m_entries) {
-      m_views.emplace_back(entry.m_id, entry.m_incarnation, entry.m_zone);
+      m_views.emplace_back(entry);
       m_views.back().SetInstances(m_entries, m_now);
       m_reports.emplace_back();
     }
@@ -101,30 +102,46 @@
   void Exchange() {
     std::vector<PeerReport> reports = m_reports;
     for (std::size_t i = 0; i < m_views.size(); ++i) {
+      m_views[i].UpdateRole(m_now);
       m_views[i].FillHeader(&reports[i], m_now);
     }
     const Time sent = m_now;
     m_now += 2ms;
+    struct Message {
+      InstanceEntry m_receiver;
+      PeerReport m_report;
+    };
+    std::vector<Message> messages;
     for (std::size_t i = 0; i < m_views.size(); ++i) {
-      for (const InstanceEntry& peer : m_views[i].Peers()) {
-        Deliver(peer, reports[i]);
+      if (m_lost.contains(i)) {
+        continue;
+      }
+      PeerView& view = m_views[i];
+      const FleetShares shares =
+          view.AllShares(reports[i].m_demand, m_holders, sent);
+      for (const InstanceEntry& peer : view.ReportReceivers(sent)) {
+        messages.push_back(
+            {peer, view.ReportFor(peer, reports[i], shares, sent)});
       }
-      if (!m_views[i].SendsDigest(sent)) {
+      if (!view.is_head()) {
         continue;
       }
-      PeerReport digest = reports[i];
-      digest.m_cells = {m_views[i].Digest(reports[i], sent)};
-      for (const InstanceEntry& peer : m_views[i].DigestReceivers(2)) {
-        Deliver(peer, digest);
+      reports[i].m_cells = {view.Digest(reports[i], sent)};
+      for (const InstanceEntry& peer : view.DigestReceivers(2, sent)) {
+        messages.push_back(
+            {peer, view.ReportFor(peer, reports[i], shares, sent)});
       }
     }
+    for (const Message& message : messages) {
+      Deliver(message.m_receiver, message.m_report);
+    }
     m_now += 200ms;
   }
 
   void Deliver(const InstanceEntry& peer, const PeerReport& report) {
     m_messages += 1;
     for (std::size_t i = 0; i < m_entries.size(); ++i) {
-      if (m_entries[i].m_id == peer.m_id) {
+      if (m_entries[i].m_id == peer.m_id && !m_lost.contains(i)) {
         m_views[i].OnReport(report, m_now);
       }
     }
@@ -134,6 +151,9 @@
   std::vector<InstanceEntry> m_entries;
   std::vector<PeerView> m_views;
   std::vector<PeerReport> m_reports;
+  // Indexes of the instances that neither send nor receive.
+  std::set<std::size_t> m_lost;
+  CustomerHolders m_holders = {{test_customer, {}}};
   int m_messages = 0;
 };
 
@@ -148,6 +168,10 @@
   CPPUNIT_TEST(ExpiredPeersAreListed);
   CPPUNIT_TEST(CellsShareDemandOfTheWholeFleet);
   CPPUNIT_TEST(CellAcknowledgesWhatAllItsInstancesDo);
+  CPPUNIT_TEST(DigestThatLacksAnInstanceDoesNotCount);
+  CPPUNIT_TEST(ReportsGrowLinearlyWithTheCell);
+  CPPUNIT_TEST(LostHeadsAreReplaced);
+  CPPUNIT_TEST(VerificationReachesOtherCells);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -225,7 +249,7 @@
   }
 
   void OldAndForeignReportsAreIgnored() {
-    PeerView view(InstanceId("a"), Incarnation(1), ZoneName());
+    PeerView view(Entry("a"));
     view.SetInstances({Entry("a"), Entry("b", 2)}, Time(1s));
     struct Case {
       const char* m_sender;
@@ -246,7 +270,7 @@
   }
 
   void AcknowledgementsCountForOneIncarnation() {
-    PeerView view(InstanceId("a"), Incarnation(1), ZoneName());
+    PeerView view(Entry("a"));
     view.SetInstances({Entry("a"), Entry("b", 2)}, Time(1s));
     CPPUNIT_ASSERT(!view.AllAcknowledged(Revision(7)));
     PeerReport report;
@@ -318,8 +342,120 @@
     CPPUNIT_ASSERT(fleet.m_views[0].AllAcknowledged(Revision(7)));
   }
 
+  // An instance registers, and the head of its cell does not know of it yet.
+  // Its digest must not count as the acknowledgement of that instance.
+  void DigestThatLacksAnInstanceDoesNotCount() {
+    LargeFleet fleet;
+    for (PeerReport& report : fleet.m_reports) {
+      report.m_acknowledged = Revision(7);
+      report.m_copies = {{StoreKind::kInstances, Revision(20), Revision(20)}};
+    }
+    for (int i = 0; i < 6; ++i) {
+      fleet.Exchange();
+    }
+    CPPUNIT_ASSERT(fleet.m_views[0].AllAcknowledged(Revision(7)));
+    InstanceEntry added = Entry("i200");
+    added.m_zone = ZoneName("z1");
+    added.m_revision = Revision(21);
+    std::vector<InstanceEntry> entries = fleet.m_entries;
+    entries.push_back(added);
+    fleet.m_views[0].SetInstances(entries, fleet.m_now);
+    CPPUNIT_ASSERT(!fleet.m_views[0].AllAcknowledged(Revision(7)));
+    for (PeerReport& report : fleet.m_reports) {
+      report.m_copies[0].m_complete = Revision(21);
+    }
+    for (int i = 0; i < 3; ++i) {
+      fleet.Exchange();
+    }
+    CPPUNIT_ASSERT(fleet.m_views[0].AllAcknowledged(Revision(7)));
+  }
+
+  void ReportsGrowLinearlyWithTheCell() {
+    const auto messages = [](int in_zone) {
+      LargeFleet fleet(in_zone);
+      for (int i = 0; i < 8; ++i) {
+        fleet.Exchange();
+      }
+      fleet.m_messages = 0;
+      fleet.Exchange();
+      return fleet.m_messages;
+    };
+    const int small = messages(10);
+    const int large = messages(40);
+    // Each instance exchanges reports with two heads.
+    CPPUNIT_ASSERT(large <= LargeFleet::kZones * 40 * 4 + 40);
+    CPPUNIT_ASSERT(large < 5 * small);
+  }
+
+  // The heads of a cell are lost. Other instances of it take over, and not all
+  // of them.
+  void LostHeadsAreReplaced() {
+    LargeFleet fleet(20);
+    for (int i = 0; i < 8; ++i) {
+      fleet.Exchange();
+    }
+    const auto heads = [&fleet] {
+      std::vector<std::size_t> indexes;
+      for (std::size_t i = 0; i < fleet.m_views.size(); ++i) {
+        if (i % LargeFleet::kZones == 0 && !fleet.m_lost.contains(i) &&
+            fleet.m_views[i].is_head()) {
+          indexes.push_back(i);
+        }
+      }
+      return indexes;
+    };
+    CPPUNIT_ASSERT((std::vector<std::size_t>{0, 3}) == heads());
+    fleet.m_lost = {0, 3};
+    for (int i = 0; i < 15; ++i) {
+      fleet.Exchange();
+    }
+    CPPUNIT_ASSERT((std::vector<std::size_t>{6, 9}) == heads());
+    // The new heads do not take the others, which have not reported to them
+    // before, for lost ones.
+    CPPUNIT_ASSERT(fleet.m_views[6].ExpiredPeers(fleet.m_now).empty());
+    for (int i = 0; i < 45; ++i) {
+      fleet.Exchange();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                         fleet.m_views[6].ExpiredPeers(fleet.m_now).size());
+    CPPUNIT_ASSERT(
+        fleet.m_views[12].IsUnresponsive(fleet.m_entries[0].m_id, fleet.m_now));
+    CPPUNIT_ASSERT(!fleet.m_views[12].IsUnresponsive(fleet.m_entries[15].m_id,
+                                                     fleet.m_now));
+    // Once they are back, they are the heads again.
+    fleet.m_lost.clear();
+    for (int i = 0; i < 8; ++i) {
+      fleet.Exchange();
+    }
+    CPPUNIT_ASSERT((std::vector<std::size_t>{0, 3}) == heads());
+  }
+
+  // The first instance of the fleet follows the store. The heads of the other
+  // cells learn from it how current their copies are, and their cells from
+  // them.
+  void VerificationReachesOtherCells() {
+    LargeFleet fleet;
+    for (PeerReport& report : fleet.m_reports) {
+      report.m_copies = {{StoreKind::kMembers, Revision(1), Revision(1)}};
+    }
+    fleet.m_reports[0].m_configuration = {Revision(5), Duration(0)};
+    for (int i = 0; i < 6; ++i) {
+      fleet.Exchange();
+    }
+    // The second instance is the first head of another cell.
+    const auto verified = fleet.m_views[1].VerifiedTime(
+        fleet.m_entries[0].m_id, {Revision(5), Duration(0)});
+    CPPUNIT_ASSERT(verified.has_value());
+    CPPUNIT_ASSERT(fleet.m_now - *verified < 700ms);
+    CPPUNIT_ASSERT_EQUAL(0, fleet.m_views[0].FollowerRank(fleet.m_now));
+    CPPUNIT_ASSERT_EQUAL(1, fleet.m_views[1].FollowerRank(fleet.m_now));
+    // Instances that are no heads come after all heads.
+    CPPUNIT_ASSERT(fleet.m_views[9].FollowerRank(fleet.m_now) >=
+                   LargeFleet::kZones);
+  }
+
   void ExpiredPeersAreListed() {
-    PeerView view(InstanceId("a"), Incarnation(1), ZoneName());
+    PeerView view(Entry("a"));
     view.SetInstances({Entry("b")}, Time(1s));
     CPPUNIT_ASSERT(view.ExpiredPeers(Time(2s)).empty());
     CPPUNIT_ASSERT_EQUAL(
--- a/test/gossip/report_codec_test.cc
+++ b/test/gossip/report_codec_test.cc
@@ -26,7 +26,14 @@
   report.m_cells = {{ZoneName("z"),
                      {{CustomerName("c"), 2.5, 2.25}},
                      {{GroupName("g"), 3, 4}},
-                     Revision(9)}};
+                     Revision(9),
+                     Revision(8)}};
+  report.m_address = Address("10.0.0.1:7560");
+  report.m_copies = {{StoreKind::kMembers, Revision(31), Revision(33)}};
+  report.m_is_head = true;
+  report.m_summary = FleetSummary{true,
+                                  {{CustomerName("c"), 2.25, 3.5, 0.75, 7}},
+                                  {{GroupName("g"), 1, 2}}};
   return report;
 }
 
--- a/test/platform_adapter/store_client_test.cc
+++ b/test/platform_adapter/store_client_test.cc
@@ -26,8 +26,9 @@
  public:
   CannedStore(asio::io_context& io, const std::string& body)
       : m_acceptor(io, {asio::ip::address_v4::loopback(), 0}), m_socket(io) {
-    m_response = "HTTP/1.1 200 OK\r\nContent-Length: " +
-                 std::to_string(body.size()) + "\r\n\r\n" + body;
+    m_response =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n" + body;
     m_acceptor.async_accept(m_socket, [this](std::error_code error) {
       CPPUNIT_ASSERT(!error);
       Read();
@@ -38,14 +39,13 @@
 
  private:
   void Read() {
-    m_socket.async_read_some(asio::buffer(m_buffer),
-                             [this](std::error_code error, std::size_t) {
-                               if (!error) {
-                                 asio::write(m_socket,
-                                             asio::buffer(m_response));
-                                 Read();
-                               }
-                             });
+    m_socket.async_read_some(
+        asio::buffer(m_buffer), [this](std::error_code error, std::size_t) {
+          if (!error) {
+            asio::write(m_socket, asio::buffer(m_response));
+            Read();
+          }
+        });
   }
 
   tcp::acceptor m_acceptor;
@@ -121,8 +121,7 @@
       {"a lone surrogate", Replace(odd, "north", "\\ud800")},
       {"two values for one field",
        Replace(odd, "\"slots\"", "\"slots\": 2, \"slots\"")},
-      {"no value",
-       R"({"meta": {"name": "odd", "revision": 12}})"},
+      {"no value", R"({"meta": {"name": "odd", "revision": 12}})"},
       {"a value of another type",
        R"({"meta": {"name": "odd", "revision": 12}, "spec": [[[]]]})"},
   };
@@ -142,10 +141,11 @@
     CannedStore store(io, body);
     StoreClient client(io, store.endpoint());
     std::optional<Result<gateway::StorePage, gateway::StoreError>> result;
-    client.List(StoreKind::kMembers, "", [&](const auto& page) {
-      result = page;
-      io.stop();
-    });
+    client.List(StoreKind::kMembers, "", ListConsistency::kCurrent,
+                [&](const auto& page) {
+                  result = page;
+                  io.stop();
+                });
     io.run_for(std::chrono::seconds(10));
     CPPUNIT_ASSERT(result.has_value());
     return *result;
@@ -171,15 +171,15 @@
                            const std::vector<gateway::StoreObject>& objects) {
     CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t{3}, objects.size());
     for (const std::size_t good : {std::size_t{0}, std::size_t{2}}) {
-      CPPUNIT_ASSERT_MESSAGE(name, std::holds_alternative<gateway::Member>(
-                                       objects[good].m_value));
+      CPPUNIT_ASSERT_MESSAGE(
+          name, std::holds_alternative<gateway::Member>(objects[good].m_value));
     }
     CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::string("odd"), objects[1].m_name);
     CPPUNIT_ASSERT_MESSAGE(name,
                            gateway::Revision(12) == objects[1].m_revision);
-    CPPUNIT_ASSERT_MESSAGE(name,
-                           std::holds_alternative<gateway::UnreadableObject>(
-                               objects[1].m_value));
+    CPPUNIT_ASSERT_MESSAGE(
+        name,
+        std::holds_alternative<gateway::UnreadableObject>(objects[1].m_value));
   }
 
   // One odd entry must neither end the process nor hide the other entries of
@@ -200,10 +200,9 @@
       return "{\"object\": " + object + ", \"removed\": false}";
     };
     for (const OddEntry& odd : OddEntries()) {
-      const auto result =
-          Watch("{\"events\": [" + event(Member("a")) + ", " +
-                event(odd.m_text) + ", " + event(Member("b")) +
-                "], \"current-rev\": 14}");
+      const auto result = Watch("{\"events\": [" + event(Member("a")) + ", " +
+                                event(odd.m_text) + ", " + event(Member("b")) +
+                                "], \"current-rev\": 14}");
       CPPUNIT_ASSERT_MESSAGE(odd.m_case, IsOk(result));
       std::vector<gateway::StoreObject> objects;
       for (const auto& change : GetValue(result).m_changes) {
--- a/test/platform_adapter/store_objects_test.cc
+++ b/test/platform_adapter/store_objects_test.cc
@@ -41,9 +41,8 @@
 
  public:
   void ReadsTheConfiguration() {
-    const gateway::StoreObject object =
-        DecodeObject(StoreKind::kConfiguration,
-                     Object("main", kManifest).dump());
+    const gateway::StoreObject object = DecodeObject(
+        StoreKind::kConfiguration, Object("main", kManifest).dump());
     const auto configuration =
         std::get<std::shared_ptr<const gateway::Configuration>>(object.m_value);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, configuration->m_version);
