gateway settings: a peer address that is no IP number is refused

Cause: the address was not checked, and the process used the result of parsing it without looking; another operator's report of bad input that ends a process. Ruled out: the other addresses, which are checked.

--- a/apps/gateway/settings.cc
+++ b/apps/gateway/settings.cc
@@ -32,6 +32,9 @@
   ReadAddress(reader, "callers", &settings->m_callers);
   ReadAddress(reader, "status", &settings->m_status);
   reader.Required("peer_address", &settings->m_peer_address);
+  reader.Check(
+      adapter::ParseEndpoint(settings->m_peer_address + ":1").has_value(),
+      "peer_address", "must be an IP number");
   std::vector<std::int64_t> ports;
   reader.Required("peer_ports", &ports);
   const bool usable =
