gateway: a first start of the whole fleet lists the store a few times

Change: while no neighbour is known, the neighbours are read again, up to two times, before the objects are listed; who listed follows the store for 0.7 s.

Test: FirstStartOfAllTakesFewLists (at most 6 lists for 58 instances).

--- a/apps/gateway/state_duty.cc
+++ b/apps/gateway/state_duty.cc
@@ -121,6 +121,7 @@
               Request(neighbour, kind, Now());
             }
           },
+          [this] { ReadNeighbours(Now()); },
           [this] { Refresh(StoreKind::kConfiguration, Now()); },
           [this] { return Random(); }};
 }
--- a/src/gateway/copy_bootstrap.cc
+++ b/src/gateway/copy_bootstrap.cc
@@ -51,6 +51,7 @@
     return;
   }
   std::sort(cell.begin(), cell.end(), IsBeforeInCell);
+  m_knows_neighbours = true;
   m_cell_size = static_cast<int>(cell.size()) + 1;
   ScheduleList(own && IsBeforeInCell(*own, cell.front()), now);
   Ask(cell.front().m_id);
@@ -79,6 +80,12 @@
   if (m_finished || now < m_list_at) {
     return;
   }
+  if (!m_knows_neighbours && m_neighbour_reads < kNeighbourReads) {
+    m_neighbour_reads += 1;
+    ScheduleList(/*first=*/false, now);
+    m_hooks.m_read_neighbours();
+    return;
+  }
   const Duration interval = m_cell_size * FollowerElection::kCallInterval;
   m_list_at = now + std::chrono::duration_cast<Duration>(
                         interval * (0.5 + m_hooks.m_random()));
--- a/src/gateway/copy_bootstrap.h
+++ b/src/gateway/copy_bootstrap.h
@@ -20,6 +20,8 @@
 // answers as soon as it has one. If none answers, the first instance of the
 // cell lists the objects after kFirstListDelay; the others wait longer, for a
 // random time that grows with the size of the cell, so that few of them list.
+// While no neighbour is known, because all instances register at the same time,
+// the neighbours are read again a few times before the objects are listed.
 // While lists fail, the whole cell makes about one call per
 // FollowerElection::kCallInterval.
 class CopyBootstrap {
@@ -32,12 +34,17 @@
   // Added for each known instance of the cell, times a random number.
   static constexpr Duration kListDelayPerInstance = 25ms;
   static constexpr Duration kMaxListDelay = 1200ms;
+  // Number of times for which the neighbours are read again while none is
+  // known.
+  static constexpr int kNeighbourReads = 2;
   // Size that is assumed for the cell while no instance of it is known.
   static constexpr int kUnknownCellSize = 24;
 
   struct Hooks {
     // Requests the copy of another instance.
     std::function<void(const InstanceId& neighbour)> m_ask;
+    // Reads the registered instances, cheaply, for OnNeighbours().
+    std::function<void()> m_read_neighbours;
     // Lists the objects from the store. Called again, after a delay, until
     // Finish().
     std::function<void()> m_list;
@@ -72,6 +79,8 @@
   const ZoneName m_zone;
   const Hooks m_hooks;
   int m_cell_size = kUnknownCellSize;
+  bool m_knows_neighbours = false;
+  int m_neighbour_reads = 0;
   Time m_list_at;
   std::set<InstanceId> m_asked;
   bool m_finished = false;
--- a/src/gateway/follower_election.h
+++ b/src/gateway/follower_election.h
@@ -45,7 +45,7 @@
   static constexpr int kMaxRankDelays = 4;
   // Time for which an instance follows the store after its call succeeded.
   static constexpr Duration kActingTime = 8s;
-  static constexpr Duration kActingAfterListTime = 2s;
+  static constexpr Duration kActingAfterListTime = 700ms;
   // Mean time between two calls of a cell while calls fail.
   static constexpr Duration kCallInterval = 1s;
 
--- a/test/gateway/copy_bootstrap_test.cc
+++ b/test/gateway/copy_bootstrap_test.cc
@@ -2,8 +2,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <memory>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,6 +37,9 @@
       hooks.m_ask = [this, i](const InstanceId& neighbour) {
         m_asked.push_back({i, neighbour});
       };
+      hooks.m_read_neighbours = [this, i] {
+        m_bootstraps[i]->OnNeighbours(m_registered, m_now);
+      };
       hooks.m_list = [this, i] {
         m_lists += 1;
         SetCopyAt(i, m_now + kListTime);
@@ -54,6 +60,7 @@
 
   // Starts an instance, which learns of the instances in `known`.
   void Start(std::size_t index, const std::vector<InstanceEntry>& known) {
+    m_started.insert(index);
     m_bootstraps[index]->Start(m_now);
     m_bootstraps[index]->OnNeighbours(known, m_now);
   }
@@ -63,7 +70,7 @@
       for (const Asked& asked : m_asked) {
         Answer(asked);
       }
-      for (std::size_t i = 0; i < m_bootstraps.size(); ++i) {
+      for (const std::size_t i : m_started) {
         if (m_copy_at[i] && m_now >= *m_copy_at[i]) {
           m_bootstraps[i]->Finish();
         }
@@ -73,8 +80,8 @@
   }
 
   bool AllHaveCopies() const {
-    for (const auto& bootstrap : m_bootstraps) {
-      if (!bootstrap->is_finished()) {
+    for (const std::size_t index : m_started) {
+      if (!m_bootstraps[index]->is_finished()) {
         return false;
       }
     }
@@ -84,6 +91,8 @@
   std::mt19937 m_random;
   Time m_now = Time(100s);
   std::vector<InstanceEntry> m_entries;
+  // Entries that the store holds.
+  std::vector<InstanceEntry> m_registered;
   int m_lists = 0;
 
  private:
@@ -103,6 +112,7 @@
   }
 
   std::vector<std::unique_ptr<CopyBootstrap>> m_bootstraps;
+  std::set<std::size_t> m_started;
   std::vector<std::optional<Time>> m_copy_at;
   std::vector<Asked> m_asked;
 };
@@ -111,6 +121,7 @@
   CPPUNIT_TEST_SUITE(CopyBootstrapTest);
   CPPUNIT_TEST(RestartedInstanceTakesACopyFromANeighbour);
   CPPUNIT_TEST(RestartOfAllTakesFewLists);
+  CPPUNIT_TEST(FirstStartOfAllTakesFewLists);
   CPPUNIT_TEST(LostFirstInstanceDelaysOthersBriefly);
   CPPUNIT_TEST(ListsAreRepeatedSlowlyUntilOneSucceeds);
   CPPUNIT_TEST_SUITE_END();
@@ -142,6 +153,29 @@
     }
   }
 
+  // All instances start for the first time, within 0.3 s. Each of them knows
+  // only those that have registered before it, and the first knows none.
+  void FirstStartOfAllTakesFewLists() {
+    const unsigned seed = std::random_device()();
+    Cell cell(58, seed);
+    std::vector<std::size_t> order;
+    for (std::size_t i = 0; i < 58; ++i) {
+      order.push_back(i);
+    }
+    std::shuffle(order.begin(), order.end(), cell.m_random);
+    for (const std::size_t index : order) {
+      // A list that may be outdated lacks the entries of the last moments.
+      cell.Start(index, {});
+      cell.m_registered.push_back(cell.m_entries[index]);
+      cell.Run(5ms);
+    }
+    cell.Run(3s);
+    const std::string message = "seed " + std::to_string(seed) + ", lists " +
+                                std::to_string(cell.m_lists);
+    CPPUNIT_ASSERT_MESSAGE(message, cell.AllHaveCopies());
+    CPPUNIT_ASSERT_MESSAGE(message, cell.m_lists <= 6);
+  }
+
   // The first instance of the cell, which would list first, does not come back.
   void LostFirstInstanceDelaysOthersBriefly() {
     const unsigned seed = std::random_device()();
@@ -160,6 +194,7 @@
     int lists = 0;
     CopyBootstrap::Hooks hooks;
     hooks.m_ask = [](const InstanceId&) {};
+    hooks.m_read_neighbours = [] {};
     hooks.m_list = [&lists] { lists += 1; };
     hooks.m_random = [] { return 0.5; };
     CopyBootstrap bootstrap(InstanceId("i1000"), ZoneName("north"), hooks);
