gateway: a copy that is passed on carries its proof

Ruled out: a replacement, the store, the members.

Change: the proof is recorded before the copy is adopted.

Test: state_duty_test, failed first (no age in the update).

--- a/apps/gateway/state_duty.cc
+++ b/apps/gateway/state_duty.cc
@@ -241,13 +241,17 @@
         {{"peer", sender.str()}, {"kind", std::string(NameOf(update.m_kind))}});
     return;
   }
-  copy.Adopt(*objects, update.m_changed);
-  if (update.m_age && copy.changed() == update.m_changed) {
+  const bool covers_own_copy = !copy.is_listed() ||
+                               update.m_changed >= copy.complete() ||
+                               update.m_changed == copy.changed();
+  if (update.m_age && covers_own_copy) {
     // The sender's copy was verified no earlier than this: it made the update
-    // after the request was sent.
+    // after the request was sent. Recorded first, because the adopted copy is
+    // passed on at once to those that wait for it.
     m_hooks.m_verified(update.m_kind, sent - *update.m_age,
                        /*own_call=*/false);
   }
+  copy.Adopt(*objects, update.m_changed);
   if (!m_bootstrap.is_finished() && is_complete()) {
     Log(m_logger, log4cplus::INFO_LOG_LEVEL, "got a copy from an instance",
         {{"peer", sender.str()}});
--- /dev/null
+++ b/test/gateway_app/state_duty_test.cc
@@ -0,0 +1,143 @@
+#include "apps/gateway/state_duty.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <asio/io_context.hpp>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "apps/gateway/clock.h"
+
+namespace jasminelug::gateway_app {
+namespace {
+
+using gateway::InstanceId;
+using gateway::Revision;
+using gateway::StoreKind;
+using gateway::operator""ms;
+
+struct Sent {
+  InstanceId m_receiver;
+  gateway::StateMessage m_message;
+};
+
+// A state duty whose connections are never served.
+class Harness {
+ public:
+  Harness() : m_duty(m_io, MakeSettings(), MakeEntry(), MakeHooks()) {}
+
+  static Settings MakeSettings() {
+    Settings settings;
+    settings.m_store = "127.0.0.1:1";
+    return settings;
+  }
+
+  static gateway::InstanceEntry MakeEntry() {
+    gateway::InstanceEntry entry;
+    entry.m_id = InstanceId("a");
+    return entry;
+  }
+
+  StateDuty::Hooks MakeHooks() {
+    StateDuty::Hooks hooks;
+    hooks.m_changed = [this](StoreKind kind, const gateway::StoreObjects&,
+                             Revision) { m_changes[kind] += 1; };
+    hooks.m_verified = [this](StoreKind kind, gateway::Time as_of, bool) {
+      m_contacts.insert_or_assign(kind, as_of);
+    };
+    hooks.m_contact_age =
+        [this](StoreKind kind,
+               gateway::Time now) -> std::optional<gateway::Duration> {
+      const auto contact = m_contacts.find(kind);
+      if (contact == m_contacts.end()) {
+        return std::nullopt;
+      }
+      return now - contact->second;
+    };
+    hooks.m_neighbours = [](const gateway::StoreObjects&) {};
+    hooks.m_send = [this](const InstanceId& receiver,
+                          const gateway::StateMessage& message) {
+      m_sent.push_back({receiver, message});
+    };
+    return hooks;
+  }
+
+  // Returns the updates that were sent to `receiver`.
+  std::vector<gateway::StateUpdate> UpdatesFor(const std::string& receiver) {
+    std::vector<gateway::StateUpdate> updates;
+    for (const Sent& sent : m_sent) {
+      const auto* update = std::get_if<gateway::StateUpdate>(&sent.m_message);
+      if (update && sent.m_receiver == InstanceId(receiver)) {
+        updates.push_back(*update);
+      }
+    }
+    return updates;
+  }
+
+  asio::io_context m_io{1};
+  std::map<StoreKind, int> m_changes;
+  std::map<StoreKind, gateway::Time> m_contacts;
+  std::vector<Sent> m_sent;
+  StateDuty m_duty;
+};
+
+gateway::StateUpdate Update(StoreKind kind,
+                            std::uint64_t changed,
+                            std::optional<gateway::Duration> age) {
+  gateway::StateUpdate update;
+  update.m_kind = kind;
+  update.m_changed = Revision(changed);
+  update.m_age = age;
+  return update;
+}
+
+class StateDutyTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StateDutyTest);
+  CPPUNIT_TEST(WaitingRequestsAreAnsweredWithTheProof);
+  CPPUNIT_TEST(UnrequestedAndDamagedUpdatesAreIgnored);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // All instances restart. "c" asks this instance, which gets its own copy from
+  // "b". The copy that it passes on must carry the proof, or "c" would refuse
+  // what needs a primary until the next report.
+  void WaitingRequestsAreAnsweredWithTheProof() {
+    Harness harness;
+    const gateway::Time now = Now();
+    harness.m_duty.OnMessage(
+        InstanceId("c"),
+        gateway::StateRequest{StoreKind::kReplacements, Revision(), {}}, now);
+    harness.m_duty.OnUnknownReporter(InstanceId("b"));
+    CPPUNIT_ASSERT_EQUAL(gateway::kStoreKinds.size(), harness.m_sent.size());
+    CPPUNIT_ASSERT(harness.UpdatesFor("c").empty());
+    harness.m_duty.OnMessage(InstanceId("b"),
+                             Update(StoreKind::kReplacements, 5, 10ms), now);
+    const std::vector<gateway::StateUpdate> updates = harness.UpdatesFor("c");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, updates.size());
+    CPPUNIT_ASSERT(Revision(5) == updates[0].m_changed);
+    CPPUNIT_ASSERT(updates[0].m_age.has_value());
+    CPPUNIT_ASSERT(*updates[0].m_age >= 10ms);
+  }
+
+  void UnrequestedAndDamagedUpdatesAreIgnored() {
+    Harness harness;
+    const gateway::Time now = Now();
+    harness.m_duty.OnMessage(InstanceId("b"),
+                             Update(StoreKind::kMembers, 5, 10ms), now);
+    CPPUNIT_ASSERT(harness.m_changes.empty());
+    harness.m_duty.OnUnknownReporter(InstanceId("b"));
+    gateway::StateUpdate damaged = Update(StoreKind::kMembers, 5, 10ms);
+    damaged.m_objects = {std::string(100000, '[')};
+    harness.m_duty.OnMessage(InstanceId("b"), damaged, now);
+    CPPUNIT_ASSERT(harness.m_changes.empty());
+    CPPUNIT_ASSERT(harness.m_contacts.empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StateDutyTest);
+
+}  // namespace
+}  // namespace jasminelug::gateway_app
