--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -24,7 +24,7 @@
 constexpr gateway::Duration kDigestInterval = 380ms;
 // Bytes of queued reports that are sent on each tick: this number, or this part
 // of all queued bytes if that is more. A link drops datagrams of a large burst.
-constexpr std::size_t kBurstBytes = 16 * 1024;
+constexpr std::size_t kBurstBytes = std::size_t{16} << 10;
 constexpr std::size_t kBurstPart = 4;
 // The coordinator of a replacement acts only if its replacement record was
 // verified against the store, by itself or through a peer's report, within this
