forwarding: a statement of an ended transaction is not run

Cause: a holder that ended an idle forwarded transaction forgot it one tick before it closed the session; a statement of the sender that arrived between ran as a single statement, outside the transaction.

Ruled out: the relay of copies, a restart at another holder, closed sessions.

Change: it is refused as aborted, which is true: the member rolled back.

Test: StatementOfAnEndedTransactionIsNotRun, failed first (it succeeded one tick after the limit).

--- a/src/gateway/engine_forwarding.cc
+++ b/src/gateway/engine_forwarding.cc
@@ -216,6 +216,12 @@
                            /*m_try_elsewhere=*/true});
     return;
   }
+  if (!forwarded.m_starts_operation && !session->m_transaction) {
+    // The transaction was ended after being idle for too long, and its session
+    // closes on the next tick. The member has rolled the transaction back.
+    Reply(session, Refused{ErrorCode::kAborted, "the transaction was ended"});
+    return;
+  }
   session->m_customer = forwarded.m_customer;
   session->m_route = forwarded.m_route;
   session->m_values = forwarded.m_values;
--- a/test/gateway/forwarding_test.cc
+++ b/test/gateway/forwarding_test.cc
@@ -95,6 +95,7 @@
   CPPUNIT_TEST(FormerHolderClosesExcessConnections);
   CPPUNIT_TEST(StoppingHolderForwardsWhatItReceives);
   CPPUNIT_TEST(HolderEndsIdleTransactions);
+  CPPUNIT_TEST(StatementOfAnEndedTransactionIsNotRun);
   CPPUNIT_TEST(HostConfirmsUnansweredOperations);
   CPPUNIT_TEST(HostFindsSessionsOfEarlierIncarnations);
   CPPUNIT_TEST_SUITE_END();
@@ -468,6 +469,37 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, holder.m_engine.session_count());
   }
 
+  // The sender stands still for longer than a transaction may be idle, and then
+  // sends the next statement of the transaction, which the holder has ended.
+  // The statement must not run outside of the transaction.
+  void StatementOfAnEndedTransactionIsNotRun() {
+    for (const int ticks : {0, 1, 2, 3, 4}) {
+      EngineFixture holder;
+      const SessionId id(std::uint64_t{1} << 63);
+      ForwardedStatement forwarded =
+          MakeForwarded(Consistency::kPrimary, StatementKind::kWrite, "WRITE");
+      forwarded.m_transaction = TransactionMode::kReadWrite;
+      holder.m_engine.OnForwardedStatement(id, forwarded, holder.m_now);
+      holder.AnswerAllAt("p", 12);
+      holder.Advance(holder.m_configuration.m_transaction_idle_limit);
+      for (int i = 0; i < ticks; ++i) {
+        holder.Advance(Engine::kTickInterval);
+        holder.AnswerAllAt("p", 12);
+      }
+      forwarded.m_starts_operation = false;
+      holder.m_engine.OnForwardedStatement(id, forwarded, holder.m_now);
+      holder.AnswerAllAt("p", 13);
+      const Answer answer = *holder.LastAnswer(id);
+      const std::string message = "after ticks: " + std::to_string(ticks);
+      if (ticks == 0) {
+        CPPUNIT_ASSERT_MESSAGE(message, holder.Succeeded(id));
+        CPPUNIT_ASSERT(answer.m_state == TransactionState::kOpen);
+      } else {
+        CPPUNIT_ASSERT_MESSAGE(message, !holder.Succeeded(id));
+      }
+    }
+  }
+
   void HostConfirmsUnansweredOperations() {
     ForwardHost host;
     const ForwardOrigin origin{InstanceId("s"), Incarnation(1), OperationId(5)};
