gateway: a late update proves no more than its own request

Cause: when a peer was asked again before its first answer had arrived, the time of the first request was overwritten; the delayed first answer was then dated by the second request, and a key or a primary could pass for verified later than it was, by as much as the answer was delayed.

Ruled out: answers to another base (refused before); reports (they echo a number).

Change: the earliest unanswered request dates the next answer.

Test: LateUpdateProvesNoMoreThanItsOwnRequest, failed first.

--- a/apps/gateway/state_duty.cc
+++ b/apps/gateway/state_duty.cc
@@ -180,7 +180,9 @@
                         StoreKind kind,
                         gateway::Time now) {
   const gateway::StoreFollower& copy = LinkOf(kind).follower();
-  m_requested[{peer, kind}] = now;
+  // Keeps the time of an earlier request that is not answered yet: the next
+  // answer may belong to it, and proves no more than that.
+  m_requested.try_emplace({peer, kind}, now);
   m_hooks.m_send(
       peer, gateway::MakeStateRequest(kind, copy.objects(), copy.changed()));
 }
--- a/test/gateway_app/state_duty_test.cc
+++ b/test/gateway_app/state_duty_test.cc
@@ -3,9 +3,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <asio/io_context.hpp>
+#include <chrono>
 #include <map>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -98,6 +100,7 @@
   CPPUNIT_TEST_SUITE(StateDutyTest);
   CPPUNIT_TEST(WaitingRequestsAreAnsweredWithTheProof);
   CPPUNIT_TEST(UnrequestedAndDamagedUpdatesAreIgnored);
+  CPPUNIT_TEST(LateUpdateProvesNoMoreThanItsOwnRequest);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -135,6 +138,33 @@
     CPPUNIT_ASSERT(harness.m_changes.empty());
     CPPUNIT_ASSERT(harness.m_contacts.empty());
   }
+
+  // A peer is asked again before its first answer, which was delayed, arrives.
+  // The answer may have been made before the second request was sent.
+  void LateUpdateProvesNoMoreThanItsOwnRequest() {
+    Harness harness;
+    const gateway::Time now = Now();
+    harness.m_duty.OnUnknownReporter(InstanceId("c"));
+    for (const StoreKind kind : gateway::kStoreKinds) {
+      harness.m_duty.OnMessage(InstanceId("c"), Update(kind, 5, std::nullopt),
+                               now);
+    }
+    const std::vector<gateway::CopyRevision> newer = {
+        {StoreKind::kReplacements, Revision(9), Revision(9)}};
+    harness.m_duty.OnReport(InstanceId("b"), newer, now);
+    const gateway::Time first_request = Now();
+    const std::size_t sent = harness.m_sent.size();
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    harness.m_duty.OnReport(InstanceId("b"), newer, now + 300ms);
+    harness.m_duty.OnReport(InstanceId("b"), newer, now + 1500ms);
+    CPPUNIT_ASSERT_EQUAL(sent + 1, harness.m_sent.size());
+    gateway::StateUpdate late = Update(StoreKind::kReplacements, 9, 0ms);
+    late.m_base = Revision(5);
+    harness.m_duty.OnMessage(InstanceId("b"), late, now + 1500ms);
+    CPPUNIT_ASSERT_EQUAL(2, harness.m_changes[StoreKind::kReplacements]);
+    CPPUNIT_ASSERT(harness.m_contacts.at(StoreKind::kReplacements) <=
+                   first_request);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StateDutyTest);
