gateway: logs tell why a primary was used and who was waited for

The logs could not tell the hypotheses of the incident apart.

- The log of a statement that was sent to a member holds whether the member was used as the primary, the revision of the replacement record that said so, the age of the contact that verified it, the position that was required and the one in the answer.
- Each step of a replacement holds the number of listed instances, the age of the list, and the instances that have not acknowledged.
- An instance logs each acknowledgement with the revision that it has read.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -52,6 +52,10 @@
   return {endpoint.address(), endpoint.port()};
 }
 
+std::int64_t ToLog(gateway::Revision revision) {
+  return static_cast<std::int64_t>(revision.value());
+}
+
 }  // namespace
 
 FleetDuty::FleetDuty(asio::io_context& io,
@@ -126,17 +130,33 @@
   };
   hooks.m_report = [this](const std::string& event,
                           const gateway::ReplacementIntent& intent) {
-    Log(m_logger, log4cplus::INFO_LOG_LEVEL, event,
-        {{"group", intent.m_group.str()},
-         {"old_primary", intent.m_old_primary.str()},
-         {"candidate", intent.m_candidate.str()},
-         {"planned", intent.m_planned},
-         {"revision",
-          static_cast<std::int64_t>(m_coordinator.revision().value())}});
+    LogReplacement(event, intent);
   };
   return hooks;
 }
 
+// Logs a step of a replacement, with the list of instances it relies on and
+// those that have not acknowledged the record.
+void FleetDuty::LogReplacement(const std::string& event,
+                               const gateway::ReplacementIntent& intent) {
+  std::string missing;
+  for (const gateway::InstanceId& id :
+       m_peers.Unacknowledged(m_coordinator.revision())) {
+    missing += (missing.empty() ? "" : " ") + id.str();
+  }
+  const auto list_age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Now() - m_instances_as_of);
+  Log(m_logger, log4cplus::INFO_LOG_LEVEL, event,
+      {{"group", intent.m_group.str()},
+       {"old_primary", intent.m_old_primary.str()},
+       {"candidate", intent.m_candidate.str()},
+       {"planned", intent.m_planned},
+       {"revision", ToLog(m_coordinator.revision())},
+       {"instances", static_cast<std::int64_t>(m_entries.size())},
+       {"list_age_ms", list_age.count()},
+       {"unacknowledged", missing}});
+}
+
 void FleetDuty::OnInstances(const gateway::StoreObjects& objects,
                             gateway::Revision complete,
                             gateway::Time now) {
@@ -243,6 +263,11 @@
   m_peers.UpdateRole(now);
   gateway::PeerReport report = MakeReport(now);
   const bool acknowledges = report.m_acknowledged != m_reported_revision;
+  if (acknowledges) {
+    Log(m_logger, log4cplus::INFO_LOG_LEVEL, "acknowledging",
+        {{"revision", ToLog(report.m_acknowledged)},
+         {"read", ToLog(m_coordinator.revision())}});
+  }
   m_reported_revision = report.m_acknowledged;
   m_peers.FillHeader(&report, now);
   const gateway::FleetShares shares =
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -117,6 +117,8 @@
   gateway::PeerReport MakeReport(gateway::Time now) const;
   gateway::Revision AcknowledgedRevision(gateway::Time now) const;
   bool AreAllPrimariesUnused() const;
+  void LogReplacement(const std::string& event,
+                      const gateway::ReplacementIntent& intent);
   void UpdateContacts(const gateway::PeerReport& report, gateway::Time now);
   void UpdateContact(const gateway::PeerReport& report,
                      const gateway::VerifiedRevision& peer_state,
--- a/apps/gateway/statement_log.cc
+++ b/apps/gateway/statement_log.cc
@@ -16,6 +16,30 @@
   return std::chrono::duration_cast<milliseconds>(duration).count();
 }
 
+std::string ToText(const std::optional<gateway::LogPosition>& position) {
+  if (!position) {
+    return "";
+  }
+  return std::to_string(position->m_term.value()) + "." +
+         std::to_string(position->m_index);
+}
+
+// Adds what the use of the member relied on. A statement that was not sent to a
+// member has no such fields.
+void AddEvidence(const gateway::StatementEvidence& evidence,
+                 LogFields* fields) {
+  if (!evidence.m_contact_age) {
+    return;
+  }
+  fields->push_back({"as_primary", evidence.m_as_primary});
+  fields->push_back(
+      {"record", static_cast<std::int64_t>(evidence.m_record.value())});
+  fields->push_back(
+      {"contact_age_ms", ToMilliseconds(*evidence.m_contact_age)});
+  fields->push_back({"required", ToText(evidence.m_required)});
+  fields->push_back({"answered", ToText(evidence.m_answered)});
+}
+
 }  // namespace
 
 StatementLog::StatementLog(log4cplus::Logger logger)
@@ -54,6 +78,7 @@
                       {"attempts", std::int64_t{end.m_attempts}},
                       {"took_ms", ToMilliseconds(end.m_time)},
                       {"objective_ms", ToMilliseconds(end.m_objective)}};
+  AddEvidence(end.m_evidence, &fields);
   if (!end.m_completed) {
     fields.push_back({"code", std::string(gateway::NameOf(end.m_code))});
     fields.push_back({"reason", end.m_reason});
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -55,6 +55,8 @@
   bool m_usable = false;
   // When a replacement is expected to be complete; unset if unknown.
   std::optional<Time> m_usable_from;
+  // Revision of the replacement record from which this was decided.
+  Revision m_record{};
 };
 
 // Serves callers' sessions from the members of database groups.
@@ -258,6 +260,9 @@
   void Place(Session* session, const PlacementOption& option, Time now);
   void SendStatement(Session* session, Connection* connection, Time now);
   void SendBegin(Session* session, Connection* connection, Time now);
+  StatementEvidence EvidenceFor(const Session& session,
+                                const Connection& connection,
+                                Time now) const;
   std::vector<MemberStatement> SetupFor(const Session& session,
                                         Connection* connection);
   MemberStatement MemberStatementFor(const Session& session,
--- a/src/gateway/engine_answers.cc
+++ b/src/gateway/engine_answers.cc
@@ -242,6 +242,7 @@
                                const SentStatement& sent,
                                const Answer& answer,
                                Time now) {
+  session->m_active->m_evidence.m_answered = answer.m_position;
   const Refused* refused = std::get_if<Refused>(&answer.m_outcome);
   if (refused) {
     OnRefused(session, connection, *refused, now);
--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -283,12 +283,29 @@
   std::vector<MemberStatement> statements = SetupFor(*session, connection);
   statements.push_back(MemberStatementFor(*session, *connection));
   active.m_sent = true;
+  active.m_evidence = EvidenceFor(*session, *connection, now);
   if (session->m_transaction && active.m_writes) {
     session->m_transaction->m_wrote = true;
   }
   Send(connection, statements, SentPurpose::kStatement, now);
 }
 
+StatementEvidence Engine::EvidenceFor(const Session& session,
+                                      const Connection& connection,
+                                      Time now) const {
+  StatementEvidence evidence;
+  const Group* group = FindGroup(connection.m_group);
+  if (group) {
+    evidence.m_as_primary = group->m_primary.m_member == connection.m_member;
+    evidence.m_record = group->m_primary.m_record;
+  }
+  evidence.m_contact_age = m_primary_contact.Age(now);
+  if (session.m_active->m_floor) {
+    evidence.m_required = session.m_active->m_floor->m_position;
+  }
+  return evidence;
+}
+
 void Engine::SendBegin(Session* session, Connection* connection, Time now) {
   std::vector<MemberStatement> statements = SetupFor(*session, connection);
   MemberStatement begin;
--- a/src/gateway/engine_hooks.h
+++ b/src/gateway/engine_hooks.h
@@ -11,6 +11,7 @@
 #include "src/gateway/ids.h"
 #include "src/gateway/member.h"
 #include "src/gateway/member_status.h"
+#include "src/gateway/session.h"
 #include "src/gateway/statement.h"
 
 namespace jasminelug::gateway {
@@ -28,6 +29,8 @@
   // The instance that the statement was last forwarded to; empty if it was not
   // forwarded.
   InstanceId m_holder;
+  // Set if this instance has sent the statement to a member.
+  StatementEvidence m_evidence{};
   int m_attempts = 0;
   Duration m_time{0};
   Duration m_objective{0};
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -440,6 +440,7 @@
   end.m_time = now - active.m_received;
   end.m_objective = session->m_route.m_objective;
   end.m_member = active.m_member;
+  end.m_evidence = active.m_evidence;
   end.m_holder = active.m_holder;
   const Refused* refused = std::get_if<Refused>(&outcome);
   end.m_completed = refused == nullptr;
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -389,25 +389,38 @@
   return receivers;
 }
 
+bool PeerView::HasAcknowledged(const Peer& peer, Revision revision) {
+  return peer.m_entry.m_acknowledged >= revision ||
+         (peer.m_report && peer.m_report->m_acknowledged >= revision);
+}
+
+bool PeerView::HasAcknowledged(const Cell& cell, Revision revision) {
+  const bool in_digest = cell.m_digest &&
+                         cell.m_digest->m_acknowledged >= revision &&
+                         cell.m_digest->m_instances >= cell.m_newest_entry;
+  return in_digest || std::all_of(cell.m_entries.begin(), cell.m_entries.end(),
+                                  [revision](const InstanceEntry& entry) {
+                                    return entry.m_acknowledged >= revision;
+                                  });
+}
+
 bool PeerView::AllAcknowledged(Revision revision) const {
-  const auto in_entry = [revision](const InstanceEntry& entry) {
-    return entry.m_acknowledged >= revision;
-  };
-  const bool own_cell =
-      std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& item) {
-        const std::optional<PeerReport>& report = item.second.m_report;
-        return in_entry(item.second.m_entry) ||
-               (report && report->m_acknowledged >= revision);
-      });
-  return own_cell &&
-         std::all_of(m_cells.begin(), m_cells.end(), [&](const auto& item) {
-           const Cell& cell = item.second;
-           const bool in_digest =
-               cell.m_digest && cell.m_digest->m_acknowledged >= revision &&
-               cell.m_digest->m_instances >= cell.m_newest_entry;
-           return in_digest || std::all_of(cell.m_entries.begin(),
-                                           cell.m_entries.end(), in_entry);
-         });
+  return Unacknowledged(revision).empty();
+}
+
+std::vector<InstanceId> PeerView::Unacknowledged(Revision revision) const {
+  std::vector<InstanceId> instances;
+  for (const auto& [id, peer] : m_peers) {
+    if (!HasAcknowledged(peer, revision)) {
+      instances.push_back(id);
+    }
+  }
+  for (const auto& [zone, cell] : m_cells) {
+    if (!HasAcknowledged(cell, revision)) {
+      instances.push_back(cell.m_entries.front().m_id);
+    }
+  }
+  return instances;
 }
 
 PeerView::ReachabilityCounts PeerView::CountReachability(const GroupName& group,
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -93,6 +93,10 @@
   // if its sender knew all instances of that cell that are registered.
   bool AllAcknowledged(Revision revision) const;
 
+  // Returns the instances of this cell that keep AllAcknowledged() from being
+  // true, and an instance of each other cell that does, for the log.
+  std::vector<InstanceId> Unacknowledged(Revision revision) const;
+
   // Number of other instances that cannot reach a group's primary, and of those
   // that can. Instances that report neither are not counted.
   struct ReachabilityCounts {
@@ -191,6 +195,8 @@
   void KeepHeads();
   std::vector<InstanceEntry> HeadsOf(const ZoneName& zone, Time now) const;
   bool IsLive(const Cell& cell, Time now) const;
+  static bool HasAcknowledged(const Peer& peer, Revision revision);
+  static bool HasAcknowledged(const Cell& cell, Revision revision);
   void RecordDigests(const PeerReport& report, Time now);
   int Position() const;
   bool ReportsAsHead(const Peer& peer, Time now) const;
--- a/src/gateway/primary_decision.cc
+++ b/src/gateway/primary_decision.cc
@@ -42,6 +42,7 @@
                               bool has_unread_record) {
   PrimaryDecision decision;
   PrimaryView& view = decision.m_view;
+  view.m_record = coordinator.revision();
   view.m_member = coordinator.PrimaryOf(group);
   if (!view.m_member) {
     view.m_member = self_declared ? self_declared : previous;
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -15,6 +15,25 @@
 
 namespace jasminelug::gateway {
 
+// What the use of a member for a statement relied on when the statement was
+// sent, and the member's answer to it. Shows afterwards why an outdated member
+// was used.
+struct StatementEvidence {
+  friend bool operator==(const StatementEvidence&,
+                         const StatementEvidence&) = default;
+
+  // Whether the member was taken for the primary of its group.
+  bool m_as_primary = false;
+  // Revision of the replacement record that named the primary, and time since
+  // the last contact that verified the record; unset if there was none.
+  Revision m_record;
+  std::optional<Duration> m_contact_age;
+  // Log position that the member had to hold; unset at the primary.
+  std::optional<LogPosition> m_required;
+  // Log position in the member's answer.
+  std::optional<LogPosition> m_answered;
+};
+
 // A caller's statement that is waiting for a member or for its answer.
 struct ActiveStatement {
   Statement m_statement;
@@ -37,6 +56,8 @@
   bool m_sent = false;
   // When the statement was last placed.
   Time m_placed;
+  // Set when the statement was last sent to a member.
+  StatementEvidence m_evidence{};
   // Number of attempts that were replaced by a speculative retry because no
   // answer came.
   int m_speculative_retries = 0;
