gateway: nothing is sent to, or taken from, a primary that may be replaced

Cause: whether the primary may be used was asked only when a statement was placed. It was not asked again for the statements of an open transaction, nor for a statement whose connection opened later, nor for the answer of a statement that had waited at the member. A holder of connections did not ask for the later statements of a forwarded transaction at all. And a planned replacement went on after 4.4 s although an instance with an open transaction had not acknowledged, because that instance waited for the end of its transaction without a limit. Last, an instance acknowledged with a transaction in flight if the primary's entry had been away, since the count of its uses was lost.

Class: a permission that was checked once and used later.

Change: the check stands where statements are sent. What is in flight to a primary that was not verified for the limit is abandoned. In a planned replacement, open transactions have one second to end; the coordinator waits that much longer for instances that have not acknowledged. Use is counted from the connections.

Ruled out: the member's connection is reset after 1.5 s of unacknowledged data, so nothing that a partition holds back arrives later than that.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -201,7 +201,7 @@
   for (const auto& [group, limits] : configuration->m_groups) {
     const gateway::PrimaryDecision decision = gateway::DecidePrimary(
         group, m_coordinator, m_engine.members().SelfDeclaredPrimary(group),
-        m_engine.PrimaryOf(group), unread);
+        m_engine.PrimaryOf(group), unread, now);
     m_engine.SetPrimary(group, decision.m_view, decision.m_abandon, now);
   }
 }
--- a/src/gateway/connection_table.cc
+++ b/src/gateway/connection_table.cc
@@ -72,6 +72,14 @@
   return ids;
 }
 
+bool ConnectionTable::AreAllIdle(const MemberId& member) const {
+  return std::all_of(m_connections.begin(), m_connections.end(),
+                     [&member](const auto& item) {
+                       return item.second->m_member != member ||
+                              item.second->m_stage == Connection::Stage::kIdle;
+                     });
+}
+
 int ConnectionTable::CountInFlight(const MemberId& member) const {
   return static_cast<int>(std::count_if(
       m_connections.begin(), m_connections.end(), [&member](const auto& item) {
--- a/src/gateway/connection_table.h
+++ b/src/gateway/connection_table.h
@@ -56,6 +56,13 @@
   bool m_is_status_request = false;
   std::deque<SentStatement> m_sent;
   std::uint64_t m_next_prepared = 1;
+
+  // Returns whether the connection is used to request the member's status.
+  bool RequestsStatus() const {
+    return m_is_status_request ||
+           (!m_sent.empty() &&
+            m_sent.back().m_purpose == SentPurpose::kCommand);
+  }
 };
 
 // Holds the connections of this instance to members.
@@ -83,6 +90,9 @@
   std::vector<ConnectionId> All() const;
   std::vector<ConnectionId> AllOf(const MemberId& member) const;
 
+  // Returns whether no connection to `member` is in use.
+  bool AreAllIdle(const MemberId& member) const;
+
   // Returns how many connections to the member are opening or have unanswered
   // statements. Each of them occupies, or will occupy, a slot of the member.
   int CountInFlight(const MemberId& member) const;
--- a/src/gateway/engine.cc
+++ b/src/gateway/engine.cc
@@ -96,6 +96,9 @@
                         Time now) {
   Group& group = GroupOf(name);
   const PrimaryView before = group.m_primary;
+  if (before.m_member && !primary.m_usable && abandon) {
+    AbandonStatements(*before.m_member, now);
+  }
   if (before == primary) {
     return;
   }
@@ -105,30 +108,49 @@
     group.m_floor.Clear();
     group.m_primary_failing_since.reset();
   }
-  const bool withdrawn = before.m_usable && !primary.m_usable;
-  if (before.m_member && (replaced || (withdrawn && abandon))) {
-    for (const ConnectionId id : m_connections.AllOf(*before.m_member)) {
-      if (m_connections.Find(id)) {
-        m_hooks.m_close_connection(id);
-        OnConnectionClosed(id, std::nullopt, now);
-      }
+  if (before.m_member && replaced) {
+    AbandonStatements(*before.m_member, now);
+    while (Connection* idle = m_connections.FindOldestIdle(*before.m_member)) {
+      CloseConnection(idle, now);
     }
   }
   Dispatch(name, now);
 }
 
+// Closes the connections to a member that are in use, except those that request
+// its status.
+void Engine::AbandonStatements(const MemberId& member, Time now) {
+  for (const ConnectionId id : m_connections.AllOf(member)) {
+    const Connection* connection = m_connections.Find(id);
+    const bool in_use =
+        connection && connection->m_stage != Connection::Stage::kIdle;
+    if (in_use && !connection->RequestsStatus()) {
+      m_hooks.m_close_connection(id);
+      OnConnectionClosed(id, std::nullopt, now);
+    }
+  }
+}
+
+// Abandons what is in flight to a primary that was not verified for too long.
+// Other instances may soon use another one, and an answer that came later would
+// acknowledge what the replaced primary has committed.
+void Engine::AbandonUnverifiedPrimary(const Group& group, Time now) {
+  if (group.m_primary.m_member &&
+      !m_primary_contact.IsFresh(now, m_options.m_primary_contact_limit)) {
+    AbandonStatements(*group.m_primary.m_member, now);
+  }
+}
+
 bool Engine::IsPrimaryUsable(const GroupName& name) const {
   const Group* group = FindGroup(name);
   return group && group->m_primary.m_usable;
 }
 
 bool Engine::IsPrimaryIdle(const GroupName& name) const {
-  const Group* group = FindGroup(name);
-  if (!group || !group->m_primary.m_member) {
-    return true;
-  }
-  const MemberState* state = m_members.Find(*group->m_primary.m_member);
-  return !state || state->m_busy == 0;
+  // The connections are counted, not MemberState::m_busy: it is lost when the
+  // primary's entry is removed and announced again.
+  const std::optional<MemberId> primary = PrimaryOf(name);
+  return !primary || m_connections.AreAllIdle(*primary);
 }
 
 std::optional<FreshnessSample> Engine::NewestSample(
@@ -236,6 +258,7 @@
     }
   }
   for (auto& [name, group] : m_groups) {
+    AbandonUnverifiedPrimary(group, now);
     ProbeUnresponsivePrimary(group, now);
     Dispatch(name, now);
   }
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -78,9 +78,10 @@
   // Sets the instances among which the members' connections are divided.
   void SetInstances(const std::vector<InstanceEntry>& instances, Time now);
   // Sets the primary of a group. Closes the connections to the previous primary
-  // if the primary is a different member, or if it is no longer usable and
-  // `abandon` is set. Statements in flight on these connections end as if the
-  // connections had been lost.
+  // if the primary is a different member, or if it is not usable and `abandon`
+  // is set. Statements in flight on these connections end as if the connections
+  // had been lost. While a primary is not usable and not abandoned, the
+  // transactions that are open there may end.
   void SetPrimary(const GroupName& group,
                   const PrimaryView& primary,
                   bool abandon,
@@ -245,6 +246,7 @@
   std::optional<FreshnessSample> FreshnessFloorOf(const Session& session,
                                                   Time now) const;
   bool IsPrimaryUsable(const Group& group, Time now) const;
+  bool MaySendOn(const Connection& connection, Time now) const;
   int BudgetOf(const MemberState& state) const;
   void DropExcessIdleConnections(Time now);
   int InFlightLimit(const MemberState& state) const;
@@ -324,6 +326,8 @@
   void EndOverdueStatement(Session* session, Time now);
   void EndOverdueTransaction(Session* session, Time now);
   void ProbeUnresponsivePrimary(const Group& group, Time now);
+  void AbandonStatements(const MemberId& member, Time now);
+  void AbandonUnverifiedPrimary(const Group& group, Time now);
   void CloseIdleSession(Session* session, Time now);
   void EndOverdueConnection(Connection* connection, Time now);
   bool ShouldRetrySpeculatively(const Session& session, Time now) const;
--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -274,8 +274,23 @@
                             session->m_customer);
 }
 
+// Returns whether the connection's member may still be used. A primary may
+// have been replaced while the connection was opening or between two statements
+// of a transaction.
+bool Engine::MaySendOn(const Connection& connection, Time now) const {
+  const Group* group = FindGroup(connection.m_group);
+  const bool is_primary =
+      group && group->m_primary.m_member == connection.m_member;
+  return !is_primary ||
+         m_primary_contact.IsFresh(now, m_options.m_primary_contact_limit);
+}
+
 void Engine::SendStatement(Session* session, Connection* connection, Time now) {
   ActiveStatement& active = *session->m_active;
+  if (!MaySendOn(*connection, now)) {
+    OnStatementLost(session, now);
+    return;
+  }
   if (session->m_transaction && !session->m_transaction->m_begun) {
     SendBegin(session, connection, now);
     return;
--- a/src/gateway/primary_decision.cc
+++ b/src/gateway/primary_decision.cc
@@ -39,7 +39,8 @@
                               const ReplacementCoordinator& coordinator,
                               const std::optional<MemberId>& self_declared,
                               const std::optional<MemberId>& previous,
-                              bool has_unread_record) {
+                              bool has_unread_record,
+                              Time now) {
   PrimaryDecision decision;
   PrimaryView& view = decision.m_view;
   view.m_record = coordinator.revision();
@@ -52,7 +53,9 @@
   if (intent) {
     view.m_usable = false;
     view.m_usable_from = coordinator.intent_seen() + kUsualReplacementTime;
-    decision.m_abandon = !intent->m_planned;
+    decision.m_abandon =
+        !intent->m_planned || now - coordinator.intent_seen() >=
+                                  ReplacementCoordinator::kPlannedEndLimit;
   }
   if (has_unread_record) {
     view.m_usable = false;
--- a/src/gateway/primary_decision.h
+++ b/src/gateway/primary_decision.h
@@ -57,12 +57,15 @@
 // Returns the primary of a group: the one in the replacement record, otherwise
 // the member that declares itself the primary, otherwise `previous`. The
 // primary is not usable while the record has an intent for the group, or while
-// there is a newer record that this instance has not read.
+// there is a newer record that this instance has not read. Transactions that
+// are open there may end within ReplacementCoordinator::kPlannedEndLimit if the
+// replacement is planned, and are abandoned otherwise.
 PrimaryDecision DecidePrimary(const GroupName& group,
                               const ReplacementCoordinator& coordinator,
                               const std::optional<MemberId>& self_declared,
                               const std::optional<MemberId>& previous,
-                              bool has_unread_record);
+                              bool has_unread_record,
+                              Time now);
 
 }  // namespace jasminelug::gateway
 
--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -295,7 +295,12 @@
 
 bool ReplacementCoordinator::HaveOthersStoppedUse(const FleetCondition& fleet,
                                                   Time now) {
-  if (now - m_intent_seen > m_options.m_contact_limit + kContactMargin) {
+  // An instance may read the intent as late as m_contact_limit after it was
+  // written, and then end its transactions.
+  const Duration end_limit =
+      m_record.m_intent->m_planned ? kPlannedEndLimit : Duration::zero();
+  if (now - m_intent_seen >
+      m_options.m_contact_limit + end_limit + kContactMargin) {
     return true;
   }
   if (fleet.m_instances_as_of >= m_intent_seen) {
--- a/src/gateway/replacement_coordinator.h
+++ b/src/gateway/replacement_coordinator.h
@@ -88,11 +88,13 @@
 //    into the record, on condition that the record's revision is unchanged, so
 //    that just one instance wins.
 // 2. Every instance that reads the intent stops using the old primary and
-//    acknowledges the revision. An instance that cannot read the intent stops
-//    when its last contact with the store is m_contact_limit old.
-// 3. The winner waits until all instances have acknowledged or that limit has
-//    passed. An instance that registered before the intent counts too, so the
-//    winner reads the list of instances after writing the intent. It then
+//    acknowledges the revision. If the replacement is planned, transactions
+//    that are open there may end within kPlannedEndLimit. An instance that
+//    cannot read the intent stops when its last contact with the store is
+//    m_contact_limit old.
+// 3. The winner waits until all instances have acknowledged or those limits
+//    have passed. An instance that registered before the intent counts too, so
+//    the winner reads the list of instances after writing the intent. It then
 //    requests the log positions of the candidates and promotes the most
 //    advanced one. The fencing token is the revision of the intent, so it
 //    increases with every intent.
@@ -144,6 +146,9 @@
   // Minimum time between the last action of one coordinator and the first of
   // another one. The platform's documentation requires 3 s.
   static constexpr Duration kCoordinatorChangePause = 3200ms;
+  // Time from reading the intent of a planned replacement, after which an
+  // instance abandons the transactions that are still open at the old primary.
+  static constexpr Duration kPlannedEndLimit = 1s;
   // Time after which candidates that did not report their position are no
   // longer waited for. A group with synchronous replicas waits for all
   // candidates.
--- a/test/gateway/primary_decision_test.cc
+++ b/test/gateway/primary_decision_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST_SUITE(PrimaryDecisionTest);
   CPPUNIT_TEST(RecordOverridesSelfDeclaredPrimary);
   CPPUNIT_TEST(IntentMakesPrimaryUnusable);
+  CPPUNIT_TEST(PlannedReplacementDoesNotWaitForATransactionForEver);
   CPPUNIT_TEST(UnreadRecordMakesPrimaryUnusable);
   CPPUNIT_TEST_SUITE_END();
 
@@ -32,17 +33,19 @@
     const MemberId declared("declared");
     const MemberId before("before");
     PrimaryDecision decision =
-        DecidePrimary(group, coordinator, declared, before, false);
+        DecidePrimary(group, coordinator, declared, before, false, Time(1s));
     CPPUNIT_ASSERT(declared == decision.m_view.m_member);
-    decision = DecidePrimary(group, coordinator, std::nullopt, before, false);
+    decision = DecidePrimary(group, coordinator, std::nullopt, before, false,
+                             Time(1s));
     CPPUNIT_ASSERT(before == decision.m_view.m_member);
-    decision =
-        DecidePrimary(group, coordinator, std::nullopt, std::nullopt, false);
+    decision = DecidePrimary(group, coordinator, std::nullopt, std::nullopt,
+                             false, Time(1s));
     CPPUNIT_ASSERT(!decision.m_view.m_usable);
     ReplacementRecord record;
     record.m_primaries = {{group, MemberId("recorded")}};
     coordinator.OnEntries(Record(record, 5), Time(1s));
-    decision = DecidePrimary(group, coordinator, declared, before, false);
+    decision =
+        DecidePrimary(group, coordinator, declared, before, false, Time(1s));
     CPPUNIT_ASSERT(MemberId("recorded") == decision.m_view.m_member);
     CPPUNIT_ASSERT(decision.m_view.m_usable);
   }
@@ -54,17 +57,36 @@
       record.m_intent = ReplacementIntent{GroupName("g"), MemberId("p"),
                                           MemberId("r"), planned};
       coordinator.OnEntries(Record(record, 5), Time(1s));
-      const PrimaryDecision decision = DecidePrimary(
-          GroupName("g"), coordinator, MemberId("p"), std::nullopt, false);
+      const PrimaryDecision decision =
+          DecidePrimary(GroupName("g"), coordinator, MemberId("p"),
+                        std::nullopt, false, Time(1s));
       CPPUNIT_ASSERT(!decision.m_view.m_usable);
       CPPUNIT_ASSERT(decision.m_view.m_usable_from);
       CPPUNIT_ASSERT_EQUAL(!planned, decision.m_abandon);
-      const PrimaryDecision other = DecidePrimary(
-          GroupName("h"), coordinator, MemberId("q"), std::nullopt, false);
+      const PrimaryDecision other =
+          DecidePrimary(GroupName("h"), coordinator, MemberId("q"),
+                        std::nullopt, false, Time(1s));
       CPPUNIT_ASSERT(other.m_view.m_usable);
     }
   }
 
+  // A transaction stays open at the old primary of a planned replacement.
+  void PlannedReplacementDoesNotWaitForATransactionForEver() {
+    const Duration limit = ReplacementCoordinator::kPlannedEndLimit;
+    ReplacementCoordinator coordinator = MakeCoordinator();
+    ReplacementRecord record;
+    record.m_intent =
+        ReplacementIntent{GroupName("g"), MemberId("p"), MemberId("r"), true};
+    coordinator.OnEntries(Record(record, 5), Time(1s));
+    for (const bool over : {false, true}) {
+      const PrimaryDecision decision = DecidePrimary(
+          GroupName("g"), coordinator, MemberId("p"), std::nullopt, false,
+          Time(1s) + limit + (over ? 10ms : -10ms));
+      CPPUNIT_ASSERT(!decision.m_view.m_usable);
+      CPPUNIT_ASSERT_EQUAL(over, decision.m_abandon);
+    }
+  }
+
   // The store refuses this instance but serves the others, so that it cannot
   // read an intent. It must stop using the primary once peers report a newer
   // record.
@@ -96,8 +118,9 @@
     CPPUNIT_ASSERT(!peer_revisions.FindUnread(Revision(7), Time(20s)));
     CPPUNIT_ASSERT(peer_revisions.FindUnread(Revision(7), Time(20s) + 300ms));
     const ReplacementCoordinator coordinator = MakeCoordinator();
-    const PrimaryDecision decision = DecidePrimary(
-        GroupName("g"), coordinator, MemberId("p"), std::nullopt, true);
+    const PrimaryDecision decision =
+        DecidePrimary(GroupName("g"), coordinator, MemberId("p"), std::nullopt,
+                      true, Time(1s));
     CPPUNIT_ASSERT(!decision.m_view.m_usable);
     CPPUNIT_ASSERT(decision.m_abandon);
   }
--- a/test/gateway/replacement_coordinator_test.cc
+++ b/test/gateway/replacement_coordinator_test.cc
@@ -151,6 +151,7 @@
   CPPUNIT_TEST_SUITE(ReplacementCoordinatorTest);
   CPPUNIT_TEST(ProposesByPeerReports);
   CPPUNIT_TEST(WaitsForAcknowledgementsOrTheContactLimit);
+  CPPUNIT_TEST(PlannedReplacementWaitsForOpenTransactions);
   CPPUNIT_TEST(InstancesAreReadAfterTheIntent);
   CPPUNIT_TEST(PromotesTheMostAdvancedCandidate);
   CPPUNIT_TEST(RecordsThePrimaryOnlyOnceItLeads);
@@ -244,6 +245,28 @@
     }
   }
 
+  // An instance reads the intent just before its contact is too old, and then
+  // ends its transactions at the old primary.
+  void PlannedReplacementWaitsForOpenTransactions() {
+    for (const bool planned : {false, true}) {
+      Fleet fleet({"a"});
+      GroupCondition group = FailedPrimary(fleet);
+      if (planned) {
+        group.m_failing_since.reset();
+        group.m_primary_leaving = true;
+      }
+      fleet.Tick("a", group, LiveFleet(false));
+      fleet.ApplyWrites();
+      fleet.AdvanceTime(ReplacementOptions().m_contact_limit + 300ms);
+      fleet.Tick("a", group, LiveFleet(false));
+      CPPUNIT_ASSERT_EQUAL(planned,
+                           fleet.m_instances["a"].m_status_requests.empty());
+      fleet.AdvanceTime(ReplacementCoordinator::kPlannedEndLimit);
+      fleet.Tick("a", group, LiveFleet(false));
+      CPPUNIT_ASSERT(!fleet.m_instances["a"].m_status_requests.empty());
+    }
+  }
+
   // An instance registers just before the intent, reads the previous record,
   // and loses contact with the store. The coordinator's list of instances does
   // not contain it, so all listed instances have acknowledged although it still
