gateway: an instance uses primaries only while coordinators wait for it

Cause: the coordinator of a replacement waits for the registered instances, but an instance used primaries without being registered. It deleted its entry when it began to stop and then served its sessions for 2.3 s to 5.5 s more; a starting one had a neighbour's copy of the record, with its proof, before its entry was in the store, and the platform sends callers to instances that are not ready if most of a zone is not. If the intent was written in between, all listed instances had acknowledged at once, and the old primary was used for up to 4.2 s after it.

Class: a permission that was used by one whom nobody asks.

Change: a contact counts for the primaries only if it is no older than the registration, and none counts without one. A stopping instance marks its entry ("leaving": no holder, does not follow the store), and deletes it just before the exit. On registering, an instance verifies the record at once (one call for each start). An acknowledgement, or this mark, that was set while the entry was being written is written again; it was lost before.

Evidence: decisions_test, StoppingInstanceStaysRegisteredWhileItServes and ContactBeforeTheRegistrationDoesNotCount. They use what did not exist before, so they could not be run on the older code; there the entry was deleted on SIGTERM.

Left: an entry that peers remove after 8 s of silence is restored by its owner as soon as it reads the list; between the two nobody waits for it.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -75,7 +75,9 @@
       m_datagrams(io,
                   ToDatagramEndpoint(
                       *adapter::ParseEndpoint(m_entry.m_peer_address.str())),
-                  [this](std::string_view bytes) { OnDatagram(bytes); }) {}
+                  [this](std::string_view bytes) { OnDatagram(bytes); }) {
+  m_engine.primary_contact().CountFrom(std::nullopt);
+}
 
 gateway::InstanceRegistrar::Hooks FleetDuty::MakeRegistrarHooks() {
   gateway::InstanceRegistrar::Hooks hooks;
@@ -90,6 +92,7 @@
                                      {{"reason", GetError(result).m_message}});
                                }
                                m_registrar.OnWritten(result, Now());
+                               UpdateRegistration(Now());
                              });
   };
   hooks.m_delete = [this](const std::string& name) {
@@ -170,12 +173,34 @@
     }
   }
   m_peers.SetInstances(m_entries, now);
-  m_engine.SetInstances(m_entries, now);
+  std::vector<gateway::InstanceEntry> holders = m_entries;
+  std::erase_if(holders, [](const gateway::InstanceEntry& entry) {
+    return entry.m_leaving;
+  });
+  m_engine.SetInstances(holders, now);
   m_engine.limiter().SetInstanceCount(m_peers.instance_count());
   m_registrar.OnEntries(objects, complete, now);
+  UpdateRegistration(now);
   UpdateHolders(now);
 }
 
+// Lets the primaries be used only on the strength of contacts since this
+// instance was registered. See InstanceRegistrar.
+void FleetDuty::UpdateRegistration(gateway::Time now) {
+  const std::optional<gateway::Time> since = m_registrar.registered_since();
+  if (since == m_registered_since) {
+    return;
+  }
+  Log(m_logger, log4cplus::INFO_LOG_LEVEL,
+      since ? "registered" : "not registered");
+  m_registered_since = since;
+  m_engine.primary_contact().CountFrom(since);
+  UpdatePrimaries(now);
+  if (since) {
+    m_hooks.m_read_record();
+  }
+}
+
 void FleetDuty::OnReplacements(const gateway::StoreObjects& objects,
                                gateway::Time now) {
   m_coordinator.OnEntries(objects, now);
@@ -366,7 +391,8 @@
 
 gateway::FollowerCandidate FleetDuty::Candidate(gateway::Time now) const {
   gateway::FollowerCandidate self;
-  self.m_rank = m_peers.FollowerRank(now);
+  // A stopping instance leaves the first rank to another one.
+  self.m_rank = m_peers.FollowerRank(now) + (m_stopping ? 1 : 0);
   self.m_live_count = m_peers.CountLive(now) > 0 ? m_peers.cell_size() : 1;
   const auto keys = m_engine.key_contact().Age(now);
   const auto primaries = m_engine.primary_contact().Age(now);
@@ -468,6 +494,7 @@
 
 void FleetDuty::OnTick(gateway::Time now) {
   m_registrar.OnTick(now);
+  UpdateRegistration(now);
   UpdatePrimaries(now);
   gateway::FleetCondition fleet;
   fleet.m_all_acknowledged = m_peers.AllAcknowledged(m_coordinator.revision());
@@ -494,9 +521,15 @@
   SendQueued();
 }
 
-void FleetDuty::Stop(gateway::Time now) {
+void FleetDuty::BeginShutdown(gateway::Time now) {
+  m_stopping = true;
   m_coordinator.Stop();
+  m_registrar.AnnounceStop(now);
+}
+
+void FleetDuty::Deregister(gateway::Time now) {
   m_registrar.Stop(now);
+  UpdateRegistration(now);
 }
 
 }  // namespace jasminelug::gateway_app
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -34,8 +34,10 @@
   // Hooks to the copies of the store's objects, and to this instance's other
   // duties. The owner must set them before the first tick.
   struct Hooks {
-    // Reads the registered instances from the store at once.
+    // Read the registered instances, or the replacement record, from the store
+    // at once.
     std::function<void()> m_read_instances;
+    std::function<void()> m_read_record;
     // Returns the revisions of the copies of the store's objects.
     std::function<std::vector<gateway::CopyRevision>()> m_copies;
     // Called with the copies that a peer of this cell reported.
@@ -55,6 +57,7 @@
   // first call of OnInstances().
   void OnNeighbours(const gateway::StoreObjects& objects, gateway::Time now) {
     m_registrar.OnEntries(objects, gateway::Revision(), now);
+    UpdateRegistration(now);
   }
 
   // Applies the entries of the registered instances, as of the store's revision
@@ -91,9 +94,18 @@
   // Returns this instance as a candidate for following the store.
   gateway::FollowerCandidate Candidate(gateway::Time now) const;
 
-  // Deletes this instance's entry from the store and starts no further
-  // replacement.
-  void Stop(gateway::Time now);
+  // Announces that this instance is stopping. It starts no further replacement
+  // and leaves the store to be followed by another instance.
+  void BeginShutdown(gateway::Time now);
+
+  // Deletes this instance's entry from the store. From then on, this instance
+  // uses no primary.
+  void Deregister(gateway::Time now);
+
+  // Returns whether the call that deletes the entry is in progress.
+  bool is_deregistering() const {
+    return m_stopping && m_registrar_client.is_calling();
+  }
 
   // Returns this instance's entry, or the entries of all registered instances
   // as the store holds them.
@@ -124,6 +136,7 @@
                      const gateway::VerifiedRevision& peer_state,
                      gateway::Revision own,
                      gateway::StoreContact* contact);
+  void UpdateRegistration(gateway::Time now);
   void UpdateHolders(gateway::Time now);
   void UpdateShares(gateway::Time now);
   void RemoveUnresponsivePeers(gateway::Time now);
@@ -157,6 +170,9 @@
   std::vector<gateway::InstanceEntry> m_entries;
   gateway::Time m_instances_as_of;
   Hooks m_hooks;
+  bool m_stopping = false;
+  // InstanceRegistrar::registered_since() when it was last applied.
+  std::optional<gateway::Time> m_registered_since;
   gateway::Time m_last_report;
   // Acknowledged revision in the last report.
   gateway::Revision m_reported_revision;
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -23,6 +23,8 @@
 constexpr gateway::Duration kMinShutdownTime = 2300ms;
 // Part of the shutdown limit that is reserved for the exit itself.
 constexpr gateway::Duration kExitReserve = 500ms;
+// Maximum time for the deletion of this instance's entry before the exit.
+constexpr gateway::Duration kDeregistrationTimeout = 300ms;
 // Fraction of the withdrawal limit for which keys may be used after they were
 // last verified.
 constexpr int kKeyContactNumerator = 9;
@@ -184,6 +186,9 @@
   hooks.m_read_instances = [this] {
     m_state.Refresh(StoreKind::kInstances, Now());
   };
+  hooks.m_read_record = [this] {
+    m_state.Refresh(StoreKind::kReplacements, Now());
+  };
   hooks.m_copies = [this] { return m_state.Copies(); };
   hooks.m_peer_copies = [this](const gateway::InstanceId& sender,
                                const std::vector<gateway::CopyRevision>& copies,
@@ -312,8 +317,8 @@
 bool GatewayProcess::IsReady() const {
   return !m_stopping_since && m_state.is_complete() &&
          m_engine.configuration() != nullptr && m_fleet.is_registered() &&
-         const_cast<gateway::Engine&>(m_engine).key_contact().IsFresh(
-             Now(), kReadyContactLimit);
+         m_engine.key_contact().IsFresh(Now(), kReadyContactLimit) &&
+         m_engine.primary_contact().IsFresh(Now(), kReadyContactLimit);
 }
 
 void GatewayProcess::ScheduleTick() {
@@ -348,7 +353,20 @@
       gateway::Duration(m_settings.m_shutdown_limit) - kExitReserve;
   const bool idle =
       m_engine.session_count() == 0 && stopping >= kMinShutdownTime;
-  if (idle || stopping >= limit) {
+  if (m_deregistering_since || idle || stopping >= limit) {
+    Exit(now);
+  }
+}
+
+// Deletes this instance's entry, and ends the process once that is done or
+// takes too long.
+void GatewayProcess::Exit(gateway::Time now) {
+  if (!m_deregistering_since) {
+    m_deregistering_since = now;
+    m_fleet.Deregister(now);
+  }
+  if (!m_fleet.is_deregistering() ||
+      now - *m_deregistering_since >= kDeregistrationTimeout) {
     m_io.stop();
   }
 }
@@ -387,7 +405,7 @@
   Log(m_logger, log4cplus::INFO_LOG_LEVEL, "stopping",
       {{"sessions", static_cast<std::int64_t>(m_engine.session_count())}});
   m_engine.BeginShutdown(now);
-  m_fleet.Stop(now);
+  m_fleet.BeginShutdown(now);
 }
 
 std::string GatewayProcess::Metrics() const {
--- a/apps/gateway/gateway_process.h
+++ b/apps/gateway/gateway_process.h
@@ -63,6 +63,7 @@
   void AwaitSignal();
   void OnSignal(int signal);
   void BeginShutdown();
+  void Exit(gateway::Time now);
   bool IsReady() const;
   std::string Metrics() const;
 
@@ -82,6 +83,7 @@
   std::unique_ptr<adapter::CallerListener> m_callers;
   std::unique_ptr<adapter::StatusListener> m_status;
   std::optional<gateway::Time> m_stopping_since;
+  std::optional<gateway::Time> m_deregistering_since;
   std::uint64_t m_completed = 0;
   std::uint64_t m_refused = 0;
   bool m_was_ready = false;
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -91,6 +91,8 @@
   // primaries.
   StoreContact& key_contact() { return m_key_contact; }
   StoreContact& primary_contact() { return m_primary_contact; }
+  const StoreContact& key_contact() const { return m_key_contact; }
+  const StoreContact& primary_contact() const { return m_primary_contact; }
 
   // --- Callers. ---
 
--- a/src/gateway/instance_registrar.cc
+++ b/src/gateway/instance_registrar.cc
@@ -19,19 +19,35 @@
   }
   m_listed = true;
   const auto own = objects.find(NameOf(m_entry.m_id));
-  m_registered = false;
+  bool registered = false;
   m_revision.reset();
   if (own != objects.end()) {
     m_revision = own->second.m_revision;
     const auto* entry = std::get_if<InstanceEntry>(&own->second.m_value);
-    m_registered = entry && entry->IsSameRun(m_entry);
-    m_outdated = !entry || entry->m_acknowledged < m_entry.m_acknowledged;
+    registered = entry && entry->IsSameRun(m_entry);
+    m_outdated = IsOutdated(own->second);
   }
-  if (!m_registered && !m_calling && !m_stopping) {
+  SetRegistered(registered && !m_stopping, now);
+  if (!registered && !m_calling && !m_stopping) {
     Write(now);
   }
 }
 
+// Returns whether the stored entry lacks what this instance has to announce.
+bool InstanceRegistrar::IsOutdated(const StoreObject& stored) const {
+  const auto* entry = std::get_if<InstanceEntry>(&stored.m_value);
+  return !entry || entry->m_acknowledged < m_entry.m_acknowledged ||
+         entry->m_leaving != m_entry.m_leaving;
+}
+
+void InstanceRegistrar::SetRegistered(bool registered, Time now) {
+  if (!registered) {
+    m_registered_since.reset();
+  } else if (!m_registered_since) {
+    m_registered_since = now;
+  }
+}
+
 void InstanceRegistrar::Write(Time now) {
   m_calling = true;
   m_call_sent = now;
@@ -45,8 +61,9 @@
     return;
   }
   if (IsOk(result)) {
-    m_registered = true;
-    m_outdated = false;
+    SetRegistered(true, now);
+    // The entry may have changed during the call.
+    m_outdated = IsOutdated(GetValue(result));
     m_revision = GetValue(result).m_revision;
     m_written = *m_revision;
     return;
@@ -66,7 +83,7 @@
     m_calling = false;
     m_next_call = now + kRetryDelay;
   }
-  const bool wanted = !m_registered || m_outdated;
+  const bool wanted = !is_registered() || m_outdated;
   const bool due = m_listed && wanted && !m_calling && !m_stopping;
   if (due && now >= m_next_call) {
     Write(now);
@@ -84,16 +101,22 @@
   }
 }
 
-void InstanceRegistrar::Stop(Time) {
+void InstanceRegistrar::AnnounceStop(Time now) {
+  m_entry.m_leaving = true;
+  m_outdated = true;
+  OnTick(now);
+}
+
+void InstanceRegistrar::Stop(Time now) {
   m_stopping = true;
   if (m_calling) {
     m_hooks.m_abandon();
     m_calling = false;
   }
-  if (m_registered) {
+  if (is_registered()) {
     m_hooks.m_delete(NameOf(m_entry.m_id));
   }
-  m_registered = false;
+  SetRegistered(false, now);
 }
 
 }  // namespace jasminelug::gateway
--- a/src/gateway/instance_registrar.h
+++ b/src/gateway/instance_registrar.h
@@ -14,7 +14,13 @@
 
 // Maintains this instance's entry in the store while the instance runs: creates
 // it, replaces the entry of an earlier run, restores it if it was removed, and
-// deletes it at shutdown. An instance serves only once it is registered.
+// deletes it before the exit.
+//
+// The coordinator of a replacement waits only for the instances that are
+// registered. An instance therefore uses a primary only while it is registered,
+// on the strength of a contact with the store that is no older than its
+// registration: the record that it read then contains every intent whose
+// coordinator may not wait for it. It stays registered while it stops.
 class InstanceRegistrar {
  public:
   struct Hooks {
@@ -47,14 +53,22 @@
   // acknowledged, and writes the entry to the store.
   void Acknowledge(Revision revision, Time now);
 
+  // Marks the entry as that of a stopping instance.
+  void AnnounceStop(Time now);
+
   // Begins to delete the entry and stops writing it.
   void Stop(Time now);
 
   // Returns whether the store holds the entry of this run.
-  bool is_registered() const { return m_registered; }
+  bool is_registered() const { return m_registered_since.has_value(); }
+  // Returns a time since which the store has held the entry of this run;
+  // nullopt if it does not hold it, as far as this instance knows.
+  std::optional<Time> registered_since() const { return m_registered_since; }
 
  private:
   void Write(Time now);
+  void SetRegistered(bool registered, Time now);
+  bool IsOutdated(const StoreObject& stored) const;
 
   InstanceEntry m_entry;
   const Hooks m_hooks;
@@ -62,9 +76,10 @@
   // Revision of the last write of this run.
   Revision m_written;
   bool m_listed = false;
-  bool m_registered = false;
+  std::optional<Time> m_registered_since;
   bool m_calling = false;
-  // Whether the entry in the store lacks the newest acknowledgement.
+  // Whether the entry in the store lacks the newest acknowledgement, or that
+  // this instance is stopping.
   bool m_outdated = false;
   bool m_stopping = false;
   Time m_call_sent;
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -491,7 +491,8 @@
 }
 
 bool PeerView::MayFollowBeforeSelf(const Peer& peer, Time now) const {
-  return IsLiveBeforeSelf(peer, now) && !peer.m_report->m_copies.empty();
+  return IsLiveBeforeSelf(peer, now) && !peer.m_entry.m_leaving &&
+         !peer.m_report->m_copies.empty();
 }
 
 int PeerView::FollowerRank(Time now) const {
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -115,7 +115,8 @@
   // Returns the position of this instance in the order in which instances
   // follow the store for the fleet. First come the heads of the cells, in the
   // order of IsBeforeInCell(), then the other instances of each cell. Only live
-  // instances that have copies of the store's objects count.
+  // instances that have copies of the store's objects and are not stopping
+  // count.
   int FollowerRank(Time now) const;
 
   // Returns whether this incarnation of the instance is registered.
--- a/src/gateway/store_contact.h
+++ b/src/gateway/store_contact.h
@@ -20,9 +20,15 @@
     m_last_contact = m_last_contact ? std::max(*m_last_contact, sent) : sent;
   }
 
-  // Returns whether the last contact is less than `limit` ago at `now`.
+  // Sets the time before which contact does not count for IsFresh(); nullopt if
+  // none counts. By default, all contact counts.
+  void CountFrom(std::optional<Time> since) { m_counts_from = since; }
+
+  // Returns whether the last contact counts and is less than `limit` ago at
+  // `now`.
   bool IsFresh(Time now, Duration limit) const {
-    return m_last_contact && now - *m_last_contact < limit;
+    return m_last_contact && m_counts_from &&
+           *m_last_contact >= *m_counts_from && now - *m_last_contact < limit;
   }
 
   // Returns the time since the last contact, or nullopt before the first one.
@@ -35,6 +41,7 @@
 
  private:
   std::optional<Time> m_last_contact;
+  std::optional<Time> m_counts_from = Time::min();
 };
 
 }  // namespace jasminelug::gateway
--- a/src/gateway/store_object.h
+++ b/src/gateway/store_object.h
@@ -54,6 +54,9 @@
   // has stopped using. It is stored here only while the instance's reports do
   // not reach the coordinator.
   Revision m_acknowledged;
+  // Whether the instance is stopping. It then accepts no work from other
+  // instances, but still serves its own sessions.
+  bool m_leaving = false;
   // Revision of the store at which it holds this entry; 0 if unknown. It is not
   // part of what the instance writes.
   Revision m_revision;
--- a/test/gateway/decisions_test.cc
+++ b/test/gateway/decisions_test.cc
@@ -54,6 +54,8 @@
   CPPUNIT_TEST(AdmissionFollowsThePlacementInterval);
   CPPUNIT_TEST(MissingMembersAreKeptForAWhile);
   CPPUNIT_TEST(RegistrarKeepsTheEntry);
+  CPPUNIT_TEST(StoppingInstanceStaysRegisteredWhileItServes);
+  CPPUNIT_TEST(ContactBeforeTheRegistrationDoesNotCount);
   CPPUNIT_TEST(CodesThatGuaranteeNoEffect);
   CPPUNIT_TEST_SUITE_END();
 
@@ -354,6 +356,71 @@
     CPPUNIT_ASSERT(!registrar.is_registered());
   }
 
+  // A coordinator waits only for registered instances, and a stopping instance
+  // still serves its sessions from the primaries.
+  void StoppingInstanceStaysRegisteredWhileItServes() {
+    InstanceEntry entry;
+    entry.m_id = InstanceId("a");
+    std::vector<InstanceEntry> writes;
+    int deletions = 0;
+    InstanceRegistrar::Hooks hooks;
+    hooks.m_write = [&writes](const std::string&, const InstanceEntry& written,
+                              std::optional<Revision>) {
+      writes.push_back(written);
+    };
+    hooks.m_delete = [&deletions](const std::string&) { deletions += 1; };
+    hooks.m_abandon = [] {};
+    InstanceRegistrar registrar(entry, hooks);
+    registrar.OnEntries({}, Revision(1), Time(1s));
+    CPPUNIT_ASSERT(!registrar.registered_since());
+    registrar.OnWritten(StoreObject{"instance.a", Revision(2), entry},
+                        Time(2s));
+    CPPUNIT_ASSERT(Time(2s) == registrar.registered_since());
+    registrar.AnnounceStop(Time(3s));
+    CPPUNIT_ASSERT(writes.back().m_leaving);
+    CPPUNIT_ASSERT_EQUAL(0, deletions);
+    CPPUNIT_ASSERT(Time(2s) == registrar.registered_since());
+    registrar.OnWritten(StoreObject{"instance.a", Revision(3), writes.back()},
+                        Time(3s));
+    registrar.OnTick(Time(10s));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, writes.size());
+    // The entry is removed by another instance, and is restored.
+    registrar.OnEntries({}, Revision(4), Time(11s));
+    CPPUNIT_ASSERT(!registrar.registered_since());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, writes.size());
+    CPPUNIT_ASSERT(writes.back().m_leaving);
+    registrar.OnWritten(StoreObject{"instance.a", Revision(5), writes.back()},
+                        Time(12s));
+    registrar.Stop(Time(13s));
+    CPPUNIT_ASSERT_EQUAL(1, deletions);
+    CPPUNIT_ASSERT(!registrar.registered_since());
+  }
+
+  // A copy that was verified before the instance registered may lack an intent
+  // whose coordinator does not wait for the instance.
+  void ContactBeforeTheRegistrationDoesNotCount() {
+    struct Case {
+      const char* m_name;
+      std::optional<Time> m_registered_since;
+      bool m_fresh;
+    };
+    const std::vector<Case> cases = {
+        {"registered before", Time(9s), true},
+        {"registered at the contact", Time(10s), true},
+        {"registered after", Time(10s) + 1ms, false},
+        {"not registered", std::nullopt, false}};
+    for (const Case& row : cases) {
+      StoreContact contact;
+      contact.RecordContact(Time(10s));
+      CPPUNIT_ASSERT(contact.IsFresh(Time(11s), 2s));
+      contact.CountFrom(row.m_registered_since);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.m_name, row.m_fresh,
+                                   contact.IsFresh(Time(11s), 2s));
+      // The age is that of the copy, whoever may use it.
+      CPPUNIT_ASSERT(Duration(1s) == contact.Age(Time(11s)));
+    }
+  }
+
   void CodesThatGuaranteeNoEffect() {
     struct Case {
       ErrorCode m_code;
