gateway: a promoted member is recorded once it leads a newer term

Cause: the coordinator took a member for the new primary as soon as the member's status or its entry said "primary". A member that was replaced while it was cut off says so of its earlier term. If it is promoted again, the record named it up to a second before the promotion took effect, and callers wrote to, and read from, a log that lacked the commits of the term in between.

Class: a belief whose version is not looked at.

Change: the status must show a term above all that were seen before the promotion; an entry counts only if it did not say "primary" before. A member that was the primary already (the earlier coordinator was lost after its promotion) is recorded 2 s after the platform has accepted the order.

Evidence: replacement_coordinator_test, MemberThatLedAnEarlierTermIsNotTakenForTheNewPrimary.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -453,6 +453,9 @@
   condition.m_group = group;
   condition.m_primary = m_engine.PrimaryOf(group);
   condition.m_sync_replicas = limits.m_sync_replicas;
+  if (const auto sample = m_engine.NewestSample(group)) {
+    condition.m_newest_term = sample->m_position.m_term;
+  }
   condition.m_failing_since = m_engine.PrimaryFailingSince(group, now);
   condition.m_not_observed =
       !condition.m_failing_since && !m_engine.IsPrimaryResponsive(group, now);
--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -242,7 +242,7 @@
         return;
       }
       if (m_retry_promotion) {
-        Promote(m_candidate, now);
+        Promote(m_candidate, group, now);
       } else {
         RequestStatuses(group, now);
       }
@@ -267,14 +267,30 @@
   }
 }
 
-void ReplacementCoordinator::Confirm(const GroupCondition& group, Time now) {
+bool ReplacementCoordinator::IsDeclared(const GroupCondition& group) const {
+  return std::find(group.m_self_declared.begin(), group.m_self_declared.end(),
+                   m_candidate) != group.m_self_declared.end();
+}
+
+// Returns whether the promoted member is the primary because of the promotion,
+// or was it already before.
+bool ReplacementCoordinator::LeadsNewTerm(const GroupCondition& group,
+                                          Time now) const {
   const auto status = m_statuses.find(*m_promoted);
   const bool reported = status != m_statuses.end() &&
                         status->second.m_role == MemberRole::kPrimary;
-  const bool declared =
-      std::find(group.m_self_declared.begin(), group.m_self_declared.end(),
-                *m_promoted) != group.m_self_declared.end();
-  if (reported || declared) {
+  const bool reports_new_term =
+      reported && status->second.m_term > m_term_before;
+  const bool declares_anew = IsDeclared(group) && !m_declared_before;
+  if (reports_new_term || declares_anew) {
+    return true;
+  }
+  return (reported || IsDeclared(group)) &&
+         now - m_promotion_accepted > kPromotionEffectLimit;
+}
+
+void ReplacementCoordinator::Confirm(const GroupCondition& group, Time now) {
+  if (LeadsNewTerm(group, now)) {
     if (now >= m_next_try) {
       RecordNewPrimary(now);
     }
@@ -390,13 +406,22 @@
     m_next_try = now + kRetryDelay;
     return;
   }
-  Promote(*best, now);
+  Promote(*best, group, now);
 }
 
-void ReplacementCoordinator::Promote(const MemberId& candidate, Time now) {
+void ReplacementCoordinator::Promote(const MemberId& candidate,
+                                     const GroupCondition& group,
+                                     Time now) {
   m_stage = Stage::kPromoting;
-  m_retry_promotion = false;
   m_candidate = candidate;
+  if (!m_retry_promotion) {
+    m_declared_before = IsDeclared(group);
+    m_term_before = group.m_newest_term;
+    for (const auto& [member, status] : m_statuses) {
+      m_term_before = std::max(m_term_before, status.m_term);
+    }
+  }
+  m_retry_promotion = false;
   m_call_sent = now;
   ReplacementIntent intent = *m_record.m_intent;
   intent.m_candidate = candidate;
@@ -412,6 +437,7 @@
   switch (result) {
     case PromotionResult::kDone:
       m_promoted = m_candidate;
+      m_promotion_accepted = now;
       m_stage = Stage::kConfirming;
       m_statuses.clear();
       return;
--- a/src/gateway/replacement_coordinator.h
+++ b/src/gateway/replacement_coordinator.h
@@ -45,6 +45,8 @@
   int m_sync_replicas = 0;
   // The members that declare themselves to be the primary.
   std::vector<MemberId> m_self_declared;
+  // Newest term in an answer of the group's primary; 0 if unknown.
+  Term m_newest_term;
 };
 
 // State of the fleet at one moment, as seen by this instance.
@@ -98,9 +100,11 @@
 //    requests the log positions of the candidates and promotes the most
 //    advanced one. The fencing token is the revision of the intent, so it
 //    increases with every intent.
-// 4. Once the new primary reports that it leads, the winner writes it into the
-//    record and removes the intent. Before that, the member is still a replica,
-//    and reads that are routed to it as the primary would be stale.
+// 4. Once the new primary reports that it leads a newer term, the winner writes
+//    it into the record and removes the intent. Before that, the member is
+//    still a replica, or the primary of an earlier term that does not know yet
+//    that it was replaced, and reads that are routed to it as the primary would
+//    be stale.
 //
 // Promotions by different instances do not follow each other quickly: an
 // instance waits for kCoordinatorChangePause after another instance may have
@@ -149,6 +153,10 @@
   // Time from reading the intent of a planned replacement, after which an
   // instance abandons the transactions that are still open at the old primary.
   static constexpr Duration kPlannedEndLimit = 1s;
+  // Time within which a promotion that the platform has accepted takes effect.
+  // A member that is the primary of the same term before and after was the
+  // primary already.
+  static constexpr Duration kPromotionEffectLimit = 2s;
   // Time after which candidates that did not report their position are no
   // longer waited for. A group with synchronous replicas waits for all
   // candidates.
@@ -203,7 +211,11 @@
   void RequestStatuses(const GroupCondition& group, Time now);
   void ChooseCandidate(const GroupCondition& group, Time now);
   bool MayChooseCandidate(const GroupCondition& group, Time now) const;
-  void Promote(const MemberId& candidate, Time now);
+  void Promote(const MemberId& candidate,
+               const GroupCondition& group,
+               Time now);
+  bool IsDeclared(const GroupCondition& group) const;
+  bool LeadsNewTerm(const GroupCondition& group, Time now) const;
   void Confirm(const GroupCondition& group, Time now);
   void RecordNewPrimary(Time now);
   bool HasChangePausePassed(Time now) const;
@@ -228,10 +240,15 @@
   bool m_writing = false;
   // The member that the platform promoted, until the record names it.
   std::optional<MemberId> m_promoted;
+  Time m_promotion_accepted;
   // The member that is being promoted, and whether to send the same order
   // again.
   MemberId m_candidate;
   bool m_retry_promotion = false;
+  // Newest term that was known before the promotion, and whether the candidate
+  // declared itself to be the primary before it.
+  Term m_term_before;
+  bool m_declared_before = false;
   Time m_status_collection_began;
   Time m_statuses_requested;
   std::map<MemberId, MemberStatus> m_statuses;
--- a/test/gateway/replacement_coordinator_test.cc
+++ b/test/gateway/replacement_coordinator_test.cc
@@ -140,9 +140,11 @@
   return fleet;
 }
 
+// Returns the status of a member; the promoted member leads term 4.
 MemberStatus StatusAt(std::uint64_t position, MemberRole role) {
   MemberStatus status;
   status.m_role = role;
+  status.m_term = Term(role == MemberRole::kPrimary ? 4 : 3);
   status.m_received = {Term(3), position};
   return status;
 }
@@ -155,6 +157,8 @@
   CPPUNIT_TEST(InstancesAreReadAfterTheIntent);
   CPPUNIT_TEST(PromotesTheMostAdvancedCandidate);
   CPPUNIT_TEST(RecordsThePrimaryOnlyOnceItLeads);
+  CPPUNIT_TEST(MemberThatLedAnEarlierTermIsNotTakenForTheNewPrimary);
+  CPPUNIT_TEST(TakenOverPromotionThatWasDoneIsRecorded);
   CPPUNIT_TEST(TriesAnotherCandidateAfterARefusal);
   CPPUNIT_TEST(RepeatsTheSameOrderAfterALostAnswer);
   CPPUNIT_TEST(SynchronousGroupsNeedAllPositions);
@@ -320,6 +324,74 @@
     CPPUNIT_ASSERT(!fleet.At("a").IntentFor(test_group));
   }
 
+  // A member that was replaced while it was cut off still takes itself for the
+  // primary of its earlier term when it is promoted again.
+  void MemberThatLedAnEarlierTermIsNotTakenForTheNewPrimary() {
+    struct Case {
+      const char* m_name;
+      bool m_declared;
+      bool m_reported;
+    };
+    const std::vector<Case> cases = {{"its entry says so", true, false},
+                                     {"its status says so", false, true}};
+    for (const Case& row : cases) {
+      Fleet fleet({"a"});
+      GroupCondition group = FailedPrimary(fleet);
+      if (row.m_declared) {
+        group.m_self_declared = {second_replica};
+      }
+      fleet.Tick("a", group, LiveFleet(false));
+      fleet.ApplyWrites();
+      fleet.AdvanceTime(20ms);
+      fleet.Tick("a", group, LiveFleet(true));
+      MemberStatus earlier = StatusAt(9, MemberRole::kPrimary);
+      earlier.m_term = Term(3);
+      fleet.At("a").OnStatus(first_replica, StatusAt(7, MemberRole::kReplica),
+                             fleet.m_now);
+      fleet.At("a").OnStatus(second_replica, earlier, fleet.m_now);
+      fleet.AdvanceTime(20ms);
+      fleet.Tick("a", group, LiveFleet(true));
+      fleet.At("a").OnPromoted(PromotionResult::kDone, fleet.m_now);
+      for (int i = 0; i < 10; ++i) {
+        fleet.AdvanceTime(100ms);
+        if (row.m_reported) {
+          fleet.At("a").OnStatus(second_replica, earlier, fleet.m_now);
+        }
+        fleet.Tick("a", group, LiveFleet(true));
+        CPPUNIT_ASSERT_MESSAGE(row.m_name, fleet.m_writes.empty());
+      }
+      fleet.At("a").OnStatus(second_replica, StatusAt(9, MemberRole::kPrimary),
+                             fleet.m_now);
+      fleet.Tick("a", group, LiveFleet(true));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.m_name, std::size_t{1},
+                                   fleet.m_writes.size());
+    }
+  }
+
+  // The earlier coordinator was lost after its promotion was carried out.
+  // Promoting the same member again changes nothing, not even its term.
+  void TakenOverPromotionThatWasDoneIsRecorded() {
+    Fleet fleet({"a"});
+    const GroupCondition group = FailedPrimary(fleet);
+    fleet.Tick("a", group, LiveFleet(false));
+    fleet.ApplyWrites();
+    fleet.AdvanceTime(20ms);
+    fleet.Tick("a", group, LiveFleet(true));
+    fleet.At("a").OnStatus(first_replica, StatusAt(7, MemberRole::kReplica),
+                           fleet.m_now);
+    fleet.At("a").OnStatus(second_replica, StatusAt(9, MemberRole::kPrimary),
+                           fleet.m_now);
+    fleet.AdvanceTime(20ms);
+    fleet.Tick("a", group, LiveFleet(true));
+    fleet.At("a").OnPromoted(PromotionResult::kDone, fleet.m_now);
+    fleet.AdvanceTime(ReplacementCoordinator::kPromotionEffectLimit + 10ms);
+    fleet.At("a").OnStatus(second_replica, StatusAt(9, MemberRole::kPrimary),
+                           fleet.m_now);
+    fleet.Tick("a", group, LiveFleet(true));
+    fleet.ApplyWrites();
+    CPPUNIT_ASSERT(second_replica == fleet.At("a").PrimaryOf(test_group));
+  }
+
   void TriesAnotherCandidateAfterARefusal() {
     Fleet fleet({"a"});
     Promote(&fleet, "a");
