gateway: an acknowledgement holds until the acknowledged record is read

Cause: an instance that has heard of records which it has not read acknowledges the newest of them. When it then read one of the older ones, the newest was given a new wait of 0.2 s, in which the primary counted as usable.

Change: what was found unread stays so until it is read.

Evidence: primary_decision_test, AcknowledgementIsNotTakenBackByAnOlderRecord, failed before. One assertion of UnreadRecordMakesPrimaryUnusable asked the same object for the own revision 6 and then 7, and demanded a new wait: just this fault.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -205,7 +205,7 @@
                                gateway::Time now) {
   m_coordinator.OnEntries(objects, now);
   UpdatePrimaries(now);
-  if (AcknowledgedRevision(now) != m_reported_revision) {
+  if (AcknowledgedRevision() != m_reported_revision) {
     SendReports(now);
   }
 }
@@ -221,8 +221,8 @@
   if (!configuration) {
     return;
   }
-  const bool unread =
-      m_peer_record.FindUnread(m_coordinator.revision(), now).has_value();
+  m_peer_record.Update(m_coordinator.revision(), now);
+  const bool unread = m_peer_record.unread().has_value();
   for (const auto& [group, limits] : configuration->m_groups) {
     const gateway::PrimaryDecision decision = gateway::DecidePrimary(
         group, m_coordinator, m_engine.members().SelfDeclaredPrimary(group),
@@ -231,9 +231,8 @@
   }
 }
 
-gateway::Revision FleetDuty::AcknowledgedRevision(gateway::Time now) const {
-  const auto unread = m_peer_record.FindUnread(m_coordinator.revision(), now);
-  if (unread) {
+gateway::Revision FleetDuty::AcknowledgedRevision() const {
+  if (const auto unread = m_peer_record.unread()) {
     return AreAllPrimariesUnused() ? *unread : gateway::Revision();
   }
   const auto& intent = m_coordinator.record().m_intent;
@@ -257,7 +256,7 @@
   gateway::PeerReport report;
   report.m_copies = m_hooks.m_copies();
   report.m_demand = m_engine.limiter().Demand(now);
-  report.m_acknowledged = AcknowledgedRevision(now);
+  report.m_acknowledged = AcknowledgedRevision();
   const gateway::Configuration* configuration = m_engine.configuration();
   if (!configuration) {
     return report;
@@ -513,9 +512,9 @@
       m_coordinator.record().m_intent && !fleet.m_coordinator_live &&
       m_coordinator.record().m_coordinator != m_entry.m_id;
   if (coordinator_unresponsive) {
-    m_registrar.Acknowledge(AcknowledgedRevision(now), now);
+    m_registrar.Acknowledge(AcknowledgedRevision(), now);
   }
-  const bool acknowledges = AcknowledgedRevision(now) != m_reported_revision;
+  const bool acknowledges = AcknowledgedRevision() != m_reported_revision;
   if (acknowledges || now - m_last_report >= kReportInterval) {
     SendReports(now);
     UpdateShares(now);
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -127,7 +127,7 @@
                           gateway::Time now);
   void SendQueued();
   gateway::PeerReport MakeReport(gateway::Time now) const;
-  gateway::Revision AcknowledgedRevision(gateway::Time now) const;
+  gateway::Revision AcknowledgedRevision() const;
   bool AreAllPrimariesUnused() const;
   void LogReplacement(const std::string& event,
                       const gateway::ReplacementIntent& intent);
--- a/src/gateway/primary_decision.cc
+++ b/src/gateway/primary_decision.cc
@@ -21,18 +21,23 @@
   }
 }
 
-std::optional<Revision> PeerReadRevisions::FindUnread(Revision own,
-                                                      Time now) const {
+void PeerReadRevisions::Update(Revision own, Time now) {
   const auto unread =
       std::find_if(m_peer_revisions.begin(), m_peer_revisions.end(),
                    [own](const PeerRevision& peer_revision) {
                      return peer_revision.m_revision > own;
                    });
-  if (unread == m_peer_revisions.end() ||
-      now - unread->m_first_reported < kGracePeriod) {
-    return std::nullopt;
+  if (unread == m_peer_revisions.end()) {
+    m_unread.reset();
+    return;
+  }
+  // m_unread may have been acknowledged already.
+  const bool was_unread = m_unread && *m_unread > own;
+  if (was_unread || now - unread->m_first_reported >= kGracePeriod) {
+    m_unread = m_peer_revisions.back().m_revision;
+  } else {
+    m_unread.reset();
   }
-  return m_peer_revisions.back().m_revision;
 }
 
 PrimaryDecision DecidePrimary(const GroupName& group,
--- a/src/gateway/primary_decision.h
+++ b/src/gateway/primary_decision.h
@@ -17,7 +17,8 @@
 // instances. This instance cannot read an intent, but its peers report that
 // there is a newer record. It then uses no primary and acknowledges the record,
 // so that a replacement does not have to wait until this instance's last
-// contact with the store has reached its maximum age.
+// contact with the store has reached its maximum age. It goes on so until it
+// has read the record that it has acknowledged, or a newer one.
 class PeerReadRevisions {
  public:
   // A peer that has read a new record usually delivers it within this time.
@@ -26,11 +27,15 @@
   // Records that another instance has read the record of this revision.
   void RecordPeerRevision(Revision revision, Time now);
 
-  // Returns the newest revision that others have read, if this instance, which
-  // has read `own`, has lacked some newer revision for at least kGracePeriod.
-  // Further revisions that are reported meanwhile do not restart the grace
-  // period.
-  std::optional<Revision> FindUnread(Revision own, Time now) const;
+  // Records that this instance has read the record of the revision `own`. Must
+  // be called before unread(), at each change and on each tick.
+  void Update(Revision own, Time now);
+
+  // Returns the newest revision that others have read, if this instance has
+  // lacked some newer revision than its own for at least kGracePeriod. Neither
+  // further revisions that are reported meanwhile nor an older record that this
+  // instance then reads restart the grace period.
+  std::optional<Revision> unread() const { return m_unread; }
 
  private:
   struct PeerRevision {
@@ -42,6 +47,7 @@
 
   // Ordered from oldest to newest.
   std::deque<PeerRevision> m_peer_revisions;
+  std::optional<Revision> m_unread;
 };
 
 // How an instance may use a group's primary.
