gateway: a copy of the record is passed on with its own proof only

Cause: the instance that writes the record knows it before its copy of the store's objects does. Until the watch returned, it answered requests with the old copy and the age of the contact that had verified the new record.

Class: a proof that is not tied to what it proves.

Change: the writer takes what it has written into its copy.

Evidence: state_duty_test, CopyIsNotOlderThanTheRecordThatWasWritten; without the new call the copy is passed on at revision 5.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -116,6 +116,9 @@
                             const gateway::Time now = Now();
                             m_coordinator.OnWritten(result, now);
                             UpdatePrimaries(now);
+                            if (IsOk(result)) {
+                              m_hooks.m_record_written(GetValue(result));
+                            }
                           });
   };
   hooks.m_promote = [this](const gateway::PromotionOrder& order) {
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -38,6 +38,8 @@
     // at once.
     std::function<void()> m_read_instances;
     std::function<void()> m_read_record;
+    // Called with the replacement record that this instance has written.
+    std::function<void(const gateway::StoreObject& record)> m_record_written;
     // Returns the revisions of the copies of the store's objects.
     std::function<std::vector<gateway::CopyRevision>()> m_copies;
     // Called with the copies that a peer of this cell reported.
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -189,6 +189,9 @@
   hooks.m_read_record = [this] {
     m_state.Refresh(StoreKind::kReplacements, Now());
   };
+  hooks.m_record_written = [this](const gateway::StoreObject& record) {
+    m_state.OnRecordWritten(record);
+  };
   hooks.m_copies = [this] { return m_state.Copies(); };
   hooks.m_peer_copies = [this](const gateway::InstanceId& sender,
                                const std::vector<gateway::CopyRevision>& copies,
--- a/apps/gateway/state_duty.cc
+++ b/apps/gateway/state_duty.cc
@@ -293,6 +293,12 @@
   }
 }
 
+void StateDuty::OnRecordWritten(const gateway::StoreObject& record) {
+  LinkOf(StoreKind::kReplacements)
+      .follower()
+      .Adopt({{record.m_name, record}}, record.m_revision);
+}
+
 void StateDuty::RefreshLostLinks(gateway::Time now) {
   for (const auto& [kind, link] : m_links) {
     if (link->follower().is_retrying()) {
--- a/apps/gateway/state_duty.h
+++ b/apps/gateway/state_duty.h
@@ -76,6 +76,10 @@
   // Reads what has changed in a kind from the store at once.
   void Refresh(gateway::StoreKind kind, gateway::Time now);
 
+  // Takes over the replacement record that this instance has just written. The
+  // store holds no other object of its kind.
+  void OnRecordWritten(const gateway::StoreObject& record);
+
   void OnTick(const gateway::FollowerCandidate& self, gateway::Time now);
 
   // Returns the revisions of the copies, for the reports to other instances.
--- a/test/gateway_app/state_duty_test.cc
+++ b/test/gateway_app/state_duty_test.cc
@@ -101,6 +101,7 @@
   CPPUNIT_TEST(WaitingRequestsAreAnsweredWithTheProof);
   CPPUNIT_TEST(UnrequestedAndDamagedUpdatesAreIgnored);
   CPPUNIT_TEST(LateUpdateProvesNoMoreThanItsOwnRequest);
+  CPPUNIT_TEST(CopyIsNotOlderThanTheRecordThatWasWritten);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -165,6 +166,29 @@
     CPPUNIT_ASSERT(harness.m_contacts.at(StoreKind::kReplacements) <=
                    first_request);
   }
+
+  // The proof of a copy that is passed on is that of the newest record that
+  // this instance knows. It must not vouch for the copy from before its own
+  // write.
+  void CopyIsNotOlderThanTheRecordThatWasWritten() {
+    Harness harness;
+    const gateway::Time now = Now();
+    harness.m_duty.OnUnknownReporter(InstanceId("b"));
+    harness.m_duty.OnMessage(InstanceId("b"),
+                             Update(StoreKind::kReplacements, 5, 10ms), now);
+    gateway::StoreObject written;
+    written.m_name = gateway::ReplacementCoordinator::kRecordName;
+    written.m_revision = Revision(8);
+    written.m_value = gateway::ReplacementRecord();
+    harness.m_duty.OnRecordWritten(written);
+    harness.m_duty.OnMessage(
+        InstanceId("c"),
+        gateway::StateRequest{StoreKind::kReplacements, Revision(), {}}, now);
+    const std::vector<gateway::StateUpdate> updates = harness.UpdatesFor("c");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, updates.size());
+    CPPUNIT_ASSERT(Revision(8) == updates[0].m_changed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, updates[0].m_objects.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StateDutyTest);
