gateway: abandoned statements are not sent to the old primary once more

- Statements that were abandoned, and those that waited, were placed at the old primary again, since the engine still held it for usable while it closed the connections.
They were abandoned once more on the next tick, and writes among them ended in doubt that could have waited for the new primary.
The order is older; only the first call for a replacement went this way.
- A status request that the old primary did not answer counted as a use, so that the replacement of a dark primary was acknowledged only when the request ended (after 1 s to 2.5 s).

Tests: replaced_primary_test, AbandonedStatementsAreNotSentThereAgain and ProbeDoesNotHoldUpTheAcknowledgement.

--- a/src/gateway/connection_table.cc
+++ b/src/gateway/connection_table.cc
@@ -75,8 +75,10 @@
 bool ConnectionTable::AreAllIdle(const MemberId& member) const {
   return std::all_of(m_connections.begin(), m_connections.end(),
                      [&member](const auto& item) {
-                       return item.second->m_member != member ||
-                              item.second->m_stage == Connection::Stage::kIdle;
+                       const Connection& connection = *item.second;
+                       return connection.m_member != member ||
+                              connection.m_stage == Connection::Stage::kIdle ||
+                              connection.RequestsStatus();
                      });
 }
 
--- a/src/gateway/connection_table.h
+++ b/src/gateway/connection_table.h
@@ -90,7 +90,8 @@
   std::vector<ConnectionId> All() const;
   std::vector<ConnectionId> AllOf(const MemberId& member) const;
 
-  // Returns whether no connection to `member` is in use.
+  // Returns whether no connection to `member` is in use, other than for
+  // requests of its status.
   bool AreAllIdle(const MemberId& member) const;
 
   // Returns how many connections to the member are opening or have unanswered
--- a/src/gateway/engine.cc
+++ b/src/gateway/engine.cc
@@ -96,13 +96,14 @@
                         Time now) {
   Group& group = GroupOf(name);
   const PrimaryView before = group.m_primary;
+  // Set first, so that no abandoned statement is placed there again.
+  group.m_primary = primary;
   if (before.m_member && !primary.m_usable && abandon) {
     AbandonStatements(*before.m_member, now);
   }
   if (before == primary) {
     return;
   }
-  group.m_primary = primary;
   const bool replaced = before.m_member != primary.m_member;
   if (replaced) {
     group.m_floor.Clear();
--- a/test/gateway/replaced_primary_test.cc
+++ b/test/gateway/replaced_primary_test.cc
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(LateAnswerIsNotAcknowledged);
   CPPUNIT_TEST(TransactionMayEndBeforeAPlannedReplacement);
   CPPUNIT_TEST(PrimaryIsBusyAfterItsEntryWasAwayForAWhile);
+  CPPUNIT_TEST(AbandonedStatementsAreNotSentThereAgain);
+  CPPUNIT_TEST(ProbeDoesNotHoldUpTheAcknowledgement);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -139,6 +141,33 @@
     fixture.m_engine.SetMembers(EngineFixture::Members(), fixture.m_now);
     CPPUNIT_ASSERT(!fixture.m_engine.IsPrimaryIdle(EngineFixture::Group()));
   }
+
+  // An unplanned replacement begins while one write is in flight and others
+  // wait for a place.
+  void AbandonedStatementsAreNotSentThereAgain() {
+    EngineFixture fixture;
+    for (int i = 0; i < 12; ++i) {
+      fixture.Write(fixture.Open("strict"));
+    }
+    fixture.OpenConnections();
+    const std::size_t connections = fixture.m_connections.size();
+    fixture.m_engine.SetPrimary(EngineFixture::Group(),
+                                {MemberId("p"), false, {}}, true,
+                                fixture.m_now);
+    CPPUNIT_ASSERT_EQUAL(connections, fixture.m_connections.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.CountUnansweredAt("p"));
+    CPPUNIT_ASSERT(fixture.m_engine.IsPrimaryIdle(EngineFixture::Group()));
+  }
+
+  // The primary does not answer the probe of an instance that has to
+  // acknowledge its replacement.
+  void ProbeDoesNotHoldUpTheAcknowledgement() {
+    EngineFixture fixture;
+    fixture.m_engine.RequestStatus(MemberId("p"), fixture.m_now);
+    fixture.OpenConnections();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.CountUnansweredAt("p"));
+    CPPUNIT_ASSERT(fixture.m_engine.IsPrimaryIdle(EngineFixture::Group()));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReplacedPrimaryTest);
