gateway: a promotion call ends in time also without contact

A coordinator that was cut off while its promotion call was repeated did not end the call, because the limit was applied only while its contact was recent.

Change: the limit of the call holds always. A coordinator that is stopping ends its own replacement (before, the others waited 6 s for it). The term of a promoted member counts as new only if its term before the promotion is known.

Tests: OrderEndsWithoutContact, StoppingCoordinatorEndsItsReplacement.

--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -155,15 +155,17 @@
     m_writing = false;
     m_next_try = now + kRetryDelay;
   }
-  if (!m_listed || m_stopped || m_writing || !fleet.m_contact_recent) {
-    return;
+  // Not only while the contact is recent: another coordinator relies on the end
+  // of this call.
+  if (m_stage == Stage::kPromoting && now - m_call_sent > kCallTimeout) {
+    m_hooks.m_abandon_promotion();
+    OnPromoted(PromotionResult::kUnknown, now);
   }
-  if (!m_record.m_intent) {
-    ConsiderProposals(groups, fleet, now);
+  if (!m_listed || m_writing || !fleet.m_contact_recent) {
     return;
   }
   if (!IsOwnIntent()) {
-    ConsiderTakeOver(fleet, now);
+    ConsiderTurn(groups, fleet, now);
     return;
   }
   for (const GroupCondition& group : groups) {
@@ -173,6 +175,21 @@
   }
 }
 
+// Proposes a replacement or takes one over, if it is this instance's turn.
+void ReplacementCoordinator::ConsiderTurn(
+    const std::vector<GroupCondition>& groups,
+    const FleetCondition& fleet,
+    Time now) {
+  if (m_stopped) {
+    return;
+  }
+  if (m_record.m_intent) {
+    ConsiderTakeOver(fleet, now);
+  } else {
+    ConsiderProposals(groups, fleet, now);
+  }
+}
+
 void ReplacementCoordinator::ConsiderProposals(
     const std::vector<GroupCondition>& groups,
     const FleetCondition& fleet,
@@ -256,10 +273,6 @@
       }
       return;
     case Stage::kPromoting:
-      if (now - m_call_sent > kCallTimeout) {
-        m_hooks.m_abandon_promotion();
-        OnPromoted(PromotionResult::kUnknown, now);
-      }
       return;
     case Stage::kConfirming:
       Confirm(group, now);
@@ -280,7 +293,7 @@
   const bool reported = status != m_statuses.end() &&
                         status->second.m_role == MemberRole::kPrimary;
   const bool reports_new_term =
-      reported && status->second.m_term > m_term_before;
+      reported && m_term_known && status->second.m_term > m_term_before;
   const bool declares_anew = IsDeclared(group) && !m_declared_before;
   if (reports_new_term || declares_anew) {
     return true;
@@ -420,6 +433,7 @@
     for (const auto& [member, status] : m_statuses) {
       m_term_before = std::max(m_term_before, status.m_term);
     }
+    m_term_known = m_statuses.contains(candidate);
   }
   m_retry_promotion = false;
   m_call_sent = now;
--- a/src/gateway/replacement_coordinator.h
+++ b/src/gateway/replacement_coordinator.h
@@ -176,7 +176,8 @@
               const FleetCondition& fleet,
               Time now);
 
-  // Stops this coordinator from starting anything new.
+  // Stops this coordinator from starting anything new. It goes on with its own
+  // intent, if there is one.
   void Stop() { m_stopped = true; }
 
   const ReplacementRecord& record() const { return m_record; }
@@ -202,6 +203,9 @@
   void ConsiderProposals(const std::vector<GroupCondition>& groups,
                          const FleetCondition& fleet,
                          Time now);
+  void ConsiderTurn(const std::vector<GroupCondition>& groups,
+                    const FleetCondition& fleet,
+                    Time now);
   void ConsiderTakeOver(const FleetCondition& fleet, Time now);
   void Propose(const GroupCondition& group, bool planned, Time now);
   void Write(const ReplacementRecord& record, Time now);
@@ -248,6 +252,8 @@
   // Newest term that was known before the promotion, and whether the candidate
   // declared itself to be the primary before it.
   Term m_term_before;
+  // Whether m_term_before includes the term of the candidate.
+  bool m_term_known = false;
   bool m_declared_before = false;
   Time m_status_collection_began;
   Time m_statuses_requested;
--- a/test/gateway/replacement_coordinator_test.cc
+++ b/test/gateway/replacement_coordinator_test.cc
@@ -165,6 +165,8 @@
   CPPUNIT_TEST(PlannedReplacementWaitsForTheLog);
   CPPUNIT_TEST(UnresponsiveCoordinatorIsTakenOver);
   CPPUNIT_TEST(OldCoordinatorAbandonsItsOrder);
+  CPPUNIT_TEST(OrderEndsWithoutContact);
+  CPPUNIT_TEST(StoppingCoordinatorEndsItsReplacement);
   CPPUNIT_TEST(LostAnswerToTheIntentIsReadBack);
   CPPUNIT_TEST(DoesNothingWithoutContact);
   CPPUNIT_TEST(FencingTokensGrowWithRacingCoordinators);
@@ -495,6 +497,35 @@
     CPPUNIT_ASSERT(fleet.m_writes.empty());
   }
 
+  // A coordinator is cut off while its order is on the way. Another one counts
+  // on the end of the call.
+  void OrderEndsWithoutContact() {
+    Fleet fleet({"a"});
+    Promote(&fleet, "a");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.m_all_orders.size());
+    FleetCondition cut_off = LiveFleet(true);
+    cut_off.m_contact_recent = false;
+    fleet.AdvanceTime(ReplacementCoordinator::kCallTimeout + 10ms);
+    fleet.Tick("a", FailedPrimary(fleet), cut_off);
+    CPPUNIT_ASSERT_EQUAL(1, fleet.m_instances["a"].m_abandoned_promotions);
+    fleet.AdvanceTime(1s);
+    fleet.Tick("a", FailedPrimary(fleet), cut_off);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.m_all_orders.size());
+  }
+
+  void StoppingCoordinatorEndsItsReplacement() {
+    Fleet fleet({"a", "b"});
+    fleet.Tick("a", FailedPrimary(fleet), LiveFleet(false));
+    fleet.ApplyWrites();
+    fleet.At("a").Stop();
+    fleet.AdvanceTime(20ms);
+    fleet.Tick("a", FailedPrimary(fleet), LiveFleet(true));
+    CPPUNIT_ASSERT(!fleet.m_instances["a"].m_status_requests.empty());
+    fleet.At("b").Stop();
+    fleet.Tick("b", FailedPrimary(fleet), LiveFleet(true));
+    CPPUNIT_ASSERT(fleet.m_writes.empty());
+  }
+
   void LostAnswerToTheIntentIsReadBack() {
     Fleet fleet({"a"});
     fleet.m_lose_answers = true;
