gateway: an instance whose entry was removed is waited for

A peer removes the entry of an instance that it has not heard of for 8 s. If only the link between the two is cut, that instance goes on with proofs from others and restores its entry when it learns of the removal. A replacement in between did not wait for it.

Change: an entry that disappears without the mark of a stopping instance counts as not acknowledged for as long as a last contact with the store lasts.

Test: peer_view_test, RemovedInstanceIsWaitedFor.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -147,7 +147,7 @@
                                const gateway::ReplacementIntent& intent) {
   std::string missing;
   for (const gateway::InstanceId& id :
-       m_peers.Unacknowledged(m_coordinator.revision())) {
+       m_peers.Unacknowledged(m_coordinator.revision(), Now())) {
     missing += (missing.empty() ? "" : " ") + id.str();
   }
   const auto list_age = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -502,7 +502,8 @@
   UpdateRegistration(now);
   UpdatePrimaries(now);
   gateway::FleetCondition fleet;
-  fleet.m_all_acknowledged = m_peers.AllAcknowledged(m_coordinator.revision());
+  fleet.m_all_acknowledged =
+      m_peers.AllAcknowledged(m_coordinator.revision(), now);
   fleet.m_instances_as_of = m_instances_as_of;
   fleet.m_rank = m_peers.Rank(now);
   fleet.m_contact_recent =
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -39,6 +39,7 @@
 
 void PeerView::SetInstances(const std::vector<InstanceEntry>& entries,
                             Time now) {
+  NoteVanished(entries, now);
   std::map<InstanceId, Peer> peers;
   std::map<ZoneName, Cell> cells;
   const bool single = entries.size() <= kMaxSingleCellInstances;
@@ -76,6 +77,26 @@
   KeepHeads();
 }
 
+void PeerView::NoteVanished(const std::vector<InstanceEntry>& entries,
+                            Time now) {
+  std::map<InstanceId, InstanceEntry> registered;
+  for (const InstanceEntry& entry : entries) {
+    m_vanished.erase(entry.m_id);
+    if (entry.m_id != m_self) {
+      registered.emplace(entry.m_id, entry);
+    }
+  }
+  for (const auto& [id, entry] : m_entries) {
+    if (!entry.m_leaving && !registered.contains(id)) {
+      m_vanished.emplace(id, now);
+    }
+  }
+  std::erase_if(m_vanished, [now](const auto& item) {
+    return now - item.second >= kVanishedTime;
+  });
+  m_entries = std::move(registered);
+}
+
 // Removes the heads whose run is no longer registered.
 void PeerView::KeepHeads() {
   std::map<InstanceId, Peer> heads;
@@ -404,12 +425,18 @@
                                   });
 }
 
-bool PeerView::AllAcknowledged(Revision revision) const {
-  return Unacknowledged(revision).empty();
+bool PeerView::AllAcknowledged(Revision revision, Time now) const {
+  return Unacknowledged(revision, now).empty();
 }
 
-std::vector<InstanceId> PeerView::Unacknowledged(Revision revision) const {
+std::vector<InstanceId> PeerView::Unacknowledged(Revision revision,
+                                                 Time now) const {
   std::vector<InstanceId> instances;
+  for (const auto& [id, since] : m_vanished) {
+    if (now - since < kVanishedTime) {
+      instances.push_back(id);
+    }
+  }
   for (const auto& [id, peer] : m_peers) {
     if (!HasAcknowledged(peer, revision)) {
       instances.push_back(id);
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -50,6 +50,11 @@
   // from the store.
   static constexpr Duration kExpiryTime = 8s;
 
+  // Time after which an instance whose entry disappeared uses no primary,
+  // because its last contact with the store is too old. It has learnt of the
+  // disappearance unless it lost that contact.
+  static constexpr Duration kVanishedTime = 4400ms;
+
   // Maximum number of instances that all report to each other, without cells.
   static constexpr std::size_t kMaxSingleCellInstances = 16;
 
@@ -91,11 +96,14 @@
   // Returns whether every other registered instance has acknowledged the
   // revision in its current incarnation. The digest of another cell counts only
   // if its sender knew all instances of that cell that are registered.
-  bool AllAcknowledged(Revision revision) const;
+  //
+  // An instance whose entry disappeared although it was not stopping may not
+  // know that yet. It counts for kVanishedTime, until it is registered again.
+  bool AllAcknowledged(Revision revision, Time now) const;
 
   // Returns the instances of this cell that keep AllAcknowledged() from being
   // true, and an instance of each other cell that does, for the log.
-  std::vector<InstanceId> Unacknowledged(Revision revision) const;
+  std::vector<InstanceId> Unacknowledged(Revision revision, Time now) const;
 
   // Number of other instances that cannot reach a group's primary, and of those
   // that can. Instances that report neither are not counted.
@@ -194,6 +202,7 @@
   const Peer* Find(const InstanceId& id) const;
   Peer* FindSender(const PeerReport& report);
   void KeepHeads();
+  void NoteVanished(const std::vector<InstanceEntry>& entries, Time now);
   std::vector<InstanceEntry> HeadsOf(const ZoneName& zone, Time now) const;
   bool IsLive(const Cell& cell, Time now) const;
   static bool HasAcknowledged(const Peer& peer, Revision revision);
@@ -231,6 +240,10 @@
   // instance.
   std::optional<Time> m_vacant_since;
   std::size_t m_next_receiver = 0;
+  // Entries of the other instances, and the times at which entries disappeared
+  // that were not those of stopping instances.
+  std::map<InstanceId, InstanceEntry> m_entries;
+  std::map<InstanceId, Time> m_vanished;
   int m_instance_count = 1;
   std::uint64_t m_sequence = 0;
   std::deque<SentReport> m_sent;
--- a/test/gateway/peer_view_test.cc
+++ b/test/gateway/peer_view_test.cc
@@ -165,6 +165,7 @@
   CPPUNIT_TEST(EchoBoundsReportAge);
   CPPUNIT_TEST(OldAndForeignReportsAreIgnored);
   CPPUNIT_TEST(AcknowledgementsCountForOneIncarnation);
+  CPPUNIT_TEST(RemovedInstanceIsWaitedFor);
   CPPUNIT_TEST(ExpiredPeersAreListed);
   CPPUNIT_TEST(CellsShareDemandOfTheWholeFleet);
   CPPUNIT_TEST(CellAcknowledgesWhatAllItsInstancesDo);
@@ -272,23 +273,54 @@
   void AcknowledgementsCountForOneIncarnation() {
     PeerView view(Entry("a"));
     view.SetInstances({Entry("a"), Entry("b", 2)}, Time(1s));
-    CPPUNIT_ASSERT(!view.AllAcknowledged(Revision(7)));
+    CPPUNIT_ASSERT(!view.AllAcknowledged(Revision(7), Time(3s)));
     PeerReport report;
     report.m_sender = InstanceId("b");
     report.m_incarnation = Incarnation(2);
     report.m_sequence = 1;
     report.m_acknowledged = Revision(7);
     view.OnReport(report, Time(2s));
-    CPPUNIT_ASSERT(view.AllAcknowledged(Revision(7)));
-    CPPUNIT_ASSERT(!view.AllAcknowledged(Revision(8)));
+    CPPUNIT_ASSERT(view.AllAcknowledged(Revision(7), Time(3s)));
+    CPPUNIT_ASSERT(!view.AllAcknowledged(Revision(8), Time(3s)));
     // A restarted instance has to acknowledge again.
     view.SetInstances({Entry("a"), Entry("b", 3)}, Time(3s));
-    CPPUNIT_ASSERT(!view.AllAcknowledged(Revision(7)));
+    CPPUNIT_ASSERT(!view.AllAcknowledged(Revision(7), Time(3s)));
     // It may acknowledge in its entry in the store.
     InstanceEntry entry = Entry("b", 3);
     entry.m_acknowledged = Revision(8);
     view.SetInstances({Entry("a"), entry}, Time(3s));
-    CPPUNIT_ASSERT(view.AllAcknowledged(Revision(8)));
+    CPPUNIT_ASSERT(view.AllAcknowledged(Revision(8), Time(3s)));
+  }
+
+  // A peer has removed the entry of an instance that is cut off from it and
+  // still uses the old primary.
+  void RemovedInstanceIsWaitedFor() {
+    struct Case {
+      const char* m_name;
+      bool m_leaving;
+      bool m_returns;
+      Duration m_after;
+      bool m_all_acknowledged;
+    };
+    const std::vector<Case> cases = {
+        {"removed", false, false, 4s, false},
+        {"removed long ago", false, false, PeerView::kVanishedTime, true},
+        {"stopped", true, false, 1s, true},
+        {"registered again", false, true, 1s, true}};
+    for (const Case& row : cases) {
+      PeerView view(Entry("a"));
+      InstanceEntry other = Entry("b", 2);
+      other.m_leaving = row.m_leaving;
+      view.SetInstances({Entry("a"), other}, Time(1s));
+      view.SetInstances({Entry("a")}, Time(2s));
+      if (row.m_returns) {
+        other.m_acknowledged = Revision(7);
+        view.SetInstances({Entry("a"), other}, Time(2s));
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          row.m_name, row.m_all_acknowledged,
+          view.AllAcknowledged(Revision(7), Time(2s) + row.m_after));
+    }
   }
 
   // In a fleet of this size, reports between all pairs of instances would be
@@ -333,13 +365,13 @@
     for (int i = 0; i < 6; ++i) {
       fleet.Exchange();
     }
-    CPPUNIT_ASSERT(fleet.m_views[0].AllAcknowledged(Revision(6)));
-    CPPUNIT_ASSERT(!fleet.m_views[0].AllAcknowledged(Revision(7)));
+    CPPUNIT_ASSERT(fleet.m_views[0].AllAcknowledged(Revision(6), fleet.m_now));
+    CPPUNIT_ASSERT(!fleet.m_views[0].AllAcknowledged(Revision(7), fleet.m_now));
     fleet.m_reports[5].m_acknowledged = Revision(7);
     for (int i = 0; i < 6; ++i) {
       fleet.Exchange();
     }
-    CPPUNIT_ASSERT(fleet.m_views[0].AllAcknowledged(Revision(7)));
+    CPPUNIT_ASSERT(fleet.m_views[0].AllAcknowledged(Revision(7), fleet.m_now));
   }
 
   // An instance registers, and the head of its cell does not know of it yet.
@@ -353,21 +385,21 @@
     for (int i = 0; i < 6; ++i) {
       fleet.Exchange();
     }
-    CPPUNIT_ASSERT(fleet.m_views[0].AllAcknowledged(Revision(7)));
+    CPPUNIT_ASSERT(fleet.m_views[0].AllAcknowledged(Revision(7), fleet.m_now));
     InstanceEntry added = Entry("i200");
     added.m_zone = ZoneName("z1");
     added.m_revision = Revision(21);
     std::vector<InstanceEntry> entries = fleet.m_entries;
     entries.push_back(added);
     fleet.m_views[0].SetInstances(entries, fleet.m_now);
-    CPPUNIT_ASSERT(!fleet.m_views[0].AllAcknowledged(Revision(7)));
+    CPPUNIT_ASSERT(!fleet.m_views[0].AllAcknowledged(Revision(7), fleet.m_now));
     for (PeerReport& report : fleet.m_reports) {
       report.m_copies[0].m_complete = Revision(21);
     }
     for (int i = 0; i < 3; ++i) {
       fleet.Exchange();
     }
-    CPPUNIT_ASSERT(fleet.m_views[0].AllAcknowledged(Revision(7)));
+    CPPUNIT_ASSERT(fleet.m_views[0].AllAcknowledged(Revision(7), fleet.m_now));
   }
 
   void ReportsGrowLinearlyWithTheCell() {
