gateway: a stopping instance follows the store until another one does

With the mark of a stopping instance came a gap: it stopped following the store at once, and nobody was left to read its mark. Contacts grew old with each stop.

Change: the stopping instance goes on until it exits.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -393,8 +393,7 @@
 
 gateway::FollowerCandidate FleetDuty::Candidate(gateway::Time now) const {
   gateway::FollowerCandidate self;
-  // A stopping instance leaves the first rank to another one.
-  self.m_rank = m_peers.FollowerRank(now) + (m_stopping ? 1 : 0);
+  self.m_rank = m_peers.FollowerRank(now);
   self.m_live_count = m_peers.CountLive(now) > 0 ? m_peers.cell_size() : 1;
   const auto keys = m_engine.key_contact().Age(now);
   const auto primaries = m_engine.primary_contact().Age(now);
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -96,8 +96,7 @@
   // Returns this instance as a candidate for following the store.
   gateway::FollowerCandidate Candidate(gateway::Time now) const;
 
-  // Announces that this instance is stopping. It starts no further replacement
-  // and leaves the store to be followed by another instance.
+  // Announces that this instance is stopping. It starts no further replacement.
   void BeginShutdown(gateway::Time now);
 
   // Deletes this instance's entry from the store. From then on, this instance
