gateway: revisions of the store are ordered by its epoch first

Cause: the store gives revisions out again. Copies were ordered by the bare number, so a list of the restored store was taken for older than the copy and dropped, though it counted as contact: the instance looked current and was blind. Changes of the restored store would have been joined to a copy of the lost history where the number had been reached again.

Class: a version that is not unique over the life of what it versions.

An answer of another epoch than the copy says nothing about the copy: a newer one makes the follower list again, an older one is refused. Messages between instances keep their form, since a revision is still one number there.

--- a/apps/gateway/state_duty.cc
+++ b/apps/gateway/state_duty.cc
@@ -40,8 +40,10 @@
   return kind == StoreKind::kConfiguration || kind == StoreKind::kReplacements;
 }
 
-gateway::StoreObject Decode(StoreKind kind, const std::string& encoded) {
-  return adapter::DecodeObject(kind, encoded);
+gateway::StoreObject Decode(StoreKind kind,
+                            const std::string& encoded,
+                            gateway::StoreEpoch epoch) {
+  return adapter::DecodeObject(kind, encoded, epoch);
 }
 
 }  // namespace
--- a/src/gateway/ids.h
+++ b/src/gateway/ids.h
@@ -4,6 +4,7 @@
 #include "src/core/ids.h"
 #include "src/core/log_position.h"
 #include "src/core/time.h"
+#include "src/gateway/revision.h"
 
 namespace jasminelug::gateway {
 
@@ -16,7 +17,6 @@
 using core::InstanceId;
 using core::LogPosition;
 using core::MemberId;
-using core::Revision;
 using core::Term;
 using core::Time;
 using core::ZoneName;
--- a/src/gateway/state_update.cc
+++ b/src/gateway/state_update.cc
@@ -44,7 +44,8 @@
     updated.erase(name);
   }
   for (const std::string& encoded : update.m_objects) {
-    StoreObject object = decode(update.m_kind, encoded);
+    StoreObject object =
+        decode(update.m_kind, encoded, update.m_changed.epoch());
     if (object.m_name.empty()) {
       return std::nullopt;
     }
--- a/src/gateway/state_update.h
+++ b/src/gateway/state_update.h
@@ -64,9 +64,9 @@
 // A message between instances about their copies of the store's objects.
 using StateMessage = std::variant<StateRequest, StateUpdate>;
 
-// Decodes an object that was encoded by the store.
-using DecodeObjectHook =
-    std::function<StoreObject(StoreKind kind, const std::string& encoded)>;
+// Decodes an object that the store encoded in `epoch`.
+using DecodeObjectHook = std::function<
+    StoreObject(StoreKind kind, const std::string& encoded, StoreEpoch epoch)>;
 
 // Returns a request for the changes of a kind that `objects`, the own copy,
 // lacks.
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -115,6 +115,16 @@
     return;
   }
   const StorePage& page = GetValue(result);
+  if (page.m_revision.epoch() < m_revision.epoch()) {
+    RejectOlderEpoch(now);
+    return;
+  }
+  const bool other_epoch = m_pending_revision && m_pending_revision->epoch() !=
+                                                     page.m_revision.epoch();
+  if (other_epoch) {
+    Start(now);
+    return;
+  }
   // The watch starts at the revision of the first page, so it delivers changes
   // that were made between two pages.
   m_pending_revision = m_pending_revision.value_or(page.m_revision);
@@ -129,6 +139,12 @@
   Continue(now);
 }
 
+// Handles an answer that the store gave before it was restored, and that
+// arrived after one of the restored store.
+void StoreFollower::RejectOlderEpoch(Time now) {
+  Pause({StoreErrorKind::kRefused, "answer of an earlier epoch"}, now);
+}
+
 void StoreFollower::ApplyList() {
   // A copy that was adopted while the list was read may be newer than the list.
   const Revision revision = m_pending_revision.value_or(Revision());
@@ -159,6 +175,14 @@
     return;
   }
   const StoreChanges& changes = GetValue(result);
+  if (changes.m_revision.epoch() < m_revision.epoch()) {
+    RejectOlderEpoch(now);
+    return;
+  }
+  if (changes.m_revision.epoch() > m_revision.epoch()) {
+    Start(now);
+    return;
+  }
   const bool changed = !changes.m_changes.empty();
   // A copy that was adopted during the call may be newer than the response.
   const bool newer = changes.m_revision >= m_revision;
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -32,7 +32,9 @@
 
 // Maintains a copy of the store's objects of one kind: lists them once, then
 // watches for changes. Lists them again if the store no longer has the history
-// since the last known revision.
+// since the last known revision, or was restored: an answer of another epoch
+// than the copy says nothing about the copy, and the changes of two epochs
+// cannot be joined.
 //
 // After a failed call, the follower retries from the last known revision, with
 // a delay that doubles up to a maximum. The first watch after a failure does
@@ -123,6 +125,7 @@
   void Resume(Time now);
   void Continue(Time now);
   void Succeed();
+  void RejectOlderEpoch(Time now);
   void ApplyList();
   void ApplyChanges(const StoreChanges& changes);
 
--- a/src/gateway/store_object.h
+++ b/src/gateway/store_object.h
@@ -97,6 +97,12 @@
   friend bool operator==(const ReplacementRecord&,
                          const ReplacementRecord&) = default;
 
+  // Epoch of the store in which the record was written. In a later one, a part
+  // of the record may have been lost.
+  StoreEpoch m_epoch;
+  // Whether a group that m_primaries does not contain has no primary until it
+  // is replaced. Otherwise it has the primary that it began with.
+  bool m_lists_all_groups = false;
   // The instance that carries out the intent.
   InstanceId m_coordinator;
   std::optional<ReplacementIntent> m_intent;
--- a/test/gateway/relayed_copies_test.cc
+++ b/test/gateway/relayed_copies_test.cc
@@ -18,21 +18,21 @@
 constexpr StoreKind kKind = StoreKind::kEvacuations;
 constexpr Duration kTick = 20ms;
 
-StoreObject Decode(StoreKind, const std::string& encoded) {
+StoreObject Decode(StoreKind, const std::string& encoded, StoreEpoch epoch) {
   const std::size_t at = encoded.find('@');
   if (at == std::string::npos) {
     return {};
   }
   StoreObject object;
   object.m_name = encoded.substr(0, at);
-  object.m_revision = Revision(std::stoull(encoded.substr(at + 1)));
+  object.m_revision = Revision(epoch, std::stoull(encoded.substr(at + 1)));
   object.m_value = EvacuatedZone{ZoneName(object.m_name)};
   object.m_encoded = encoded;
   return object;
 }
 
 StoreObject MakeObject(const std::string& name, std::uint64_t revision) {
-  return Decode(kKind, name + "@" + std::to_string(revision));
+  return Decode(kKind, name + "@" + std::to_string(revision), StoreEpoch());
 }
 
 // The objects of one kind in the store, with the history of their changes.
--- a/test/gateway/store_follower_test.cc
+++ b/test/gateway/store_follower_test.cc
@@ -62,6 +62,9 @@
   CPPUNIT_TEST(LateAnswersAreIgnored);
   CPPUNIT_TEST(RefreshWatchesWithoutWait);
   CPPUNIT_TEST(ChangesInQuickSuccessionAreReadTogether);
+  CPPUNIT_TEST(RestoredStoreIsListedAgain);
+  CPPUNIT_TEST(ListAcrossARestoreIsBegunAgain);
+  CPPUNIT_TEST(AnswerFromBeforeTheRestoreProvesNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -106,6 +109,53 @@
     CPPUNIT_ASSERT(Time(2s) == *harness.m_verified);
   }
 
+  // The store comes back from a backup: it gives revisions out again, and the
+  // objects that were written since are gone.
+  void RestoredStoreIsListedAgain() {
+    const StoreEpoch restored(1);
+    Harness harness;
+    List(&harness);
+    const auto verified = harness.m_verified;
+    harness.m_follower.OnChanges(
+        StoreChanges{{{false, Zone("b", 10)}}, Revision(restored, 12)},
+        Time(2s));
+    CPPUNIT_ASSERT(verified == harness.m_verified);
+    CPPUNIT_ASSERT(!harness.m_follower.objects().contains("b"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.m_lists.size());
+    harness.m_follower.OnPage(
+        StorePage{{Zone("c", 2)}, false, Revision(restored, 4)}, Time(3s));
+    CPPUNIT_ASSERT(harness.m_follower.objects().contains("c"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.m_count);
+    CPPUNIT_ASSERT(Revision(restored, 4) == harness.m_follower.changed());
+    CPPUNIT_ASSERT(Time(2s) == *harness.m_verified);
+  }
+
+  void ListAcrossARestoreIsBegunAgain() {
+    Harness harness;
+    harness.m_follower.Start(Time(1s));
+    harness.m_follower.OnPage(StorePage{{Zone("a", 3)}, true, Revision(9)},
+                              Time(1s + 4ms));
+    harness.m_follower.OnPage(
+        StorePage{{Zone("b", 3)}, false, Revision(StoreEpoch(1), 4)}, Time(2s));
+    CPPUNIT_ASSERT(!harness.m_follower.is_listed());
+    CPPUNIT_ASSERT((std::vector<std::string>{"", "a", ""}) == harness.m_lists);
+  }
+
+  // A copy of the restored store arrives from another instance while a call is
+  // in progress that the store answered before.
+  void AnswerFromBeforeTheRestoreProvesNothing() {
+    Harness harness;
+    List(&harness);
+    const auto verified = harness.m_verified;
+    harness.m_follower.Adopt({{"c", Zone("c", 2)}}, Revision(StoreEpoch(1), 4));
+    harness.m_follower.OnChanges(
+        StoreChanges{{{false, Zone("b", 10)}}, Revision(20)}, Time(2s));
+    CPPUNIT_ASSERT(verified == harness.m_verified);
+    CPPUNIT_ASSERT(harness.m_follower.objects().contains("c"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.m_follower.objects().size());
+    CPPUNIT_ASSERT(Revision(StoreEpoch(1), 4) == harness.m_follower.complete());
+  }
+
   void ListsAgainWhenTheHistoryIsGone() {
     Harness harness;
     List(&harness);
--- a/test/platform_adapter/store_objects_test.cc
+++ b/test/platform_adapter/store_objects_test.cc
@@ -31,6 +31,8 @@
   "zone": "north", "version": "v1", "slots": 3, "state": "ready",
   "cold-left-ms": 0, "db-role": "primary", "seq-num": 4, "born": 1700})";
 
+constexpr gateway::StoreEpoch kEpoch(2);
+
 class StoreObjectsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StoreObjectsTest);
   CPPUNIT_TEST(ReadsTheConfiguration);
@@ -42,7 +44,7 @@
  public:
   void ReadsTheConfiguration() {
     const gateway::StoreObject object = DecodeObject(
-        StoreKind::kConfiguration, Object("main", kManifest).dump());
+        StoreKind::kConfiguration, Object("main", kManifest).dump(), kEpoch);
     const auto configuration =
         std::get<std::shared_ptr<const gateway::Configuration>>(object.m_value);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, configuration->m_version);
@@ -65,14 +67,14 @@
   }
 
   void ReadsMembers() {
-    const gateway::StoreObject object =
-        DecodeObject(StoreKind::kMembers, Object("i-7", kMember).dump());
+    const gateway::StoreObject object = DecodeObject(
+        StoreKind::kMembers, Object("i-7", kMember).dump(), kEpoch);
     const auto& member = std::get<gateway::Member>(object.m_value);
     CPPUNIT_ASSERT(gateway::MemberId("i-7") == member.m_id);
     CPPUNIT_ASSERT(gateway::MemberRole::kPrimary == member.m_role);
     CPPUNIT_ASSERT_EQUAL(3, member.m_slots);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{1700}, member.m_started_at_ms);
-    CPPUNIT_ASSERT(gateway::Revision(12) == object.m_revision);
+    CPPUNIT_ASSERT(gateway::Revision(kEpoch, 12) == object.m_revision);
   }
 
   // Objects that other programs write may be malformed. They must become an
@@ -96,7 +98,7 @@
     objects.push_back(unknown_state);
     for (const json& object : objects) {
       const gateway::StoreObject decoded =
-          DecodeObject(StoreKind::kMembers, object.dump());
+          DecodeObject(StoreKind::kMembers, object.dump(), kEpoch);
       CPPUNIT_ASSERT_MESSAGE(
           object.dump(),
           std::holds_alternative<gateway::UnreadableObject>(decoded.m_value));
@@ -125,7 +127,8 @@
           std::holds_alternative<gateway::InstanceEntry>(value)
               ? StoreKind::kInstances
               : StoreKind::kReplacements;
-      CPPUNIT_ASSERT(value == DecodeObject(kind, object.dump()).m_value);
+      CPPUNIT_ASSERT(value ==
+                     DecodeObject(kind, object.dump(), kEpoch).m_value);
     }
   }
 };
