gateway: a restored record of primaries is not believed

Cause: the record was believed in whatever epoch it was read, and an instance that had been registered in the lost history counted itself as registered.

Change: a record counts in the epoch in which it was written. Until there is one, no primary is used. An instance uses primaries only if it is registered in the epoch of the record. The version of a configuration decides whether it replaces the one in force, not its revision: a restored store may hold an older one at a newer revision.

Tests: replacement_coordinator_test, RestoredRecordIsReplacedByASurvey and OrderOfTheLostHistoryIsAbandoned; primary_decision_test, RecordOfAnEarlierEpochNamesNoPrimary.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -190,7 +190,9 @@
 // Lets the primaries be used only on the strength of contacts since this
 // instance was registered. See InstanceRegistrar.
 void FleetDuty::UpdateRegistration(gateway::Time now) {
-  const std::optional<gateway::Time> since = m_registrar.registered_since();
+  const bool same_epoch = m_registrar.epoch() == m_coordinator.epoch();
+  const std::optional<gateway::Time> since =
+      same_epoch ? m_registrar.registered_since() : std::nullopt;
   if (since == m_registered_since) {
     return;
   }
@@ -205,8 +207,17 @@
 }
 
 void FleetDuty::OnReplacements(const gateway::StoreObjects& objects,
+                               gateway::Revision complete,
                                gateway::Time now) {
-  m_coordinator.OnEntries(objects, now);
+  const gateway::StoreEpoch before = m_coordinator.epoch();
+  m_coordinator.OnEntries(objects, complete, now);
+  if (m_coordinator.epoch() != before) {
+    Log(m_logger, log4cplus::WARN_LOG_LEVEL, "the store began a new epoch",
+        {{"epoch", static_cast<std::int64_t>(m_coordinator.epoch().value())},
+         {"before", static_cast<std::int64_t>(before.value())},
+         {"record_valid", m_coordinator.is_record_valid()}});
+  }
+  UpdateRegistration(now);
   UpdatePrimaries(now);
   if (AcknowledgedRevision() != m_reported_revision) {
     SendReports(now);
@@ -469,6 +480,7 @@
   for (const gateway::MemberState* state :
        m_engine.members().MembersOf(group)) {
     const gateway::Member& member = state->m_member;
+    condition.m_members.push_back(member.m_id);
     if (member.m_role == gateway::MemberRole::kPrimary) {
       condition.m_self_declared.push_back(member.m_id);
     }
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -75,8 +75,10 @@
   // Called when the engine has taken over a new configuration.
   void OnConfiguration(gateway::Time now) { UpdateHolders(now); }
 
-  // Applies the replacement record, as the store holds it.
-  void OnReplacements(const gateway::StoreObjects& objects, gateway::Time now);
+  // Applies the replacement record, as of the store's revision `complete`.
+  void OnReplacements(const gateway::StoreObjects& objects,
+                      gateway::Revision complete,
+                      gateway::Time now);
 
   // Called when a member has reported its status.
   void OnStatus(const gateway::MemberId& member,
@@ -172,7 +174,7 @@
   gateway::Time m_instances_as_of;
   Hooks m_hooks;
   bool m_stopping = false;
-  // InstanceRegistrar::registered_since() when it was last applied.
+  // The time from which contact counts, when it was last applied.
   std::optional<gateway::Time> m_registered_since;
   gateway::Time m_last_report;
   // Acknowledged revision in the last report.
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -225,7 +225,7 @@
       m_forwarding.SetInstances(m_fleet.entries());
       return;
     case StoreKind::kReplacements:
-      m_fleet.OnReplacements(objects, now);
+      m_fleet.OnReplacements(objects, complete, now);
       break;
   }
   // The peers request these changes as soon as they are reported.
@@ -280,8 +280,7 @@
                         .m_reason}});
     return;
   }
-  const gateway::Configuration* before = m_engine.configuration();
-  if (before && (*read)->m_revision <= before->m_revision) {
+  if (!gateway::Supersedes(**read, m_engine.configuration())) {
     return;
   }
   m_engine.SetConfiguration(*read, Now());
--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "src/gateway/ids.h"
 
@@ -74,6 +75,16 @@
   Duration m_transaction_idle_limit = 3s;
 };
 
+// Returns whether a configuration that was read takes the place of `current`,
+// the one in force; null if there is none. The version decides, not the
+// revision: a store that was restored may hold an older version at a newer
+// revision. The same version at a newer revision was only written again.
+inline bool Supersedes(const Configuration& read,
+                       const Configuration* current) {
+  return !current || std::pair(read.m_version, read.m_revision) >
+                         std::pair(current->m_version, current->m_revision);
+}
+
 }  // namespace jasminelug::gateway
 
 #endif  // SRC_GATEWAY_CONFIGURATION_H_
--- a/src/gateway/instance_registrar.cc
+++ b/src/gateway/instance_registrar.cc
@@ -1,5 +1,6 @@
 #include "src/gateway/instance_registrar.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jasminelug::gateway {
@@ -18,6 +19,7 @@
     return;
   }
   m_listed = true;
+  m_epoch = std::max(m_epoch, complete.epoch());
   const auto own = objects.find(NameOf(m_entry.m_id));
   bool registered = false;
   m_revision.reset();
@@ -66,6 +68,7 @@
     m_outdated = IsOutdated(GetValue(result));
     m_revision = GetValue(result).m_revision;
     m_written = *m_revision;
+    m_epoch = std::max(m_epoch, m_written.epoch());
     return;
   }
   const StoreErrorKind error = GetError(result).m_kind;
--- a/src/gateway/instance_registrar.h
+++ b/src/gateway/instance_registrar.h
@@ -64,6 +64,9 @@
   // Returns a time since which the store has held the entry of this run;
   // nullopt if it does not hold it, as far as this instance knows.
   std::optional<Time> registered_since() const { return m_registered_since; }
+  // Returns the newest epoch of the store for which that is known. The store
+  // may have lost the entry when a later one began.
+  StoreEpoch epoch() const { return m_epoch; }
 
  private:
   void Write(Time now);
@@ -77,6 +80,7 @@
   Revision m_written;
   bool m_listed = false;
   std::optional<Time> m_registered_since;
+  StoreEpoch m_epoch;
   bool m_calling = false;
   // Whether the entry in the store lacks the newest acknowledgement, or that
   // this instance is stopping.
--- a/src/gateway/primary_decision.cc
+++ b/src/gateway/primary_decision.cc
@@ -49,8 +49,13 @@
   PrimaryDecision decision;
   PrimaryView& view = decision.m_view;
   view.m_record = coordinator.revision();
+  if (!coordinator.is_record_valid()) {
+    view.m_member = previous;
+    decision.m_abandon = true;
+    return decision;
+  }
   view.m_member = coordinator.PrimaryOf(group);
-  if (!view.m_member) {
+  if (!view.m_member && !coordinator.record().m_lists_all_groups) {
     view.m_member = self_declared ? self_declared : previous;
   }
   view.m_usable = view.m_member.has_value();
--- a/src/gateway/primary_decision.h
+++ b/src/gateway/primary_decision.h
@@ -61,9 +61,11 @@
 };
 
 // Returns the primary of a group: the one in the replacement record, otherwise
-// the member that declares itself the primary, otherwise `previous`. The
+// the member that declares itself the primary, otherwise `previous`. Only the
+// record counts if it lists all groups. The
 // primary is not usable while the record has an intent for the group, or while
-// there is a newer record that this instance has not read. Transactions that
+// there is a newer record that this instance has not read, or while the record
+// is from before the store was restored. Transactions that
 // are open there may end within ReplacementCoordinator::kPlannedEndLimit if the
 // replacement is planned, and are abandoned otherwise.
 PrimaryDecision DecidePrimary(const GroupName& group,
--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -32,6 +32,10 @@
 constexpr Duration kConfirmLimit = 3s;
 // Minimum time between two requests for the list of instances.
 constexpr Duration kInstanceListInterval = 200ms;
+// Minimum time between two status requests of a survey to the same member, and
+// time after which members that did not answer it are no longer waited for.
+constexpr Duration kSurveyRequestInterval = 200ms;
+constexpr Duration kSurveyTimeout = 1s;
 // Minimum time between two status requests to the same members.
 constexpr Duration kStatusRequestInterval = 40ms;
 
@@ -71,8 +75,37 @@
   m_retry_promotion = false;
 }
 
-void ReplacementCoordinator::OnEntries(const StoreObjects& objects, Time now) {
+bool ReplacementCoordinator::is_record_valid() const {
+  return m_record.m_epoch == m_epoch && (m_revision || m_epoch == StoreEpoch());
+}
+
+// Forgets what was read and begun in earlier epochs.
+void ReplacementCoordinator::BeginEpoch(StoreEpoch epoch, Time now) {
+  if (m_stage == Stage::kPromoting) {
+    m_hooks.m_abandon_promotion();
+  }
+  if (m_writing) {
+    m_hooks.m_abandon_write();
+    m_writing = false;
+  }
+  Reset();
+  m_record = ReplacementRecord();
+  m_revision.reset();
+  m_epoch = epoch;
+  m_epoch_seen = now;
+  m_other_coordinator_acted = now;
+}
+
+void ReplacementCoordinator::OnEntries(const StoreObjects& objects,
+                                       Revision complete,
+                                       Time now) {
   m_listed = true;
+  if (complete.epoch() < m_epoch) {
+    return;
+  }
+  if (complete.epoch() > m_epoch) {
+    BeginEpoch(complete.epoch(), now);
+  }
   const auto found = objects.find(kRecordName);
   if (found == objects.end()) {
     return;
@@ -96,8 +129,8 @@
     m_other_coordinator_acted = now;
   }
   m_next_try = std::max(m_next_try, now);
-  m_record = *record;
   m_revision = found->second.m_revision;
+  m_record = record->m_epoch == m_epoch ? *record : ReplacementRecord();
   m_intent_seen = now;
 }
 
@@ -115,7 +148,7 @@
   StoreObject object = GetValue(result);
   object.m_name = kRecordName;
   objects.emplace(kRecordName, object);
-  OnEntries(objects, now);
+  OnEntries(objects, object.m_revision, now);
 }
 
 void ReplacementCoordinator::Write(const ReplacementRecord& record, Time now) {
@@ -164,6 +197,10 @@
   if (!m_listed || m_writing || !fleet.m_contact_recent) {
     return;
   }
+  if (!is_record_valid()) {
+    ConsiderSurvey(groups, fleet, now);
+    return;
+  }
   if (!IsOwnIntent()) {
     ConsiderTurn(groups, fleet, now);
     return;
@@ -175,6 +212,91 @@
   }
 }
 
+// Writes the first record of an epoch, if it is this instance's turn.
+void ReplacementCoordinator::ConsiderSurvey(
+    const std::vector<GroupCondition>& groups,
+    const FleetCondition& fleet,
+    Time now) {
+  // After this wait, no instance uses a primary of the lost history any more,
+  // and no promotion of it is still on the way.
+  const Duration wait = m_options.m_contact_limit + kContactMargin;
+  const bool due = now - m_epoch_seen >= wait + fleet.m_rank * kRankDelay;
+  if (m_stopped || !due || now < m_next_try) {
+    return;
+  }
+  if (m_stage != Stage::kSurveying) {
+    m_stage = Stage::kSurveying;
+    m_status_collection_began = now;
+    m_statuses_requested = Time();
+    m_statuses.clear();
+    m_hooks.m_report("requesting the status of all members", {});
+  }
+  const bool all_answered =
+      std::all_of(groups.begin(), groups.end(),
+                  [this](const auto& group) { return HasAnsweredAll(group); });
+  if (all_answered || now - m_status_collection_began > kSurveyTimeout) {
+    WriteSurvey(groups, now);
+  } else if (now - m_statuses_requested > kSurveyRequestInterval) {
+    RequestMissingStatuses(groups, now);
+  }
+}
+
+void ReplacementCoordinator::RequestMissingStatuses(
+    const std::vector<GroupCondition>& groups,
+    Time now) {
+  m_statuses_requested = now;
+  for (const GroupCondition& group : groups) {
+    for (const MemberId& member : group.m_members) {
+      if (!m_statuses.contains(member)) {
+        m_hooks.m_request_status(member);
+      }
+    }
+  }
+}
+
+bool ReplacementCoordinator::HasAnsweredAll(const GroupCondition& group) const {
+  return !group.m_members.empty() &&
+         std::all_of(group.m_members.begin(), group.m_members.end(),
+                     [this](const MemberId& member) {
+                       return m_statuses.contains(member);
+                     });
+}
+
+// Returns the member that leads the newest term of its group; nullopt if there
+// is none, or if a member that did not answer may lead a newer term.
+std::optional<MemberId> ReplacementCoordinator::SurveyedPrimary(
+    const GroupCondition& group) const {
+  if (!HasAnsweredAll(group)) {
+    return std::nullopt;
+  }
+  const auto newest = std::max_element(
+      group.m_members.begin(), group.m_members.end(),
+      [this](const MemberId& a, const MemberId& b) {
+        const MemberStatus& left = m_statuses.at(a);
+        const MemberStatus& right = m_statuses.at(b);
+        return std::pair(left.m_term, left.m_role == MemberRole::kPrimary) <
+               std::pair(right.m_term, right.m_role == MemberRole::kPrimary);
+      });
+  const bool leads = m_statuses.at(*newest).m_role == MemberRole::kPrimary;
+  return leads ? std::optional(*newest) : std::nullopt;
+}
+
+void ReplacementCoordinator::WriteSurvey(
+    const std::vector<GroupCondition>& groups,
+    Time now) {
+  ReplacementRecord record;
+  record.m_epoch = m_epoch;
+  record.m_coordinator = m_options.m_self;
+  record.m_lists_all_groups = true;
+  for (const GroupCondition& group : groups) {
+    if (const std::optional<MemberId> primary = SurveyedPrimary(group)) {
+      record.m_primaries.push_back({group.m_group, *primary});
+    }
+  }
+  m_stage = Stage::kIdle;
+  Write(record, now);
+}
+
 // Proposes a replacement or takes one over, if it is this instance's turn.
 void ReplacementCoordinator::ConsiderTurn(
     const std::vector<GroupCondition>& groups,
@@ -252,6 +374,7 @@
                                      const FleetCondition& fleet,
                                      Time now) {
   switch (m_stage) {
+    case Stage::kSurveying:
     case Stage::kIdle: {
       if (!HaveOthersStoppedUse(fleet, now) ||
           !group.m_no_statements_in_flight || now < m_next_try ||
@@ -361,7 +484,8 @@
 void ReplacementCoordinator::OnStatus(const MemberId& member,
                                       const MemberStatus& status,
                                       Time) {
-  if (m_stage == Stage::kCollectingStatuses || m_stage == Stage::kConfirming) {
+  if (m_stage == Stage::kSurveying || m_stage == Stage::kCollectingStatuses ||
+      m_stage == Stage::kConfirming) {
     m_statuses.insert_or_assign(member, status);
   }
 }
--- a/src/gateway/replacement_coordinator.h
+++ b/src/gateway/replacement_coordinator.h
@@ -25,6 +25,8 @@
   GroupName m_group;
   // The primary that the instances use, or that they used before the intent.
   std::optional<MemberId> m_primary;
+  // All announced members.
+  std::vector<MemberId> m_members;
   // Announced members that may be given work, excluding the primary.
   std::vector<MemberId> m_candidates;
   // Whether the primary or its availability zone is being drained.
@@ -121,6 +123,15 @@
 //   sends a promotion call only while its last contact is recent
 //   (m_contact_recent) and drops the call after kCallTimeout, so the call ends
 //   before the new coordinator's wait does.
+//
+// A store that is restored from a backup may have lost the newest record, and
+// the record that it holds then names a primary that was replaced. A record
+// counts only in the epoch of the store in which it was written. Until there is
+// one, no primary is used. The first instance waits until all that was done on
+// the strength of the lost history has ended, requests the status of all
+// members, and writes a record of the primaries of the newest terms. A group
+// whose members did not all answer has no primary in it and is given one by a
+// replacement.
 class ReplacementCoordinator {
  public:
   struct Hooks {
@@ -164,8 +175,9 @@
 
   ReplacementCoordinator(ReplacementOptions options, Hooks hooks);
 
-  // Handles the current record of the store.
-  void OnEntries(const StoreObjects& objects, Time now);
+  // Handles the record in a copy of the store's objects, which contains all
+  // changes up to the revision `complete`.
+  void OnEntries(const StoreObjects& objects, Revision complete, Time now);
   void OnWritten(const Result<StoreObject, StoreError>& result, Time now);
   void OnPromoted(PromotionResult result, Time now);
   void OnStatus(const MemberId& member, const MemberStatus& status, Time now);
@@ -185,6 +197,12 @@
   // record.
   Time intent_seen() const { return m_intent_seen; }
   Revision revision() const { return m_revision.value_or(Revision()); }
+  // Returns the newest epoch of the store that this instance has seen.
+  StoreEpoch epoch() const { return m_epoch; }
+  // Returns whether the record was written in that epoch. If not, no primary
+  // may be used. A store that does not tell its epoch is taken as never
+  // restored.
+  bool is_record_valid() const;
 
   // Returns the primary of the group in the record, or nullopt if the record
   // has none.
@@ -194,8 +212,23 @@
   std::optional<ReplacementIntent> IntentFor(const GroupName& group) const;
 
  private:
-  enum class Stage { kIdle, kCollectingStatuses, kPromoting, kConfirming };
+  enum class Stage {
+    kIdle,
+    kSurveying,
+    kCollectingStatuses,
+    kPromoting,
+    kConfirming
+  };
 
+  void BeginEpoch(StoreEpoch epoch, Time now);
+  void ConsiderSurvey(const std::vector<GroupCondition>& groups,
+                      const FleetCondition& fleet,
+                      Time now);
+  void RequestMissingStatuses(const std::vector<GroupCondition>& groups,
+                              Time now);
+  bool HasAnsweredAll(const GroupCondition& group) const;
+  std::optional<MemberId> SurveyedPrimary(const GroupCondition& group) const;
+  void WriteSurvey(const std::vector<GroupCondition>& groups, Time now);
   bool IsOwnIntent() const;
   static bool HasFailed(const ReplacementOptions& options,
                         const GroupCondition& group,
@@ -230,6 +263,9 @@
   const Hooks m_hooks;
   ReplacementRecord m_record;
   std::optional<Revision> m_revision;
+  StoreEpoch m_epoch;
+  // Time at which this instance first saw that epoch.
+  Time m_epoch_seen;
   bool m_listed = false;
   bool m_stopped = false;
   Stage m_stage = Stage::kIdle;
--- a/test/gateway/decisions_test.cc
+++ b/test/gateway/decisions_test.cc
@@ -56,6 +56,9 @@
   CPPUNIT_TEST(RegistrarKeepsTheEntry);
   CPPUNIT_TEST(StoppingInstanceStaysRegisteredWhileItServes);
   CPPUNIT_TEST(ContactBeforeTheRegistrationDoesNotCount);
+  CPPUNIT_TEST(LostEntryIsRestoredInANewEpoch);
+  CPPUNIT_TEST(RevisionsAreOrderedByEpoch);
+  CPPUNIT_TEST(RestoredConfigurationDoesNotGoBack);
   CPPUNIT_TEST(CodesThatGuaranteeNoEffect);
   CPPUNIT_TEST_SUITE_END();
 
@@ -421,6 +424,84 @@
     }
   }
 
+  // The restored store holds an entry of an earlier run, or none.
+  void LostEntryIsRestoredInANewEpoch() {
+    for (const bool has_earlier : {false, true}) {
+      InstanceEntry entry;
+      entry.m_id = InstanceId("a");
+      entry.m_incarnation = Incarnation(7);
+      std::vector<std::optional<Revision>> writes;
+      InstanceRegistrar::Hooks hooks;
+      hooks.m_write = [&writes](const std::string&, const InstanceEntry&,
+                                std::optional<Revision> expected) {
+        writes.push_back(expected);
+      };
+      InstanceRegistrar registrar(entry, hooks);
+      registrar.OnEntries({}, Revision(80), Time(1s));
+      registrar.OnWritten(StoreObject{"instance.a", Revision(90), entry},
+                          Time(1s));
+      const StoreEpoch restored(1);
+      InstanceEntry earlier = entry;
+      earlier.m_incarnation = Incarnation(6);
+      StoreObjects objects;
+      if (has_earlier) {
+        objects.emplace(
+            "instance.a",
+            StoreObject{"instance.a", Revision(restored, 30), earlier});
+      }
+      registrar.OnEntries(objects, Revision(restored, 40), Time(5s));
+      CPPUNIT_ASSERT(!registrar.registered_since());
+      CPPUNIT_ASSERT(restored == registrar.epoch());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, writes.size());
+      CPPUNIT_ASSERT_EQUAL(has_earlier, writes.back().has_value());
+      // A late copy of the lost history changes nothing.
+      registrar.OnWritten(
+          StoreObject{"instance.a", Revision(restored, 41), entry}, Time(6s));
+      registrar.OnEntries({}, Revision(95), Time(7s));
+      CPPUNIT_ASSERT(Time(6s) == registrar.registered_since());
+    }
+  }
+
+  void RevisionsAreOrderedByEpoch() {
+    const StoreEpoch first(1);
+    const StoreEpoch second(2);
+    CPPUNIT_ASSERT(Revision(first, 900) < Revision(second, 3));
+    CPPUNIT_ASSERT(Revision(second, 3) < Revision(second, 4));
+    CPPUNIT_ASSERT(Revision(900) < Revision(first, 1));
+    const Revision revision(second, 3);
+    CPPUNIT_ASSERT(second == revision.epoch());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, revision.number());
+    CPPUNIT_ASSERT(revision == Revision(revision.value()));
+    // Fencing tokens grow with every revision.
+    CPPUNIT_ASSERT(Revision(first, 900).value() < revision.value());
+  }
+
+  void RestoredConfigurationDoesNotGoBack() {
+    struct Case {
+      const char* m_name;
+      std::int64_t m_version;
+      Revision m_revision;
+      bool m_supersedes;
+    };
+    const std::vector<Case> cases = {
+        {"newer", 15, Revision(31), true},
+        {"the same", 14, Revision(30), false},
+        {"older, restored", 12, Revision(StoreEpoch(1), 20), false},
+        {"the same, written again", 14, Revision(StoreEpoch(1), 22), true},
+        {"newer, after a restore", 15, Revision(StoreEpoch(1), 23), true}};
+    Configuration current;
+    current.m_version = 14;
+    current.m_revision = Revision(30);
+    for (const Case& row : cases) {
+      Configuration read;
+      read.m_version = row.m_version;
+      read.m_revision = row.m_revision;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.m_name, row.m_supersedes,
+                                   Supersedes(read, &current));
+      CPPUNIT_ASSERT(Supersedes(read, nullptr));
+    }
+  }
+
   void CodesThatGuaranteeNoEffect() {
     struct Case {
       ErrorCode m_code;
--- a/test/gateway/primary_decision_test.cc
+++ b/test/gateway/primary_decision_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(PlannedReplacementDoesNotWaitForATransactionForEver);
   CPPUNIT_TEST(UnreadRecordMakesPrimaryUnusable);
   CPPUNIT_TEST(AcknowledgementIsNotTakenBackByAnOlderRecord);
+  CPPUNIT_TEST(RecordOfAnEarlierEpochNamesNoPrimary);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -44,7 +45,7 @@
     CPPUNIT_ASSERT(!decision.m_view.m_usable);
     ReplacementRecord record;
     record.m_primaries = {{group, MemberId("recorded")}};
-    coordinator.OnEntries(Record(record, 5), Time(1s));
+    coordinator.OnEntries(Record(record, 5), Revision(5), Time(1s));
     decision =
         DecidePrimary(group, coordinator, declared, before, false, Time(1s));
     CPPUNIT_ASSERT(MemberId("recorded") == decision.m_view.m_member);
@@ -57,7 +58,7 @@
       ReplacementRecord record;
       record.m_intent = ReplacementIntent{GroupName("g"), MemberId("p"),
                                           MemberId("r"), planned};
-      coordinator.OnEntries(Record(record, 5), Time(1s));
+      coordinator.OnEntries(Record(record, 5), Revision(5), Time(1s));
       const PrimaryDecision decision =
           DecidePrimary(GroupName("g"), coordinator, MemberId("p"),
                         std::nullopt, false, Time(1s));
@@ -78,7 +79,7 @@
     ReplacementRecord record;
     record.m_intent =
         ReplacementIntent{GroupName("g"), MemberId("p"), MemberId("r"), true};
-    coordinator.OnEntries(Record(record, 5), Time(1s));
+    coordinator.OnEntries(Record(record, 5), Revision(5), Time(1s));
     for (const bool over : {false, true}) {
       const PrimaryDecision decision = DecidePrimary(
           GroupName("g"), coordinator, MemberId("p"), std::nullopt, false,
@@ -142,6 +143,49 @@
     peer_revisions.Update(Revision(9), Time(11s) + 40ms);
     CPPUNIT_ASSERT(!peer_revisions.unread());
   }
+
+  // The restored store holds an older record, or none: the members that declare
+  // themselves, and the primary before, may have been replaced since.
+  void RecordOfAnEarlierEpochNamesNoPrimary() {
+    const GroupName group("g");
+    struct Case {
+      const char* m_name;
+      bool m_has_record;
+      StoreEpoch m_written_in;
+      bool m_lists_all;
+      std::optional<MemberId> m_usable;
+    };
+    const std::vector<Case> cases = {
+        {"no record", false, StoreEpoch(), false, std::nullopt},
+        {"earlier epoch", true, StoreEpoch(1), false, std::nullopt},
+        {"this epoch", true, StoreEpoch(2), false, MemberId("recorded")},
+        {"this epoch, group not listed", true, StoreEpoch(2), true,
+         std::nullopt}};
+    for (const Case& row : cases) {
+      ReplacementCoordinator coordinator = MakeCoordinator();
+      ReplacementRecord record;
+      record.m_epoch = row.m_written_in;
+      record.m_lists_all_groups = row.m_lists_all;
+      if (!row.m_lists_all) {
+        record.m_primaries = {{group, MemberId("recorded")}};
+      }
+      const Revision revision(StoreEpoch(2), 5);
+      StoreObjects objects;
+      if (row.m_has_record) {
+        const std::string name = ReplacementCoordinator::kRecordName;
+        objects.emplace(name, StoreObject{name, revision, record});
+      }
+      coordinator.OnEntries(objects, revision, Time(1s));
+      const PrimaryDecision decision =
+          DecidePrimary(group, coordinator, MemberId("declared"),
+                        MemberId("before"), false, Time(1s));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.m_name, row.m_usable.has_value(),
+                                   decision.m_view.m_usable);
+      if (row.m_usable) {
+        CPPUNIT_ASSERT(row.m_usable == decision.m_view.m_member);
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PrimaryDecisionTest);
--- a/test/gateway/replacement_coordinator_test.cc
+++ b/test/gateway/replacement_coordinator_test.cc
@@ -58,7 +58,7 @@
     hooks.m_report = [](const std::string&, const ReplacementIntent&) {};
     instance.m_coordinator =
         std::make_unique<ReplacementCoordinator>(options, std::move(hooks));
-    instance.m_coordinator->OnEntries({}, m_now);
+    instance.m_coordinator->OnEntries({}, Revision(), m_now);
   }
 
   ReplacementCoordinator& At(const std::string& name) {
@@ -92,7 +92,7 @@
   void Watch(const std::string& name) {
     if (m_revision) {
       At(name).OnEntries({{ReplacementCoordinator::kRecordName, Stored()}},
-                         m_now);
+                         *m_revision, m_now);
     }
   }
 
@@ -172,6 +172,8 @@
   CPPUNIT_TEST(FencingTokensGrowWithRacingCoordinators);
   CPPUNIT_TEST(PausesBetweenPromotionsOfTwoCoordinators);
   CPPUNIT_TEST(LastCoordinatorProposesFirst);
+  CPPUNIT_TEST(RestoredRecordIsReplacedByASurvey);
+  CPPUNIT_TEST(OrderOfTheLostHistoryIsAbandoned);
   CPPUNIT_TEST(OutdatedPeerReportsDoNotReplaceANewPrimary);
   CPPUNIT_TEST_SUITE_END();
 
@@ -526,6 +528,75 @@
     CPPUNIT_ASSERT(fleet.m_writes.empty());
   }
 
+  // The store comes back with a record that names a primary that was replaced.
+  void RestoredRecordIsReplacedByASurvey() {
+    const StoreEpoch restored(1);
+    struct Case {
+      const char* m_name;
+      // Whether all members answer, and the term that the recorded primary
+      // leads.
+      bool m_all_answer;
+      std::uint64_t m_old_term;
+      std::optional<MemberId> m_primary;
+    };
+    const std::vector<Case> cases = {
+        {"the primary of the newest term", true, 3, second_replica},
+        {"the recorded primary is that", true, 5, old_primary},
+        {"one does not answer", false, 3, std::nullopt}};
+    for (const Case& row : cases) {
+      Fleet fleet({"a"});
+      GroupCondition group = FailedPrimary(fleet);
+      group.m_members = {old_primary, first_replica, second_replica};
+      ReplacementRecord lost;
+      lost.m_primaries = {{test_group, old_primary}};
+      const Revision revision(restored, 30);
+      fleet.m_revision = revision;
+      fleet.m_last_revision = revision.value();
+      const StoreObject stored{ReplacementCoordinator::kRecordName, revision,
+                               lost};
+      fleet.At("a").OnEntries({{stored.m_name, stored}}, revision, fleet.m_now);
+      CPPUNIT_ASSERT(!fleet.At("a").is_record_valid());
+      fleet.AdvanceTime(ReplacementOptions().m_contact_limit);
+      fleet.Tick("a", group, LiveFleet(true));
+      CPPUNIT_ASSERT_MESSAGE(row.m_name,
+                             fleet.m_instances["a"].m_status_requests.empty());
+      fleet.AdvanceTime(300ms);
+      fleet.Tick("a", group, LiveFleet(true));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3},
+                           fleet.m_instances["a"].m_status_requests.size());
+      MemberStatus old_status = StatusAt(9, MemberRole::kPrimary);
+      old_status.m_term = Term(row.m_old_term);
+      fleet.At("a").OnStatus(old_primary, old_status, fleet.m_now);
+      fleet.At("a").OnStatus(first_replica, StatusAt(7, MemberRole::kReplica),
+                             fleet.m_now);
+      if (row.m_all_answer) {
+        fleet.At("a").OnStatus(second_replica,
+                               StatusAt(9, MemberRole::kPrimary), fleet.m_now);
+      }
+      fleet.AdvanceTime(20ms);
+      fleet.Tick("a", group, LiveFleet(true));
+      CPPUNIT_ASSERT_EQUAL(row.m_all_answer, !fleet.m_writes.empty());
+      fleet.AdvanceTime(1100ms);
+      fleet.Tick("a", group, LiveFleet(true));
+      fleet.ApplyWrites();
+      CPPUNIT_ASSERT(fleet.At("a").is_record_valid());
+      CPPUNIT_ASSERT(fleet.m_record.m_epoch == restored);
+      CPPUNIT_ASSERT_MESSAGE(
+          row.m_name, row.m_primary == fleet.At("a").PrimaryOf(test_group));
+    }
+  }
+
+  void OrderOfTheLostHistoryIsAbandoned() {
+    Fleet fleet({"a"});
+    Promote(&fleet, "a");
+    fleet.At("a").OnEntries({}, Revision(StoreEpoch(1), 3), fleet.m_now);
+    CPPUNIT_ASSERT_EQUAL(1, fleet.m_instances["a"].m_abandoned_promotions);
+    fleet.At("a").OnPromoted(PromotionResult::kDone, fleet.m_now);
+    fleet.Tick("a", FailedPrimary(fleet), LiveFleet(true));
+    CPPUNIT_ASSERT(fleet.m_writes.empty());
+    CPPUNIT_ASSERT(!fleet.At("a").PrimaryOf(test_group));
+  }
+
   void LostAnswerToTheIntentIsReadBack() {
     Fleet fleet({"a"});
     fleet.m_lose_answers = true;
