gateway: an evacuation that the store has lost lasts until it can be rewritten

Tests: decisions_test, EvacuationOfTheLostHistoryLastsForAWhile, LostEntryIsRestoredInANewEpoch, RestoredConfigurationDoesNotGoBack, RevisionsAreOrderedByEpoch.

--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -218,7 +218,7 @@
       OnMembers(objects);
       return;
     case StoreKind::kEvacuations:
-      OnEvacuations(objects);
+      OnEvacuations(objects, complete);
       break;
     case StoreKind::kInstances:
       m_fleet.OnInstances(objects, complete, now);
@@ -306,14 +306,20 @@
   }
 }
 
-void GatewayProcess::OnEvacuations(const gateway::StoreObjects& objects) {
-  std::set<gateway::ZoneName> zones;
-  for (const auto& [name, object] : objects) {
-    zones.emplace(name);
+void GatewayProcess::OnEvacuations(const gateway::StoreObjects& objects,
+                                   gateway::Revision complete) {
+  const gateway::Time now = Now();
+  m_evacuated.OnEntries(objects, complete, now);
+  ApplyEvacuations(now);
+}
+
+void GatewayProcess::ApplyEvacuations(gateway::Time now) {
+  const std::set<gateway::ZoneName> zones = m_evacuated.Zones();
+  for (const gateway::ZoneName& zone : zones) {
     Log(m_logger, log4cplus::INFO_LOG_LEVEL, "availability zone evacuated",
-        {{"zone", name}});
+        {{"zone", zone.str()}});
   }
-  m_engine.SetEvacuatedZones(zones, Now());
+  m_engine.SetEvacuatedZones(zones, now);
 }
 
 bool GatewayProcess::IsReady() const {
@@ -339,6 +345,9 @@
   if (m_directory.OnTick(now)) {
     m_engine.SetMembers(m_directory.Members(), now);
   }
+  if (m_evacuated.OnTick(now)) {
+    ApplyEvacuations(now);
+  }
   m_fleet.OnTick(now);
   m_engine.OnTick(now);
   m_forwarding.OnTick(now);
--- a/apps/gateway/gateway_process.h
+++ b/apps/gateway/gateway_process.h
@@ -57,7 +57,9 @@
   void OnNeighbours(const gateway::StoreObjects& objects);
   void OnConfiguration(const gateway::StoreObjects& objects);
   void OnMembers(const gateway::StoreObjects& objects);
-  void OnEvacuations(const gateway::StoreObjects& objects);
+  void OnEvacuations(const gateway::StoreObjects& objects,
+                     gateway::Revision complete);
+  void ApplyEvacuations(gateway::Time now);
   void ScheduleTick();
   void OnTick();
   void AwaitSignal();
@@ -76,6 +78,7 @@
   StatementLog m_statement_log;
   gateway::Engine m_engine;
   gateway::MemberDirectory m_directory;
+  gateway::EvacuatedZones m_evacuated;
   adapter::MemberLinks m_members;
   FleetDuty m_fleet;
   ForwardingDuty m_forwarding;
--- a/test/gateway/decisions_test.cc
+++ b/test/gateway/decisions_test.cc
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(LostEntryIsRestoredInANewEpoch);
   CPPUNIT_TEST(RevisionsAreOrderedByEpoch);
   CPPUNIT_TEST(RestoredConfigurationDoesNotGoBack);
+  CPPUNIT_TEST(EvacuationOfTheLostHistoryLastsForAWhile);
   CPPUNIT_TEST(CodesThatGuaranteeNoEffect);
   CPPUNIT_TEST_SUITE_END();
 
@@ -502,6 +503,28 @@
     }
   }
 
+  void EvacuationOfTheLostHistoryLastsForAWhile() {
+    const ZoneName north("north");
+    const StoreObjects listed = {
+        {"north", {"north", Revision(3), EvacuatedZone{north}}}};
+    for (const bool written_again : {false, true}) {
+      EvacuatedZones zones;
+      zones.OnEntries(listed, Revision(3), Time(1s));
+      const StoreEpoch restored(1);
+      zones.OnEntries({}, Revision(restored, 2), Time(2s));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, zones.Zones().size());
+      if (written_again) {
+        zones.OnEntries(listed, Revision(restored, 3), Time(3s));
+      }
+      const bool ended = zones.OnTick(Time(2s) + EvacuatedZones::kRewriteTime);
+      CPPUNIT_ASSERT_EQUAL(!written_again, ended);
+      CPPUNIT_ASSERT_EQUAL(written_again, zones.Zones().contains(north));
+      // Within an epoch, an evacuation ends at once.
+      zones.OnEntries({}, Revision(restored, 9), Time(30s));
+      CPPUNIT_ASSERT(zones.Zones().empty());
+    }
+  }
+
   void CodesThatGuaranteeNoEffect() {
     struct Case {
       ErrorCode m_code;
--- a/test/platform_adapter/store_client_test.cc
+++ b/test/platform_adapter/store_client_test.cc
@@ -24,11 +24,13 @@
 // Answers every request on one connection with the same body.
 class CannedStore {
  public:
-  CannedStore(asio::io_context& io, const std::string& body)
+  CannedStore(asio::io_context& io,
+              const std::string& body,
+              const std::string& headers = "")
       : m_acceptor(io, {asio::ip::address_v4::loopback(), 0}), m_socket(io) {
     m_response =
         "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
-        "\r\n\r\n" + body;
+        "\r\n" + headers + "\r\n" + body;
     m_acceptor.async_accept(m_socket, [this](std::error_code error) {
       CPPUNIT_ASSERT(!error);
       Read();
@@ -132,13 +134,15 @@
   CPPUNIT_TEST(ListSurvivesOddEntries);
   CPPUNIT_TEST(WatchSurvivesOddEntries);
   CPPUNIT_TEST(MalformedBodiesAreErrors);
+  CPPUNIT_TEST(RevisionsCarryTheEpochOfTheStore);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   static Result<gateway::StorePage, gateway::StoreError> List(
-      const std::string& body) {
+      const std::string& body,
+      const std::string& headers = "") {
     asio::io_context io(1);
-    CannedStore store(io, body);
+    CannedStore store(io, body, headers);
     StoreClient client(io, store.endpoint());
     std::optional<Result<gateway::StorePage, gateway::StoreError>> result;
     client.List(StoreKind::kMembers, "", ListConsistency::kCurrent,
@@ -235,6 +239,28 @@
       CPPUNIT_ASSERT_MESSAGE(body.substr(0, 40), !IsOk(Watch(body)));
     }
   }
+
+  void RevisionsCarryTheEpochOfTheStore() {
+    struct Case {
+      std::string m_headers;
+      std::uint64_t m_epoch;
+    };
+    const std::vector<Case> cases = {{"", 0},
+                                     {"Store-Era: 3\r\n", 3},
+                                     {"Date: x\r\nstore-era: 12\r\n", 12},
+                                     {"Store-Era: odd\r\n", 0}};
+    for (const Case& row : cases) {
+      const gateway::StoreEpoch epoch(row.m_epoch);
+      const auto result = List("{\"items\": [" + Member("a") +
+                                   "], \"more\": false, \"current-rev\": 14}",
+                               row.m_headers);
+      CPPUNIT_ASSERT_MESSAGE(row.m_headers, IsOk(result));
+      const gateway::StorePage& page = GetValue(result);
+      CPPUNIT_ASSERT(gateway::Revision(epoch, 14) == page.m_revision);
+      CPPUNIT_ASSERT(gateway::Revision(epoch, 12) ==
+                     page.m_objects.at(0).m_revision);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreClientTest);
