fake platform: the store can lose acknowledged changes

Cause: the users' store may come back from a copy that is some seconds old. The fake store could only move forward, so no test showed what a gateway does then.

A watch from a revision above the current one gets status 410. Every answer of the store, also an error, tells the era in the header Store-Era. "keys KEY..." writes a configuration with these keys.

A watch is now found by its number when its time is up. It was kept as an iterator, which would have been used after the watch had ended if its timer had expired at the same moment.

--- a/test/fake_line_platform/fake_store.cc
+++ b/test/fake_line_platform/fake_store.cc
@@ -36,28 +36,73 @@
 FakeStore::FakeStore(asio::io_context& io,
                      const asio::ip::tcp::endpoint& endpoint,
                      PromoteHook promote)
-    : m_io(io), m_acceptor(io, endpoint), m_promote(std::move(promote)) {
+    : m_io(io),
+      m_acceptor(io),
+      m_endpoint(endpoint),
+      m_promote(std::move(promote)) {
+  Listen();
+}
+
+void FakeStore::Listen() {
+  m_acceptor.open(m_endpoint.protocol());
+  m_acceptor.set_option(asio::socket_base::reuse_address(true));
+  m_acceptor.bind(m_endpoint);
+  m_acceptor.listen();
+  m_endpoint = m_acceptor.local_endpoint();
   Accept();
 }
 
 void FakeStore::Accept() {
   m_acceptor.async_accept(
       [this](std::error_code error, asio::ip::tcp::socket socket) {
-        if (error) {
+        // A connection that was accepted just before Leave() is dropped. The
+        // next Listen() accepts again.
+        if (error || !m_acceptor.is_open()) {
           return;
         }
-        std::make_shared<HttpSession>(
-            std::move(socket),
-            [this](const std::shared_ptr<HttpSession>& session,
-                   const std::string& method, const std::string& target,
-                   const std::string& body) {
-              OnRequest(session, method, target, body);
-            })
-            ->Start();
+        StartSession(std::move(socket));
         Accept();
       });
 }
 
+void FakeStore::StartSession(asio::ip::tcp::socket socket) {
+  const auto session = std::make_shared<HttpSession>(
+      std::move(socket),
+      [this](const std::shared_ptr<HttpSession>& from,
+             const std::string& method, const std::string& target,
+             const std::string& body) {
+        OnRequest(from, method, target, body);
+      });
+  std::erase_if(m_sessions, [](const std::weak_ptr<HttpSession>& known) {
+    return known.expired();
+  });
+  m_sessions.push_back(session);
+  session->Start();
+}
+
+void FakeStore::Leave() {
+  std::error_code ignored;  // The acceptor is closed even on an error.
+  m_acceptor.close(ignored);
+  m_watches.clear();
+  for (const std::weak_ptr<HttpSession>& known : m_sessions) {
+    if (const std::shared_ptr<HttpSession> session = known.lock()) {
+      session->Close();
+    }
+  }
+  m_sessions.clear();
+}
+
+void FakeStore::Return(const ObjectStore::Snapshot& snapshot) {
+  m_store.Restore(snapshot);
+  Listen();
+}
+
+void FakeStore::Respond(const std::shared_ptr<HttpSession>& session,
+                        int status,
+                        const std::string& body) {
+  session->Respond(status, m_store.era(), body);
+}
+
 void FakeStore::Put(const std::string& kind,
                     const std::string& name,
                     const json& spec) {
@@ -80,11 +125,11 @@
   const json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
   if (target == "/promote" && parsed.is_object()) {
     const bool done = m_promote(parsed.value("id", ""));
-    session->Respond(done ? 200 : 409, "{}");
+    Respond(session, done ? 200 : 409, "{}");
     return;
   }
   if (target.rfind(kObjectsPath, 0) != 0) {
-    session->Respond(404, "{}");
+    Respond(session, 404, "{}");
     return;
   }
   OnObjectRequest(session, method, target, parsed);
@@ -122,7 +167,7 @@
                        revision ? std::optional<std::uint64_t>(Number(revision))
                                 : std::nullopt);
   }
-  session->Respond(response.m_status, response.m_body.dump());
+  Respond(session, response.m_status, response.m_body.dump());
   RespondToReadyWatches();
 }
 
@@ -132,31 +177,45 @@
                          std::uint64_t wait_ms) {
   auto timer = std::make_unique<asio::steady_timer>(
       m_io, std::chrono::milliseconds(wait_ms));
-  m_watches.push_back({session, kind, since, std::move(timer)});
-  const auto added = std::prev(m_watches.end());
-  added->m_timer->async_wait([this, added](std::error_code error) {
+  const std::uint64_t id = ++m_last_watch;
+  timer->async_wait([this, id](std::error_code error) {
     if (!error) {
-      RespondTo(*added);
-      m_watches.erase(added);
+      OnWatchTimeout(id);
     }
   });
+  m_watches.emplace(id, Watch{session, kind, since, std::move(timer)});
   RespondToReadyWatches();
 }
 
+void FakeStore::OnWatchTimeout(std::uint64_t id) {
+  const auto watch = m_watches.find(id);
+  // The timeout may be on its way already when the watch ends otherwise.
+  if (watch == m_watches.end()) {
+    return;
+  }
+  RespondTo(watch->second);
+  m_watches.erase(watch);
+}
+
 void FakeStore::RespondTo(const Watch& watch) {
-  const json body = {
-      {"events", m_store.ChangesSince(watch.m_kind, watch.m_since)},
-      {"current-rev", m_store.revision()}};
-  watch.m_session->Respond(200, body.dump());
+  const auto events = m_store.ChangesSince(watch.m_kind, watch.m_since);
+  if (!events) {
+    Respond(watch.m_session, 410, "{}");
+    return;
+  }
+  const json body = {{"events", *events}, {"current-rev", m_store.revision()}};
+  Respond(watch.m_session, 200, body.dump());
 }
 
 void FakeStore::RespondToReadyWatches() {
   for (auto watch = m_watches.begin(); watch != m_watches.end();) {
-    if (m_store.ChangesSince(watch->m_kind, watch->m_since).empty()) {
+    const auto events =
+        m_store.ChangesSince(watch->second.m_kind, watch->second.m_since);
+    if (events && events->empty()) {
       ++watch;
       continue;
     }
-    RespondTo(*watch);
+    RespondTo(watch->second);
     watch = m_watches.erase(watch);
   }
 }
--- a/test/fake_line_platform/fake_store.h
+++ b/test/fake_line_platform/fake_store.h
@@ -6,9 +6,10 @@
 #include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
-#include <list>
+#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "test/fake_line_platform/http_session.h"
 #include "test/fake_line_platform/object_store.h"
@@ -16,6 +17,7 @@
 namespace jasminelug::fake_line_platform {
 
 // Serves an ObjectStore, including watches, and the promotion call over HTTP.
+// All answers tell the era of the store in the header Store-Era.
 class FakeStore {
  public:
   // Promotes a member. Returns false if it is not running.
@@ -31,7 +33,21 @@
            const nlohmann::json& spec);
   void Remove(const std::string& kind, const std::string& name);
 
-  std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+  // Returns the contents as of now, for Return().
+  ObjectStore::Snapshot TakeSnapshot() const { return m_store.TakeSnapshot(); }
+
+  // Closes all connections, also those of waiting watches, and refuses new ones
+  // until Return().
+  void Leave();
+
+  // Serves again, at the same port, from an earlier copy: all that was written
+  // since is lost.
+  void Return(const ObjectStore::Snapshot& snapshot);
+
+  // Returns whether it is between Leave() and Return().
+  bool is_away() const { return !m_acceptor.is_open(); }
+
+  std::uint16_t port() const { return m_endpoint.port(); }
 
  private:
   struct Watch {
@@ -41,7 +57,12 @@
     std::unique_ptr<asio::steady_timer> m_timer;
   };
 
+  void Listen();
   void Accept();
+  void StartSession(asio::ip::tcp::socket socket);
+  void Respond(const std::shared_ptr<HttpSession>& session,
+               int status,
+               const std::string& body);
   void OnRequest(const std::shared_ptr<HttpSession>& session,
                  const std::string& method,
                  const std::string& target,
@@ -54,15 +75,23 @@
                 const std::string& kind,
                 std::uint64_t since,
                 std::uint64_t wait_ms);
+  void OnWatchTimeout(std::uint64_t id);
+  // Responds with the changes, or with status 410 if the store does not have
+  // the revision from which the client watches.
   void RespondTo(const Watch& watch);
-  // Responds to all watches whose kind has changed.
+  // Responds to all watches whose kind has changed, or whose revision is gone.
   void RespondToReadyWatches();
 
   asio::io_context& m_io;
   asio::ip::tcp::acceptor m_acceptor;
+  // With the port that was assigned, if none was asked for.
+  asio::ip::tcp::endpoint m_endpoint;
   PromoteHook m_promote;
   ObjectStore m_store;
-  std::list<Watch> m_watches;
+  std::vector<std::weak_ptr<HttpSession>> m_sessions;
+  // Waiting watches, keyed by a number that is not used again.
+  std::map<std::uint64_t, Watch> m_watches;
+  std::uint64_t m_last_watch = 0;
 };
 
 }  // namespace jasminelug::fake_line_platform
--- a/test/fake_line_platform/http_session.cc
+++ b/test/fake_line_platform/http_session.cc
@@ -50,9 +50,14 @@
       });
 }
 
-void HttpSession::Respond(int status, const std::string& body) {
+void HttpSession::Respond(int status,
+                          std::uint64_t store_era,
+                          const std::string& body) {
   m_outgoing = "HTTP/1.1 " + std::to_string(status) +
                " Status\r\nContent-Type: application/json\r\n"
+               "Store-Era: " +
+               std::to_string(store_era) +
+               "\r\n"
                "Content-Length: " +
                std::to_string(body.size()) + "\r\n\r\n" + body;
   asio::async_write(
@@ -64,4 +69,9 @@
       });
 }
 
+void HttpSession::Close() {
+  std::error_code ignored;  // The socket is closed even on an error.
+  m_socket.close(ignored);
+}
+
 }  // namespace jasminelug::fake_line_platform
--- a/test/fake_line_platform/http_session.h
+++ b/test/fake_line_platform/http_session.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <asio/ip/tcp.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -23,7 +24,12 @@
   HttpSession(asio::ip::tcp::socket socket, RequestHook hook);
 
   void Start() { Read(); }
-  void Respond(int status, const std::string& body);
+
+  // Sends an answer, with the era of the store in the header Store-Era.
+  void Respond(int status, std::uint64_t store_era, const std::string& body);
+
+  // Closes the connection. A request that was not answered never will be.
+  void Close();
 
  private:
   void Read();
--- a/test/fake_line_platform/main.cc
+++ b/test/fake_line_platform/main.cc
@@ -8,16 +8,25 @@
 #include <asio/ip/address_v4.hpp>
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/read_until.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/streambuf.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
 #include <iostream>
 #include <istream>
+#include <iterator>
 #include <memory>
+#include <optional>
+#include <sstream>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "test/fake_line_platform/fake_database_group.h"
 #include "test/fake_line_platform/fake_member.h"
 #include "test/fake_line_platform/fake_store.h"
+#include "test/fake_line_platform/object_store.h"
 
 namespace jasminelug::fake_line_platform {
 namespace {
@@ -25,6 +34,9 @@
 using nlohmann::json;
 
 constexpr char kGroup[] = "beds-group";
+// How long after the store's return the members and the operator write their
+// entries again.
+constexpr std::chrono::milliseconds kRewriteDelay(500);
 
 class Platform {
  public:
@@ -33,6 +45,7 @@
         m_store(io,
                 {asio::ip::address_v4::loopback(), 0},
                 [this](const std::string& member) { return Promote(member); }),
+        m_timer(io),
         m_input(io, ::dup(STDIN_FILENO)) {
     for (const char* id : {"m1", "m2", "m3"}) {
       m_members.push_back(
@@ -92,12 +105,12 @@
                          {"priority", 1},
                          {"rate-per-s", 200},
                          {"burst", 200}};
-    m_store.Put("config", "main",
-                {{"version", m_version},
-                 {"routes", json::array({route})},
-                 {"services", json::array({group})},
-                 {"limits", {{"tx-idle-ms", 3000}}},
-                 {"tenants", json::array({tenant})}});
+    m_configuration = {{"version", m_version},
+                       {"routes", json::array({route})},
+                       {"services", json::array({group})},
+                       {"limits", {{"tx-idle-ms", 3000}}},
+                       {"tenants", json::array({tenant})}};
+    m_store.Put("config", "main", m_configuration);
   }
 
   void ReadCommand() {
@@ -115,12 +128,32 @@
   }
 
   // Executes one command. "withdraw" removes key-1 from the configuration,
-  // "crash ID" crashes a member, and "start ID" starts it again. Prints the
-  // command when it is done.
+  // "keys KEY..." writes a configuration with just these keys, "crash ID"
+  // crashes a member, and "start ID" starts it again. "snapshot" copies the
+  // contents of the store, and "restore MS" takes the store away for so many
+  // milliseconds and brings it back with that copy. Prints the command when it
+  // is done.
   void HandleCommand(const std::string& command) {
-    if (command == "withdraw") {
+    std::istringstream words(command);
+    std::string verb;
+    words >> verb;
+    if (verb == "restore") {
+      Restore(command, &words);
+      return;
+    }
+    if (verb == "withdraw") {
       WriteConfiguration({"key-2"});
+    } else if (verb == "keys") {
+      WriteConfiguration({std::istream_iterator<std::string>(words), {}});
+    } else if (verb == "snapshot") {
+      m_snapshot = m_store.TakeSnapshot();
+    } else {
+      HandleMemberCommand(command);
     }
+    Report("done", command);
+  }
+
+  void HandleMemberCommand(const std::string& command) {
     for (const std::unique_ptr<FakeMember>& member : m_members) {
       if (command == "crash " + member->id()) {
         member->Crash();
@@ -129,15 +162,55 @@
         PublishMembers();
       }
     }
-    std::cout << json({{"done", command}}).dump() << std::endl;
+  }
+
+  // Executes "restore MS". It is done when the store has returned; what was
+  // newer than the snapshot is written again soon after. Fails without a
+  // snapshot, and while the store is away already.
+  void Restore(const std::string& command, std::istringstream* arguments) {
+    std::int64_t away_ms = 0;
+    const bool readable = *arguments >> away_ms && away_ms >= 0;
+    if (!readable || !m_snapshot || m_store.is_away()) {
+      Report("failed", command);
+      return;
+    }
+    m_store.Leave();
+    After(std::chrono::milliseconds(away_ms), [this, command] {
+      m_store.Return(*m_snapshot);
+      Report("done", command);
+      After(kRewriteDelay, [this] { WriteAgain(); });
+    });
+  }
+
+  // Writes the current entries of the members and the current configuration.
+  // Those that the store still has stay unchanged.
+  void WriteAgain() {
+    PublishMembers();
+    m_store.Put("config", "main", m_configuration);
+  }
+
+  void After(std::chrono::milliseconds delay, std::function<void()> action) {
+    m_timer.expires_after(delay);
+    m_timer.async_wait([action = std::move(action)](std::error_code error) {
+      if (!error) {
+        action();
+      }
+    });
+  }
+
+  static void Report(const char* outcome, const std::string& command) {
+    std::cout << json({{outcome, command}}).dump() << std::endl;
   }
 
   FakeDatabaseGroup m_group;
   FakeStore m_store;
   std::vector<std::unique_ptr<FakeMember>> m_members;
+  asio::steady_timer m_timer;
   asio::posix::stream_descriptor m_input;
   asio::streambuf m_commands;
   int m_version = 0;
+  json m_configuration;
+  std::optional<ObjectStore::Snapshot> m_snapshot;
 };
 
 }  // namespace
--- a/test/fake_line_platform/object_store.cc
+++ b/test/fake_line_platform/object_store.cc
@@ -10,7 +10,7 @@
 }  // namespace
 
 json* ObjectStore::Find(const std::string& kind, const std::string& name) {
-  auto& objects = m_objects[kind];
+  Objects& objects = m_contents.m_objects[kind];
   const auto found = objects.find(name);
   return found == objects.end() ? nullptr : &found->second;
 }
@@ -18,9 +18,9 @@
 ObjectStore::Response ObjectStore::List(const std::string& kind,
                                         const std::string& after) const {
   json body = {
-      {"items", json::array()}, {"more", false}, {"current-rev", m_revision}};
-  const auto objects = m_objects.find(kind);
-  if (objects == m_objects.end()) {
+      {"items", json::array()}, {"more", false}, {"current-rev", revision()}};
+  const auto objects = m_contents.m_objects.find(kind);
+  if (objects == m_contents.m_objects.end()) {
     return {200, body};
   }
   for (auto item = objects->second.upper_bound(after);
@@ -36,8 +36,9 @@
 
 ObjectStore::Response ObjectStore::Get(const std::string& kind,
                                        const std::string& name) const {
-  const auto objects = m_objects.find(kind);
-  if (objects == m_objects.end() || !objects->second.contains(name)) {
+  const auto objects = m_contents.m_objects.find(kind);
+  if (objects == m_contents.m_objects.end() ||
+      !objects->second.contains(name)) {
     return {404, json::object()};
   }
   return {200, objects->second.at(name)};
@@ -47,15 +48,15 @@
                                          const std::string& name,
                                          const json& object,
                                          std::uint64_t created) {
-  m_revision += 1;
+  m_contents.m_revision += 1;
   json stored = object;
   stored["meta"] = {{"name", name},
-                    {"revision", m_revision},
-                    {"created", created == 0 ? m_revision : created},
+                    {"revision", revision()},
+                    {"created", created == 0 ? revision() : created},
                     {"finalizers", json::array()},
                     {"deleting", false}};
-  m_objects[kind][name] = stored;
-  m_history.push_back({m_revision, kind, false, stored});
+  m_contents.m_objects[kind][name] = stored;
+  Record(kind, /*removed=*/false, stored);
   return {200, stored};
 }
 
@@ -100,16 +101,25 @@
     return {409, *present};
   }
   const json removed = *present;
-  m_objects[kind].erase(name);
-  m_revision += 1;
-  m_history.push_back({m_revision, kind, true, removed});
+  m_contents.m_objects[kind].erase(name);
+  m_contents.m_revision += 1;
+  Record(kind, /*removed=*/true, removed);
   return {200, removed};
 }
 
-json ObjectStore::ChangesSince(const std::string& kind,
-                               std::uint64_t since) const {
+void ObjectStore::Record(const std::string& kind,
+                         bool removed,
+                         const json& object) {
+  m_contents.m_history.push_back({revision(), kind, removed, object});
+}
+
+std::optional<json> ObjectStore::ChangesSince(const std::string& kind,
+                                              std::uint64_t since) const {
+  if (since > revision()) {
+    return std::nullopt;
+  }
   json events = json::array();
-  for (const Change& change : m_history) {
+  for (const Change& change : m_contents.m_history) {
     if (change.m_revision > since && change.m_kind == kind) {
       events.push_back(
           {{"removed", change.m_removed}, {"object", change.m_object}});
@@ -118,4 +128,9 @@
   return events;
 }
 
+void ObjectStore::Restore(const Snapshot& snapshot) {
+  m_contents = snapshot;
+  m_era += 1;
+}
+
 }  // namespace jasminelug::fake_line_platform
--- a/test/fake_line_platform/object_store.h
+++ b/test/fake_line_platform/object_store.h
@@ -10,7 +10,8 @@
 
 namespace jasminelug::fake_line_platform {
 
-// Objects of the fake metadata store, with the history of their changes.
+// Objects of the fake metadata store, with the history of their changes. Can
+// lose acknowledged changes: Restore() goes back to an earlier snapshot.
 class ObjectStore {
  public:
   struct Response {
@@ -18,6 +19,28 @@
     nlohmann::json m_body;
   };
 
+  struct Change {
+    friend bool operator==(const Change&, const Change&) = default;
+
+    std::uint64_t m_revision;
+    std::string m_kind;
+    bool m_removed;
+    nlohmann::json m_object;
+  };
+
+  // The objects of one kind, keyed by name.
+  using Objects = std::map<std::string, nlohmann::json>;
+
+  // The contents of a store at one time.
+  struct Snapshot {
+    friend bool operator==(const Snapshot&, const Snapshot&) = default;
+
+    // The objects, keyed by kind.
+    std::map<std::string, Objects> m_objects;
+    std::vector<Change> m_history;
+    std::uint64_t m_revision = 1;
+  };
+
   Response List(const std::string& kind, const std::string& after) const;
   Response Get(const std::string& kind, const std::string& name) const;
   Response Create(const std::string& kind, const nlohmann::json& object);
@@ -28,28 +51,36 @@
                   const std::string& name,
                   std::optional<std::uint64_t> expected);
 
-  // Returns the changes of a kind after the revision `since`.
-  nlohmann::json ChangesSince(const std::string& kind,
-                              std::uint64_t since) const;
-  std::uint64_t revision() const { return m_revision; }
+  // Returns the changes of a kind after the revision `since`, or nullopt if
+  // that revision is gone: it is above revision(), so it was given out before a
+  // Restore().
+  std::optional<nlohmann::json> ChangesSince(const std::string& kind,
+                                             std::uint64_t since) const;
+  std::uint64_t revision() const { return m_contents.m_revision; }
 
- private:
-  struct Change {
-    std::uint64_t m_revision;
-    std::string m_kind;
-    bool m_removed;
-    nlohmann::json m_object;
-  };
+  // Returns a copy of the contents, for Restore().
+  Snapshot TakeSnapshot() const { return m_contents; }
+
+  // Replaces the contents by an earlier copy and begins a new era. Later
+  // changes are lost and their revisions are given out again.
+  void Restore(const Snapshot& snapshot);
 
+  // Returns one more than the number of calls of Restore().
+  std::uint64_t era() const { return m_era; }
+
+ private:
   nlohmann::json* Find(const std::string& kind, const std::string& name);
   Response Store(const std::string& kind,
                  const std::string& name,
                  const nlohmann::json& object,
                  std::uint64_t created);
+  // Appends a change to the history under the current revision.
+  void Record(const std::string& kind,
+              bool removed,
+              const nlohmann::json& object);
 
-  std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
-  std::vector<Change> m_history;
-  std::uint64_t m_revision = 1;
+  Snapshot m_contents;
+  std::uint64_t m_era = 1;
 };
 
 }  // namespace jasminelug::fake_line_platform
