gateway: ready at the first start only when the primaries are known

With the survey, the primaries of a fleet that starts for the first time are known 4.4 s after the first answer of the store.

Change: an instance is not ready before it has had a valid record once.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -211,6 +211,7 @@
                                gateway::Time now) {
   const gateway::StoreEpoch before = m_coordinator.epoch();
   m_coordinator.OnEntries(objects, complete, now);
+  m_has_known_primaries |= m_coordinator.is_record_valid();
   if (m_coordinator.epoch() != before) {
     Log(m_logger, log4cplus::WARN_LOG_LEVEL, "the store began a new epoch",
         {{"epoch", static_cast<std::int64_t>(m_coordinator.epoch().value())},
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -117,6 +117,9 @@
     return m_entries;
   }
   bool is_registered() const { return m_registrar.is_registered(); }
+  // Returns whether the primaries were known at least once. They are not at the
+  // first start of the fleet, until it has found them out.
+  bool has_known_primaries() const { return m_has_known_primaries; }
 
  private:
   gateway::InstanceRegistrar::Hooks MakeRegistrarHooks();
@@ -174,6 +177,7 @@
   gateway::Time m_instances_as_of;
   Hooks m_hooks;
   bool m_stopping = false;
+  bool m_has_known_primaries = false;
   // The time from which contact counts, when it was last applied.
   std::optional<gateway::Time> m_registered_since;
   gateway::Time m_last_report;
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -325,6 +325,7 @@
 bool GatewayProcess::IsReady() const {
   return !m_stopping_since && m_state.is_complete() &&
          m_engine.configuration() != nullptr && m_fleet.is_registered() &&
+         m_fleet.has_known_primaries() &&
          m_engine.key_contact().IsFresh(Now(), kReadyContactLimit) &&
          m_engine.primary_contact().IsFresh(Now(), kReadyContactLimit);
 }
