--- a/jasminelug/gateway.h
+++ b/jasminelug/gateway.h
@@ -28,6 +28,7 @@
 #include "src/gateway/peer_report.h"
 #include "src/gateway/peer_view.h"
 #include "src/gateway/primary_decision.h"
+#include "src/gateway/primary_survey.h"
 #include "src/gateway/promotion.h"
 #include "src/gateway/replacement_coordinator.h"
 #include "src/gateway/revision.h"
--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -32,10 +32,6 @@
 constexpr Duration kConfirmLimit = 3s;
 // Minimum time between two requests for the list of instances.
 constexpr Duration kInstanceListInterval = 200ms;
-// Minimum time between two status requests of a survey to the same member, and
-// time after which members that did not answer it are no longer waited for.
-constexpr Duration kSurveyRequestInterval = 200ms;
-constexpr Duration kSurveyTimeout = 1s;
 // Minimum time between two status requests to the same members.
 constexpr Duration kStatusRequestInterval = 40ms;
 
@@ -69,6 +65,7 @@
 
 void ReplacementCoordinator::Reset() {
   m_stage = Stage::kIdle;
+  m_survey.End();
   m_promoted.reset();
   m_statuses.clear();
   m_refused_candidates.clear();
@@ -224,63 +221,24 @@
   if (m_stopped || !due || now < m_next_try) {
     return;
   }
-  if (m_stage != Stage::kSurveying) {
-    m_stage = Stage::kSurveying;
-    m_status_collection_began = now;
-    m_statuses_requested = Time();
-    m_statuses.clear();
+  if (!m_survey.is_in_progress()) {
+    m_survey.Begin(now);
     m_hooks.m_report("requesting the status of all members", {});
   }
-  const bool all_answered =
-      std::all_of(groups.begin(), groups.end(),
-                  [this](const auto& group) { return HasAnsweredAll(group); });
-  if (all_answered || now - m_status_collection_began > kSurveyTimeout) {
+  std::vector<MemberId> members;
+  for (const GroupCondition& group : groups) {
+    members.insert(members.end(), group.m_members.begin(),
+                   group.m_members.end());
+  }
+  if (m_survey.IsOver(members, now)) {
     WriteSurvey(groups, now);
-  } else if (now - m_statuses_requested > kSurveyRequestInterval) {
-    RequestMissingStatuses(groups, now);
+    return;
   }
-}
-
-void ReplacementCoordinator::RequestMissingStatuses(
-    const std::vector<GroupCondition>& groups,
-    Time now) {
-  m_statuses_requested = now;
-  for (const GroupCondition& group : groups) {
-    for (const MemberId& member : group.m_members) {
-      if (!m_statuses.contains(member)) {
-        m_hooks.m_request_status(member);
-      }
-    }
+  for (const MemberId& member : m_survey.TakeDueRequests(members, now)) {
+    m_hooks.m_request_status(member);
   }
 }
 
-bool ReplacementCoordinator::HasAnsweredAll(const GroupCondition& group) const {
-  return !group.m_members.empty() &&
-         std::all_of(group.m_members.begin(), group.m_members.end(),
-                     [this](const MemberId& member) {
-                       return m_statuses.contains(member);
-                     });
-}
-
-// Returns the member that leads the newest term of its group; nullopt if there
-// is none, or if a member that did not answer may lead a newer term.
-std::optional<MemberId> ReplacementCoordinator::SurveyedPrimary(
-    const GroupCondition& group) const {
-  if (!HasAnsweredAll(group)) {
-    return std::nullopt;
-  }
-  const auto newest = std::max_element(
-      group.m_members.begin(), group.m_members.end(),
-      [this](const MemberId& a, const MemberId& b) {
-        const MemberStatus& left = m_statuses.at(a);
-        const MemberStatus& right = m_statuses.at(b);
-        return std::pair(left.m_term, left.m_role == MemberRole::kPrimary) <
-               std::pair(right.m_term, right.m_role == MemberRole::kPrimary);
-      });
-  const bool leads = m_statuses.at(*newest).m_role == MemberRole::kPrimary;
-  return leads ? std::optional(*newest) : std::nullopt;
-}
-
 void ReplacementCoordinator::WriteSurvey(
     const std::vector<GroupCondition>& groups,
     Time now) {
@@ -289,11 +247,12 @@
   record.m_coordinator = m_options.m_self;
   record.m_lists_all_groups = true;
   for (const GroupCondition& group : groups) {
-    if (const std::optional<MemberId> primary = SurveyedPrimary(group)) {
+    if (const std::optional<MemberId> primary =
+            m_survey.PrimaryOf(group.m_members)) {
       record.m_primaries.push_back({group.m_group, *primary});
     }
   }
-  m_stage = Stage::kIdle;
+  m_survey.End();
   Write(record, now);
 }
 
@@ -374,7 +333,6 @@
                                      const FleetCondition& fleet,
                                      Time now) {
   switch (m_stage) {
-    case Stage::kSurveying:
     case Stage::kIdle: {
       if (!HaveOthersStoppedUse(fleet, now) ||
           !group.m_no_statements_in_flight || now < m_next_try ||
@@ -484,8 +442,8 @@
 void ReplacementCoordinator::OnStatus(const MemberId& member,
                                       const MemberStatus& status,
                                       Time) {
-  if (m_stage == Stage::kSurveying || m_stage == Stage::kCollectingStatuses ||
-      m_stage == Stage::kConfirming) {
+  m_survey.OnStatus(member, status);
+  if (m_stage == Stage::kCollectingStatuses || m_stage == Stage::kConfirming) {
     m_statuses.insert_or_assign(member, status);
   }
 }
--- a/src/gateway/replacement_coordinator.h
+++ b/src/gateway/replacement_coordinator.h
@@ -11,6 +11,7 @@
 #include "src/gateway/ids.h"
 #include "src/gateway/member.h"
 #include "src/gateway/member_status.h"
+#include "src/gateway/primary_survey.h"
 #include "src/gateway/promotion.h"
 #include "src/gateway/store_follower.h"
 #include "src/gateway/store_object.h"
@@ -212,22 +213,12 @@
   std::optional<ReplacementIntent> IntentFor(const GroupName& group) const;
 
  private:
-  enum class Stage {
-    kIdle,
-    kSurveying,
-    kCollectingStatuses,
-    kPromoting,
-    kConfirming
-  };
+  enum class Stage { kIdle, kCollectingStatuses, kPromoting, kConfirming };
 
   void BeginEpoch(StoreEpoch epoch, Time now);
   void ConsiderSurvey(const std::vector<GroupCondition>& groups,
                       const FleetCondition& fleet,
                       Time now);
-  void RequestMissingStatuses(const std::vector<GroupCondition>& groups,
-                              Time now);
-  bool HasAnsweredAll(const GroupCondition& group) const;
-  std::optional<MemberId> SurveyedPrimary(const GroupCondition& group) const;
   void WriteSurvey(const std::vector<GroupCondition>& groups, Time now);
   bool IsOwnIntent() const;
   static bool HasFailed(const ReplacementOptions& options,
@@ -269,6 +260,7 @@
   bool m_listed = false;
   bool m_stopped = false;
   Stage m_stage = Stage::kIdle;
+  PrimarySurvey m_survey;
   // Last time at which another instance may have promoted a member.
   std::optional<Time> m_other_coordinator_acted;
   // Time at which this instance first read the current intent.
