gateway: a survey waits for the configuration and for a member that answers

If the operators wrote the first configuration later than 4.4 s after the fleet had started, the record of the survey listed no group, and each group would have been given a primary by a replacement, one after the other, when callers already waited.

Change: no survey without groups, and no record before one member has answered.

--- a/src/gateway/primary_survey.cc
+++ b/src/gateway/primary_survey.cc
@@ -29,7 +29,8 @@
 
 bool PrimarySurvey::IsOver(const std::vector<MemberId>& members,
                            Time now) const {
-  return m_began && (HaveAnswered(members) || now - *m_began > kTimeout);
+  return m_began && !m_statuses.empty() &&
+         (HaveAnswered(members) || now - *m_began > kTimeout);
 }
 
 std::vector<MemberId> PrimarySurvey::TakeDueRequests(
--- a/src/gateway/primary_survey.h
+++ b/src/gateway/primary_survey.h
@@ -31,7 +31,8 @@
 
   bool is_in_progress() const { return m_began.has_value(); }
 
-  // Returns whether all members have answered or the time is over.
+  // Returns whether all members have answered, or the time is over and at least
+  // one of them has.
   bool IsOver(const std::vector<MemberId>& members, Time now) const;
 
   // Returns the members whose status has to be requested now.
--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -218,7 +218,7 @@
   // and no promotion of it is still on the way.
   const Duration wait = m_options.m_contact_limit + kContactMargin;
   const bool due = now - m_epoch_seen >= wait + fleet.m_rank * kRankDelay;
-  if (m_stopped || !due || now < m_next_try) {
+  if (m_stopped || !due || now < m_next_try || groups.empty()) {
     return;
   }
   if (!m_survey.is_in_progress()) {
--- a/test/gateway/replacement_coordinator_test.cc
+++ b/test/gateway/replacement_coordinator_test.cc
@@ -173,6 +173,7 @@
   CPPUNIT_TEST(PausesBetweenPromotionsOfTwoCoordinators);
   CPPUNIT_TEST(LastCoordinatorProposesFirst);
   CPPUNIT_TEST(RestoredRecordIsReplacedByASurvey);
+  CPPUNIT_TEST(SurveyWaitsForTheConfigurationAndAMember);
   CPPUNIT_TEST(OrderOfTheLostHistoryIsAbandoned);
   CPPUNIT_TEST(OutdatedPeerReportsDoNotReplaceANewPrimary);
   CPPUNIT_TEST_SUITE_END();
@@ -586,6 +587,31 @@
     }
   }
 
+  // The fleet starts before the operators have written a configuration, or
+  // before a member can be reached. A record without primaries would have each
+  // group replaced.
+  void SurveyWaitsForTheConfigurationAndAMember() {
+    Fleet fleet({"a"});
+    const Revision revision(StoreEpoch(1), 3);
+    fleet.m_last_revision = revision.value();
+    fleet.At("a").OnEntries({}, revision, fleet.m_now);
+    fleet.AdvanceTime(10s);
+    fleet.At("a").OnTick({}, LiveFleet(true), fleet.m_now);
+    CPPUNIT_ASSERT(fleet.m_writes.empty());
+    GroupCondition group = FailedPrimary(fleet);
+    for (int i = 0; i < 5; ++i) {
+      fleet.Tick("a", group, LiveFleet(true));
+      fleet.AdvanceTime(1s);
+    }
+    CPPUNIT_ASSERT(fleet.m_writes.empty());
+    group.m_members = {first_replica};
+    fleet.At("a").OnStatus(first_replica, StatusAt(7, MemberRole::kPrimary),
+                           fleet.m_now);
+    fleet.Tick("a", group, LiveFleet(true));
+    fleet.ApplyWrites();
+    CPPUNIT_ASSERT(first_replica == fleet.At("a").PrimaryOf(test_group));
+  }
+
   void OrderOfTheLostHistoryIsAbandoned() {
     Fleet fleet({"a"});
     Promote(&fleet, "a");
