--- a/review/standins/database.py
+++ b/review/standins/database.py
@@ -105,6 +105,8 @@
             if word != "QUERY":
                 return
             query, _, text = rest.partition(" ")
+            if query != "-":
+                self.group.on_statement(self, query, text)
             answer = await self.run(session, query, text)
             state = "I" if session["tx"] is None else "T"
             writer.write(f"{answer}READY {state} {self.position()}\r\n".encode())
@@ -175,7 +177,8 @@
         self.members = {}
         self.store = None
         self.fences = []
-        self.on_promoted = lambda member, old_log: None
+        self.on_promoted = lambda member: None
+        self.on_statement = lambda member, query, text: None
         self.beats = 0
 
     async def start(self, places):
