--- a/review/standins/gateways.py
+++ b/review/standins/gateways.py
@@ -35,12 +35,13 @@
 
     def __init__(self, folder, name, zone, store_port, promote_port=None):
         self.name = name
-        self.front, self.ready, internal = (free_port() for _ in range(3))
+        self.front, self.ready, self.internal = (free_port()
+                                                 for _ in range(3))
         fields = {
             "node-name": name, "zone": zone, "ip": "127.0.0.1",
             "listen": {"front": f"127.0.0.1:{self.front}",
                        "ready": f"127.0.0.1:{self.ready}"},
-            "internal-ports": [internal, internal],
+            "internal-ports": [self.internal, self.internal],
             "limits": {"cpu-share": 0.25, "cores": 1},
             "platform": {"address": f"127.0.0.1:{store_port}"},
             "cloud-api": {"address":
@@ -55,12 +56,14 @@
         self.log = open(pathlib.Path(folder) / f"{name}.log", "ab")
         self.process = None
 
-    def start(self):
+    def start(self, output=None):
+        """Starts the process; its output goes to a file or to `output`."""
         env = {key: os.environ[key] for key in ("PATH", "HOME", "LANG")
                if key in os.environ}
         env["JASMINELUG_CONFIG"] = str(self.settings)
         self.process = subprocess.Popen(self.command, cwd=ROOT, env=env,
-                                        stdout=self.log, stderr=self.log)
+                                        stdout=output or self.log,
+                                        stderr=output or self.log)
 
     def stop(self):
         if self.process and self.process.poll() is None:
