--- a/review/standins/database.py
+++ b/review/standins/database.py
@@ -156,7 +156,9 @@
             return await self.write(session, query, item, data)
         held = self.log if self.role == "primary" else self.log[:self.applied]
         value = next((d for _, i, d in reversed(held) if i == item), "none")
-        return f"ROW {value}\r\nCOMPLETE sig.{query}\r\n"
+        rows = self.group.rows.get(item, [value])
+        return "".join(f"ROW {row}\r\n" for row in rows) + \
+            f"COMPLETE sig.{query}\r\n"
 
     async def write(self, session, query, item, data):
         if self.role != "primary":
@@ -179,6 +181,8 @@
         self.fences = []
         self.on_promoted = lambda member: None
         self.on_statement = lambda member, query, text: None
+        # Items with an answer of many rows.
+        self.rows = {}
         self.beats = 0
 
     async def start(self, places):
