gateway: every replica counts when a synchronous group's primary is replaced

Cause: only members that may be given work were asked for their log positions and promoted. A draining replica still counts as a synchronous one and held the only copy.

Ruled out: a position read too early (all instances had stopped using the old primary before); a refused status request (none was sent to it).

Change: ChooseCandidate() decides from the statuses of all announced replicas; with synchronous replicas nothing shorter than the longest log is promoted, also after a refusal or in a planned replacement. A planned replacement begins only once a candidate follows the log (CatchUpProbe).

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -477,22 +477,7 @@
       m_peers.CountReachability(group, now);
   condition.m_others_unreachable = opinions.m_unreachable;
   condition.m_others_reachable = opinions.m_reachable;
-  condition.m_primary_gone = true;
-  for (const gateway::MemberState* state :
-       m_engine.members().MembersOf(group)) {
-    const gateway::Member& member = state->m_member;
-    condition.m_members.push_back(member.m_id);
-    if (member.m_role == gateway::MemberRole::kPrimary) {
-      condition.m_self_declared.push_back(member.m_id);
-    }
-    const bool takes_work = m_engine.members().AcceptsWork(member);
-    if (condition.m_primary == member.m_id) {
-      condition.m_primary_gone = false;
-      condition.m_primary_leaving = !takes_work;
-    } else if (takes_work) {
-      condition.m_candidates.push_back(member.m_id);
-    }
-  }
+  gateway::SetMembers(m_engine.members(), &condition);
   return condition;
 }
 
--- a/jasminelug/gateway.h
+++ b/jasminelug/gateway.h
@@ -6,6 +6,8 @@
 // refused. This package does no I/O.
 
 #include "src/gateway/answer.h"
+#include "src/gateway/candidate_choice.h"
+#include "src/gateway/catch_up_probe.h"
 #include "src/gateway/cell_order.h"
 #include "src/gateway/configuration.h"
 #include "src/gateway/connection_holders.h"
@@ -20,6 +22,7 @@
 #include "src/gateway/forward_table.h"
 #include "src/gateway/forwarding.h"
 #include "src/gateway/freshness_floor.h"
+#include "src/gateway/group_condition.h"
 #include "src/gateway/ids.h"
 #include "src/gateway/instance_registrar.h"
 #include "src/gateway/member.h"
--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -24,14 +24,14 @@
 constexpr int kMinPeerReports = 2;
 // Added to the contact limit for timers that fire late.
 constexpr Duration kContactMargin = 200ms;
-// Maximum time that a planned replacement waits for a candidate to receive
-// everything that the old primary has committed.
-constexpr Duration kCatchUpLimit = 600ms;
 // Time within which a promoted member must report that it leads. After it, the
 // promotion is considered lost.
 constexpr Duration kConfirmLimit = 3s;
 // Minimum time between two requests for the list of instances.
 constexpr Duration kInstanceListInterval = 200ms;
+// Number of instances, those of the lowest ranks, that examine whether a
+// planned replacement may begin in a group with synchronous replicas.
+constexpr int kProbingInstances = 2;
 // Minimum time between two status requests to the same members.
 constexpr Duration kStatusRequestInterval = 40ms;
 
@@ -66,6 +66,7 @@
 void ReplacementCoordinator::Reset() {
   m_stage = Stage::kIdle;
   m_survey.End();
+  m_catch_up_probes.clear();
   m_promoted.reset();
   m_statuses.clear();
   m_refused_candidates.clear();
@@ -290,7 +291,8 @@
     GroupCondition settled = group;
     settled.m_not_observed &= now - m_intent_seen > kPeerReportsSettleTime;
     const bool failed = HasFailed(m_options, settled, now);
-    if (failed || group.m_primary_leaving) {
+    if (failed ||
+        (group.m_primary_leaving && MayBeginPlanned(group, fleet, now))) {
       Propose(group, !failed, now);
       return;
     }
@@ -300,6 +302,25 @@
   m_next_try = now;
 }
 
+// Returns whether a planned replacement of a leaving primary can be expected to
+// end soon.
+bool ReplacementCoordinator::MayBeginPlanned(const GroupCondition& group,
+                                             const FleetCondition& fleet,
+                                             Time now) {
+  if (group.m_sync_replicas == 0) {
+    return true;
+  }
+  const bool acted_last = m_record.m_coordinator == m_options.m_self;
+  if (!acted_last && fleet.m_rank >= kProbingInstances) {
+    return false;
+  }
+  CatchUpProbe& probe = m_catch_up_probes[group.m_group];
+  for (const MemberId& member : probe.TakeDueRequests(group, now)) {
+    m_hooks.m_request_status(member);
+  }
+  return probe.IsFollowed(group);
+}
+
 void ReplacementCoordinator::Propose(const GroupCondition& group,
                                      bool planned,
                                      Time now) {
@@ -347,11 +368,7 @@
       return;
     }
     case Stage::kCollectingStatuses:
-      if (MayChooseCandidate(group, now)) {
-        ChooseCandidate(group, now);
-      } else if (now - m_statuses_requested > kStatusRequestInterval) {
-        RequestStatuses(group, now);
-      }
+      ApplyChoice(Choose(group, now), group, now);
       return;
     case Stage::kPromoting:
       return;
@@ -434,6 +451,11 @@
   for (const MemberId& candidate : group.m_candidates) {
     m_hooks.m_request_status(candidate);
   }
+  if (group.m_sync_replicas > 0) {
+    for (const MemberId& replica : group.m_leaving_replicas) {
+      m_hooks.m_request_status(replica);
+    }
+  }
   if (m_record.m_intent->m_planned) {
     m_hooks.m_request_status(m_record.m_intent->m_old_primary);
   }
@@ -443,65 +465,44 @@
                                       const MemberStatus& status,
                                       Time) {
   m_survey.OnStatus(member, status);
+  for (auto& [group, probe] : m_catch_up_probes) {
+    probe.OnStatus(member, status);
+  }
   if (m_stage == Stage::kCollectingStatuses || m_stage == Stage::kConfirming) {
     m_statuses.insert_or_assign(member, status);
   }
 }
 
-bool ReplacementCoordinator::MayChooseCandidate(const GroupCondition& group,
-                                                Time now) const {
-  const Duration asking = now - m_status_collection_began;
-  const bool all_answered = std::all_of(
-      group.m_candidates.begin(), group.m_candidates.end(),
-      [this](const MemberId& id) { return m_statuses.contains(id); });
-  if (group.m_sync_replicas > 0 && !all_answered) {
-    // Any of the candidates may be the only one that holds an acknowledged
-    // commit.
-    return false;
-  }
-  const auto old_primary = m_statuses.find(m_record.m_intent->m_old_primary);
-  if (m_record.m_intent->m_planned && old_primary != m_statuses.end()) {
-    const bool caught_up = std::any_of(
-        group.m_candidates.begin(), group.m_candidates.end(),
-        [&](const MemberId& id) {
-          const auto status = m_statuses.find(id);
-          return status != m_statuses.end() &&
-                 status->second.m_received >= old_primary->second.m_received;
-        });
-    return caught_up || asking > kCatchUpLimit;
-  }
-  return (all_answered && !m_record.m_intent->m_planned) ||
-         asking > kStatusTimeout;
+CandidateChoice ReplacementCoordinator::Choose(const GroupCondition& group,
+                                               Time now) const {
+  CandidateInputs inputs;
+  inputs.m_group = group;
+  inputs.m_statuses = m_statuses;
+  inputs.m_refused = m_refused_candidates;
+  inputs.m_planned = m_record.m_intent->m_planned;
+  inputs.m_waited = now - m_status_collection_began;
+  if (inputs.m_planned && !HasFailed(m_options, group, now)) {
+    inputs.m_old_primary = m_record.m_intent->m_old_primary;
+  }
+  return ChooseCandidate(inputs);
 }
 
-void ReplacementCoordinator::ChooseCandidate(const GroupCondition& group,
-                                             Time now) {
-  std::optional<MemberId> best;
-  std::optional<LogPosition> best_position;
-  for (const MemberId& candidate : group.m_candidates) {
-    const bool refused =
-        std::find(m_refused_candidates.begin(), m_refused_candidates.end(),
-                  candidate) != m_refused_candidates.end();
-    const auto status = m_statuses.find(candidate);
-    if (refused) {
-      continue;
-    }
-    if (status == m_statuses.end()) {
-      best = best ? best : candidate;
-      continue;
-    }
-    if (!best_position || status->second.m_received > *best_position) {
-      best = candidate;
-      best_position = status->second.m_received;
-    }
+void ReplacementCoordinator::ApplyChoice(const CandidateChoice& choice,
+                                         const GroupCondition& group,
+                                         Time now) {
+  if (const auto* candidate = std::get_if<MemberId>(&choice)) {
+    Promote(*candidate, group, now);
+    return;
   }
-  if (!best) {
+  if (std::holds_alternative<AllRefused>(choice)) {
     m_refused_candidates.clear();
     m_stage = Stage::kIdle;
     m_next_try = now + kRetryDelay;
     return;
   }
-  Promote(*best, group, now);
+  if (now - m_statuses_requested > kStatusRequestInterval) {
+    RequestStatuses(group, now);
+  }
 }
 
 void ReplacementCoordinator::Promote(const MemberId& candidate,
--- a/src/gateway/replacement_coordinator.h
+++ b/src/gateway/replacement_coordinator.h
@@ -8,6 +8,9 @@
 #include <vector>
 
 #include "jasminelug/common.h"
+#include "src/gateway/candidate_choice.h"
+#include "src/gateway/catch_up_probe.h"
+#include "src/gateway/group_condition.h"
 #include "src/gateway/ids.h"
 #include "src/gateway/member.h"
 #include "src/gateway/member_status.h"
@@ -18,40 +21,6 @@
 
 namespace jasminelug::gateway {
 
-// State of one group at one moment, as seen by this instance.
-struct GroupCondition {
-  friend bool operator==(const GroupCondition&,
-                         const GroupCondition&) = default;
-
-  GroupName m_group;
-  // The primary that the instances use, or that they used before the intent.
-  std::optional<MemberId> m_primary;
-  // All announced members.
-  std::vector<MemberId> m_members;
-  // Announced members that may be given work, excluding the primary.
-  std::vector<MemberId> m_candidates;
-  // Whether the primary or its availability zone is being drained.
-  bool m_primary_leaving = false;
-  // Whether the primary is no longer announced.
-  bool m_primary_gone = false;
-  // Time since which this instance has failed to reach the primary.
-  std::optional<Time> m_failing_since;
-  // Whether this instance cannot judge the primary itself: it has no recent
-  // answer from the primary and no failed attempt to reach it.
-  bool m_not_observed = false;
-  // Number of other instances whose recent reports say that the primary is
-  // unreachable or reachable.
-  int m_others_unreachable = 0;
-  int m_others_reachable = 0;
-  // Whether no statement of this instance is in flight to the primary.
-  bool m_no_statements_in_flight = true;
-  int m_sync_replicas = 0;
-  // The members that declare themselves to be the primary.
-  std::vector<MemberId> m_self_declared;
-  // Newest term in an answer of the group's primary; 0 if unknown.
-  Term m_newest_term;
-};
-
 // State of the fleet at one moment, as seen by this instance.
 struct FleetCondition {
   friend bool operator==(const FleetCondition&,
@@ -100,9 +69,9 @@
 // 3. The winner waits until all instances have acknowledged or those limits
 //    have passed. An instance that registered before the intent counts too, so
 //    the winner reads the list of instances after writing the intent. It then
-//    requests the log positions of the candidates and promotes the most
-//    advanced one. The fencing token is the revision of the intent, so it
-//    increases with every intent.
+//    requests the log positions of the replicas and promotes the one that
+//    ChooseCandidate() returns. The fencing token is the revision of the
+//    intent, so it increases with every intent.
 // 4. Once the new primary reports that it leads a newer term, the winner writes
 //    it into the record and removes the intent. Before that, the member is
 //    still a replica, or the primary of an earlier term that does not know yet
@@ -169,10 +138,6 @@
   // A member that is the primary of the same term before and after was the
   // primary already.
   static constexpr Duration kPromotionEffectLimit = 2s;
-  // Time after which candidates that did not report their position are no
-  // longer waited for. A group with synchronous replicas waits for all
-  // candidates.
-  static constexpr Duration kStatusTimeout = 250ms;
 
   ReplacementCoordinator(ReplacementOptions options, Hooks hooks);
 
@@ -230,6 +195,9 @@
   void ConsiderTurn(const std::vector<GroupCondition>& groups,
                     const FleetCondition& fleet,
                     Time now);
+  bool MayBeginPlanned(const GroupCondition& group,
+                       const FleetCondition& fleet,
+                       Time now);
   void ConsiderTakeOver(const FleetCondition& fleet, Time now);
   void Propose(const GroupCondition& group, bool planned, Time now);
   void Write(const ReplacementRecord& record, Time now);
@@ -237,8 +205,10 @@
                const FleetCondition& fleet,
                Time now);
   void RequestStatuses(const GroupCondition& group, Time now);
-  void ChooseCandidate(const GroupCondition& group, Time now);
-  bool MayChooseCandidate(const GroupCondition& group, Time now) const;
+  CandidateChoice Choose(const GroupCondition& group, Time now) const;
+  void ApplyChoice(const CandidateChoice& choice,
+                   const GroupCondition& group,
+                   Time now);
   void Promote(const MemberId& candidate,
                const GroupCondition& group,
                Time now);
@@ -261,6 +231,7 @@
   bool m_stopped = false;
   Stage m_stage = Stage::kIdle;
   PrimarySurvey m_survey;
+  std::map<GroupName, CatchUpProbe> m_catch_up_probes;
   // Last time at which another instance may have promoted a member.
   std::optional<Time> m_other_coordinator_acted;
   // Time at which this instance first read the current intent.
--- a/test/gateway/replacement_coordinator_test.cc
+++ b/test/gateway/replacement_coordinator_test.cc
@@ -162,6 +162,8 @@
   CPPUNIT_TEST(TriesAnotherCandidateAfterARefusal);
   CPPUNIT_TEST(RepeatsTheSameOrderAfterALostAnswer);
   CPPUNIT_TEST(SynchronousGroupsNeedAllPositions);
+  CPPUNIT_TEST(DrainingReplicaWithTheLastCommitsIsPromoted);
+  CPPUNIT_TEST(PlannedReplacementWaitsForAFollowingReplica);
   CPPUNIT_TEST(PlannedReplacementWaitsForTheLog);
   CPPUNIT_TEST(UnresponsiveCoordinatorIsTakenOver);
   CPPUNIT_TEST(OldCoordinatorAbandonsItsOrder);
@@ -443,6 +445,64 @@
     CPPUNIT_ASSERT(first_replica == fleet.m_all_orders[0].m_candidate);
   }
 
+  // Guards against: review case 1. The only replica that received the last
+  // acknowledged commits drains, and the other one was promoted.
+  void DrainingReplicaWithTheLastCommitsIsPromoted() {
+    Fleet fleet({"a"});
+    GroupCondition group = FailedPrimary(fleet);
+    group.m_sync_replicas = 1;
+    group.m_candidates = {first_replica};
+    group.m_leaving_replicas = {second_replica};
+    fleet.Tick("a", group, LiveFleet(false));
+    fleet.ApplyWrites();
+    fleet.AdvanceTime(20ms);
+    fleet.Tick("a", group, LiveFleet(true));
+    const std::vector<MemberId> asked = {first_replica, second_replica};
+    CPPUNIT_ASSERT(asked == fleet.m_instances["a"].m_status_requests);
+    fleet.At("a").OnStatus(first_replica, StatusAt(7, MemberRole::kReplica),
+                           fleet.m_now);
+    fleet.AdvanceTime(2s);
+    fleet.Tick("a", group, LiveFleet(true));
+    CPPUNIT_ASSERT(fleet.m_all_orders.empty());
+    fleet.At("a").OnStatus(second_replica, StatusAt(9, MemberRole::kReplica),
+                           fleet.m_now);
+    fleet.Tick("a", group, LiveFleet(true));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.m_all_orders.size());
+    CPPUNIT_ASSERT(second_replica == fleet.m_all_orders[0].m_candidate);
+  }
+
+  // Load: writes to a draining primary whose replicas receive nothing. An
+  // intent would leave the group without a primary until they do.
+  void PlannedReplacementWaitsForAFollowingReplica() {
+    for (const int sync_replicas : {0, 1}) {
+      Fleet fleet({"a"});
+      GroupCondition group = FailedPrimary(fleet);
+      group.m_sync_replicas = sync_replicas;
+      group.m_failing_since.reset();
+      group.m_primary_leaving = true;
+      fleet.Tick("a", group, LiveFleet(true));
+      CPPUNIT_ASSERT_EQUAL(sync_replicas == 0, !fleet.m_writes.empty());
+      if (sync_replicas == 0) {
+        continue;
+      }
+      for (const std::uint64_t position : {9, 12, 20}) {
+        fleet.At("a").OnStatus(
+            old_primary, StatusAt(position, MemberRole::kPrimary), fleet.m_now);
+        fleet.At("a").OnStatus(first_replica, StatusAt(7, MemberRole::kReplica),
+                               fleet.m_now);
+        fleet.AdvanceTime(1s);
+        fleet.Tick("a", group, LiveFleet(true));
+        CPPUNIT_ASSERT(fleet.m_writes.empty());
+      }
+      // The replica is behind the primary's newest commits, but it follows.
+      fleet.At("a").OnStatus(first_replica, StatusAt(10, MemberRole::kReplica),
+                             fleet.m_now);
+      fleet.Tick("a", group, LiveFleet(true));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.m_writes.size());
+      CPPUNIT_ASSERT(fleet.m_writes[0].m_record.m_intent->m_planned);
+    }
+  }
+
   void PlannedReplacementWaitsForTheLog() {
     Fleet fleet({"a"});
     GroupCondition group = FailedPrimary(fleet);
