gateway: every statement is answered before a stopping instance exits

Cause: the process ended 5.5 s after the request to stop, and the engine did not know: it took statements until then and gave each its full timeout.

Change: no deadline is later than the end of the shutdown, so that the usual path ends each statement with a truthful answer; operations and sessions whose objective is later are refused as not run, and so are transactions that would be ended at half time.

--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -39,6 +39,8 @@
       kKeyContactNumerator / kKeyContactDenominator;
   options.m_shutdown_transaction_limit =
       gateway::Duration(settings.m_shutdown_limit) / 2;
+  options.m_shutdown_statement_limit =
+      gateway::Duration(settings.m_shutdown_limit) - kExitReserve;
   return options;
 }
 
@@ -361,11 +363,12 @@
     return;
   }
   const gateway::Duration stopping = now - *m_stopping_since;
-  const gateway::Duration limit =
-      gateway::Duration(m_settings.m_shutdown_limit) - kExitReserve;
+  // The engine has answered all statements by the limit.
+  const bool answered =
+      stopping >= m_engine.options().m_shutdown_statement_limit;
   const bool idle =
       m_engine.session_count() == 0 && stopping >= kMinShutdownTime;
-  if (m_deregistering_since || idle || stopping >= limit) {
+  if (m_deregistering_since || idle || answered) {
     Exit(now);
   }
 }
--- a/src/gateway/engine.cc
+++ b/src/gateway/engine.cc
@@ -221,6 +221,12 @@
 
 void Engine::BeginShutdown(Time now) {
   m_shutdown_since = now;
+  for (auto& [id, session] : m_sessions) {
+    if (session->m_active) {
+      session->m_active->m_deadline =
+          CapDeadline(session->m_active->m_deadline);
+    }
+  }
   DropExcessIdleConnections(now);
 }
 
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -44,6 +44,9 @@
   Duration m_primary_contact_limit = 4200ms;
   // Time from the start of a shutdown after which open transactions are ended.
   Duration m_shutdown_transaction_limit = 3s;
+  // Time from the start of a shutdown after which every statement has been
+  // answered, so that the process may exit.
+  Duration m_shutdown_statement_limit = 5500ms;
 };
 
 // The primary of a group, and whether this instance may use it.
@@ -146,11 +149,13 @@
   static constexpr Duration kTickInterval = 20ms;
 
   // Begins a graceful shutdown, in which sessions are closed once they are
-  // idle.
+  // idle. Operations that would probably not end in time are refused, and
+  // statements that are still running at the end get their final answers.
   void BeginShutdown(Time now);
 
   // --- Used by other components. ---
 
+  const EngineOptions& options() const { return m_options; }
   CustomerLimiter& limiter() { return m_limiter; }
   MemberTable& members() { return m_members; }
   const ConnectionHolders& holders() const { return m_holders; }
@@ -203,6 +208,10 @@
   void RollBackTransaction(Session* session, Time now);
   void SubmitToMember(Session* session, Statement statement, Time now);
   std::optional<Refused> CheckCaller(const Session& session, Time now) const;
+  std::optional<Refused> CheckShutdown(const Route& route,
+                                       Duration limit,
+                                       Time now) const;
+  Time CapDeadline(Time deadline) const;
   void ApplyRoute(Session* session);
   std::optional<Refused> BeginOperation(Session* session, Time now);
   std::optional<Refused> AdmitLocally(Session* session, Time now);
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -64,9 +64,32 @@
   if (!is_public && !m_configuration->m_keys.contains(session.m_key)) {
     return Refused{ErrorCode::kUnauthorized, "unknown key"};
   }
+  return CheckShutdown(route->second, m_options.m_shutdown_statement_limit,
+                       now);
+}
+
+// Returns a refusal if an operation that begins now would probably not end
+// within `limit` of the shutdown's start. The objective is the time within
+// which admitted operations are expected to end.
+std::optional<Refused> Engine::CheckShutdown(const Route& route,
+                                             Duration limit,
+                                             Time now) const {
+  if (m_shutdown_since && now + route.m_objective > *m_shutdown_since + limit) {
+    return Refused{ErrorCode::kBusy, "this instance is stopping"};
+  }
   return std::nullopt;
 }
 
+// Returns the deadline of a statement, which is no later than the end of a
+// shutdown.
+Time Engine::CapDeadline(Time deadline) const {
+  if (!m_shutdown_since) {
+    return deadline;
+  }
+  return std::min(deadline,
+                  *m_shutdown_since + m_options.m_shutdown_statement_limit);
+}
+
 void Engine::ApplyRoute(Session* session) {
   if (session->m_is_forwarded) {
     return;  // The route came with the forwarded statement.
@@ -323,6 +346,10 @@
     transaction.m_last_activity = now;
     session->m_transaction = transaction;
     ApplyRoute(session);
+    refused = CheckShutdown(session->m_route,
+                            m_options.m_shutdown_transaction_limit, now);
+  }
+  if (!refused) {
     refused = BeginOperation(session, now);
   }
   if (refused) {
@@ -366,7 +393,7 @@
   active.m_needs_primary = active.m_writes || read_write_transaction ||
                            route.m_consistency == Consistency::kPrimary;
   active.m_objective_at = now + route.m_objective;
-  active.m_deadline = now + route.m_statement_timeout;
+  active.m_deadline = CapDeadline(now + route.m_statement_timeout);
   session->m_active = std::move(active);
   if (!refused && !session->m_transaction) {
     refused = BeginOperation(session, now);
--- a/test/gateway/engine_sessions_test.cc
+++ b/test/gateway/engine_sessions_test.cc
@@ -20,6 +20,9 @@
   return verbs;
 }
 
+// Time from the request to stop until every statement has its answer.
+constexpr Duration kShutdownTime = 5500ms;
+
 class EngineSessionsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EngineSessionsTest);
   CPPUNIT_TEST(RefusesUnknownCallers);
@@ -37,6 +40,9 @@
   CPPUNIT_TEST(MalformedStatementsRunNothing);
   CPPUNIT_TEST(ConnectionsBelongToOneCustomer);
   CPPUNIT_TEST(ShutdownClosesIdleSessionsOnly);
+  CPPUNIT_TEST(ShutdownAnswersEveryStatement);
+  CPPUNIT_TEST(ShutdownBeginsNothingThatCannotEnd);
+  CPPUNIT_TEST(ShutdownRefusesLateStatementsOfOpenSessions);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -268,6 +274,112 @@
     fixture.Advance(300ms);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.m_closed_sessions.size());
   }
+
+  // Load: all instances are stopped at once, so that their callers have nowhere
+  // to go and send until the end.
+  // Guards against: review case 4, statements are cut off at the exit.
+  void ShutdownAnswersEveryStatement() {
+    struct Case {
+      const char* m_name;
+      StatementKind m_kind;
+      bool m_in_transaction;
+      bool m_sent;
+      ErrorCode m_expected;
+    };
+    const std::vector<Case> cases = {
+        {"read at a member", StatementKind::kRead, false, true,
+         ErrorCode::kTimeout},
+        {"write at a member", StatementKind::kWrite, false, true,
+         ErrorCode::kInDoubt},
+        {"not placed yet", StatementKind::kWrite, false, false,
+         ErrorCode::kBusy},
+        {"in a transaction", StatementKind::kWrite, true, true,
+         ErrorCode::kAborted}};
+    for (const Case& row : cases) {
+      EngineFixture fixture;
+      Route& route = fixture.m_configuration.m_routes[DatabaseName("strict")];
+      route.m_statement_timeout = 5s;
+      route.m_objective = row.m_in_transaction ? 1s : 4s;
+      fixture.m_configuration.m_version += 1;
+      fixture.m_configuration.m_revision = Revision(2);
+      fixture.Configure();
+      fixture.m_engine.BeginShutdown(fixture.m_now);
+      fixture.Advance(1s);
+      const SessionId id = fixture.Open("strict");
+      if (row.m_in_transaction) {
+        fixture.Send(id, StatementKind::kBegin, "BEGIN");
+      }
+      if (!row.m_sent) {
+        const Time usable_from = fixture.m_now + kShutdownTime - 1010ms;
+        fixture.m_engine.SetPrimary(EngineFixture::Group(),
+                                    {MemberId("p"), false, usable_from}, false,
+                                    fixture.m_now);
+      }
+      fixture.Send(id, row.m_kind, "WRITE x 1");
+      fixture.OpenConnections();
+      if (row.m_in_transaction) {  // The statement follows its BEGIN.
+        fixture.AnswerAt("p", Completed{}, TransactionState::kOpen, 1);
+      }
+      const std::size_t answers = fixture.CountAnswers(id);
+      fixture.Advance(kShutdownTime - 1s - 20ms);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.m_name, answers,
+                                   fixture.CountAnswers(id));
+      fixture.Advance(20ms);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.m_name, answers + 1,
+                                   fixture.CountAnswers(id));
+      CPPUNIT_ASSERT_MESSAGE(row.m_name,
+                             row.m_expected == fixture.LastError(id));
+    }
+  }
+
+  // Load: callers who have nowhere else to go send new operations until the
+  // exit. Those that would probably not end in time are refused at once.
+  void ShutdownBeginsNothingThatCannotEnd() {
+    struct Case {
+      const char* m_name;
+      Duration m_after;
+      StatementKind m_kind;
+      bool m_accepted;
+    };
+    const std::vector<Case> cases = {
+        {"read", kShutdownTime - 500ms, StatementKind::kRead, true},
+        {"late read", kShutdownTime - 300ms, StatementKind::kRead, false},
+        {"read after the end", kShutdownTime + 50ms, StatementKind::kRead,
+         false},
+        {"transaction", 2s, StatementKind::kBegin, true},
+        {"late transaction", 2700ms, StatementKind::kBegin, false}};
+    for (const Case& row : cases) {
+      EngineFixture fixture;
+      fixture.m_engine.BeginShutdown(fixture.m_now);
+      fixture.Advance(row.m_after);
+      const SessionId id = fixture.Open("strict");
+      const bool opened = !fixture.m_refused;
+      CPPUNIT_ASSERT_MESSAGE(row.m_name, opened || !row.m_accepted);
+      if (!opened) {
+        CPPUNIT_ASSERT(ErrorCode::kBusy == fixture.m_refused->m_code);
+        continue;
+      }
+      fixture.Send(id, row.m_kind, "READ x");
+      fixture.AnswerAllAt("p", 1);
+      const ErrorCode expected = ErrorCode::kBusy;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.m_name, row.m_accepted,
+                                   fixture.Succeeded(id));
+      CPPUNIT_ASSERT_MESSAGE(
+          row.m_name, row.m_accepted || expected == fixture.LastError(id));
+    }
+  }
+
+  // A session that is open already is refused in the same way.
+  void ShutdownRefusesLateStatementsOfOpenSessions() {
+    EngineFixture fixture;
+    fixture.m_engine.BeginShutdown(fixture.m_now);
+    fixture.Advance(kShutdownTime - 500ms);
+    const SessionId id = fixture.Open("strict");
+    fixture.Advance(140ms);
+    fixture.Read(id);
+    CPPUNIT_ASSERT(ErrorCode::kBusy == fixture.LastError(id));
+    CPPUNIT_ASSERT(fixture.m_connections.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EngineSessionsTest);
