gateway: an instance judges only peers that report to it

Cause: in a cell, instances report to its heads only. A former head went on to judge its peers by their last reports to it, and they judged it by its last report as a head, so that live coordinators counted as unresponsive. A new head judged peers that had had no time to report.

Change: a peer is unresponsive only if its reports are expected here; an instance that is no head any more tells all others.

Evidence: FormerHeadsDoNotTakeTheOthersForLost failed before.

--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -18,6 +18,12 @@
 constexpr Duration kMaxEchoAge = 5s;
 // Number of heads of a cell; two, so that one may fail.
 constexpr int kHeads = 2;
+// Number of reports in which a former head tells all others that it is none any
+// more. More than one, because datagrams may be lost.
+constexpr int kRoleNotices = 3;
+// Time within which a live peer has reported to an instance that has just
+// learnt of it or become a head, and has echoed one of its reports.
+constexpr Duration kFirstReportTime = 2 * PeerView::kReportMaxAge;
 // Delay before an instance takes the role of a missing head, for each position
 // by which it follows the first kHeads instances, and the number of positions
 // to which it is added. Instances of later positions add a random part of
@@ -378,8 +384,12 @@
         return IsBeforeInCell(item.second.m_entry, m_own_entry) &&
                ReportsAsHead(item.second, now);
       }));
+  m_role_notices_left = std::max(m_role_notices_left - 1, 0);
   if (heads_before >= kHeads) {
     m_vacant_since.reset();
+    if (m_is_head) {
+      m_role_notices_left = kRoleNotices;
+    }
     m_is_head = false;
     return;
   }
@@ -395,7 +405,7 @@
   for (const auto& [id, peer] : m_peers) {
     receivers.push_back(peer.m_entry);
   }
-  if (is_head()) {
+  if (is_head() || m_role_notices_left > 0) {
     return receivers;
   }
   std::sort(receivers.begin(), receivers.end(), IsBeforeInCell);
@@ -551,9 +561,19 @@
 
 bool PeerView::IsUnresponsive(const InstanceId& id, Time now) const {
   const auto found = m_peers.find(id);
-  const bool judged =
-      found != m_peers.end() && (is_head() || found->second.m_report);
-  return judged && !IsLive(found->second, now);
+  return found != m_peers.end() && IsReportExpected(found->second, now) &&
+         !IsLive(found->second, now);
+}
+
+// Returns whether a peer that is live would have reported to this instance
+// lately. The other instances of a cell report to its heads only.
+bool PeerView::IsReportExpected(const Peer& peer, Time now) const {
+  if (!is_head()) {
+    return peer.m_report && peer.m_report->m_is_head;
+  }
+  const Time since =
+      std::max(peer.m_known_since, m_cells.empty() ? Time() : m_head_since);
+  return now - since > kFirstReportTime;
 }
 
 }  // namespace jasminelug::gateway
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -130,7 +130,8 @@
   // Returns whether this incarnation of the instance is registered.
   bool IsRegistered(const InstanceId& id, Incarnation incarnation) const;
 
-  // Returns whether `id` is an unresponsive peer of this cell.
+  // Returns whether `id` is a peer of this cell that should have reported to
+  // this instance, and has not.
   bool IsUnresponsive(const InstanceId& id, Time now) const;
 
   // Decides whether this instance is a head. Must be called before each report.
@@ -209,6 +210,7 @@
   static bool HasAcknowledged(const Cell& cell, Revision revision);
   void RecordDigests(const PeerReport& report, Time now);
   int Position() const;
+  bool IsReportExpected(const Peer& peer, Time now) const;
   bool ReportsAsHead(const Peer& peer, Time now) const;
   Duration HeadDelay() const;
   FleetSummary SummaryFor(const InstanceEntry& receiver,
@@ -236,6 +238,8 @@
   std::map<ZoneName, Cell> m_cells;
   bool m_is_head = false;
   Time m_head_since;
+  // Number of reports that still go to all peers after the end of the role.
+  int m_role_notices_left = 0;
   // Time since which the cell has lacked a head that comes before this
   // instance.
   std::optional<Time> m_vacant_since;
--- a/test/gateway/peer_view_test.cc
+++ b/test/gateway/peer_view_test.cc
@@ -172,6 +172,7 @@
   CPPUNIT_TEST(DigestThatLacksAnInstanceDoesNotCount);
   CPPUNIT_TEST(ReportsGrowLinearlyWithTheCell);
   CPPUNIT_TEST(LostHeadsAreReplaced);
+  CPPUNIT_TEST(FormerHeadsDoNotTakeTheOthersForLost);
   CPPUNIT_TEST(VerificationReachesOtherCells);
   CPPUNIT_TEST_SUITE_END();
 
@@ -462,6 +463,31 @@
     CPPUNIT_ASSERT((std::vector<std::size_t>{0, 3}) == heads());
   }
 
+  // Load: the heads of a cell restart, so that the role passes on and back.
+  // Guards against: a replacement that live coordinators take from each other,
+  // because each remembers the other's last report as a head, or to a head.
+  void FormerHeadsDoNotTakeTheOthersForLost() {
+    LargeFleet fleet(20);
+    const auto exchange = [&fleet](int rounds) {
+      for (int i = 0; i < rounds; ++i) {
+        fleet.Exchange();
+      }
+    };
+    exchange(8);
+    fleet.m_lost = {0, 3};
+    exchange(15);
+    CPPUNIT_ASSERT(fleet.m_views[6].is_head());
+    fleet.m_lost.clear();
+    exchange(20);
+    CPPUNIT_ASSERT(!fleet.m_views[6].is_head());
+    for (std::size_t i = 0; i < fleet.m_views.size(); ++i) {
+      for (const InstanceEntry& other : fleet.m_entries) {
+        CPPUNIT_ASSERT(
+            !fleet.m_views[i].IsUnresponsive(other.m_id, fleet.m_now));
+      }
+    }
+  }
+
   // The first instance of the fleet follows the store. The heads of the other
   // cells learn from it how current their copies are, and their cells from
   // them.
