gateway: a replacement ends although coordinators doubt each other

Cause: who takes an intent over waits 3.2 s before it promotes, and was taken for failed after 1.2 s itself.

Change: each change of hands doubles the time after which an intent is taken over, up to 10 s, so that a coordinator gets the time it needs. Safety does not rest on it.

Evidence: CoordinatorsThatDoNotHearEachOtherEndTheReplacement failed before (no promotion in 60 s), now one within 12 s.

--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -128,6 +128,7 @@
   }
   m_next_try = std::max(m_next_try, now);
   m_revision = found->second.m_revision;
+  CountTakeOvers(*record);
   m_record = record->m_epoch == m_epoch ? *record : ReplacementRecord();
   m_intent_seen = now;
 }
@@ -338,10 +339,8 @@
 
 void ReplacementCoordinator::ConsiderTakeOver(const FleetCondition& fleet,
                                               Time now) {
-  const Duration limit =
-      fleet.m_coordinator_live ? kTakeOverAfter : kTakeOverUnresponsiveAfter;
   if (now < m_next_try ||
-      now - m_intent_seen < limit + fleet.m_rank * kRankDelay) {
+      now - m_intent_seen < TakeOverTime(fleet) + fleet.m_rank * kRankDelay) {
     return;
   }
   ReplacementRecord record = m_record;
@@ -350,6 +349,29 @@
   Write(record, now);
 }
 
+Duration ReplacementCoordinator::TakeOverTime(
+    const FleetCondition& fleet) const {
+  Duration time =
+      fleet.m_coordinator_live ? kTakeOverAfter : kTakeOverUnresponsiveAfter;
+  for (int i = 0; i < m_take_overs && time < kMaxTakeOverAfter; ++i) {
+    time *= 2;
+  }
+  return std::min(time, kMaxTakeOverAfter);
+}
+
+// Counts a change of the coordinator if `record`, which was just read, has the
+// same intent as the previous one.
+void ReplacementCoordinator::CountTakeOvers(const ReplacementRecord& record) {
+  const bool same_intent =
+      m_record.m_intent && record.m_intent &&
+      m_record.m_intent->m_group == record.m_intent->m_group;
+  if (!same_intent) {
+    m_take_overs = 0;
+  } else if (record.m_coordinator != m_record.m_coordinator) {
+    m_take_overs += 1;
+  }
+}
+
 void ReplacementCoordinator::Advance(const GroupCondition& group,
                                      const FleetCondition& fleet,
                                      Time now) {
--- a/src/gateway/replacement_coordinator.h
+++ b/src/gateway/replacement_coordinator.h
@@ -83,8 +83,11 @@
 // promoted, and the instance that acted last may propose before the others.
 //
 // If the coordinator of an intent is unresponsive or takes too long, another
-// instance takes the intent over by writing it again under its own name. Two
-// promotions never overlap:
+// instance takes the intent over by writing it again under its own name. It has
+// to wait before it promotes, so the time after which it is taken for failed
+// itself grows with each such change. Coordinators that wrongly hold each other
+// for unresponsive therefore cannot take the intent from each other forever.
+// Two promotions never overlap:
 //
 // - If the earlier coordinator acknowledges the new intent, it abandons its
 //   promotion call first.
@@ -125,9 +128,13 @@
   static constexpr char kRecordName[] = "replacements";
   static constexpr Duration kCallTimeout = 900ms;
   // Another instance takes an intent over after kTakeOverAfter, or already
-  // after kTakeOverUnresponsiveAfter if the coordinator is unresponsive.
+  // after kTakeOverUnresponsiveAfter if the coordinator is unresponsive. Each
+  // time the intent was taken over doubles these times, up to
+  // kMaxTakeOverAfter, in which a coordinator that has taken over completes the
+  // replacement even if it has to wait for the contact limit.
   static constexpr Duration kTakeOverAfter = 6s;
   static constexpr Duration kTakeOverUnresponsiveAfter = 1200ms;
+  static constexpr Duration kMaxTakeOverAfter = 10s;
   // Minimum time between the last action of one coordinator and the first of
   // another one. The platform's documentation requires 3 s.
   static constexpr Duration kCoordinatorChangePause = 3200ms;
@@ -199,6 +206,8 @@
                        const FleetCondition& fleet,
                        Time now);
   void ConsiderTakeOver(const FleetCondition& fleet, Time now);
+  Duration TakeOverTime(const FleetCondition& fleet) const;
+  void CountTakeOvers(const ReplacementRecord& record);
   void Propose(const GroupCondition& group, bool planned, Time now);
   void Write(const ReplacementRecord& record, Time now);
   void Advance(const GroupCondition& group,
@@ -236,6 +245,8 @@
   std::optional<Time> m_other_coordinator_acted;
   // Time at which this instance first read the current intent.
   Time m_intent_seen;
+  // Number of times this instance has seen the intent change its coordinator.
+  int m_take_overs = 0;
   Time m_call_sent;
   Time m_next_try;
   // Last time the list of registered instances was requested.
--- a/test/gateway/replacement_coordinator_test.cc
+++ b/test/gateway/replacement_coordinator_test.cc
@@ -166,6 +166,7 @@
   CPPUNIT_TEST(PlannedReplacementWaitsForAFollowingReplica);
   CPPUNIT_TEST(PlannedReplacementWaitsForTheLog);
   CPPUNIT_TEST(UnresponsiveCoordinatorIsTakenOver);
+  CPPUNIT_TEST(CoordinatorsThatDoNotHearEachOtherEndTheReplacement);
   CPPUNIT_TEST(OldCoordinatorAbandonsItsOrder);
   CPPUNIT_TEST(OrderEndsWithoutContact);
   CPPUNIT_TEST(StoppingCoordinatorEndsItsReplacement);
@@ -543,6 +544,36 @@
     CPPUNIT_ASSERT(InstanceId("b") == fleet.m_writes[0].m_record.m_coordinator);
   }
 
+  // Load: restarts beside a failing primary, so that each of several instances
+  // takes the coordinator for unresponsive while it waits.
+  // Guards against: a replacement that never ends.
+  void CoordinatorsThatDoNotHearEachOtherEndTheReplacement() {
+    const std::vector<std::string> names = {"a", "b", "c"};
+    Fleet fleet(names);
+    fleet.Tick("a", FailedPrimary(fleet), LiveFleet(false));
+    fleet.ApplyWrites();
+    const Time begin = fleet.m_now;
+    while (fleet.m_all_orders.empty() && fleet.m_now - begin < 60s) {
+      // The first coordinator is taken over before all have acknowledged.
+      const bool acknowledged = fleet.m_now - begin > 1500ms;
+      for (const std::string& name : names) {
+        fleet.Watch(name);
+        FleetCondition condition = LiveFleet(acknowledged);
+        condition.m_coordinator_live =
+            fleet.m_record.m_coordinator.str() == name;
+        fleet.Tick(name, FailedPrimary(fleet), condition);
+        fleet.ApplyWrites();
+        for (const MemberId& member : {first_replica, second_replica}) {
+          fleet.At(name).OnStatus(member, StatusAt(7, MemberRole::kReplica),
+                                  fleet.m_now);
+        }
+      }
+      fleet.AdvanceTime(10ms);
+    }
+    CPPUNIT_ASSERT(!fleet.m_all_orders.empty());
+    CPPUNIT_ASSERT(fleet.m_now - begin < 12s);
+  }
+
   void OldCoordinatorAbandonsItsOrder() {
     Fleet fleet({"a", "b"});
     Promote(&fleet, "a");
