gateway: a stopping instance waits until its answers were sent

Cause: the process ended once no session was left; the connection of the last one still had bytes to send.

Ruled out: a kill (it ended by itself), the member (it had answered).

Change: the listener tells whether answers are unsent, also on connections that are being closed; NextShutdownStep() decides without I/O.

--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -18,13 +18,8 @@
 // An instance is not ready for new callers if its keys were last verified
 // longer ago than this.
 constexpr gateway::Duration kReadyContactLimit = 3s;
-// Minimum time between the request to stop and the exit, because new callers
-// are still routed to this instance for a while.
-constexpr gateway::Duration kMinShutdownTime = 2300ms;
 // Part of the shutdown limit that is reserved for the exit itself.
 constexpr gateway::Duration kExitReserve = 500ms;
-// Maximum time for the deletion of this instance's entry before the exit.
-constexpr gateway::Duration kDeregistrationTimeout = 300ms;
 // Fraction of the withdrawal limit for which keys may be used after they were
 // last verified.
 constexpr int kKeyContactNumerator = 9;
@@ -359,30 +354,29 @@
     Log(m_logger, log4cplus::INFO_LOG_LEVEL,
         m_was_ready ? "ready" : "not ready");
   }
-  if (!m_stopping_since) {
-    return;
-  }
-  const gateway::Duration stopping = now - *m_stopping_since;
-  // The engine has answered all statements by the limit.
-  const bool answered =
-      stopping >= m_engine.options().m_shutdown_statement_limit;
-  const bool idle =
-      m_engine.session_count() == 0 && stopping >= kMinShutdownTime;
-  if (m_deregistering_since || idle || answered) {
-    Exit(now);
+  if (m_stopping_since) {
+    ContinueShutdown(now);
   }
 }
 
-// Deletes this instance's entry, and ends the process once that is done or
-// takes too long.
-void GatewayProcess::Exit(gateway::Time now) {
-  if (!m_deregistering_since) {
-    m_deregistering_since = now;
-    m_fleet.Deregister(now);
+void GatewayProcess::ContinueShutdown(gateway::Time now) {
+  gateway::ShutdownProgress progress;
+  progress.m_stopping = now - *m_stopping_since;
+  progress.m_statements_ended =
+      progress.m_stopping >= m_engine.options().m_shutdown_statement_limit;
+  progress.m_has_sessions = m_engine.session_count() > 0;
+  progress.m_has_unsent_answers = m_callers->has_unsent_answers();
+  if (m_deregistering_since) {
+    progress.m_deregistering = now - *m_deregistering_since;
+    progress.m_deregistration_in_progress = m_fleet.is_deregistering();
   }
-  if (!m_fleet.is_deregistering() ||
-      now - *m_deregistering_since >= kDeregistrationTimeout) {
+  const gateway::ShutdownStep step = gateway::NextShutdownStep(progress);
+  if (step == gateway::ShutdownStep::kExit) {
     m_io.stop();
+  } else if (step == gateway::ShutdownStep::kDeregister &&
+             !m_deregistering_since) {
+    m_deregistering_since = now;
+    m_fleet.Deregister(now);
   }
 }
 
@@ -459,7 +453,8 @@
   ScheduleTick();
   m_io.run();
   Log(m_logger, log4cplus::INFO_LOG_LEVEL, "stopped",
-      {{"sessions", static_cast<std::int64_t>(m_engine.session_count())}});
+      {{"sessions", static_cast<std::int64_t>(m_engine.session_count())},
+       {"unsent_answers", m_callers->has_unsent_answers()}});
   return 0;
 }
 
--- a/apps/gateway/gateway_process.h
+++ b/apps/gateway/gateway_process.h
@@ -65,7 +65,7 @@
   void AwaitSignal();
   void OnSignal(int signal);
   void BeginShutdown();
-  void Exit(gateway::Time now);
+  void ContinueShutdown(gateway::Time now);
   bool IsReady() const;
   std::string Metrics() const;
 
--- /dev/null
+++ b/test/platform_adapter/caller_listener_test.cc
@@ -0,0 +1,83 @@
+#include "platform/caller_listener.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/connect.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace jasminelug::adapter {
+namespace {
+
+using asio::ip::tcp;
+
+// More than the buffers of a connection hold.
+constexpr std::size_t kLargeRowBytes = std::size_t{16} << 20;
+
+class CallerListenerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CallerListenerTest);
+  CPPUNIT_TEST(AnswerIsUnsentUntilTheCallerReadsIt);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // A session may be closed while its last answer is being sent. See
+  // gateway::NextShutdownStep().
+  void AnswerIsUnsentUntilTheCallerReadsIt() {
+    asio::io_context io;
+    std::optional<gateway::SessionId> session;
+    CallerListener::Hooks hooks;
+    hooks.m_start = [&session](gateway::SessionId id, const SessionStart&) {
+      session = id;
+      return std::nullopt;
+    };
+    hooks.m_end = [](gateway::SessionId) {};
+    hooks.m_unreadable = [](const std::string&) {};
+    const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), 0);
+    CallerListener listener(io, endpoint, hooks);
+    tcp::socket caller(io);
+    caller.connect(listener.endpoint());
+    asio::write(caller, asio::buffer(std::string("START beds key\r\n")));
+    RunUntil(&io, [&session] { return session.has_value(); });
+    CPPUNIT_ASSERT(!listener.has_unsent_answers());
+    gateway::Answer answer;
+    answer.m_outcome =
+        gateway::Completed{{std::string(kLargeRowBytes, 'x')}, "signature"};
+    listener.Answer(*session, answer);
+    CPPUNIT_ASSERT(listener.has_unsent_answers());
+    listener.CloseSession(*session);
+    io.poll();
+    CPPUNIT_ASSERT(listener.has_unsent_answers());
+    std::size_t received = 0;
+    std::array<char, 65536> buffer{};
+    std::error_code error;
+    caller.non_blocking(true);
+    RunUntil(&io, [&] {
+      received += caller.read_some(asio::buffer(buffer), error);
+      return error == asio::error::eof;
+    });
+    CPPUNIT_ASSERT(received > kLargeRowBytes);
+    CPPUNIT_ASSERT(!listener.has_unsent_answers());
+  }
+
+ private:
+  template <typename Condition>
+  static void RunUntil(asio::io_context* io, Condition condition) {
+    const auto limit =
+        std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!condition()) {
+      CPPUNIT_ASSERT(std::chrono::steady_clock::now() < limit);
+      io->run_for(std::chrono::milliseconds(1));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CallerListenerTest);
+
+}  // namespace
+}  // namespace jasminelug::adapter
