gateway: reports of the fleet duty in a file of their own; names, docs

Parsing a datagram endpoint moves to platform/endpoint. DescribeMembers() and HasUnsentAnswers() say what they do.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -18,14 +18,6 @@
 
 // Pause between two reports to the same peer.
 constexpr gateway::Duration kReportInterval = 200ms;
-// Number of instances of each other cell that receive a digest.
-constexpr std::size_t kDigestReceivers = 2;
-// Minimum pause between two digests for the other cells.
-constexpr gateway::Duration kDigestInterval = 380ms;
-// Bytes of queued reports that are sent on each tick: this number, or this part
-// of all queued bytes if that is more. A link drops datagrams of a large burst.
-constexpr std::size_t kBurstBytes = std::size_t{16} << 10;
-constexpr std::size_t kBurstPart = 4;
 // The coordinator of a replacement acts only if its replacement record was
 // verified against the store, by itself or through a peer's report, within this
 // time.
@@ -47,15 +39,6 @@
   return entry;
 }
 
-asio::ip::udp::endpoint ToDatagramEndpoint(
-    const asio::ip::tcp::endpoint& endpoint) {
-  return {endpoint.address(), endpoint.port()};
-}
-
-std::int64_t ToLog(gateway::Revision revision) {
-  return static_cast<std::int64_t>(revision.value());
-}
-
 }  // namespace
 
 FleetDuty::FleetDuty(asio::io_context& io,
@@ -73,8 +56,7 @@
       m_coordinator(gateway::ReplacementOptions{m_entry.m_id},
                     MakeCoordinatorHooks()),
       m_datagrams(io,
-                  ToDatagramEndpoint(
-                      *adapter::ParseEndpoint(m_entry.m_peer_address.str())),
+                  *adapter::ParseDatagramEndpoint(m_entry.m_peer_address.str()),
                   [this](std::string_view bytes) { OnDatagram(bytes); }) {
   m_engine.primary_contact().CountFrom(std::nullopt);
 }
@@ -157,7 +139,7 @@
        {"old_primary", intent.m_old_primary.str()},
        {"candidate", intent.m_candidate.str()},
        {"planned", intent.m_planned},
-       {"revision", ToLog(m_coordinator.revision())},
+       {"revision", ToLogField(m_coordinator.revision())},
        {"instances", static_cast<std::int64_t>(m_entries.size())},
        {"list_age_ms", list_age.count()},
        {"unacknowledged", missing}});
@@ -267,142 +249,6 @@
                      });
 }
 
-gateway::PeerReport FleetDuty::MakeReport(gateway::Time now) const {
-  gateway::PeerReport report;
-  report.m_copies = m_hooks.m_copies();
-  report.m_demand = m_engine.limiter().Demand(now);
-  report.m_acknowledged = AcknowledgedRevision();
-  const gateway::Configuration* configuration = m_engine.configuration();
-  if (!configuration) {
-    return report;
-  }
-  if (const auto age = m_engine.key_contact().Age(now)) {
-    report.m_configuration = {configuration->m_revision, *age};
-  }
-  if (const auto age = m_engine.primary_contact().Age(now)) {
-    report.m_replacements = {m_coordinator.revision(), *age};
-  }
-  for (const auto& [group, limits] : configuration->m_groups) {
-    const auto sample = m_engine.NewestSample(group);
-    if (sample) {
-      report.m_samples.push_back(
-          {group, now - sample->m_sent, sample->m_position});
-    }
-    if (m_engine.PrimaryFailingSince(group, now)) {
-      report.m_unreachable.push_back(group);
-    } else if (m_engine.IsPrimaryResponsive(group, now)) {
-      report.m_reachable.push_back(group);
-    }
-  }
-  return report;
-}
-
-void FleetDuty::SendReports(gateway::Time now) {
-  m_last_report = now;
-  m_peers.UpdateRole(now);
-  gateway::PeerReport report = MakeReport(now);
-  const bool acknowledges = report.m_acknowledged != m_reported_revision;
-  if (acknowledges) {
-    Log(m_logger, log4cplus::INFO_LOG_LEVEL, "acknowledging",
-        {{"revision", ToLog(report.m_acknowledged)},
-         {"read", ToLog(m_coordinator.revision())}});
-  }
-  m_reported_revision = report.m_acknowledged;
-  m_peers.FillHeader(&report, now);
-  const gateway::FleetShares shares =
-      m_peers.AllShares(report.m_demand, m_holders, now);
-  for (const gateway::InstanceEntry& peer : m_peers.ReportReceivers(now)) {
-    Queue(peer, m_peers.ReportFor(peer, report, shares, now));
-  }
-  if (m_peers.has_other_cells() && m_peers.is_head()) {
-    QueueForOtherCells(&report, shares, acknowledges, now);
-  }
-  SendQueued();
-}
-
-void FleetDuty::QueueForOtherCells(gateway::PeerReport* own,
-                                   const gateway::FleetShares& shares,
-                                   bool acknowledges,
-                                   gateway::Time now) {
-  const bool digest_due = now - m_last_digest >= kDigestInterval;
-  if (digest_due || acknowledges) {
-    m_last_digest = now;
-    own->m_cells = {m_peers.Digest(*own, now)};
-  }
-  for (const gateway::InstanceEntry& peer :
-       m_peers.DigestReceivers(kDigestReceivers, now)) {
-    Queue(peer, m_peers.ReportFor(peer, *own, shares, now));
-  }
-}
-
-void FleetDuty::Queue(const gateway::InstanceEntry& peer,
-                      const gateway::PeerReport& report) {
-  const auto endpoint = adapter::ParseEndpoint(peer.m_peer_address.str());
-  if (endpoint) {
-    m_outgoing.push_back(
-        {ToDatagramEndpoint(*endpoint), gossip::EncodeReport(report)});
-    m_outgoing_bytes += m_outgoing.back().m_bytes.size();
-  }
-}
-
-void FleetDuty::SendQueued() {
-  std::size_t left = std::max(kBurstBytes, m_outgoing_bytes / kBurstPart);
-  while (left > 0 && !m_outgoing.empty()) {
-    const OutgoingReport& report = m_outgoing.front();
-    const std::size_t size = report.m_bytes.size();
-    m_datagrams.Send(report.m_receiver, report.m_bytes);
-    m_outgoing.pop_front();
-    m_outgoing_bytes -= size;
-    left -= std::min(left, size);
-  }
-}
-
-void FleetDuty::OnDatagram(std::string_view bytes) {
-  const auto report = gossip::DecodeReport(bytes);
-  if (!IsOk(report)) {
-    Log(m_logger, log4cplus::WARN_LOG_LEVEL, "ignored an unreadable report",
-        {{"reason", GetError(report).m_message}});
-    return;
-  }
-  const gateway::Time now = Now();
-  const gateway::PeerReport& read = GetValue(report);
-  if (!m_peers.OnReport(read, now)) {
-    if (!m_peers.IsRegistered(read.m_sender, read.m_incarnation)) {
-      m_hooks.m_unknown_peer(read.m_sender, read.m_address);
-    }
-    return;
-  }
-  m_hooks.m_peer_copies(read.m_sender, read.m_copies, now);
-  UpdateContacts(read, now);
-  for (const gateway::PeerSample& sample : m_peers.SamplesOf(read.m_sender)) {
-    m_engine.AddSample(sample.m_group, {sample.m_sent, sample.m_position}, now);
-  }
-}
-
-void FleetDuty::UpdateContacts(const gateway::PeerReport& report,
-                               gateway::Time now) {
-  const gateway::Configuration* configuration = m_engine.configuration();
-  if (configuration && report.m_configuration) {
-    UpdateContact(report, *report.m_configuration, configuration->m_revision,
-                  &m_engine.key_contact());
-  }
-  if (report.m_replacements) {
-    m_peer_record.RecordPeerRevision(report.m_replacements->m_revision, now);
-    UpdateContact(report, *report.m_replacements, m_coordinator.revision(),
-                  &m_engine.primary_contact());
-  }
-}
-
-void FleetDuty::UpdateContact(const gateway::PeerReport& report,
-                              const gateway::VerifiedRevision& peer_state,
-                              gateway::Revision own,
-                              gateway::StoreContact* contact) {
-  const auto verified = m_peers.VerifiedTime(report.m_sender, peer_state);
-  if (verified && peer_state.m_revision == own) {
-    contact->RecordContact(*verified);
-  }
-}
-
 gateway::FollowerCandidate FleetDuty::Candidate(gateway::Time now) const {
   gateway::FollowerCandidate self;
   self.m_rank = m_peers.FollowerRank(now);
@@ -477,7 +323,7 @@
       m_peers.CountReachability(group, now);
   condition.m_others_unreachable = opinions.m_unreachable;
   condition.m_others_reachable = opinions.m_reachable;
-  gateway::SetMembers(m_engine.members(), &condition);
+  gateway::DescribeMembers(m_engine.members(), &condition);
   return condition;
 }
 
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -6,6 +6,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <optional>
@@ -21,6 +22,11 @@
 
 namespace jasminelug::gateway_app {
 
+// Returns a revision as a field of a log line. Its high bits are the epoch.
+inline std::int64_t ToLogField(gateway::Revision revision) {
+  return static_cast<std::int64_t>(revision.value());
+}
+
 // Runs the duties that an instance shares with the rest of the fleet: registers
 // the instance in the store, exchanges reports with its peers, computes its
 // shares of the customers' limits and of the members' connections, and replaces
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -359,13 +359,14 @@
   }
 }
 
+// Deregisters this instance and ends the process when it is time to.
 void GatewayProcess::ContinueShutdown(gateway::Time now) {
   gateway::ShutdownProgress progress;
   progress.m_stopping = now - *m_stopping_since;
   progress.m_statements_ended =
       progress.m_stopping >= m_engine.options().m_shutdown_statement_limit;
   progress.m_has_sessions = m_engine.session_count() > 0;
-  progress.m_has_unsent_answers = m_callers->has_unsent_answers();
+  progress.m_has_unsent_answers = m_callers->HasUnsentAnswers();
   if (m_deregistering_since) {
     progress.m_deregistering = now - *m_deregistering_since;
     progress.m_deregistration_in_progress = m_fleet.is_deregistering();
@@ -454,7 +455,7 @@
   m_io.run();
   Log(m_logger, log4cplus::INFO_LOG_LEVEL, "stopped",
       {{"sessions", static_cast<std::int64_t>(m_engine.session_count())},
-       {"unsent_answers", m_callers->has_unsent_answers()}});
+       {"unsent_answers", m_callers->HasUnsentAnswers()}});
   return 0;
 }
 
--- a/src/gateway/group_condition.cc
+++ b/src/gateway/group_condition.cc
@@ -2,7 +2,7 @@
 
 namespace jasminelug::gateway {
 
-void SetMembers(const MemberTable& members, GroupCondition* condition) {
+void DescribeMembers(const MemberTable& members, GroupCondition* condition) {
   condition->m_primary_gone = true;
   for (const MemberState* state : members.MembersOf(condition->m_group)) {
     const Member& member = state->m_member;
--- a/src/gateway/group_condition.h
+++ b/src/gateway/group_condition.h
@@ -48,7 +48,7 @@
 
 // Sets the fields of `condition` that tell which members the group has.
 // `m_group` and `m_primary` must be set.
-void SetMembers(const MemberTable& members, GroupCondition* condition);
+void DescribeMembers(const MemberTable& members, GroupCondition* condition);
 
 }  // namespace jasminelug::gateway
 
--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -349,6 +349,7 @@
   Write(record, now);
 }
 
+// Returns the time after which the intent may be taken over.
 Duration ReplacementCoordinator::TakeOverTime(
     const FleetCondition& fleet) const {
   Duration time =
--- a/test/gateway/candidate_choice_test.cc
+++ b/test/gateway/candidate_choice_test.cc
@@ -167,7 +167,7 @@
     GroupCondition condition;
     condition.m_group = GroupName("g");
     condition.m_primary = old_primary;
-    SetMembers(members, &condition);
+    DescribeMembers(members, &condition);
     CPPUNIT_ASSERT(condition.m_candidates == std::vector<MemberId>{candidate});
     const std::vector<MemberId> leaving_replicas = {leaving, MemberId("z")};
     CPPUNIT_ASSERT(condition.m_leaving_replicas == leaving_replicas);
--- a/test/platform_adapter/caller_listener_test.cc
+++ b/test/platform_adapter/caller_listener_test.cc
@@ -44,15 +44,15 @@
     caller.connect(listener.endpoint());
     asio::write(caller, asio::buffer(std::string("START beds key\r\n")));
     RunUntil(&io, [&session] { return session.has_value(); });
-    CPPUNIT_ASSERT(!listener.has_unsent_answers());
+    CPPUNIT_ASSERT(!listener.HasUnsentAnswers());
     gateway::Answer answer;
     answer.m_outcome =
         gateway::Completed{{std::string(kLargeRowBytes, 'x')}, "signature"};
     listener.Answer(*session, answer);
-    CPPUNIT_ASSERT(listener.has_unsent_answers());
+    CPPUNIT_ASSERT(listener.HasUnsentAnswers());
     listener.CloseSession(*session);
     io.poll();
-    CPPUNIT_ASSERT(listener.has_unsent_answers());
+    CPPUNIT_ASSERT(listener.HasUnsentAnswers());
     std::size_t received = 0;
     std::array<char, 65536> buffer{};
     std::error_code error;
@@ -62,7 +62,7 @@
       return error == asio::error::eof;
     });
     CPPUNIT_ASSERT(received > kLargeRowBytes);
-    CPPUNIT_ASSERT(!listener.has_unsent_answers());
+    CPPUNIT_ASSERT(!listener.HasUnsentAnswers());
   }
 
  private:
