platform: only CR LF ends a line

Seen by callers: a member ran the part of a statement before a line feed and, where the rest looked like a message, the rest as another statement with that caller's key. Answers: a row with a line feed was cut, and what stood behind it was read as the end of the answer, so that a read got a signature that was text of a row. Cause: LineChannel ended a line at any LF; the page ends it by CR LF. Ruled out: the codec (wire_lines gets whole lines), forwarding (the texts were cut on the instance that has the caller).

--- a/test/platform_adapter/caller_listener_test.cc
+++ b/test/platform_adapter/caller_listener_test.cc
@@ -11,6 +11,8 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace jasminelug::adapter {
 namespace {
@@ -23,6 +25,7 @@
 class CallerListenerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CallerListenerTest);
   CPPUNIT_TEST(AnswerIsUnsentUntilTheCallerReadsIt);
+  CPPUNIT_TEST(LineFeedInsideAFieldDoesNotEndAStatement);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -65,6 +68,33 @@
     CPPUNIT_ASSERT(!listener.HasUnsentAnswers());
   }
 
+  // A member ran the part of a statement before the line feed, and the rest as
+  // a statement that nobody had sent.
+  void LineFeedInsideAFieldDoesNotEndAStatement() {
+    asio::io_context io;
+    std::vector<std::string> texts;
+    CallerListener::Hooks hooks;
+    hooks.m_start = [](gateway::SessionId, const SessionStart&) {
+      return std::nullopt;
+    };
+    hooks.m_statement = [&texts](gateway::SessionId,
+                                 gateway::Statement statement) {
+      texts.push_back(statement.m_text);
+    };
+    hooks.m_end = [](gateway::SessionId) {};
+    hooks.m_unreadable = [](const std::string&) {};
+    const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), 0);
+    CallerListener listener(io, endpoint, hooks);
+    tcp::socket caller(io);
+    caller.connect(listener.endpoint());
+    const std::string write = "WRITE 1 a\nQUERY 2 WRITE 3 b";
+    asio::write(caller, asio::buffer("START beds key\r\nQUERY 1 " + write +
+                                     "\r\nQUERY 4 READ 5\r\n"));
+    RunUntil(&io, [&texts] { return texts.size() >= 2; });
+    CPPUNIT_ASSERT_EQUAL(write, texts[0]);
+    CPPUNIT_ASSERT_EQUAL(std::string("READ 5"), texts[1]);
+  }
+
  private:
   template <typename Condition>
   static void RunUntil(asio::io_context* io, Condition condition) {
