gateway: log members' answers that do not fit their statement

The record holds only lines that count what was left out; no line tells the hypotheses H1 (a line feed ends a line) and H2 (a member answers twice) apart, and an answer that came while nothing was in hand closed its connection without a log line. Added: CheckAnswer() compares an answer with the statement that it would answer (signature, rows, state, signatures seen before on the connection); a WARN line names member, connection, number of answers on it, statement, signature and code, at most 20 a second, the rest counted. Completed statements name the connection and the number of answers before theirs. Nothing is decided from it yet.

--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -106,6 +106,9 @@
     (end.m_completed ? m_completed : m_refused) += 1;
     m_statement_log.Add(end, Now());
   };
+  hooks.m_unexpected_answer = [this](const gateway::UnexpectedAnswer& answer) {
+    m_statement_log.AddUnexpected(answer, Now());
+  };
   return hooks;
 }
 
--- a/apps/gateway/statement_log.cc
+++ b/apps/gateway/statement_log.cc
@@ -31,6 +31,10 @@
   if (!evidence.m_contact_age) {
     return;
   }
+  fields->push_back(
+      {"connection", static_cast<std::int64_t>(evidence.m_connection.value())});
+  fields->push_back(
+      {"answers_before", static_cast<std::int64_t>(evidence.m_answers_before)});
   fields->push_back({"as_primary", evidence.m_as_primary});
   fields->push_back(
       {"record", static_cast<std::int64_t>(evidence.m_record.value())});
@@ -47,27 +51,35 @@
 
 void StatementLog::BeginSecond(gateway::Time now) {
   const int suppressed = std::max(m_refusals - kRefusalsPerSecond, 0) +
-                         std::max(m_completed - kCompletedPerSecond, 0);
+                         std::max(m_completed - kCompletedPerSecond, 0) +
+                         std::max(m_unexpected - kUnexpectedPerSecond, 0);
   if (suppressed > 0) {
     Log(m_logger, log4cplus::INFO_LOG_LEVEL, "statements left out of the log",
         {{"refused", std::int64_t{m_refusals}},
          {"completed", std::int64_t{m_completed}},
+         {"unexpected_answers", std::int64_t{m_unexpected}},
          {"left_out", std::int64_t{suppressed}}});
   }
   m_second_start = now;
   m_refusals = 0;
   m_completed = 0;
+  m_unexpected = 0;
 }
 
-void StatementLog::Add(const gateway::StatementSummary& end,
-                       gateway::Time now) {
+bool StatementLog::Count(int limit, int* count, gateway::Time now) {
   if (now - m_second_start >= std::chrono::seconds(1)) {
     BeginSecond(now);
   }
-  int& count = end.m_completed ? m_completed : m_refusals;
-  const int limit = end.m_completed ? kCompletedPerSecond : kRefusalsPerSecond;
-  count += 1;
-  if (count > limit) {
+  *count += 1;
+  return *count <= limit;
+}
+
+void StatementLog::Add(const gateway::StatementSummary& end,
+                       gateway::Time now) {
+  const bool is_logged = end.m_completed
+                             ? Count(kCompletedPerSecond, &m_completed, now)
+                             : Count(kRefusalsPerSecond, &m_refusals, now);
+  if (!is_logged) {
     return;
   }
   LogFields fields = {{"statement", end.m_statement_id},
@@ -87,4 +99,25 @@
       end.m_completed ? "statement completed" : "statement refused", fields);
 }
 
+void StatementLog::AddUnexpected(const gateway::UnexpectedAnswer& answer,
+                                 gateway::Time now) {
+  if (!Count(kUnexpectedPerSecond, &m_unexpected, now)) {
+    return;
+  }
+  LogFields fields = {
+      {"fit", std::string(gateway::NameOf(answer.m_fit))},
+      {"member", answer.m_member.str()},
+      {"connection", static_cast<std::int64_t>(answer.m_connection.value())},
+      {"answers_before", static_cast<std::int64_t>(answer.m_answers_before)},
+      {"unanswered", static_cast<std::int64_t>(answer.m_unanswered)},
+      {"statement", answer.m_statement_id},
+      {"rows", static_cast<std::int64_t>(answer.m_rows)},
+      {"signature", answer.m_signature}};
+  if (answer.m_error) {
+    fields.push_back({"code", std::string(gateway::NameOf(*answer.m_error))});
+  }
+  Log(m_logger, log4cplus::WARN_LOG_LEVEL,
+      "did not use a member's unexpected answer", fields);
+}
+
 }  // namespace jasminelug::gateway_app
--- a/apps/gateway/statement_log.h
+++ b/apps/gateway/statement_log.h
@@ -9,26 +9,33 @@
 
 namespace jasminelug::gateway_app {
 
-// Logs the outcome of statements at a bounded rate. Within each second, it logs
-// the first kRefusalsPerSecond statements without a result and the first
-// kCompletedPerSecond completed ones. The first statement after that second
+// Logs the outcome of statements, and members' answers that were not used, at a
+// bounded rate. Within each second, it logs the first kRefusalsPerSecond
+// statements without a result, the first kCompletedPerSecond completed ones and
+// the first kUnexpectedPerSecond answers. The first event after that second
 // logs how many were omitted.
 class StatementLog {
  public:
   static constexpr int kRefusalsPerSecond = 20;
   static constexpr int kCompletedPerSecond = 2;
+  static constexpr int kUnexpectedPerSecond = 20;
 
   explicit StatementLog(log4cplus::Logger logger);
 
   void Add(const gateway::StatementSummary& end, gateway::Time now);
+  void AddUnexpected(const gateway::UnexpectedAnswer& answer,
+                     gateway::Time now);
 
  private:
+  // Counts an event of a kind. Returns whether it is to be logged.
+  bool Count(int limit, int* count, gateway::Time now);
   void BeginSecond(gateway::Time now);
 
   log4cplus::Logger m_logger;
   gateway::Time m_second_start;
   int m_refusals = 0;
   int m_completed = 0;
+  int m_unexpected = 0;
 };
 
 }  // namespace jasminelug::gateway_app
--- a/jasminelug/gateway.h
+++ b/jasminelug/gateway.h
@@ -6,6 +6,7 @@
 // refused. This package does no I/O.
 
 #include "src/gateway/answer.h"
+#include "src/gateway/answer_check.h"
 #include "src/gateway/candidate_choice.h"
 #include "src/gateway/catch_up_probe.h"
 #include "src/gateway/cell_order.h"
--- a/src/gateway/connection_table.h
+++ b/src/gateway/connection_table.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "src/gateway/answer_check.h"
 #include "src/gateway/ids.h"
 #include "src/gateway/statement.h"
 
@@ -27,6 +28,7 @@
 struct SentStatement {
   SentPurpose m_purpose = SentPurpose::kStatement;
   Time m_sent;
+  ExpectedAnswer m_expected{};
   // Whether the member was the verified primary when the statement was sent.
   bool m_to_primary = false;
 };
@@ -55,6 +57,9 @@
   // Whether the connection was opened to request the member's status.
   bool m_is_status_request = false;
   std::deque<SentStatement> m_sent;
+  // Signatures of the answers that were received, and number of all answers.
+  SignatureHistory m_signatures;
+  std::uint64_t m_answers = 0;
   std::uint64_t m_next_prepared = 1;
 
   // Returns whether the connection is used to request the member's status.
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -286,6 +286,10 @@
             Time now);
 
   // Answers (engine_answers.cc).
+  UnexpectedAnswer DescribeUnexpected(const Connection& connection,
+                                      const Answer& answer,
+                                      AnswerFit fit);
+  static void NoteAnswer(Connection* connection, const Answer& answer);
   void HandleAnswer(Connection* connection,
                     const SentStatement& sent,
                     const Answer& answer,
--- a/src/gateway/engine_answers.cc
+++ b/src/gateway/engine_answers.cc
@@ -149,6 +149,14 @@
   if (!connection) {
     return;
   }
+  const std::optional<ExpectedAnswer> expected =
+      connection->m_sent.empty()
+          ? std::nullopt
+          : std::optional(connection->m_sent.front().m_expected);
+  const AnswerFit fit = CheckAnswer(answer, expected, connection->m_signatures);
+  if (fit != AnswerFit::kFits) {
+    m_hooks.m_unexpected_answer(DescribeUnexpected(*connection, answer, fit));
+  }
   if (connection->m_sent.empty()) {
     m_hooks.m_close_connection(id);
     OnConnectionClosed(id, std::nullopt, now);
@@ -157,11 +165,44 @@
   const SentStatement sent = connection->m_sent.front();
   const GroupName group = connection->m_group;
   connection->m_sent.pop_front();
+  NoteAnswer(connection, answer);
   HandleAnswer(connection, sent, answer, now);
   // A slot of the member is free now, even if the connection is still in use.
   Dispatch(group, now);
 }
 
+UnexpectedAnswer Engine::DescribeUnexpected(const Connection& connection,
+                                            const Answer& answer,
+                                            AnswerFit fit) {
+  UnexpectedAnswer out;
+  out.m_member = connection.m_member;
+  out.m_connection = connection.m_id;
+  out.m_answers_before = connection.m_answers;
+  out.m_fit = fit;
+  out.m_unanswered = connection.m_sent.size();
+  const Session* session =
+      connection.m_session ? FindSession(*connection.m_session) : nullptr;
+  if (session && session->m_active) {
+    out.m_statement_id = session->m_active->m_statement.m_id;
+  }
+  if (const auto* completed = std::get_if<Completed>(&answer.m_outcome)) {
+    out.m_signature = completed->m_signature;
+    out.m_rows = completed->m_rows.size();
+  } else {
+    out.m_error = std::get<Refused>(answer.m_outcome).m_code;
+  }
+  return out;
+}
+
+void Engine::NoteAnswer(Connection* connection, const Answer& answer) {
+  connection->m_answers += 1;
+  const auto* completed = std::get_if<Completed>(&answer.m_outcome);
+  if (completed && !completed->m_signature.empty() &&
+      !connection->m_signatures.is_full()) {
+    connection->m_signatures.Add(completed->m_signature);
+  }
+}
+
 void Engine::HandleAnswer(Connection* connection,
                           const SentStatement& sent,
                           const Answer& answer,
--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -309,6 +309,8 @@
                                       const Connection& connection,
                                       Time now) const {
   StatementEvidence evidence;
+  evidence.m_connection = connection.m_id;
+  evidence.m_answers_before = connection.m_answers;
   const Group* group = FindGroup(connection.m_group);
   if (group) {
     evidence.m_as_primary = group->m_primary.m_member == connection.m_member;
@@ -442,9 +444,17 @@
   sent.m_sent = now;
   sent.m_to_primary = group.m_primary.m_member == connection->m_member &&
                       IsPrimaryUsable(group, now);
+  const Session* session =
+      connection->m_session ? FindSession(*connection->m_session) : nullptr;
+  const bool commits =
+      session && session->m_active &&
+      session->m_active->m_statement.m_kind == StatementKind::kCommit;
   for (std::size_t i = 0; i < statements.size(); ++i) {
     const bool last = i + 1 == statements.size();
     sent.m_purpose = last ? last_purpose : SentPurpose::kSetup;
+    sent.m_expected =
+        ExpectedAnswerTo(statements[i].m_verb, connection->m_in_transaction,
+                         /*ends_transaction=*/last && commits);
     connection->m_sent.push_back(sent);
   }
   connection->m_last_used = now;
--- a/src/gateway/engine_hooks.h
+++ b/src/gateway/engine_hooks.h
@@ -1,12 +1,15 @@
 #ifndef SRC_GATEWAY_ENGINE_HOOKS_H_
 #define SRC_GATEWAY_ENGINE_HOOKS_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "src/gateway/answer.h"
+#include "src/gateway/answer_check.h"
 #include "src/gateway/forwarding.h"
 #include "src/gateway/ids.h"
 #include "src/gateway/member.h"
@@ -39,6 +42,27 @@
   std::string m_reason;
 };
 
+// An answer of a member that does not belong to the statement that it seems to
+// answer, for logs.
+struct UnexpectedAnswer {
+  friend bool operator==(const UnexpectedAnswer&,
+                         const UnexpectedAnswer&) = default;
+
+  MemberId m_member;
+  ConnectionId m_connection;
+  // Number of answers that the connection had received before.
+  std::uint64_t m_answers_before = 0;
+  AnswerFit m_fit = AnswerFit::kUnfitting;
+  // The caller's statement that uses the connection; empty if there is none.
+  std::string m_statement_id;
+  // Number of statements on the connection that are not answered yet.
+  std::size_t m_unanswered = 0;
+  // The answer: its signature and number of rows, or its error.
+  std::string m_signature;
+  std::size_t m_rows = 0;
+  std::optional<ErrorCode> m_error;
+};
+
 // Functions through which the engine acts on its surroundings. None of them may
 // call back into the engine.
 struct EngineHooks {
@@ -64,6 +88,8 @@
   std::function<void(const InstanceId&, const ForwardMessage&)> m_forward;
   // Reports the end of a statement.
   std::function<void(const StatementSummary&)> m_report;
+  // Reports an answer that was not used.
+  std::function<void(const UnexpectedAnswer&)> m_unexpected_answer;
 };
 
 }  // namespace jasminelug::gateway
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -1,6 +1,7 @@
 #ifndef SRC_GATEWAY_SESSION_H_
 #define SRC_GATEWAY_SESSION_H_
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -22,6 +23,10 @@
   friend bool operator==(const StatementEvidence&,
                          const StatementEvidence&) = default;
 
+  // The connection on which the statement was sent, and the number of answers
+  // that had been received on it before.
+  ConnectionId m_connection;
+  std::uint64_t m_answers_before = 0;
   // Whether the member was taken for the primary of its group.
   bool m_as_primary = false;
   // Revision of the replacement record that named the primary, and time since
--- a/test/gateway/engine_fixture.h
+++ b/test/gateway/engine_fixture.h
@@ -192,12 +192,37 @@
     return std::nullopt;
   }
 
+  // Returns what a member answers to a statement that succeeds. Each signature
+  // is a different one.
+  Completed SuccessOf(const MemberStatement& statement) {
+    switch (statement.m_verb) {
+      case MemberVerb::kForward:
+      case MemberVerb::kExecute:
+        return {{"row"}, "signature-" + std::to_string(++m_signatures)};
+      case MemberVerb::kStatus:
+      case MemberVerb::kStepDown:
+        return {{"status"}, ""};
+      default:
+        return {};
+    }
+  }
+
+  // Answers the first unanswered statement at `member` with success and returns
+  // it; nullopt if there is none.
+  std::optional<MemberStatement> CompleteAt(const std::string& member,
+                                            TransactionState state,
+                                            std::uint64_t position) {
+    const std::optional<MemberStatement> next = FirstUnansweredAt(member);
+    return next ? AnswerAt(member, SuccessOf(*next), state, position)
+                : std::nullopt;
+  }
+
   // Answers all unanswered statements at `member` with success.
   void AnswerAllAt(const std::string& member, std::uint64_t position) {
     for (;;) {
       const bool open_transaction = IsInTransaction(member);
-      const auto statement = AnswerAt(
-          member, Completed{{"row"}, "signature"},
+      const auto statement = CompleteAt(
+          member,
           open_transaction ? TransactionState::kOpen : TransactionState::kNone,
           position);
       if (!statement) {
@@ -206,6 +231,18 @@
     }
   }
 
+  // Returns the first unanswered statement at `member`, or nullopt.
+  std::optional<MemberStatement> FirstUnansweredAt(const std::string& member) {
+    OpenConnections();
+    for (const auto& [id, connection] : m_connections) {
+      if (!connection.m_closed && connection.m_member.str() == member &&
+          !connection.m_unanswered.empty()) {
+        return connection.m_unanswered.front();
+      }
+    }
+    return std::nullopt;
+  }
+
   // Returns whether the first unanswered statement at `member` leaves its
   // connection in a transaction.
   bool IsInTransaction(const std::string& member) {
@@ -292,10 +329,12 @@
   std::map<SessionId, std::vector<Answer>> m_answers;
   std::vector<SessionId> m_closed_sessions;
   std::vector<StatementSummary> m_ends;
+  std::vector<UnexpectedAnswer> m_unexpected;
   std::vector<std::pair<InstanceId, ForwardMessage>> m_forwarded;
   std::map<MemberId, MemberStatus> m_statuses;
   std::optional<Refused> m_refused;
   std::uint64_t m_sessions = 0;
+  std::uint64_t m_signatures = 0;
   Engine m_engine;
 
  private:
@@ -344,6 +383,9 @@
     hooks.m_report = [this](const StatementSummary& end) {
       m_ends.push_back(end);
     };
+    hooks.m_unexpected_answer = [this](const UnexpectedAnswer& answer) {
+      m_unexpected.push_back(answer);
+    };
     return hooks;
   }
 };
