gateway: a member's repeated answer does not answer another statement

Seen by callers: rows and signature that were not those of their statement. Cause: what a member sent was taken for the answer of whatever statement was in hand. One extra answer shifted all later answers of its connection by one, also for the callers that used the connection afterwards; an extra error told a write 'not run' that ran. Ruled out: lines, whose fault gives rows that no member sent. Change: an answer is used only if it may belong to the oldest unanswered statement: signed where reads, writes and commits are, rows only where there can be rows, the state that follows from what was sent. A signature that the connection has seen before is a repetition and is ignored, so that the answer that belongs to the statement is still used. Anything else closes the connection; reads run elsewhere, writes and commits are in doubt, open transactions are rolled back. Why this is enough: signatures differ, and an unsigned answer taken for another unsigned one is found out at the next signed statement. Errors and statuses can't be told from a repetition of themselves, so a connection that has returned one is used by no other session. The stand-in member signs each answer differently and ROLLBACK not at all, as the protocol's examples do.

--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -107,6 +107,7 @@
     m_statement_log.Add(end, Now());
   };
   hooks.m_unexpected_answer = [this](const gateway::UnexpectedAnswer& answer) {
+    m_unexpected_answers += 1;
     m_statement_log.AddUnexpected(answer, Now());
   };
   return hooks;
@@ -427,6 +428,8 @@
           std::to_string(m_completed) + "\n";
   text +=
       "jasminelug_statements_refused_total " + std::to_string(m_refused) + "\n";
+  text += "jasminelug_unexpected_answers_total " +
+          std::to_string(m_unexpected_answers) + "\n";
   for (const StateDuty::CallCount& count : m_state.CallCounts()) {
     text += "jasminelug_store_calls_total{kind=\"";
     text += NameOf(count.m_kind);
--- a/apps/gateway/gateway_process.h
+++ b/apps/gateway/gateway_process.h
@@ -89,6 +89,7 @@
   std::optional<gateway::Time> m_deregistering_since;
   std::uint64_t m_completed = 0;
   std::uint64_t m_refused = 0;
+  std::uint64_t m_unexpected_answers = 0;
   bool m_was_ready = false;
 };
 
--- a/src/gateway/connection_table.h
+++ b/src/gateway/connection_table.h
@@ -56,6 +56,8 @@
   bool m_in_transaction = false;
   // Whether the connection was opened to request the member's status.
   bool m_is_status_request = false;
+  // Whether no other session may use the connection.
+  bool m_is_retired = false;
   std::deque<SentStatement> m_sent;
   // Signatures of the answers that were received, and number of all answers.
   SignatureHistory m_signatures;
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -286,10 +286,16 @@
             Time now);
 
   // Answers (engine_answers.cc).
+  void RejectAnswer(Connection* connection,
+                    const Answer& answer,
+                    AnswerFit fit,
+                    Time now);
   UnexpectedAnswer DescribeUnexpected(const Connection& connection,
                                       const Answer& answer,
                                       AnswerFit fit);
-  static void NoteAnswer(Connection* connection, const Answer& answer);
+  static void NoteAnswer(Connection* connection,
+                         const SentStatement& sent,
+                         const Answer& answer);
   void HandleAnswer(Connection* connection,
                     const SentStatement& sent,
                     const Answer& answer,
--- a/src/gateway/engine_answers.cc
+++ b/src/gateway/engine_answers.cc
@@ -56,7 +56,7 @@
   connection->m_last_used = now;
   const bool over_budget = !state || state->m_connections > BudgetOf(*state) ||
                            !m_members.AcceptsWork(state->m_member);
-  if (over_budget) {
+  if (over_budget || connection->m_is_retired) {
     CloseConnection(connection, now);
   }
   Dispatch(group, now);
@@ -66,7 +66,8 @@
   if (connection->m_stage == Connection::Stage::kOpening) {
     return;  // OnConnectionOpened() releases it.
   }
-  if (!connection->m_sent.empty()) {
+  // The member rolls the transaction of a closed connection back.
+  if (!connection->m_sent.empty() || connection->m_is_retired) {
     CloseConnection(connection, now);
     return;
   }
@@ -155,22 +156,34 @@
           : std::optional(connection->m_sent.front().m_expected);
   const AnswerFit fit = CheckAnswer(answer, expected, connection->m_signatures);
   if (fit != AnswerFit::kFits) {
-    m_hooks.m_unexpected_answer(DescribeUnexpected(*connection, answer, fit));
-  }
-  if (connection->m_sent.empty()) {
-    m_hooks.m_close_connection(id);
-    OnConnectionClosed(id, std::nullopt, now);
+    RejectAnswer(connection, answer, fit, now);
     return;
   }
   const SentStatement sent = connection->m_sent.front();
   const GroupName group = connection->m_group;
   connection->m_sent.pop_front();
-  NoteAnswer(connection, answer);
+  NoteAnswer(connection, sent, answer);
   HandleAnswer(connection, sent, answer, now);
   // A slot of the member is free now, even if the connection is still in use.
   Dispatch(group, now);
 }
 
+// A repetition is ignored: the answer that belongs to the statement follows.
+// After an answer that fits no statement it is unknown what the next one
+// belongs to.
+void Engine::RejectAnswer(Connection* connection,
+                          const Answer& answer,
+                          AnswerFit fit,
+                          Time now) {
+  const ConnectionId id = connection->m_id;
+  m_hooks.m_unexpected_answer(DescribeUnexpected(*connection, answer, fit));
+  if (fit == AnswerFit::kRepeated) {
+    return;
+  }
+  m_hooks.m_close_connection(id);
+  OnConnectionClosed(id, std::nullopt, now);
+}
+
 UnexpectedAnswer Engine::DescribeUnexpected(const Connection& connection,
                                             const Answer& answer,
                                             AnswerFit fit) {
@@ -194,13 +207,20 @@
   return out;
 }
 
-void Engine::NoteAnswer(Connection* connection, const Answer& answer) {
+// Records an answer that fits its statement. After some answers, the connection
+// is used by no other session: a repeated error, or the repeated status of a
+// member, could not be told from the next answer of that kind.
+void Engine::NoteAnswer(Connection* connection,
+                        const SentStatement& sent,
+                        const Answer& answer) {
   connection->m_answers += 1;
   const auto* completed = std::get_if<Completed>(&answer.m_outcome);
-  if (completed && !completed->m_signature.empty() &&
-      !connection->m_signatures.is_full()) {
+  if (completed && !completed->m_signature.empty()) {
     connection->m_signatures.Add(completed->m_signature);
   }
+  connection->m_is_retired |= !completed ||
+                              sent.m_purpose == SentPurpose::kCommand ||
+                              connection->m_signatures.is_full();
 }
 
 void Engine::HandleAnswer(Connection* connection,
--- a/test/fake_line_platform/fake_member.h
+++ b/test/fake_line_platform/fake_member.h
@@ -51,12 +51,16 @@
                     const std::string& item,
                     const std::string& value);
   std::string Position();
+  // Returns the line that completes a read, write or commit. Each has a
+  // signature of its own.
+  std::string Signed();
 
   const std::string m_group_name;
   const std::string m_id;
   FakeDatabaseGroup& m_group;
   asio::ip::tcp::acceptor m_acceptor;
   std::uint16_t m_port = 0;
+  std::uint64_t m_signatures = 0;
   std::set<std::shared_ptr<Session>> m_sessions;
 };
 
