gateway: a repeated plain answer leaves its connection in use

An answer without signature and rows, where a signed one or none is due, closed the connection: safe, but a write in hand was told 'in doubt', and callers do not send such a write again. A member answers in order, so such an answer can only repeat that to an earlier statement, and the one that belongs to the statement follows. It is ignored and logged like a repeated signature.

--- a/src/gateway/answer_check.cc
+++ b/src/gateway/answer_check.cc
@@ -14,6 +14,20 @@
   return transaction ? TransactionState::kOpen : TransactionState::kNone;
 }
 
+bool IsPlain(const Completed& completed) {
+  return completed.m_signature.empty() && completed.m_rows.empty();
+}
+
+bool IsRepetition(const Completed& completed,
+                  const std::optional<ExpectedAnswer>& expected,
+                  const SignatureHistory& history) {
+  if (IsPlain(completed)) {
+    return !expected || expected->m_signed;
+  }
+  return !completed.m_signature.empty() &&
+         history.Contains(completed.m_signature);
+}
+
 bool Matches(const Completed& completed,
              TransactionState state,
              const ExpectedAnswer& expected) {
@@ -72,8 +86,7 @@
                       const std::optional<ExpectedAnswer>& expected,
                       const SignatureHistory& history) {
   const Completed* completed = std::get_if<Completed>(&answer.m_outcome);
-  if (completed && !completed->m_signature.empty() &&
-      history.Contains(completed->m_signature)) {
+  if (completed && IsRepetition(*completed, expected, history)) {
     return AnswerFit::kRepeated;
   }
   if (!expected) {
--- a/src/gateway/answer_check.h
+++ b/src/gateway/answer_check.h
@@ -54,7 +54,8 @@
 // Relation between an answer and the statement that it seems to answer.
 enum class AnswerFit {
   kFits,
-  // The answer was received before. It answers no other statement.
+  // The answer repeats an earlier one. The answer that belongs to the statement
+  // is still to come.
   kRepeated,
   // The answer cannot belong to the statement, or there is no statement. It is
   // unknown which statement the next answer would belong to.
@@ -66,6 +67,8 @@
 
 // Decides whether `answer` may be the one to the oldest unanswered statement of
 // its connection. `expected` is nullopt if there is no such statement.
+// An answer without signature and rows where a signed one or none is due can
+// only repeat that to an earlier statement, because a member answers in order.
 // An error fits every statement, so a connection must not be used again once it
 // has returned one: a repetition of the error could not be told from an answer
 // to the next statement.
