platform: read members' answers only in the protocol's order

Callers could see an answer of another statement, rows lost, or a success without a signature: the reader of members' answers took any order of lines. A second COMPLETE or ERROR before READY replaced the first one and lost its rows, rows after COMPLETE were kept for the next answer, and a READY alone was a success without a signature. Ruled out: the splitting of bytes into lines, which since knows only CR LF; no case of the table below depends on it. Change: an answer is ROW*, then one COMPLETE or ERROR, then READY with a state and a position; anything else closes the connection, and no later line of it is used. An unreadable or too long answer is a WARN line with the member, the connection and what was unreadable; until now it was a DEBUG line that named neither. Ordinary losses of connections stay at DEBUG. The cases of RejectsUnreadableAnswers are in the new table.

--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -155,6 +155,13 @@
         {{"reason", reason}});
     m_engine.OnConnectionClosed(id, code, Now());
   };
+  hooks.m_unreadable = [this](const adapter::UnreadableAnswer& answer) {
+    Log(m_logger, log4cplus::WARN_LOG_LEVEL,
+        "gave up a member connection after an unreadable answer",
+        {{"member", answer.m_member.str()},
+         {"connection", static_cast<std::int64_t>(answer.m_connection.value())},
+         {"reason", answer.m_reason}});
+  };
   return hooks;
 }
 
--- a/test/platform_adapter/wire_lines_test.cc
+++ b/test/platform_adapter/wire_lines_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,7 +18,8 @@
   CPPUNIT_TEST(ReadsSessionMessages);
   CPPUNIT_TEST(WritesMemberStatements);
   CPPUNIT_TEST(ReadsMemberAnswers);
-  CPPUNIT_TEST(RejectsUnreadableAnswers);
+  CPPUNIT_TEST(ReadsOnlyAnswersInTheOrderOfTheProtocol);
+  CPPUNIT_TEST(UnreadableAnswerIsNeverCompleted);
   CPPUNIT_TEST(WritesAnswers);
   CPPUNIT_TEST(ReadsPositionsAndStatus);
   CPPUNIT_TEST_SUITE_END();
@@ -141,14 +144,71 @@
                    std::get<gateway::Refused>(unknown.m_outcome).m_code);
   }
 
-  void RejectsUnreadableAnswers() {
-    for (const char* line : {"", "HELLO", "READY", "READY X 3.1"}) {
+  // A second result replaced the first one and lost its rows, and an answer
+  // without a result was a success without a signature.
+  void ReadsOnlyAnswersInTheOrderOfTheProtocol() {
+    struct Case {
+      std::string m_name;
+      std::vector<std::string> m_lines;
+      // Number of the line that makes the answer unreadable, counted from 0;
+      // unset if the last line completes the answer.
+      std::optional<std::size_t> m_unreadable;
+    };
+    const std::vector<Case> cases = {
+        {"no rows", {"COMPLETE x", "READY I 3.1"}, std::nullopt},
+        {"rows", {"ROW a", "ROW b", "COMPLETE x", "READY I 3.1"}, std::nullopt},
+        {"an empty row", {"ROW ", "COMPLETE x", "READY I 3.1"}, std::nullopt},
+        {"an error", {"ERROR BUSY full", "READY I 3.1"}, std::nullopt},
+        {"rows and an error",
+         {"ROW a", "ERROR FAILED -", "READY E 3.1"},
+         std::nullopt},
+        {"an error without a text", {"ERROR BUSY", "READY I -"}, std::nullopt},
+        {"a row like an answer",
+         {"ROW READY I 3.1", "COMPLETE x", "READY I 3.1"},
+         std::nullopt},
+        {"an empty line", {""}, 0},
+        {"an unknown word", {"HELLO"}, 0},
+        {"a word in lower case", {"complete x"}, 0},
+        {"a blank before the word", {" COMPLETE x"}, 0},
+        {"a line feed before the word", {"\nCOMPLETE x"}, 0},
+        {"no result", {"READY I 3.1"}, 0},
+        {"rows without a result", {"ROW a", "READY I 3.1"}, 1},
+        {"two results", {"ROW a", "COMPLETE x", "COMPLETE y"}, 2},
+        {"an error after a result", {"COMPLETE x", "ERROR FAILED -"}, 1},
+        {"a result after an error", {"ERROR FAILED -", "COMPLETE x"}, 1},
+        {"two errors", {"ERROR BUSY -", "ERROR FAILED -"}, 1},
+        {"a row after the result", {"COMPLETE x", "ROW a"}, 1},
+        {"a row after an error", {"ERROR BUSY -", "ROW a"}, 1},
+        {"no signature", {"COMPLETE"}, 0},
+        {"an empty signature", {"COMPLETE "}, 0},
+        {"no code", {"ERROR"}, 0},
+        {"an empty code", {"ERROR  text"}, 0},
+        {"no state", {"COMPLETE x", "READY"}, 1},
+        {"an unknown state", {"COMPLETE x", "READY X 3.1"}, 1},
+        {"no position", {"COMPLETE x", "READY I"}, 1},
+        {"an unreadable position", {"COMPLETE x", "READY I 3"}, 1},
+        {"text after the position", {"COMPLETE x", "READY I 3.1 -"}, 1}};
+    for (const Case& test : cases) {
       MemberAnswerReader reader;
-      CPPUNIT_ASSERT(!reader.Add(line));
-      CPPUNIT_ASSERT_MESSAGE(line, reader.failed());
+      for (std::size_t i = 0; i < test.m_lines.size(); ++i) {
+        const bool last = i + 1 == test.m_lines.size();
+        const bool complete = reader.Add(test.m_lines[i]);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(test.m_name, last && !test.m_unreadable,
+                                     complete);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(test.m_name, test.m_unreadable == i,
+                                     reader.failed());
+      }
     }
   }
 
+  void UnreadableAnswerIsNeverCompleted() {
+    MemberAnswerReader reader;
+    reader.Add("READY I 3.1");
+    CPPUNIT_ASSERT(!reader.Add("COMPLETE x"));
+    CPPUNIT_ASSERT(!reader.Add("READY I 3.1"));
+    CPPUNIT_ASSERT(reader.failed());
+  }
+
   void WritesAnswers() {
     gateway::Answer answer;
     answer.m_outcome = gateway::Completed{{"r"}, "7.1"};
