gateway: numbers of forwarded operations differ between runs

What callers could see: rows and a signature of another caller's statement, or a success or a promise (ABORTED, BUSY) for a statement whose outcome was another one. Cause: every run of an instance numbered its operations from 1, and an answer names only the number. A holder that answers an operation of the sender's previous run, or of an instance that had the same address before, was believed if the sender had forwarded the operation of that number to that holder. The connections of the two directions are independent, so the answer may arrive before the holder has seen the new run, which ends its old sessions. Ruled out: a mix-up at the holder; it keys its sessions by instance, incarnation and number. Change: the numbers of a run start at a hash of instance and incarnation. The message is unchanged, so a fleet of mixed versions is protected for the instances that run this one.

--- a/apps/gateway/clock.h
+++ b/apps/gateway/clock.h
@@ -9,6 +9,10 @@
 // suspended.
 gateway::Time Now();
 
+// Returns the incarnation of a run that begins now. It is higher than that of
+// an earlier run of the same instance.
+gateway::Incarnation NewIncarnation();
+
 }  // namespace jasminelug::gateway_app
 
 #endif  // APPS_GATEWAY_CLOCK_H_
--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -22,14 +22,11 @@
 // verified against the store, by itself or through a peer's report, within this
 // time.
 constexpr gateway::Duration kCoordinatorContactLimit = 2s;
-gateway::InstanceEntry MakeEntry(const Settings& settings) {
-  const auto since_epoch =
-      std::chrono::duration_cast<std::chrono::microseconds>(
-          std::chrono::system_clock::now().time_since_epoch());
+gateway::InstanceEntry MakeEntry(const Settings& settings,
+                                 gateway::Incarnation incarnation) {
   gateway::InstanceEntry entry;
   entry.m_id = gateway::InstanceId(settings.m_instance);
-  entry.m_incarnation =
-      gateway::Incarnation(static_cast<std::uint64_t>(since_epoch.count()));
+  entry.m_incarnation = incarnation;
   entry.m_zone = gateway::ZoneName(settings.m_zone);
   entry.m_peer_address = gateway::Address(settings.m_peer_address + ":" +
                                           std::to_string(settings.m_peer_port));
@@ -43,10 +40,11 @@
 
 FleetDuty::FleetDuty(asio::io_context& io,
                      const Settings& settings,
+                     gateway::Incarnation incarnation,
                      gateway::Engine& engine)
     : m_logger(log4cplus::Logger::getInstance("fleet")),
       m_engine(engine),
-      m_entry(MakeEntry(settings)),
+      m_entry(MakeEntry(settings, incarnation)),
       m_registrar_client(io, *adapter::ParseEndpoint(settings.m_store)),
       m_record_client(io, *adapter::ParseEndpoint(settings.m_store)),
       m_removal_client(io, *adapter::ParseEndpoint(settings.m_store)),
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -35,6 +35,7 @@
  public:
   FleetDuty(asio::io_context& io,
             const Settings& settings,
+            gateway::Incarnation incarnation,
             gateway::Engine& engine);
 
   // Hooks to the copies of the store's objects, and to this instance's other
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -25,9 +25,11 @@
 constexpr int kKeyContactNumerator = 9;
 constexpr int kKeyContactDenominator = 10;
 
-gateway::EngineOptions MakeEngineOptions(const Settings& settings) {
+gateway::EngineOptions MakeEngineOptions(const Settings& settings,
+                                         gateway::Incarnation incarnation) {
   gateway::EngineOptions options;
   options.m_self = gateway::InstanceId(settings.m_instance);
+  options.m_incarnation = incarnation;
   options.m_zone = gateway::ZoneName(settings.m_zone);
   options.m_key_contact_limit =
       gateway::Duration(settings.m_key_withdrawal_limit) *
@@ -44,14 +46,15 @@
 GatewayProcess::GatewayProcess(Settings settings, ReloadHook reload)
     : m_settings(std::move(settings)),
       m_reload(std::move(reload)),
+      m_incarnation(NewIncarnation()),
       m_logger(log4cplus::Logger::getInstance("gateway")),
       m_io(1),
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_timer(m_io),
       m_statement_log(log4cplus::Logger::getInstance("statements")),
-      m_engine(MakeEngineOptions(m_settings), MakeEngineHooks()),
+      m_engine(MakeEngineOptions(m_settings, m_incarnation), MakeEngineHooks()),
       m_members(m_io, MakeMemberHooks()),
-      m_fleet(m_io, m_settings, m_engine),
+      m_fleet(m_io, m_settings, m_incarnation, m_engine),
       m_forwarding(m_io, m_fleet.entry(), m_engine),
       m_state(m_io, m_settings, m_fleet.entry(), MakeStateHooks()) {
   m_fleet.SetHooks(MakeFleetHooks());
--- a/apps/gateway/gateway_process.h
+++ b/apps/gateway/gateway_process.h
@@ -71,6 +71,7 @@
 
   const Settings m_settings;
   const ReloadHook m_reload;
+  const gateway::Incarnation m_incarnation;
   log4cplus::Logger m_logger;
   asio::io_context m_io;
   asio::signal_set m_signals;
--- a/src/gateway/engine.cc
+++ b/src/gateway/engine.cc
@@ -35,7 +35,8 @@
 Engine::Engine(EngineOptions options, EngineHooks hooks)
     : m_options(std::move(options)),
       m_hooks(std::move(hooks)),
-      m_holders(m_options.m_self) {}
+      m_holders(m_options.m_self),
+      m_forwards(m_options.m_self, m_options.m_incarnation) {}
 
 Session* Engine::FindSession(SessionId id) {
   const auto found = m_sessions.find(id.value());
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -34,6 +34,8 @@
   friend bool operator==(const EngineOptions&, const EngineOptions&) = default;
 
   InstanceId m_self;
+  // The run of this instance.
+  Incarnation m_incarnation;
   ZoneName m_zone;
   // Maximum time since the last contact that verified the keys. After a longer
   // time, requests with a key are refused, because the key may have been
--- a/src/gateway/forward_table.cc
+++ b/src/gateway/forward_table.cc
@@ -1,6 +1,21 @@
 #include "src/gateway/forward_table.h"
 
+#include <functional>
+#include <string>
+
 namespace jasminelug::gateway {
+namespace {
+
+std::uint64_t FirstIdOf(const InstanceId& self, Incarnation incarnation) {
+  const std::string run =
+      self.str() + "/" + std::to_string(incarnation.value());
+  return std::hash<std::string>()(run);
+}
+
+}  // namespace
+
+ForwardTable::ForwardTable(const InstanceId& self, Incarnation incarnation)
+    : m_next_id(FirstIdOf(self, incarnation)) {}
 
 OperationId ForwardTable::Add(SessionId session, const InstanceId& holder) {
   const OperationId id(m_next_id++);
--- a/src/gateway/forward_table.h
+++ b/src/gateway/forward_table.h
@@ -1,6 +1,7 @@
 #ifndef SRC_GATEWAY_FORWARD_TABLE_H_
 #define SRC_GATEWAY_FORWARD_TABLE_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -33,6 +34,15 @@
 // it until a message from it arrives.
 class ForwardTable {
  public:
+  // Makes the table of one run of the instance `self`.
+  //
+  // The operations of a run are numbered from a start that depends on the
+  // instance and its incarnation. A holder may answer an operation after its
+  // sender was restarted, or at an address that another instance has taken
+  // over; its number is then unknown there. The ranges of two of N runs with M
+  // operations each overlap with a probability below N^2 M / 2^64.
+  ForwardTable(const InstanceId& self, Incarnation incarnation);
+
   // Maximum time without a confirmation. A holder confirms what it runs every
   // ForwardHost::kProgressInterval; the rest allows for a holder that gets no
   // processor time for a tenth of a second.
@@ -86,7 +96,7 @@
   // first ping, became unresponsive.
   std::map<InstanceId, Time> m_unresponsive;
   std::map<InstanceId, Time> m_avoided_until;
-  std::uint64_t m_next_id = 1;
+  std::uint64_t m_next_id;
 };
 
 }  // namespace jasminelug::gateway
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -15,7 +15,7 @@
 namespace jasminelug::gateway {
 
 // Number of an operation that one instance runs for another. The sender assigns
-// it and does not reuse it within one incarnation.
+// it. No other run of this or another instance uses it; see ForwardTable.
 using OperationId = core::Number<struct OperationTag>;
 
 // Kind of transaction that a forwarded statement belongs to.
--- a/test/gateway/engine_fixture.h
+++ b/test/gateway/engine_fixture.h
@@ -338,9 +338,16 @@
   Engine m_engine;
 
  private:
+  // Each fixture is a run of its own, also if another one has the same name.
+  static Incarnation NextIncarnation() {
+    static std::uint64_t runs = 0;
+    return Incarnation(++runs);
+  }
+
   static EngineOptions Options(const std::string& self) {
     EngineOptions options;
     options.m_self = InstanceId(self);
+    options.m_incarnation = NextIncarnation();
     options.m_zone = ZoneName("zone-p");
     return options;
   }
--- a/test/gateway/forwarding_test.cc
+++ b/test/gateway/forwarding_test.cc
@@ -34,10 +34,13 @@
 // An instance that holds no connections and forwards to the holders h1 and h2.
 class Sender : public EngineFixture {
  public:
-  Sender() { m_engine.SetInstances(Instances(), m_now); }
+  explicit Sender(const std::string& self = "self") : EngineFixture(self) {
+    m_engine.SetInstances(Instances(self), m_now);
+  }
 
-  static std::vector<InstanceEntry> Instances() {
-    std::vector<InstanceEntry> entries = {Entry("self"), Entry("h1"),
+  static std::vector<InstanceEntry> Instances(
+      const std::string& self = "self") {
+    std::vector<InstanceEntry> entries = {Entry(self), Entry("h1"),
                                           Entry("h2")};
     entries[0].m_processors = 0.1;
     entries[1].m_processors = 1;
@@ -87,6 +90,7 @@
   CPPUNIT_TEST(NoHolderIsReachedAtAll);
   CPPUNIT_TEST(CallerThatLeavesEndsItsOperation);
   CPPUNIT_TEST(LateAnswerOfACancelledOperationIsDropped);
+  CPPUNIT_TEST(LateAnswerToAnotherRunIsDropped);
   CPPUNIT_TEST(HolderRunsWithoutAKey);
   CPPUNIT_TEST(HolderRunsATransaction);
   CPPUNIT_TEST(HolderReadsWhatTheSessionWrote);
@@ -310,6 +314,28 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sender.CountAnswers(id));
   }
 
+  // A holder answers an operation of the sender's previous run or
+  // of another instance that used the same address. The sender that gets the
+  // message has forwarded as many operations to that holder.
+  void LateAnswerToAnotherRunIsDropped() {
+    for (const std::string other : {"self", "another"}) {
+      Sender before(other);
+      Sender sender;
+      for (int i = 0; i < 3; ++i) {
+        before.Write(before.Open("strict"));
+        const SessionId id = sender.Open("strict");
+        sender.Write(id);
+        const InstanceId holder = sender.Statements().back().first;
+        sender.m_engine.OnForwardAnswer(holder, Success(before.LastOperation()),
+                                        sender.m_now);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(other, std::size_t{0},
+                                     sender.CountAnswers(id));
+        sender.AnswerLast(Success(sender.LastOperation()));
+        CPPUNIT_ASSERT_MESSAGE(other, sender.Succeeded(id));
+      }
+    }
+  }
+
   static ForwardedStatement MakeForwarded(Consistency consistency,
                                           StatementKind kind,
                                           const std::string& text) {
