gateway: answers to forwarded statements name the statement

What callers could see: the rows and signature of an earlier statement of their transaction, or a success of a COMMIT that has not run. Cause: all statements of a transaction are sent under one operation number, and an answer names only that. The sender took any answer to the operation for the one to the statement in hand; the holder ran any statement that it received, also one that came twice. Ruled out: repetitions by our own transport: a connection delivers a message at most once, and frames of a write that failed are not sent again. Change: statements are numbered within their operation, and the answer repeats the number. The sender ignores an answer with another number, or when nothing is unanswered; the holder does not run a statement whose number is not the next one, and logs it. Both fields are optional: messages of an earlier version have none and are treated as before, and an earlier version skips them. Before: forwarding_test RepeatedAnswerIsNotTakenForTheNextStatement failed (3 answers instead of 2), 173 of 174. After: test_gateway 175 of 175, test_gossip 6 of 6, test_gateway_app 6 of 6.

--- a/apps/gateway/forwarding_duty.cc
+++ b/apps/gateway/forwarding_duty.cc
@@ -124,9 +124,9 @@
   if (!origin) {
     return;  // The forwarding instance has given up the operation.
   }
-  m_host.NoteAnswered(session);
+  const gateway::StatementNumber number = m_host.NoteAnswered(session);
   Send(origin->m_instance,
-       gateway::ForwardedAnswer{origin->m_operation, answer});
+       gateway::ForwardedAnswer{origin->m_operation, number, answer});
 }
 
 void ForwardingDuty::OnLost(const peers::PeerAddress& peer) {
@@ -225,6 +225,7 @@
     Send(origin.m_instance,
          gateway::ForwardedAnswer{
              origin.m_operation,
+             statement.m_number,
              {refused, gateway::TransactionState::kFailed, std::nullopt}});
     return;
   }
@@ -232,7 +233,11 @@
     session = m_host.Add(origin);
   }
   const gateway::Time now = Now();
-  m_host.NoteReceived(*session, now);
+  if (!m_host.NoteReceived(*session, statement.m_number, now)) {
+    Log(m_logger, log4cplus::WARN_LOG_LEVEL, "ignored a repeated statement",
+        {{"peer", origin.m_instance.str()}});
+    return;
+  }
   m_engine.OnForwardedStatement(*session, statement, now);
 }
 
--- a/src/gateway/engine_forwarding.cc
+++ b/src/gateway/engine_forwarding.cc
@@ -108,7 +108,7 @@
     transaction->m_begun = true;
     transaction->m_wrote |= active.m_writes;
   }
-  m_forwards.NoteSent(forwarded.m_operation, now);
+  forwarded.m_number = m_forwards.NoteSent(forwarded.m_operation, now);
   m_hooks.m_forward(active.m_holder, forwarded);
 }
 
@@ -138,8 +138,8 @@
                              Time now) {
   m_forwards.NoteResponsive(holder);
   const Forward* forward = m_forwards.Find(answer.m_operation);
-  if (!forward || forward->m_holder != holder) {
-    return;  // The operation was given up.
+  if (!forward || !forward->Expects(holder, answer)) {
+    return;  // The operation was given up, or the answer is a repetition.
   }
   m_forwards.NoteAnswered(answer.m_operation);
   Session* session = FindSession(forward->m_session);
--- a/src/gateway/forward_host.cc
+++ b/src/gateway/forward_host.cc
@@ -26,7 +26,7 @@
 SessionId ForwardHost::Add(const ForwardOrigin& origin) {
   const SessionId id(kFirstForwardedSessionId + m_next_id++);
   m_sessions.insert_or_assign(origin, id);
-  m_runs[id] = {origin, std::nullopt};
+  m_runs[id] = {origin};
   return id;
 }
 
@@ -43,18 +43,31 @@
   }
 }
 
-void ForwardHost::NoteReceived(SessionId session, Time now) {
+bool ForwardHost::NoteReceived(SessionId session,
+                               StatementNumber number,
+                               Time now) {
   const auto found = m_runs.find(session);
-  if (found != m_runs.end()) {
-    found->second.m_working_since = now;
+  if (found == m_runs.end()) {
+    return false;
+  }
+  Run& run = found->second;
+  const bool is_next =
+      !run.m_working_since && number && *number == run.m_number.value_or(0) + 1;
+  if (number && !is_next) {
+    return false;
   }
+  run.m_number = number;
+  run.m_working_since = now;
+  return true;
 }
 
-void ForwardHost::NoteAnswered(SessionId session) {
+StatementNumber ForwardHost::NoteAnswered(SessionId session) {
   const auto found = m_runs.find(session);
-  if (found != m_runs.end()) {
-    found->second.m_working_since.reset();
+  if (found == m_runs.end()) {
+    return std::nullopt;
   }
+  found->second.m_working_since.reset();
+  return found->second.m_number;
 }
 
 std::vector<SessionId> ForwardHost::EarlierSessions(
--- a/src/gateway/forward_host.h
+++ b/src/gateway/forward_host.h
@@ -50,9 +50,11 @@
 
   void Remove(SessionId session);
 
-  // Record that a statement of the session was received, and answered.
-  void NoteReceived(SessionId session, Time now);
-  void NoteAnswered(SessionId session);
+  // Records that a statement of the session was received. Returns whether it is
+  // to be run: it is neither a repetition nor out of order.
+  bool NoteReceived(SessionId session, StatementNumber number, Time now);
+  // Records that the statement was answered, and returns its number.
+  StatementNumber NoteAnswered(SessionId session);
 
   // Returns the sessions of those incarnations of `instance` that are earlier
   // than `incarnation`.
@@ -70,7 +72,9 @@
  private:
   struct Run {
     ForwardOrigin m_origin;
-    std::optional<Time> m_working_since;
+    // Number of the statement that was received last.
+    StatementNumber m_number{};
+    std::optional<Time> m_working_since{};
   };
 
   std::map<ForwardOrigin, SessionId> m_sessions;
--- a/src/gateway/forward_table.cc
+++ b/src/gateway/forward_table.cc
@@ -19,7 +19,7 @@
 
 OperationId ForwardTable::Add(SessionId session, const InstanceId& holder) {
   const OperationId id(m_next_id++);
-  m_forwards[id] = {session, holder, false, {}};
+  m_forwards[id] = {session, holder};
   return id;
 }
 
@@ -28,12 +28,16 @@
   return found == m_forwards.end() ? nullptr : &found->second;
 }
 
-void ForwardTable::NoteSent(OperationId id, Time now) {
+StatementNumber ForwardTable::NoteSent(OperationId id, Time now) {
   const auto found = m_forwards.find(id);
-  if (found != m_forwards.end()) {
-    found->second.m_unanswered = true;
-    found->second.m_confirmed = now;
+  if (found == m_forwards.end()) {
+    return std::nullopt;
   }
+  Forward& forward = found->second;
+  forward.m_number += 1;
+  forward.m_unanswered = true;
+  forward.m_confirmed = now;
+  return forward.m_number;
 }
 
 void ForwardTable::NoteAnswered(OperationId id) {
--- a/src/gateway/forward_table.h
+++ b/src/gateway/forward_table.h
@@ -17,11 +17,20 @@
 
   SessionId m_session;
   InstanceId m_holder;
-  // Whether a statement of the operation is not answered yet.
+  // Number of the statement of the operation that was sent last; 0 if none was.
+  std::int32_t m_number = 0;
+  // Whether that statement is not answered yet.
   bool m_unanswered = false;
   // When that statement was sent or, if later, when the holder last confirmed
   // that it is running it.
-  Time m_confirmed;
+  Time m_confirmed{};
+
+  // Returns whether `answer`, which came from `holder`, is the one to the
+  // unanswered statement.
+  bool Expects(const InstanceId& holder, const ForwardedAnswer& answer) const {
+    return m_holder == holder && m_unanswered &&
+           (!answer.m_number || answer.m_number == m_number);
+  }
 };
 
 // Tracks the operations that this instance has forwarded, and which holders
@@ -61,8 +70,9 @@
 
   void Remove(OperationId id) { m_forwards.erase(id); }
 
-  // Record that a statement of the operation was sent, and answered.
-  void NoteSent(OperationId id, Time now);
+  // Records that a statement of the operation is sent, and returns its number.
+  StatementNumber NoteSent(OperationId id, Time now);
+  // Records that the statement was answered.
   void NoteAnswered(OperationId id);
 
   // Records that the holder has confirmed the operations in `progress`.
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -1,6 +1,7 @@
 #ifndef SRC_GATEWAY_FORWARDING_H_
 #define SRC_GATEWAY_FORWARDING_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -18,6 +19,10 @@
 // it. No other run of this or another instance uses it; see ForwardTable.
 using OperationId = core::Number<struct OperationTag>;
 
+// Number of a statement within its operation, from 1. Unset in the messages of
+// an earlier version.
+using StatementNumber = std::optional<std::int32_t>;
+
 // Kind of transaction that a forwarded statement belongs to.
 enum class TransactionMode { kNone, kReadWrite, kReadOnly };
 
@@ -39,6 +44,7 @@
                          const ForwardedStatement&) = default;
 
   OperationId m_operation;
+  StatementNumber m_number;
   // Whether this is the first statement of its operation.
   bool m_starts_operation = true;
   TransactionMode m_transaction = TransactionMode::kNone;
@@ -53,13 +59,14 @@
   std::optional<AgedCommit> m_last_commit;
 };
 
-// The answer to a forwarded statement. Its log position is that of the
-// session's last commit.
+// The answer to a forwarded statement, with that statement's numbers. Its log
+// position is that of the session's last commit.
 struct ForwardedAnswer {
   friend bool operator==(const ForwardedAnswer&,
                          const ForwardedAnswer&) = default;
 
   OperationId m_operation;
+  StatementNumber m_number;
   Answer m_answer;
 };
 
--- a/src/gossip/forward_codec.cc
+++ b/src/gossip/forward_codec.cc
@@ -102,6 +102,9 @@
     commit.position = ToWire(forwarded.m_last_commit->m_position);
     body.__set_last_commit(commit);
   }
+  if (forwarded.m_number) {
+    body.__set_number(*forwarded.m_number);
+  }
   out.__set_statement(body);
 }
 
@@ -119,6 +122,9 @@
     out.m_last_commit = {gateway::Duration(body.last_commit.age_us),
                          FromWire(body.last_commit.position)};
   }
+  if (body.__isset.number) {
+    out.m_number = body.number;
+  }
   return out;
 }
 
@@ -162,6 +168,9 @@
   if (answer.m_answer.m_position) {
     body.__set_position(ToWire(*answer.m_answer.m_position));
   }
+  if (answer.m_number) {
+    body.__set_number(*answer.m_number);
+  }
   out.__set_answer(body);
 }
 
@@ -173,6 +182,9 @@
   if (body.__isset.position) {
     out.m_answer.m_position = FromWire(body.position);
   }
+  if (body.__isset.number) {
+    out.m_number = body.number;
+  }
   return out;
 }
 
--- a/src/gossip/gen/gossip_types.cpp
+++ b/src/gossip/gen/gossip_types.cpp
@@ -2935,6 +2935,11 @@
   this->last_commit = val;
 __isset.last_commit = true;
 }
+
+void ForwardedStatement::__set_number(const int32_t val) {
+  this->number = val;
+__isset.number = true;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardedStatement& obj)
 {
   obj.printTo(out);
@@ -3042,6 +3047,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3101,6 +3114,11 @@
     xfer += this->last_commit.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.number) {
+    xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I32, 9);
+    xfer += oprot->writeI32(this->number);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3116,6 +3134,7 @@
   swap(a.statement, b.statement);
   swap(a.values, b.values);
   swap(a.last_commit, b.last_commit);
+  swap(a.number, b.number);
   swap(a.__isset, b.__isset);
 }
 
@@ -3128,6 +3147,7 @@
   statement = other134.statement;
   values = other134.values;
   last_commit = other134.last_commit;
+  number = other134.number;
   __isset = other134.__isset;
 }
 ForwardedStatement::ForwardedStatement(ForwardedStatement&& other135) noexcept {
@@ -3139,6 +3159,7 @@
   statement = std::move(other135.statement);
   values = std::move(other135.values);
   last_commit = std::move(other135.last_commit);
+  number = other135.number;
   __isset = other135.__isset;
 }
 ForwardedStatement& ForwardedStatement::operator=(const ForwardedStatement& other136) {
@@ -3150,6 +3171,7 @@
   statement = other136.statement;
   values = other136.values;
   last_commit = other136.last_commit;
+  number = other136.number;
   __isset = other136.__isset;
   return *this;
 }
@@ -3162,6 +3184,7 @@
   statement = std::move(other137.statement);
   values = std::move(other137.values);
   last_commit = std::move(other137.last_commit);
+  number = other137.number;
   __isset = other137.__isset;
   return *this;
 }
@@ -3176,6 +3199,7 @@
   out << ", " << "statement=" << to_string(statement);
   out << ", " << "values=" << to_string(values);
   out << ", " << "last_commit="; (__isset.last_commit ? (out << to_string(last_commit)) : (out << "<null>"));
+  out << ", " << "number="; (__isset.number ? (out << to_string(number)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3615,6 +3639,11 @@
   this->position = val;
 __isset.position = true;
 }
+
+void ForwardedAnswer::__set_number(const int32_t val) {
+  this->number = val;
+__isset.number = true;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardedAnswer& obj)
 {
   obj.printTo(out);
@@ -3675,6 +3704,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3709,6 +3746,11 @@
     xfer += this->position.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.number) {
+    xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->number);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3720,6 +3762,7 @@
   swap(a.outcome, b.outcome);
   swap(a.state, b.state);
   swap(a.position, b.position);
+  swap(a.number, b.number);
   swap(a.__isset, b.__isset);
 }
 
@@ -3728,6 +3771,7 @@
   outcome = other156.outcome;
   state = other156.state;
   position = other156.position;
+  number = other156.number;
   __isset = other156.__isset;
 }
 ForwardedAnswer::ForwardedAnswer(ForwardedAnswer&& other157) noexcept {
@@ -3735,6 +3779,7 @@
   outcome = std::move(other157.outcome);
   state = other157.state;
   position = std::move(other157.position);
+  number = other157.number;
   __isset = other157.__isset;
 }
 ForwardedAnswer& ForwardedAnswer::operator=(const ForwardedAnswer& other158) {
@@ -3742,6 +3787,7 @@
   outcome = other158.outcome;
   state = other158.state;
   position = other158.position;
+  number = other158.number;
   __isset = other158.__isset;
   return *this;
 }
@@ -3750,6 +3796,7 @@
   outcome = std::move(other159.outcome);
   state = other159.state;
   position = std::move(other159.position);
+  number = other159.number;
   __isset = other159.__isset;
   return *this;
 }
@@ -3760,6 +3807,7 @@
   out << ", " << "outcome=" << to_string(outcome);
   out << ", " << "state=" << to_string(state);
   out << ", " << "position="; (__isset.position ? (out << to_string(position)) : (out << "<null>"));
+  out << ", " << "number="; (__isset.number ? (out << to_string(number)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gossip/gen/gossip_types.h
+++ b/src/gossip/gen/gossip_types.h
@@ -1107,7 +1107,7 @@
 std::ostream& operator<<(std::ostream& out, const Commit& obj);
 
 typedef struct _ForwardedStatement__isset {
-  _ForwardedStatement__isset() : operation(false), begins(false), transaction(false), customer(false), route(false), statement(false), values(false), last_commit(false) {}
+  _ForwardedStatement__isset() : operation(false), begins(false), transaction(false), customer(false), route(false), statement(false), values(false), last_commit(false), number(false) {}
   bool operation :1;
   bool begins :1;
   bool transaction :1;
@@ -1116,6 +1116,7 @@
   bool statement :1;
   bool values :1;
   bool last_commit :1;
+  bool number :1;
 } _ForwardedStatement__isset;
 
 class ForwardedStatement : public virtual ::apache::thrift::TBase {
@@ -1129,7 +1130,8 @@
                      : operation(0),
                        begins(0),
                        transaction(0),
-                       customer() {
+                       customer(),
+                       number(0) {
   }
 
   virtual ~ForwardedStatement() noexcept;
@@ -1141,6 +1143,7 @@
   Statement statement;
   std::map<std::string, std::string>  values;
   Commit last_commit;
+  int32_t number;
 
   _ForwardedStatement__isset __isset;
 
@@ -1160,6 +1163,8 @@
 
   void __set_last_commit(const Commit& val);
 
+  void __set_number(const int32_t val);
+
   bool operator == (const ForwardedStatement & rhs) const
   {
     if (!(operation == rhs.operation))
@@ -1180,6 +1185,10 @@
       return false;
     else if (__isset.last_commit && !(last_commit == rhs.last_commit))
       return false;
+    if (__isset.number != rhs.__isset.number)
+      return false;
+    else if (__isset.number && !(number == rhs.number))
+      return false;
     return true;
   }
   bool operator != (const ForwardedStatement &rhs) const {
@@ -1363,11 +1372,12 @@
 std::ostream& operator<<(std::ostream& out, const Outcome& obj);
 
 typedef struct _ForwardedAnswer__isset {
-  _ForwardedAnswer__isset() : operation(false), outcome(false), state(false), position(false) {}
+  _ForwardedAnswer__isset() : operation(false), outcome(false), state(false), position(false), number(false) {}
   bool operation :1;
   bool outcome :1;
   bool state :1;
   bool position :1;
+  bool number :1;
 } _ForwardedAnswer__isset;
 
 class ForwardedAnswer : public virtual ::apache::thrift::TBase {
@@ -1379,7 +1389,8 @@
   ForwardedAnswer& operator=(ForwardedAnswer&&) noexcept;
   ForwardedAnswer() noexcept
                   : operation(0),
-                    state(0) {
+                    state(0),
+                    number(0) {
   }
 
   virtual ~ForwardedAnswer() noexcept;
@@ -1387,6 +1398,7 @@
   Outcome outcome;
   int32_t state;
   Position position;
+  int32_t number;
 
   _ForwardedAnswer__isset __isset;
 
@@ -1398,6 +1410,8 @@
 
   void __set_position(const Position& val);
 
+  void __set_number(const int32_t val);
+
   bool operator == (const ForwardedAnswer & rhs) const
   {
     if (!(operation == rhs.operation))
@@ -1410,6 +1424,10 @@
       return false;
     else if (__isset.position && !(position == rhs.position))
       return false;
+    if (__isset.number != rhs.__isset.number)
+      return false;
+    else if (__isset.number && !(number == rhs.number))
+      return false;
     return true;
   }
   bool operator != (const ForwardedAnswer &rhs) const {
--- a/src/gossip/gossip.thrift
+++ b/src/gossip/gossip.thrift
@@ -178,6 +178,8 @@
   // Session values.
   7: map<string, binary> values;
   8: optional Commit last_commit;
+  // Number of the statement within its operation, from 1.
+  9: optional i32 number;
 }
 
 // Result of a statement. The signature is that of the member.
@@ -205,6 +207,8 @@
   2: Outcome outcome;
   3: i32 state;
   4: optional Position position;
+  // Number of the statement, if it has one.
+  5: optional i32 number;
 }
 
 // Ends a forwarded operation.
--- a/test/gateway/forwarding_test.cc
+++ b/test/gateway/forwarding_test.cc
@@ -21,13 +21,23 @@
                         std::uint64_t position = 7) {
   return {
       operation,
+      std::nullopt,
       {Completed{{"row"}, "signature"}, state, LogPosition{Term(1), position}}};
 }
 
+// Returns a holder's answer to a forwarded statement that succeeds.
+ForwardedAnswer SuccessOf(const ForwardedStatement& statement,
+                          TransactionState state = TransactionState::kNone) {
+  ForwardedAnswer answer = Success(statement.m_operation, state);
+  answer.m_number = statement.m_number;
+  return answer;
+}
+
 ForwardedAnswer Failure(OperationId operation,
                         ErrorCode code,
                         bool try_elsewhere = false) {
   return {operation,
+          std::nullopt,
           {Refused{code, "test", try_elsewhere}, TransactionState::kNone, {}}};
 }
 
@@ -91,6 +101,7 @@
   CPPUNIT_TEST(CallerThatLeavesEndsItsOperation);
   CPPUNIT_TEST(LateAnswerOfACancelledOperationIsDropped);
   CPPUNIT_TEST(LateAnswerToAnotherRunIsDropped);
+  CPPUNIT_TEST(RepeatedAnswerIsNotTakenForTheNextStatement);
   CPPUNIT_TEST(HolderRunsWithoutAKey);
   CPPUNIT_TEST(HolderRunsATransaction);
   CPPUNIT_TEST(HolderReadsWhatTheSessionWrote);
@@ -101,6 +112,7 @@
   CPPUNIT_TEST(HolderEndsIdleTransactions);
   CPPUNIT_TEST(StatementOfAnEndedTransactionIsNotRun);
   CPPUNIT_TEST(HostConfirmsUnansweredOperations);
+  CPPUNIT_TEST(HostRunsEachStatementOnce);
   CPPUNIT_TEST(HostFindsSessionsOfEarlierIncarnations);
   CPPUNIT_TEST_SUITE_END();
 
@@ -336,6 +348,26 @@
     }
   }
 
+  // The answer to the first statement of a transaction comes a second time,
+  // before and after the next statement is sent.
+  void RepeatedAnswerIsNotTakenForTheNextStatement() {
+    Sender sender;
+    const SessionId id = sender.Open("strict");
+    sender.Send(id, StatementKind::kBegin, "BEGIN");
+    sender.Write(id);
+    const ForwardedAnswer first =
+        SuccessOf(sender.Statements().back().second, TransactionState::kOpen);
+    sender.AnswerLast(first);
+    sender.AnswerLast(first);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sender.CountAnswers(id));
+    sender.Send(id, StatementKind::kCommit, "COMMIT");
+    sender.AnswerLast(first);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sender.CountAnswers(id));
+    sender.AnswerLast(SuccessOf(sender.Statements().back().second));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, sender.CountAnswers(id));
+    CPPUNIT_ASSERT(sender.Succeeded(id));
+  }
+
   static ForwardedStatement MakeForwarded(Consistency consistency,
                                           StatementKind kind,
                                           const std::string& text) {
@@ -533,7 +565,7 @@
     CPPUNIT_ASSERT(ForwardHost::Owns(session));
     CPPUNIT_ASSERT(!ForwardHost::Owns(SessionId(5)));
     const Time start(100s);
-    host.NoteReceived(session, start);
+    CPPUNIT_ASSERT(host.NoteReceived(session, 1, start));
     CPPUNIT_ASSERT(host.TakeDueProgress(start + 10ms).empty());
     const auto due = host.TakeDueProgress(start + 110ms);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, due.size());
@@ -546,6 +578,37 @@
     CPPUNIT_ASSERT(!host.Find(origin));
   }
 
+  // A statement that comes again must not run again. Statements of an earlier
+  // version have no number.
+  void HostRunsEachStatementOnce() {
+    struct Step {
+      StatementNumber m_received;
+      bool m_runs;
+      bool m_answered;
+    };
+    const std::vector<std::vector<Step>> cases = {
+        {{1, true, false}, {1, false, false}},
+        {{1, true, true}, {1, false, false}, {2, true, true}},
+        {{1, true, true}, {2, true, false}, {1, false, false}},
+        {{1, true, false}, {2, false, false}},
+        {{1, true, true}, {3, false, false}, {2, true, true}},
+        {{2, false, false}, {1, true, true}},
+        {{{}, true, true}, {{}, true, true}}};
+    for (std::size_t i = 0; i < cases.size(); ++i) {
+      ForwardHost host;
+      const SessionId session =
+          host.Add({InstanceId("s"), Incarnation(1), OperationId(5)});
+      for (const Step& step : cases[i]) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            "case " + std::to_string(i), step.m_runs,
+            host.NoteReceived(session, step.m_received, Time(100s)));
+        if (step.m_answered) {
+          CPPUNIT_ASSERT(step.m_received == host.NoteAnswered(session));
+        }
+      }
+    }
+  }
+
   void HostFindsSessionsOfEarlierIncarnations() {
     ForwardHost host;
     const InstanceId sender("s");
--- a/test/gossip/forward_codec_test.cc
+++ b/test/gossip/forward_codec_test.cc
@@ -14,6 +14,7 @@
   using namespace gateway;
   ForwardedStatement statement;
   statement.m_operation = OperationId(17);
+  statement.m_number = 3;
   statement.m_starts_operation = false;
   statement.m_transaction = TransactionMode::kReadOnly;
   statement.m_customer = CustomerName("c");
@@ -34,8 +35,8 @@
                           TransactionState::kFailed, std::nullopt};
   return {ForwardedStatement{},
           statement,
-          ForwardedAnswer{OperationId(1), completed},
-          ForwardedAnswer{OperationId(2), refused},
+          ForwardedAnswer{OperationId(1), std::nullopt, completed},
+          ForwardedAnswer{OperationId(2), 3, refused},
           ForwardedEnd{OperationId(3)},
           ForwardPing{},
           ForwardProgress{},
