--- a/src/gateway/forward_table.h
+++ b/src/gateway/forward_table.h
@@ -1,6 +1,7 @@
 #ifndef SRC_GATEWAY_FORWARD_TABLE_H_
 #define SRC_GATEWAY_FORWARD_TABLE_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -16,11 +17,20 @@
 
   SessionId m_session;
   InstanceId m_holder;
-  // Whether a statement of the operation is not answered yet.
+  // Number of the statement of the operation that was sent last; 0 if none was.
+  std::int32_t m_number = 0;
+  // Whether that statement is not answered yet.
   bool m_unanswered = false;
   // When that statement was sent or, if later, when the holder last confirmed
   // that it is running it.
-  Time m_confirmed;
+  Time m_confirmed{};
+
+  // Returns whether `answer`, which came from `holder`, is the one to the
+  // unanswered statement.
+  bool Expects(const InstanceId& holder, const ForwardedAnswer& answer) const {
+    return m_holder == holder && m_unanswered &&
+           (!answer.m_number || answer.m_number == m_number);
+  }
 };
 
 // Tracks the operations that this instance has forwarded, and which holders
@@ -33,6 +43,15 @@
 // it until a message from it arrives.
 class ForwardTable {
  public:
+  // Makes the table of one run of the instance `self`.
+  //
+  // The operations of a run are numbered from a start that depends on the
+  // instance and its incarnation. A holder may answer an operation after its
+  // sender was restarted, or at an address that another instance has taken
+  // over; its number is then unknown there. The ranges of two of N runs with M
+  // operations each overlap with a probability below N^2 M / 2^64.
+  ForwardTable(const InstanceId& self, Incarnation incarnation);
+
   // Maximum time without a confirmation. A holder confirms what it runs every
   // ForwardHost::kProgressInterval; the rest allows for a holder that gets no
   // processor time for a tenth of a second.
@@ -51,8 +70,9 @@
 
   void Remove(OperationId id) { m_forwards.erase(id); }
 
-  // Record that a statement of the operation was sent, and answered.
-  void NoteSent(OperationId id, Time now);
+  // Records that a statement of the operation is sent, and returns its number.
+  StatementNumber NoteSent(OperationId id, Time now);
+  // Records that the statement was answered.
   void NoteAnswered(OperationId id);
 
   // Records that the holder has confirmed the operations in `progress`.
@@ -86,7 +106,7 @@
   // first ping, became unresponsive.
   std::map<InstanceId, Time> m_unresponsive;
   std::map<InstanceId, Time> m_avoided_until;
-  std::uint64_t m_next_id = 1;
+  std::uint64_t m_next_id;
 };
 
 }  // namespace jasminelug::gateway
--- a/test/gateway/forwarding_test.cc
+++ b/test/gateway/forwarding_test.cc
@@ -21,23 +21,36 @@
                         std::uint64_t position = 7) {
   return {
       operation,
+      std::nullopt,
       {Completed{{"row"}, "signature"}, state, LogPosition{Term(1), position}}};
 }
 
+// Returns a holder's answer to a forwarded statement that succeeds.
+ForwardedAnswer SuccessOf(const ForwardedStatement& statement,
+                          TransactionState state = TransactionState::kNone) {
+  ForwardedAnswer answer = Success(statement.m_operation, state);
+  answer.m_number = statement.m_number;
+  return answer;
+}
+
 ForwardedAnswer Failure(OperationId operation,
                         ErrorCode code,
                         bool try_elsewhere = false) {
   return {operation,
+          std::nullopt,
           {Refused{code, "test", try_elsewhere}, TransactionState::kNone, {}}};
 }
 
 // An instance that holds no connections and forwards to the holders h1 and h2.
 class Sender : public EngineFixture {
  public:
-  Sender() { m_engine.SetInstances(Instances(), m_now); }
+  explicit Sender(const std::string& self = "self") : EngineFixture(self) {
+    m_engine.SetInstances(Instances(self), m_now);
+  }
 
-  static std::vector<InstanceEntry> Instances() {
-    std::vector<InstanceEntry> entries = {Entry("self"), Entry("h1"),
+  static std::vector<InstanceEntry> Instances(
+      const std::string& self = "self") {
+    std::vector<InstanceEntry> entries = {Entry(self), Entry("h1"),
                                           Entry("h2")};
     entries[0].m_processors = 0.1;
     entries[1].m_processors = 1;
@@ -87,6 +100,8 @@
   CPPUNIT_TEST(NoHolderIsReachedAtAll);
   CPPUNIT_TEST(CallerThatLeavesEndsItsOperation);
   CPPUNIT_TEST(LateAnswerOfACancelledOperationIsDropped);
+  CPPUNIT_TEST(LateAnswerToAnotherRunIsDropped);
+  CPPUNIT_TEST(RepeatedAnswerIsNotTakenForTheNextStatement);
   CPPUNIT_TEST(HolderRunsWithoutAKey);
   CPPUNIT_TEST(HolderRunsATransaction);
   CPPUNIT_TEST(HolderReadsWhatTheSessionWrote);
@@ -97,6 +112,7 @@
   CPPUNIT_TEST(HolderEndsIdleTransactions);
   CPPUNIT_TEST(StatementOfAnEndedTransactionIsNotRun);
   CPPUNIT_TEST(HostConfirmsUnansweredOperations);
+  CPPUNIT_TEST(HostRunsEachStatementOnce);
   CPPUNIT_TEST(HostFindsSessionsOfEarlierIncarnations);
   CPPUNIT_TEST_SUITE_END();
 
@@ -310,6 +326,48 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sender.CountAnswers(id));
   }
 
+  // A holder answers an operation of the sender's previous run or
+  // of another instance that used the same address. The sender that gets the
+  // message has forwarded as many operations to that holder.
+  void LateAnswerToAnotherRunIsDropped() {
+    for (const std::string other : {"self", "another"}) {
+      Sender before(other);
+      Sender sender;
+      for (int i = 0; i < 3; ++i) {
+        before.Write(before.Open("strict"));
+        const SessionId id = sender.Open("strict");
+        sender.Write(id);
+        const InstanceId holder = sender.Statements().back().first;
+        sender.m_engine.OnForwardAnswer(holder, Success(before.LastOperation()),
+                                        sender.m_now);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(other, std::size_t{0},
+                                     sender.CountAnswers(id));
+        sender.AnswerLast(Success(sender.LastOperation()));
+        CPPUNIT_ASSERT_MESSAGE(other, sender.Succeeded(id));
+      }
+    }
+  }
+
+  // The answer to the first statement of a transaction comes a second time,
+  // before and after the next statement is sent.
+  void RepeatedAnswerIsNotTakenForTheNextStatement() {
+    Sender sender;
+    const SessionId id = sender.Open("strict");
+    sender.Send(id, StatementKind::kBegin, "BEGIN");
+    sender.Write(id);
+    const ForwardedAnswer first =
+        SuccessOf(sender.Statements().back().second, TransactionState::kOpen);
+    sender.AnswerLast(first);
+    sender.AnswerLast(first);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sender.CountAnswers(id));
+    sender.Send(id, StatementKind::kCommit, "COMMIT");
+    sender.AnswerLast(first);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sender.CountAnswers(id));
+    sender.AnswerLast(SuccessOf(sender.Statements().back().second));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, sender.CountAnswers(id));
+    CPPUNIT_ASSERT(sender.Succeeded(id));
+  }
+
   static ForwardedStatement MakeForwarded(Consistency consistency,
                                           StatementKind kind,
                                           const std::string& text) {
@@ -507,7 +565,7 @@
     CPPUNIT_ASSERT(ForwardHost::Owns(session));
     CPPUNIT_ASSERT(!ForwardHost::Owns(SessionId(5)));
     const Time start(100s);
-    host.NoteReceived(session, start);
+    CPPUNIT_ASSERT(host.NoteReceived(session, 1, start));
     CPPUNIT_ASSERT(host.TakeDueProgress(start + 10ms).empty());
     const auto due = host.TakeDueProgress(start + 110ms);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, due.size());
@@ -520,6 +578,37 @@
     CPPUNIT_ASSERT(!host.Find(origin));
   }
 
+  // A statement that comes again must not run again. Statements of an earlier
+  // version have no number.
+  void HostRunsEachStatementOnce() {
+    struct Step {
+      StatementNumber m_received;
+      bool m_runs;
+      bool m_answered;
+    };
+    const std::vector<std::vector<Step>> cases = {
+        {{1, true, false}, {1, false, false}},
+        {{1, true, true}, {1, false, false}, {2, true, true}},
+        {{1, true, true}, {2, true, false}, {1, false, false}},
+        {{1, true, false}, {2, false, false}},
+        {{1, true, true}, {3, false, false}, {2, true, true}},
+        {{2, false, false}, {1, true, true}},
+        {{{}, true, true}, {{}, true, true}}};
+    for (std::size_t i = 0; i < cases.size(); ++i) {
+      ForwardHost host;
+      const SessionId session =
+          host.Add({InstanceId("s"), Incarnation(1), OperationId(5)});
+      for (const Step& step : cases[i]) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            "case " + std::to_string(i), step.m_runs,
+            host.NoteReceived(session, step.m_received, Time(100s)));
+        if (step.m_answered) {
+          CPPUNIT_ASSERT(step.m_received == host.NoteAnswered(session));
+        }
+      }
+    }
+  }
+
   void HostFindsSessionsOfEarlierIncarnations() {
     ForwardHost host;
     const InstanceId sender("s");
