gateway: a replacement that does not end is logged and counted

Cause: nothing watched how long a replacement takes over all changes of its coordinator. The age of the list of instances counted from the start of the clock before this instance had listed the entries itself.

Change: ReplacementWatch counts the age of a replacement from its first intent. From twice the bound on, a line "a replacement does not end" each 10 s, with the coordinator, whether it responds, what it waits for and who has not acknowledged; metrics `jasminelug_replacement_age_seconds` and `jasminelug_replacement_overdue`. `list_age_ms` is left out while unknown.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -22,6 +22,12 @@
 // verified against the store, by itself or through a peer's report, within this
 // time.
 constexpr gateway::Duration kCoordinatorContactLimit = 2s;
+
+std::int64_t ToMilliseconds(gateway::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 gateway::InstanceEntry MakeEntry(const Settings& settings,
                                  gateway::Incarnation incarnation) {
   gateway::InstanceEntry entry;
@@ -121,26 +127,53 @@
   return hooks;
 }
 
+// Returns the instances that have not acknowledged the replacement record.
+std::string FleetDuty::Unacknowledged(gateway::Time now) const {
+  std::string missing;
+  for (const gateway::InstanceId& id :
+       m_peers.Unacknowledged(m_coordinator.revision(), now)) {
+    missing += (missing.empty() ? "" : " ") + id.str();
+  }
+  return missing;
+}
+
 // Logs a step of a replacement, with the list of instances it relies on and
 // those that have not acknowledged the record.
 void FleetDuty::LogReplacement(const std::string& event,
                                const gateway::ReplacementIntent& intent) {
-  std::string missing;
-  for (const gateway::InstanceId& id :
-       m_peers.Unacknowledged(m_coordinator.revision(), Now())) {
-    missing += (missing.empty() ? "" : " ") + id.str();
+  const gateway::Time now = Now();
+  LogFields fields = {
+      {"group", intent.m_group.str()},
+      {"old_primary", intent.m_old_primary.str()},
+      {"candidate", intent.m_candidate.str()},
+      {"planned", intent.m_planned},
+      {"revision", ToLogField(m_coordinator.revision())},
+      {"instances", static_cast<std::int64_t>(m_entries.size())},
+      {"unacknowledged", Unacknowledged(now)}};
+  if (m_instances_as_of) {
+    fields.push_back({"list_age_ms", ToMilliseconds(now - *m_instances_as_of)});
+  }
+  Log(m_logger, log4cplus::INFO_LOG_LEVEL, event, fields);
+}
+
+// Logs a replacement that takes much longer than it should, with what it waits
+// for.
+void FleetDuty::WatchReplacement(gateway::Time now) {
+  m_replacement_watch.Update(m_coordinator.record(), now);
+  if (!m_replacement_watch.TakeNotice(now)) {
+    return;
   }
-  const auto list_age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      Now() - m_instances_as_of);
-  Log(m_logger, log4cplus::INFO_LOG_LEVEL, event,
-      {{"group", intent.m_group.str()},
-       {"old_primary", intent.m_old_primary.str()},
-       {"candidate", intent.m_candidate.str()},
-       {"planned", intent.m_planned},
+  const gateway::ReplacementRecord& record = m_coordinator.record();
+  Log(m_logger, log4cplus::WARN_LOG_LEVEL, "a replacement does not end",
+      {{"group", record.m_intent->m_group.str()},
+       {"old_primary", record.m_intent->m_old_primary.str()},
+       {"age_ms", ToMilliseconds(*m_replacement_watch.Age(now))},
+       {"coordinator", record.m_coordinator.str()},
+       {"coordinator_unresponsive",
+        m_peers.IsUnresponsive(record.m_coordinator, now)},
        {"revision", ToLogField(m_coordinator.revision())},
-       {"instances", static_cast<std::int64_t>(m_entries.size())},
-       {"list_age_ms", list_age.count()},
-       {"unacknowledged", missing}});
+       {"waits_for", std::string(m_coordinator.awaited())},
+       {"unacknowledged", Unacknowledged(now)}});
 }
 
 void FleetDuty::OnInstances(const gateway::StoreObjects& objects,
@@ -345,7 +378,7 @@
   gateway::FleetCondition fleet;
   fleet.m_all_acknowledged =
       m_peers.AllAcknowledged(m_coordinator.revision(), now);
-  fleet.m_instances_as_of = m_instances_as_of;
+  fleet.m_instances_as_of = m_instances_as_of.value_or(gateway::Time());
   fleet.m_rank = m_peers.Rank(now);
   fleet.m_contact_recent =
       m_registrar.is_registered() &&
@@ -353,6 +386,7 @@
   fleet.m_coordinator_live =
       !m_peers.IsUnresponsive(m_coordinator.record().m_coordinator, now);
   m_coordinator.OnTick(GroupConditions(now), fleet, now);
+  WatchReplacement(now);
   const bool coordinator_unresponsive =
       m_coordinator.record().m_intent && !fleet.m_coordinator_live &&
       m_coordinator.record().m_coordinator != m_entry.m_id;
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -127,6 +127,11 @@
   // Returns whether the primaries were known at least once. They are not at the
   // first start of the fleet, until it has found them out.
   bool has_known_primaries() const { return m_has_known_primaries; }
+  // Returns how long the replacement of a primary that is in progress has
+  // taken.
+  const gateway::ReplacementWatch& replacement_watch() const {
+    return m_replacement_watch;
+  }
 
  private:
   gateway::InstanceRegistrar::Hooks MakeRegistrarHooks();
@@ -144,6 +149,8 @@
   bool AreAllPrimariesUnused() const;
   void LogReplacement(const std::string& event,
                       const gateway::ReplacementIntent& intent);
+  void WatchReplacement(gateway::Time now);
+  std::string Unacknowledged(gateway::Time now) const;
   void UpdateContacts(const gateway::PeerReport& report, gateway::Time now);
   void UpdateContact(const gateway::PeerReport& report,
                      const gateway::VerifiedRevision& peer_state,
@@ -169,6 +176,7 @@
   gateway::PeerView m_peers;
   gateway::ReplacementCoordinator m_coordinator;
   gateway::PeerReadRevisions m_peer_record;
+  gateway::ReplacementWatch m_replacement_watch;
   gossip::DatagramSocket m_datagrams;
   // A report that waits to be sent.
   struct OutgoingReport {
@@ -181,7 +189,8 @@
   gateway::Time m_last_digest;
   gateway::StoreObjects m_objects;
   std::vector<gateway::InstanceEntry> m_entries;
-  gateway::Time m_instances_as_of;
+  // Unset before this instance's first own call for the entries.
+  std::optional<gateway::Time> m_instances_as_of;
   Hooks m_hooks;
   bool m_stopping = false;
   bool m_has_known_primaries = false;
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -453,6 +453,14 @@
           std::to_string(m_forwarding.sent()) + "\n";
   text += "jasminelug_forwards_received_total " +
           std::to_string(m_forwarding.received()) + "\n";
+  const gateway::ReplacementWatch& replacement = m_fleet.replacement_watch();
+  const gateway::Time now = Now();
+  const std::chrono::duration<double> age =
+      replacement.Age(now).value_or(gateway::Duration::zero());
+  text += "jasminelug_replacement_age_seconds " + std::to_string(age.count()) +
+          "\n";
+  text += "jasminelug_replacement_overdue ";
+  text += replacement.IsOverdue(now) ? "1\n" : "0\n";
   return text;
 }
 
--- a/jasminelug/gateway.h
+++ b/jasminelug/gateway.h
@@ -35,6 +35,7 @@
 #include "src/gateway/primary_survey.h"
 #include "src/gateway/promotion.h"
 #include "src/gateway/replacement_coordinator.h"
+#include "src/gateway/replacement_watch.h"
 #include "src/gateway/revision.h"
 #include "src/gateway/shutdown.h"
 #include "src/gateway/state_relay.h"
--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -63,6 +63,26 @@
   return m_record.m_intent && m_record.m_coordinator == m_options.m_self;
 }
 
+const char* ReplacementCoordinator::awaited() const {
+  if (!m_record.m_intent) {
+    return "nothing";
+  }
+  if (!IsOwnIntent()) {
+    return "its coordinator";
+  }
+  switch (m_stage) {
+    case Stage::kIdle:
+      return "instances that use the old primary";
+    case Stage::kCollectingStatuses:
+      return "statuses of members";
+    case Stage::kPromoting:
+      return "the promotion";
+    case Stage::kConfirming:
+      return "the new primary";
+  }
+  return "nothing";
+}
+
 void ReplacementCoordinator::Reset() {
   m_stage = Stage::kIdle;
   m_survey.End();
--- a/src/gateway/replacement_coordinator.h
+++ b/src/gateway/replacement_coordinator.h
@@ -135,6 +135,9 @@
   static constexpr Duration kTakeOverAfter = 6s;
   static constexpr Duration kTakeOverUnresponsiveAfter = 1200ms;
   static constexpr Duration kMaxTakeOverAfter = 10s;
+  // Time within which a replacement ends, once a live instance reaches the
+  // store, the other instances and the group's members. See docs/DESIGN.md.
+  static constexpr Duration kReplacementBound = 20s;
   // Minimum time between the last action of one coordinator and the first of
   // another one. The platform's documentation requires 3 s.
   static constexpr Duration kCoordinatorChangePause = 3200ms;
@@ -170,6 +173,9 @@
   // record.
   Time intent_seen() const { return m_intent_seen; }
   Revision revision() const { return m_revision.value_or(Revision()); }
+  // Returns what the replacement in the record waits for, for the log, as far
+  // as this instance knows.
+  const char* awaited() const;
   // Returns the newest epoch of the store that this instance has seen.
   StoreEpoch epoch() const { return m_epoch; }
   // Returns whether the record was written in that epoch. If not, no primary
