gateway: a connection opens one transaction

Seen by callers: a statement of a transaction ran outside it; a write ran twice; a transaction was told 'not run' by the error of its BEGIN. Cause: the success of a BEGIN has neither signature nor rows and leaves state T, as that of any other BEGIN. Repeated late, it was taken for the answer to a later BEGIN on the connection that the member refused; the first statement was sent, and the refusal then answered the statement. Change: a connection whose BEGIN succeeded is closed when its operation ends, so no BEGIN follows another one.

--- a/src/gateway/answer_check.h
+++ b/src/gateway/answer_check.h
@@ -71,7 +71,8 @@
 // only repeat that to an earlier statement, because a member answers in order.
 // An error fits every statement, so a connection must not be used again once it
 // has returned one: a repetition of the error could not be told from an answer
-// to the next statement.
+// to the next statement. The same holds for the success of a BEGIN, which fits
+// the next BEGIN, and for a member's status.
 AnswerFit CheckAnswer(const Answer& answer,
                       const std::optional<ExpectedAnswer>& expected,
                       const SignatureHistory& history);
--- a/src/gateway/engine_answers.cc
+++ b/src/gateway/engine_answers.cc
@@ -208,8 +208,9 @@
 }
 
 // Records an answer that fits its statement. After some answers, the connection
-// is used by no other session: a repeated error, or the repeated status of a
-// member, could not be told from the next answer of that kind.
+// is used by no other session: a repeated error, a repeated success of BEGIN or
+// the repeated status of a member could not be told from the next answer of
+// that kind.
 void Engine::NoteAnswer(Connection* connection,
                         const SentStatement& sent,
                         const Answer& answer) {
@@ -219,6 +220,7 @@
     connection->m_signatures.Add(completed->m_signature);
   }
   connection->m_is_retired |= !completed ||
+                              sent.m_purpose == SentPurpose::kBegin ||
                               sent.m_purpose == SentPurpose::kCommand ||
                               connection->m_signatures.is_full();
 }
--- a/test/gateway/member_answers_test.cc
+++ b/test/gateway/member_answers_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(UnexpectedAnswerIsNotBelieved);
   CPPUNIT_TEST(RepeatedPlainAnswerDoesNotAnswerAStatement);
   CPPUNIT_TEST(RepeatedPlainAnswerDoesNotOpenATransaction);
+  CPPUNIT_TEST(RepeatedBeginDoesNotOpenAnotherTransaction);
   CPPUNIT_TEST(ConnectionIsReplacedBeforeASignatureIsForgotten);
   CPPUNIT_TEST(UnexpectedAnswersAreReported);
   CPPUNIT_TEST_SUITE_END();
@@ -198,6 +199,30 @@
     CPPUNIT_ASSERT(fixture.Succeeded(id));
   }
 
+  // A statement ran outside its transaction, whose BEGIN the member had
+  // refused: the answer to an earlier BEGIN on the connection came again.
+  void RepeatedBeginDoesNotOpenAnotherTransaction() {
+    for (const StatementKind end :
+         {StatementKind::kCommit, StatementKind::kRollback}) {
+      EngineFixture fixture;
+      const SessionId id = fixture.Open("strict");
+      fixture.Send(id, StatementKind::kBegin, "BEGIN");
+      fixture.Write(id);
+      fixture.AnswerAllAt("p", 1);
+      const ConnectionId connection = fixture.m_connections.begin()->first;
+      CPPUNIT_ASSERT(!fixture.m_connections.at(connection).m_closed);
+      fixture.Send(id, end,
+                   end == StatementKind::kCommit ? "COMMIT" : "ROLLBACK");
+      fixture.AnswerAllAt("p", 1);
+      CPPUNIT_ASSERT(fixture.Succeeded(id));
+      CPPUNIT_ASSERT(fixture.m_connections.at(connection).m_closed);
+      fixture.Send(id, StatementKind::kBegin, "BEGIN");
+      fixture.Write(id);
+      fixture.AnswerAllAt("p", 2);
+      CPPUNIT_ASSERT(fixture.Succeeded(id));
+    }
+  }
+
   void ConnectionIsReplacedBeforeASignatureIsForgotten() {
     EngineFixture fixture;
     const SessionId id = fixture.Open("strict");
