platform: interim responses precede the response

What could happen: a server that sends 100 Continue or another interim response had it taken for the response to the call; the response itself became that of the next call. Cause: the end of every message counted as that of the response. Before: http_channel_test InterimResponsesAreSkipped failed ('status 100' instead of 'one').

--- a/test/platform_adapter/http_channel_test.cc
+++ b/test/platform_adapter/http_channel_test.cc
@@ -137,6 +137,7 @@
 class HttpChannelTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpChannelTest);
   CPPUNIT_TEST(OnlyTheFirstResponseIsTaken);
+  CPPUNIT_TEST(InterimResponsesAreSkipped);
   CPPUNIT_TEST(AbandonedCallLeavesNoResponse);
   CPPUNIT_TEST_SUITE_END();
 
@@ -192,6 +193,16 @@
            {"other bytes", {{{one + "\r\n"}}, two}, {"one", "two"}, 2}});
   }
 
+  void InterimResponsesAreSkipped() {
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const Script two = {{Response("two")}};
+    Check(
+        {{"one segment", {{{interim + Response("one")}}, two}, {"one", "two"}},
+         {"own segment",
+          {{{interim, interim, Response("one")}}, two},
+          {"one", "two"}}});
+  }
+
   // A call is given up, and its response comes while the next one waits.
   void AbandonedCallLeavesNoResponse() {
     asio::io_context io(1);
