platform: a reset does not end a response

What could happen: a response without a length that broke off by a reset was taken for a complete one. Cause: every error of a read told the parser that the stream had ended; only an orderly close does.

--- a/test/platform_adapter/http_channel_test.cc
+++ b/test/platform_adapter/http_channel_test.cc
@@ -138,6 +138,7 @@
   CPPUNIT_TEST_SUITE(HttpChannelTest);
   CPPUNIT_TEST(OnlyTheFirstResponseIsTaken);
   CPPUNIT_TEST(InterimResponsesAreSkipped);
+  CPPUNIT_TEST(ResponseThatBreaksOffIsAnError);
   CPPUNIT_TEST(AbandonedCallLeavesNoResponse);
   CPPUNIT_TEST_SUITE_END();
 
@@ -203,6 +204,33 @@
           {"one", "two"}}});
   }
 
+  void ResponseThatBreaksOffIsAnError() {
+    const std::string open = "HTTP/1.1 200 OK\r\n\r\n";
+    const std::string one = Response("one");
+    const std::string cut = one.substr(0, one.size() - 1);
+    const Script two = {{Response("two")}};
+    Check({{"reset before the end of a body without length",
+            {{{open + "one"}, Script::End::kReset}, two},
+            {"error", "two"},
+            2},
+           {"body without length, closed",
+            {{{open + "one"}, Script::End::kClose}, two},
+            {"one", "two"},
+            2},
+           {"closed before the end",
+            {{{cut}, Script::End::kClose}, two},
+            {"error", "two"},
+            2},
+           {"reset before the end",
+            {{{cut}, Script::End::kReset}, two},
+            {"error", "two"},
+            2},
+           {"closed after the response",
+            {{{one}, Script::End::kClose}, two},
+            {"one", "two"},
+            2}});
+  }
+
   // A call is given up, and its response comes while the next one waits.
   void AbandonedCallLeavesNoResponse() {
     asio::io_context io(1);
