gateway: a difference to an earlier run's copy is not a copy

What callers could see: statements served from a copy of the store's objects that lacks what the previous run of the instance had: a database that does not exist, members that are not used, or a primary that was replaced, because the record of the replacement is missing. The copy counted as complete and verified. Cause: an instance that starts asks its peers for their copies. A peer that stood still, or whose connection had to be made again, may at that moment answer a request of the previous run, with the difference to the copy of that run. The copy to which an update applies was compared only if there was one. Change: an instance without a copy takes only an update that applies to none, and goes on waiting for the answer to its own request.

--- a/apps/gateway/state_duty.cc
+++ b/apps/gateway/state_duty.cc
@@ -231,10 +231,13 @@
   if (requested == m_requested.end()) {
     return;
   }
+  gateway::StoreFollower& copy = LinkOf(update.m_kind).follower();
+  if (!copy.is_listed() && update.m_base != gateway::Revision()) {
+    return;  // It answers a request of an earlier run of this instance.
+  }
   const gateway::Time sent = requested->second;
   m_requested.erase(requested);
   m_relay.TakeRequest(sender, update.m_kind);
-  gateway::StoreFollower& copy = LinkOf(update.m_kind).follower();
   if (copy.is_listed() && copy.changed() != update.m_base) {
     return;  // The copy has changed meanwhile.
   }
--- a/test/gateway_app/state_duty_test.cc
+++ b/test/gateway_app/state_duty_test.cc
@@ -102,6 +102,7 @@
   CPPUNIT_TEST(UnrequestedAndDamagedUpdatesAreIgnored);
   CPPUNIT_TEST(LateUpdateProvesNoMoreThanItsOwnRequest);
   CPPUNIT_TEST(CopyIsNotOlderThanTheRecordThatWasWritten);
+  CPPUNIT_TEST(DifferenceToTheCopyOfAnEarlierRunIsIgnored);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -167,6 +168,24 @@
                    first_request);
   }
 
+  // This instance had a copy before it was restarted, and a peer answers a
+  // request of that time. The difference to that copy is not a copy: it would
+  // lack the record that both had.
+  void DifferenceToTheCopyOfAnEarlierRunIsIgnored() {
+    Harness harness;
+    const gateway::Time now = Now();
+    harness.m_duty.OnUnknownReporter(InstanceId("b"));
+    gateway::StateUpdate late = Update(StoreKind::kReplacements, 9, 0ms);
+    late.m_base = Revision(5);
+    harness.m_duty.OnMessage(InstanceId("b"), late, now);
+    CPPUNIT_ASSERT_EQUAL(0, harness.m_changes[StoreKind::kReplacements]);
+    CPPUNIT_ASSERT(harness.m_contacts.empty());
+    harness.m_duty.OnMessage(InstanceId("b"),
+                             Update(StoreKind::kReplacements, 9, 0ms), now);
+    CPPUNIT_ASSERT_EQUAL(1, harness.m_changes[StoreKind::kReplacements]);
+    CPPUNIT_ASSERT(harness.m_contacts.contains(StoreKind::kReplacements));
+  }
+
   // The proof of a copy that is passed on is that of the newest record that
   // this instance knows. It must not vouch for the copy from before its own
   // write.
