gateway: answers to requests for copies name the request

What callers could see: a primary that was replaced, used for longer than the contact limit allows. An instance that was restarted could take the answer to a request of its previous run, which had no copy either, for the answer to its own; the answer counted as made after the request, so its copy was believed to be verified later than it was. Cause: an answer named the kind and the copy it applies to, but not the request. Change: requests are numbered, and the answer repeats the number; the numbers of a run begin at its incarnation. An answer that names no request in hand is ignored, and the wait for the right one goes on. Both fields are optional: messages of an earlier version have none and are treated as before.

--- a/apps/gateway/state_duty.cc
+++ b/apps/gateway/state_duty.cc
@@ -56,6 +56,7 @@
       m_self(self),
       m_hooks(std::move(hooks)),
       m_random(std::random_device()()),
+      m_next_request(self.m_incarnation.value()),
       m_neighbour_client(io, *adapter::ParseEndpoint(settings.m_store)),
       m_relay(MakeRelayHooks()),
       m_follower(MakeFollowerHooks()),
@@ -182,11 +183,15 @@
                         StoreKind kind,
                         gateway::Time now) {
   const gateway::StoreFollower& copy = LinkOf(kind).follower();
+  gateway::StateRequest request =
+      gateway::MakeStateRequest(kind, copy.objects(), copy.changed());
+  request.m_number = m_next_request++;
   // Keeps the time of an earlier request that is not answered yet: the next
   // answer may belong to it, and proves no more than that.
-  m_requested.try_emplace({peer, kind}, now);
-  m_hooks.m_send(
-      peer, gateway::MakeStateRequest(kind, copy.objects(), copy.changed()));
+  const auto pending = m_requested.try_emplace(
+      {peer, kind}, PendingRequests{now, *request.m_number});
+  pending.first->second.m_last = *request.m_number;
+  m_hooks.m_send(peer, request);
 }
 
 void StateDuty::OnMessage(const gateway::InstanceId& sender,
@@ -228,14 +233,14 @@
                          const gateway::StateUpdate& update,
                          gateway::Time now) {
   const auto requested = m_requested.find({sender, update.m_kind});
-  if (requested == m_requested.end()) {
+  if (requested == m_requested.end() || !requested->second.Include(update)) {
     return;
   }
   gateway::StoreFollower& copy = LinkOf(update.m_kind).follower();
   if (!copy.is_listed() && update.m_base != gateway::Revision()) {
     return;  // It answers a request of an earlier run of this instance.
   }
-  const gateway::Time sent = requested->second;
+  const gateway::Time sent = requested->second.m_sent;
   m_requested.erase(requested);
   m_relay.TakeRequest(sender, update.m_kind);
   if (copy.is_listed() && copy.changed() != update.m_base) {
--- a/apps/gateway/state_duty.h
+++ b/apps/gateway/state_duty.h
@@ -129,10 +129,28 @@
     gateway::StateRequest m_request;
   };
 
+  // The requests for one kind that were sent to a peer and are not answered.
+  struct PendingRequests {
+    // Returns whether `update` may answer one of them.
+    bool Include(const gateway::StateUpdate& update) const {
+      return !update.m_number ||
+             (*update.m_number >= m_first && *update.m_number <= m_last);
+    }
+
+    // Time of the first one.
+    gateway::Time m_sent;
+    // Numbers of the first and of the last one.
+    std::uint64_t m_first = 0;
+    std::uint64_t m_last = 0;
+  };
+
   log4cplus::Logger m_logger;
   const gateway::InstanceEntry m_self;
   const Hooks m_hooks;
   std::mt19937_64 m_random;
+  // Number of the next request. The numbers of a run begin at its incarnation,
+  // which counts microseconds and so is above all numbers of earlier runs.
+  std::uint64_t m_next_request;
   Links m_links;
   adapter::StoreClient m_neighbour_client;
   std::optional<gateway::Time> m_neighbours_requested;
@@ -140,8 +158,7 @@
   gateway::StateRelay m_relay;
   gateway::FollowerElection m_follower;
   gateway::CopyBootstrap m_bootstrap;
-  // Times at which updates were requested.
-  std::map<std::pair<gateway::InstanceId, gateway::StoreKind>, gateway::Time>
+  std::map<std::pair<gateway::InstanceId, gateway::StoreKind>, PendingRequests>
       m_requested;
   std::vector<WaitingRequest> m_waiting;
 };
--- a/src/gateway/state_update.cc
+++ b/src/gateway/state_update.cc
@@ -19,7 +19,8 @@
                             const StoreObjects& objects,
                             Revision changed,
                             std::optional<Duration> age) {
-  StateUpdate update{request.m_kind, request.m_changed, changed, {}, {}, age};
+  StateUpdate update{request.m_kind,  request.m_changed, changed, {}, {}, age,
+                     request.m_number};
   std::map<std::string, Revision> known;
   for (const KnownObject& object : request.m_known) {
     known.emplace(object.m_name, object.m_revision);
--- a/src/gateway/state_update.h
+++ b/src/gateway/state_update.h
@@ -1,6 +1,7 @@
 #ifndef SRC_GATEWAY_STATE_UPDATE_H_
 #define SRC_GATEWAY_STATE_UPDATE_H_
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -32,6 +33,10 @@
   Revision m_revision;
 };
 
+// Number of a request. No other run of any instance uses it. Unset in the
+// messages of an earlier version.
+using StateRequestNumber = std::optional<std::uint64_t>;
+
 // Requests what the receiver's copy of one kind has and the sender's lacks.
 struct StateRequest {
   friend bool operator==(const StateRequest&, const StateRequest&) = default;
@@ -40,6 +45,7 @@
   // StoreFollower::changed() of the sender's copy; 0 if it has none.
   Revision m_changed;
   std::vector<KnownObject> m_known;
+  StateRequestNumber m_number{};
 };
 
 // The difference between two copies of one kind: what leads from the
@@ -59,6 +65,8 @@
   // Time since the last contact that verified the sender's copy, when the
   // update was made; unset if it was not verified.
   std::optional<Duration> m_age;
+  // StateRequest::m_number.
+  StateRequestNumber m_number{};
 };
 
 // A message between instances about their copies of the store's objects.
--- a/src/gossip/gen/gossip_types.cpp
+++ b/src/gossip/gen/gossip_types.cpp
@@ -4446,6 +4446,11 @@
 void StateRequest::__set_known(const std::vector<KnownObject> & val) {
   this->known = val;
 }
+
+void StateRequest::__set_number(const int64_t val) {
+  this->number = val;
+__isset.number = true;
+}
 std::ostream& operator<<(std::ostream& out, const StateRequest& obj)
 {
   obj.printTo(out);
@@ -4510,6 +4515,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4547,6 +4560,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.number) {
+    xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->number);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4557,6 +4575,7 @@
   swap(a.kind, b.kind);
   swap(a.changed, b.changed);
   swap(a.known, b.known);
+  swap(a.number, b.number);
   swap(a.__isset, b.__isset);
 }
 
@@ -4564,18 +4583,21 @@
   kind = other192.kind;
   changed = other192.changed;
   known = other192.known;
+  number = other192.number;
   __isset = other192.__isset;
 }
 StateRequest::StateRequest(StateRequest&& other193) noexcept {
   kind = other193.kind;
   changed = other193.changed;
   known = std::move(other193.known);
+  number = other193.number;
   __isset = other193.__isset;
 }
 StateRequest& StateRequest::operator=(const StateRequest& other194) {
   kind = other194.kind;
   changed = other194.changed;
   known = other194.known;
+  number = other194.number;
   __isset = other194.__isset;
   return *this;
 }
@@ -4583,6 +4605,7 @@
   kind = other195.kind;
   changed = other195.changed;
   known = std::move(other195.known);
+  number = other195.number;
   __isset = other195.__isset;
   return *this;
 }
@@ -4592,6 +4615,7 @@
   out << "kind=" << to_string(kind);
   out << ", " << "changed=" << to_string(changed);
   out << ", " << "known=" << to_string(known);
+  out << ", " << "number="; (__isset.number ? (out << to_string(number)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4624,6 +4648,11 @@
   this->age_us = val;
 __isset.age_us = true;
 }
+
+void StateUpdate::__set_number(const int64_t val) {
+  this->number = val;
+__isset.number = true;
+}
 std::ostream& operator<<(std::ostream& out, const StateUpdate& obj)
 {
   obj.printTo(out);
@@ -4724,6 +4753,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4782,6 +4819,11 @@
     xfer += oprot->writeI64(this->age_us);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.number) {
+    xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->number);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4795,6 +4837,7 @@
   swap(a.objects, b.objects);
   swap(a.removed, b.removed);
   swap(a.age_us, b.age_us);
+  swap(a.number, b.number);
   swap(a.__isset, b.__isset);
 }
 
@@ -4805,6 +4848,7 @@
   objects = other208.objects;
   removed = other208.removed;
   age_us = other208.age_us;
+  number = other208.number;
   __isset = other208.__isset;
 }
 StateUpdate::StateUpdate(StateUpdate&& other209) noexcept {
@@ -4814,6 +4858,7 @@
   objects = std::move(other209.objects);
   removed = std::move(other209.removed);
   age_us = other209.age_us;
+  number = other209.number;
   __isset = other209.__isset;
 }
 StateUpdate& StateUpdate::operator=(const StateUpdate& other210) {
@@ -4823,6 +4868,7 @@
   objects = other210.objects;
   removed = other210.removed;
   age_us = other210.age_us;
+  number = other210.number;
   __isset = other210.__isset;
   return *this;
 }
@@ -4833,6 +4879,7 @@
   objects = std::move(other211.objects);
   removed = std::move(other211.removed);
   age_us = other211.age_us;
+  number = other211.number;
   __isset = other211.__isset;
   return *this;
 }
@@ -4845,6 +4892,7 @@
   out << ", " << "objects=" << to_string(objects);
   out << ", " << "removed=" << to_string(removed);
   out << ", " << "age_us="; (__isset.age_us ? (out << to_string(age_us)) : (out << "<null>"));
+  out << ", " << "number="; (__isset.number ? (out << to_string(number)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gossip/gen/gossip_types.h
+++ b/src/gossip/gen/gossip_types.h
@@ -1699,10 +1699,11 @@
 std::ostream& operator<<(std::ostream& out, const KnownObject& obj);
 
 typedef struct _StateRequest__isset {
-  _StateRequest__isset() : kind(false), changed(false), known(false) {}
+  _StateRequest__isset() : kind(false), changed(false), known(false), number(false) {}
   bool kind :1;
   bool changed :1;
   bool known :1;
+  bool number :1;
 } _StateRequest__isset;
 
 class StateRequest : public virtual ::apache::thrift::TBase {
@@ -1714,13 +1715,15 @@
   StateRequest& operator=(StateRequest&&) noexcept;
   StateRequest() noexcept
                : kind(0),
-                 changed(0) {
+                 changed(0),
+                 number(0) {
   }
 
   virtual ~StateRequest() noexcept;
   int32_t kind;
   int64_t changed;
   std::vector<KnownObject>  known;
+  int64_t number;
 
   _StateRequest__isset __isset;
 
@@ -1730,6 +1733,8 @@
 
   void __set_known(const std::vector<KnownObject> & val);
 
+  void __set_number(const int64_t val);
+
   bool operator == (const StateRequest & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -1738,6 +1743,10 @@
       return false;
     if (!(known == rhs.known))
       return false;
+    if (__isset.number != rhs.__isset.number)
+      return false;
+    else if (__isset.number && !(number == rhs.number))
+      return false;
     return true;
   }
   bool operator != (const StateRequest &rhs) const {
@@ -1757,13 +1766,14 @@
 std::ostream& operator<<(std::ostream& out, const StateRequest& obj);
 
 typedef struct _StateUpdate__isset {
-  _StateUpdate__isset() : kind(false), base(false), changed(false), objects(false), removed(false), age_us(false) {}
+  _StateUpdate__isset() : kind(false), base(false), changed(false), objects(false), removed(false), age_us(false), number(false) {}
   bool kind :1;
   bool base :1;
   bool changed :1;
   bool objects :1;
   bool removed :1;
   bool age_us :1;
+  bool number :1;
 } _StateUpdate__isset;
 
 class StateUpdate : public virtual ::apache::thrift::TBase {
@@ -1777,7 +1787,8 @@
               : kind(0),
                 base(0),
                 changed(0),
-                age_us(0) {
+                age_us(0),
+                number(0) {
   }
 
   virtual ~StateUpdate() noexcept;
@@ -1787,6 +1798,7 @@
   std::vector<std::string>  objects;
   std::vector<std::string>  removed;
   int64_t age_us;
+  int64_t number;
 
   _StateUpdate__isset __isset;
 
@@ -1802,6 +1814,8 @@
 
   void __set_age_us(const int64_t val);
 
+  void __set_number(const int64_t val);
+
   bool operator == (const StateUpdate & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -1818,6 +1832,10 @@
       return false;
     else if (__isset.age_us && !(age_us == rhs.age_us))
       return false;
+    if (__isset.number != rhs.__isset.number)
+      return false;
+    else if (__isset.number && !(number == rhs.number))
+      return false;
     return true;
   }
   bool operator != (const StateUpdate &rhs) const {
--- a/src/gossip/gossip.thrift
+++ b/src/gossip/gossip.thrift
@@ -245,6 +245,8 @@
   // Revision at which the sender's copy was last changed; 0 if it has none.
   2: i64 changed;
   3: list<KnownObject> known;
+  // Number of the request, which no other run of any instance uses.
+  4: optional i64 number;
 }
 
 // Difference between the copy of the requester and that of the sender.
@@ -259,6 +261,8 @@
   5: list<string> removed;
   // Time since the sender's copy was last verified.
   6: optional i64 age_us;
+  // Number of the request, if it has one.
+  7: optional i64 number;
 }
 
 union StateMessage {
--- a/src/gossip/state_codec.cc
+++ b/src/gossip/state_codec.cc
@@ -35,6 +35,9 @@
     item.revision = ToWire(known.m_revision);
     body.known.push_back(std::move(item));
   }
+  if (request.m_number) {
+    body.__set_number(static_cast<std::int64_t>(*request.m_number));
+  }
   out.__set_request(body);
 }
 
@@ -46,6 +49,9 @@
     out.m_known.push_back(
         {std::move(item.name), RevisionFromWire(item.revision)});
   }
+  if (body.__isset.number) {
+    out.m_number = static_cast<std::uint64_t>(body.number);
+  }
   return out;
 }
 
@@ -59,6 +65,9 @@
   if (update.m_age) {
     body.__set_age_us(update.m_age->count());
   }
+  if (update.m_number) {
+    body.__set_number(static_cast<std::int64_t>(*update.m_number));
+  }
   out.__set_update(body);
 }
 
@@ -75,6 +84,9 @@
     }
     out.m_age = gateway::Duration(body.age_us);
   }
+  if (body.__isset.number) {
+    out.m_number = static_cast<std::uint64_t>(body.number);
+  }
   return out;
 }
 
--- a/test/gateway_app/state_duty_test.cc
+++ b/test/gateway_app/state_duty_test.cc
@@ -40,6 +40,7 @@
   static gateway::InstanceEntry MakeEntry() {
     gateway::InstanceEntry entry;
     entry.m_id = InstanceId("a");
+    entry.m_incarnation = gateway::Incarnation(5000);
     return entry;
   }
 
@@ -67,6 +68,11 @@
     return hooks;
   }
 
+  // Returns the request that was sent last.
+  gateway::StateRequest LastRequest() {
+    return std::get<gateway::StateRequest>(m_sent.back().m_message);
+  }
+
   // Returns the updates that were sent to `receiver`.
   std::vector<gateway::StateUpdate> UpdatesFor(const std::string& receiver) {
     std::vector<gateway::StateUpdate> updates;
@@ -103,6 +109,7 @@
   CPPUNIT_TEST(LateUpdateProvesNoMoreThanItsOwnRequest);
   CPPUNIT_TEST(CopyIsNotOlderThanTheRecordThatWasWritten);
   CPPUNIT_TEST(DifferenceToTheCopyOfAnEarlierRunIsIgnored);
+  CPPUNIT_TEST(AnswerToAnEarlierRunProvesNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -186,6 +193,24 @@
     CPPUNIT_ASSERT(harness.m_contacts.contains(StoreKind::kReplacements));
   }
 
+  // A peer answers a request of this instance's previous run, which had no copy
+  // either. It may have made the answer long before this run asked.
+  void AnswerToAnEarlierRunProvesNothing() {
+    Harness harness;
+    const gateway::Time now = Now();
+    harness.m_duty.OnUnknownReporter(InstanceId("b"));
+    const gateway::StateRequest request = harness.LastRequest();
+    gateway::StateUpdate update = Update(request.m_kind, 9, 0ms);
+    update.m_number = *request.m_number - 1000;
+    harness.m_duty.OnMessage(InstanceId("b"), update, now);
+    CPPUNIT_ASSERT_EQUAL(0, harness.m_changes[request.m_kind]);
+    CPPUNIT_ASSERT(harness.m_contacts.empty());
+    update.m_number = request.m_number;
+    harness.m_duty.OnMessage(InstanceId("b"), update, now);
+    CPPUNIT_ASSERT_EQUAL(1, harness.m_changes[request.m_kind]);
+    CPPUNIT_ASSERT(harness.m_contacts.contains(request.m_kind));
+  }
+
   // The proof of a copy that is passed on is that of the newest record that
   // this instance knows. It must not vouch for the copy from before its own
   // write.
--- a/test/gossip/state_codec_test.cc
+++ b/test/gossip/state_codec_test.cc
@@ -23,6 +23,8 @@
   update.m_removed = {"c"};
   gateway::StateUpdate verified = update;
   verified.m_age = gateway::Duration(1234);
+  request.m_number = 1ULL << 50;
+  verified.m_number = 12;
   return {gateway::StateRequest{}, gateway::StateUpdate{}, request, update,
           verified};
 }
