gateway: an answer older than the watch proves nothing

What callers could see: keys or primaries that were withdrawn, used for longer than the contact limits allow, if the store's answer to an earlier call is taken for the one to the watch in hand: it counted as contact with the store at the time of the watch. Cause: an answer that is older than the copy was not applied, because a copy may be adopted from a peer during the call, but it was believed to verify the copy. It was not compared with the revision from which the store was watched, which the store had passed before. Change: such an answer ends the connection, and the objects are listed. Ruled out: answers of an earlier epoch (AnswerFromBeforeTheRestoreProvesNothing passed before), answers after a call was given up (LateAnswersAreIgnored). Before: store_follower_test AnswerToAnEarlierWatchProvesNothing failed (revision 0 counted as verified), 175 of 176. After: test_gateway 176 of 176.

--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -33,6 +33,7 @@
 void StoreFollower::Watch(Duration wait, Time now) {
   m_stage = Stage::kWatching;
   m_current_wait = wait;
+  m_watched_from = m_revision;
   m_sent = now;
   m_hooks.m_watch(m_revision, wait);
 }
@@ -145,6 +146,14 @@
   Pause({StoreErrorKind::kRefused, "answer of an earlier epoch"}, now);
 }
 
+// Handles an answer whose revision the store had passed before the watch began.
+// It is unknown which calls the next answers on this connection belong to.
+void StoreFollower::RejectEarlierAnswer(Time now) {
+  m_hooks.m_abandon();
+  m_must_list = true;
+  Pause({StoreErrorKind::kUnknown, "answer to an earlier call"}, now);
+}
+
 void StoreFollower::ApplyList() {
   // A copy that was adopted while the list was read may be newer than the list.
   const Revision revision = m_pending_revision.value_or(Revision());
@@ -183,6 +192,10 @@
     Start(now);
     return;
   }
+  if (changes.m_revision < m_watched_from) {
+    RejectEarlierAnswer(now);
+    return;
+  }
   const bool changed = !changes.m_changes.empty();
   // A copy that was adopted during the call may be newer than the response.
   const bool newer = changes.m_revision >= m_revision;
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -126,6 +126,7 @@
   void Continue(Time now);
   void Succeed();
   void RejectOlderEpoch(Time now);
+  void RejectEarlierAnswer(Time now);
   void ApplyList();
   void ApplyChanges(const StoreChanges& changes);
 
@@ -136,6 +137,8 @@
   Duration m_pause_after_change{0};
   // Wait of the watch that is in progress.
   Duration m_current_wait{0};
+  // Revision from which the store is watched.
+  Revision m_watched_from;
   StoreObjects m_objects;
   StoreObjects m_pending_objects;
   // Revision of the first page of the list in progress.
--- a/test/gateway/store_follower_test.cc
+++ b/test/gateway/store_follower_test.cc
@@ -65,6 +65,7 @@
   CPPUNIT_TEST(RestoredStoreIsListedAgain);
   CPPUNIT_TEST(ListAcrossARestoreIsBegunAgain);
   CPPUNIT_TEST(AnswerFromBeforeTheRestoreProvesNothing);
+  CPPUNIT_TEST(AnswerToAnEarlierWatchProvesNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -109,6 +110,28 @@
     CPPUNIT_ASSERT(Time(2s) == *harness.m_verified);
   }
 
+  // The store is at or beyond the revision from which it is watched, so an
+  // answer of a lower one belongs to another call.
+  void AnswerToAnEarlierWatchProvesNothing() {
+    for (const std::uint64_t revision : {0, 8, 9, 10}) {
+      const bool fits = revision >= 9;
+      Harness harness;
+      List(&harness);
+      harness.m_follower.Adopt({}, Revision(12));
+      const auto verified = harness.m_verified;
+      harness.m_follower.OnChanges(StoreChanges{{}, Revision(revision)},
+                                   Time(2s));
+      const std::string message = "revision " + std::to_string(revision);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(message, fits,
+                                   harness.m_verified != verified);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(message, fits ? 0 : 1, harness.m_lost);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(message, fits ? 0 : 1, harness.m_abandoned);
+      harness.m_follower.OnTick(Time(4s));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::size_t{fits ? 1U : 2U},
+                                   harness.m_lists.size());
+    }
+  }
+
   // The store comes back from a backup: it gives revisions out again, and the
   // objects that were written since are gone.
   void RestoredStoreIsListedAgain() {
