gateway: an overtaken digest does not replace a newer one

What could be seen: in fleets with cells, a datagram that was delivered twice, or after one that was sent later, set the digest of its cell back: the cell's demand was an old one, a replacement waited longer for its acknowledgement, and a cell whose heads were lost counted as live again. Cause: the digests in a report were taken before the report's number was compared with that of the newest one of the sender. Ruled out: reports themselves (compared by number), reports of an earlier run (compared by incarnation), echoes of an earlier run (likewise). Change: the digests of a report that is not taken are not taken either. Before: peer_view_test OvertakenDigestDoesNotReplaceANewerOne failed, 176 of 177. After: test_gateway 177 of 177.

--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -200,10 +200,10 @@
   if (!peer) {
     return false;
   }
-  RecordDigests(report, now);
   if (peer->m_report && peer->m_report->m_sequence >= report.m_sequence) {
     return false;
   }
+  RecordDigests(report, now);
   peer->m_report = report;
   peer->m_received = now;
   for (const ReportEcho& echo : report.m_echoes) {
--- a/test/gateway/peer_view_test.cc
+++ b/test/gateway/peer_view_test.cc
@@ -170,6 +170,7 @@
   CPPUNIT_TEST(CellsShareDemandOfTheWholeFleet);
   CPPUNIT_TEST(CellAcknowledgesWhatAllItsInstancesDo);
   CPPUNIT_TEST(DigestThatLacksAnInstanceDoesNotCount);
+  CPPUNIT_TEST(OvertakenDigestDoesNotReplaceANewerOne);
   CPPUNIT_TEST(ReportsGrowLinearlyWithTheCell);
   CPPUNIT_TEST(LostHeadsAreReplaced);
   CPPUNIT_TEST(FormerHeadsDoNotTakeTheOthersForLost);
@@ -375,6 +376,30 @@
     CPPUNIT_ASSERT(fleet.m_views[0].AllAcknowledged(Revision(7), fleet.m_now));
   }
 
+  // A datagram arrives after one that was sent later.
+  void OvertakenDigestDoesNotReplaceANewerOne() {
+    LargeFleet fleet;
+    const std::size_t head = 1;  // The first instance of another cell.
+    for (PeerReport& report : fleet.m_reports) {
+      report.m_acknowledged = Revision(6);
+    }
+    for (int i = 0; i < 6; ++i) {
+      fleet.Exchange();
+    }
+    PeerReport late = fleet.m_reports[head];
+    fleet.m_views[head].FillHeader(&late, fleet.m_now);
+    late.m_cells = {fleet.m_views[head].Digest(late, fleet.m_now)};
+    for (PeerReport& report : fleet.m_reports) {
+      report.m_acknowledged = Revision(7);
+    }
+    for (int i = 0; i < 6; ++i) {
+      fleet.Exchange();
+    }
+    CPPUNIT_ASSERT(fleet.m_views[0].AllAcknowledged(Revision(7), fleet.m_now));
+    CPPUNIT_ASSERT(!fleet.m_views[0].OnReport(late, fleet.m_now));
+    CPPUNIT_ASSERT(fleet.m_views[0].AllAcknowledged(Revision(7), fleet.m_now));
+  }
+
   // An instance registers, and the head of its cell does not know of it yet.
   // Its digest must not count as the acknowledgement of that instance.
   void DigestThatLacksAnInstanceDoesNotCount() {
