gossip: bytes after a message make it unreadable

What could happen: a message between instances that was followed by other bytes in the same frame or datagram was taken, and the rest was dropped without a log line. No caller is known to have seen an effect. Cause: the decoder stopped at the end of the first message. That of the envelope around it (src/peers) refuses such bytes. Change: the same in the decoder of the messages and reports; the receiver logs it as unreadable. Thrift skips fields that it does not know, so messages of other versions are still read. Before: forward_codec_test RejectsBytesAfterTheMessage failed, 6 of 7. After: test_gossip 7 of 7, test_gateway_app 8 of 8.

--- a/src/gossip/thrift_bytes.h
+++ b/src/gossip/thrift_bytes.h
@@ -42,7 +42,7 @@
 }
 
 // Deserializes what WriteWire() wrote. Throws the exceptions of libthrift if
-// the bytes are malformed.
+// the bytes are malformed or more than one message.
 template <typename Wire>
 Wire ReadWire(std::string_view bytes, const ThriftLimits& limits) {
   // TMemoryBuffer takes a mutable pointer but only reads from it in the mode
@@ -54,6 +54,9 @@
                            limits.m_max_list_length);
   Wire wire;
   wire.read(&protocol);
+  if (buffer->available_read() > 0) {
+    throw apache::thrift::TException("bytes after the message");
+  }
   return wire;
 }
 
--- a/test/gossip/forward_codec_test.cc
+++ b/test/gossip/forward_codec_test.cc
@@ -47,6 +47,7 @@
   CPPUNIT_TEST_SUITE(ForwardCodecTest);
   CPPUNIT_TEST(EncodingRoundTrips);
   CPPUNIT_TEST(RejectsCorruptedBytes);
+  CPPUNIT_TEST(RejectsBytesAfterTheMessage);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -77,6 +78,15 @@
     }
     CPPUNIT_ASSERT(refused > 0);
   }
+
+  void RejectsBytesAfterTheMessage() {
+    for (const gateway::ForwardMessage& message : AllMessages()) {
+      const std::string whole = EncodeForward(message);
+      for (const std::string& more : {std::string(1, '\0'), whole}) {
+        CPPUNIT_ASSERT(!IsOk(DecodeForward(whole + more)));
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ForwardCodecTest);
