--- a/src/gateway/forward_host.cc
+++ b/src/gateway/forward_host.cc
@@ -74,10 +74,9 @@
     const InstanceId& instance,
     Incarnation incarnation) const {
   std::vector<SessionId> sessions;
-  for (const auto& [origin, session] : m_sessions) {
-    if (origin.m_instance == instance && origin.m_incarnation < incarnation) {
-      sessions.push_back(session);
-    }
+  const auto end = m_sessions.lower_bound({instance, incarnation, {}});
+  for (auto it = m_sessions.lower_bound({instance, {}, {}}); it != end; ++it) {
+    sessions.push_back(it->second);
   }
   return sessions;
 }
