--- a/apps/gateway/forwarding_duty.cc
+++ b/apps/gateway/forwarding_duty.cc
@@ -141,32 +141,43 @@
 }
 
 void ForwardingDuty::OnEnvelope(const peers::Envelope& envelope) {
-  const gateway::InstanceId sender(envelope.m_sender_instance);
+  const Sender sender{gateway::InstanceId(envelope.m_sender_instance),
+                      gateway::Incarnation(static_cast<std::uint64_t>(
+                          envelope.m_sender_incarnation))};
   if (const auto* hello = std::get_if<peers::Hello>(&envelope.m_body)) {
-    const auto address = peers::ParsePeerAddress(hello->m_address);
-    if (IsOk(address)) {
-      m_addresses.insert_or_assign(sender, GetValue(address));
-    }
+    OnHello(sender.m_instance, *hello);
     return;
   }
   const auto& opaque = std::get<peers::Opaque>(envelope.m_body);
   if (opaque.m_kind == kStateKind) {
-    OnStateEnvelope(sender, opaque.m_payload);
-    return;
+    OnStateEnvelope(sender.m_instance, opaque.m_payload);
+  } else if (opaque.m_kind == kForwardKind) {
+    OnForwardEnvelope(sender, opaque.m_payload);
+  } else {
+    LogUnreadable(sender.m_instance, "unknown kind");
   }
-  if (opaque.m_kind != kForwardKind) {
-    LogUnreadable(sender, "unknown kind");
-    return;
+}
+
+void ForwardingDuty::OnHello(const gateway::InstanceId& sender,
+                             const peers::Hello& hello) {
+  const auto address = peers::ParsePeerAddress(hello.m_address);
+  if (IsOk(address)) {
+    m_addresses.insert_or_assign(sender, GetValue(address));
+  } else {
+    LogUnreadable(sender, GetError(address).m_message);
   }
-  const auto message = gossip::DecodeForward(opaque.m_payload);
+}
+
+void ForwardingDuty::OnForwardEnvelope(const Sender& sender,
+                                       const std::string& payload) {
+  const auto message = gossip::DecodeForward(payload);
   if (!IsOk(message)) {
-    LogUnreadable(sender, GetError(message).m_message);
+    LogUnreadable(sender.m_instance, GetError(message).m_message);
     return;
   }
-  OnMessage(sender,
-            gateway::Incarnation(
-                static_cast<std::uint64_t>(envelope.m_sender_incarnation)),
-            GetValue(message));
+  EndSessionsOfEarlierRuns(sender);
+  std::visit([this, &sender](const auto& body) { OnMessage(sender, body); },
+             GetValue(message));
 }
 
 void ForwardingDuty::OnStateEnvelope(const gateway::InstanceId& sender,
@@ -185,48 +196,22 @@
       {{"peer", sender.str()}, {"reason", reason}});
 }
 
-void ForwardingDuty::OnMessage(const gateway::InstanceId& sender,
-                               gateway::Incarnation incarnation,
-                               const gateway::ForwardMessage& message) {
+void ForwardingDuty::EndSessionsOfEarlierRuns(const Sender& sender) {
   const gateway::Time now = Now();
   for (const gateway::SessionId session :
-       m_host.EarlierSessions(sender, incarnation)) {
+       m_host.EarlierSessions(sender.m_instance, sender.m_incarnation)) {
     EndSession(session, now);
   }
-  if (const auto* statement =
-          std::get_if<gateway::ForwardedStatement>(&message)) {
-    OnStatement({sender, incarnation, statement->m_operation}, *statement);
-  } else if (const auto* answer =
-                 std::get_if<gateway::ForwardedAnswer>(&message)) {
-    m_engine.OnForwardAnswer(sender, *answer, now);
-  } else if (const auto* end = std::get_if<gateway::ForwardedEnd>(&message)) {
-    const auto session = m_host.Find({sender, incarnation, end->m_operation});
-    if (session) {
-      EndSession(*session, now);
-    }
-  } else if (const auto* progress =
-                 std::get_if<gateway::ForwardProgress>(&message)) {
-    m_engine.OnForwardProgress(sender, *progress, now);
-  } else {
-    Send(sender, m_host.ProgressFor(sender));
-  }
 }
 
-void ForwardingDuty::OnStatement(const gateway::ForwardOrigin& origin,
-                                 const gateway::ForwardedStatement& statement) {
+void ForwardingDuty::OnMessage(const Sender& sender,
+                               const gateway::ForwardedStatement& statement) {
   m_received += 1;
+  const gateway::ForwardOrigin origin{sender.m_instance, sender.m_incarnation,
+                                      statement.m_operation};
   std::optional<gateway::SessionId> session = m_host.Find(origin);
   if (!session && !statement.m_starts_operation) {
-    // The transaction was lost in a restart of this instance, or it was ended
-    // after being idle for too long. In both cases the member has rolled it
-    // back.
-    const gateway::Refused refused{gateway::ErrorCode::kAborted,
-                                   "the transaction is not known here"};
-    Send(origin.m_instance,
-         gateway::ForwardedAnswer{
-             origin.m_operation,
-             statement.m_number,
-             {refused, gateway::TransactionState::kFailed, std::nullopt}});
+    RefuseUnknownTransaction(sender.m_instance, statement);
     return;
   }
   if (!session) {
@@ -235,12 +220,50 @@
   const gateway::Time now = Now();
   if (!m_host.NoteReceived(*session, statement.m_number, now)) {
     Log(m_logger, log4cplus::WARN_LOG_LEVEL, "ignored a repeated statement",
-        {{"peer", origin.m_instance.str()}});
+        {{"peer", sender.m_instance.str()}});
     return;
   }
   m_engine.OnForwardedStatement(*session, statement, now);
 }
 
+// Refuses a statement of a transaction that was lost in a restart of this
+// instance, or was ended after being idle for too long. In both cases the
+// member has rolled it back.
+void ForwardingDuty::RefuseUnknownTransaction(
+    const gateway::InstanceId& sender,
+    const gateway::ForwardedStatement& statement) {
+  const gateway::Refused refused{gateway::ErrorCode::kAborted,
+                                 "the transaction is not known here"};
+  Send(sender, gateway::ForwardedAnswer{
+                   statement.m_operation,
+                   statement.m_number,
+                   {refused, gateway::TransactionState::kFailed, {}}});
+}
+
+void ForwardingDuty::OnMessage(const Sender& sender,
+                               const gateway::ForwardedAnswer& answer) {
+  m_engine.OnForwardAnswer(sender.m_instance, answer, Now());
+}
+
+void ForwardingDuty::OnMessage(const Sender& sender,
+                               const gateway::ForwardedEnd& end) {
+  const auto session =
+      m_host.Find({sender.m_instance, sender.m_incarnation, end.m_operation});
+  if (session) {
+    EndSession(*session, Now());
+  }
+}
+
+void ForwardingDuty::OnMessage(const Sender& sender,
+                               const gateway::ForwardPing&) {
+  Send(sender.m_instance, m_host.ProgressFor(sender.m_instance));
+}
+
+void ForwardingDuty::OnMessage(const Sender& sender,
+                               const gateway::ForwardProgress& progress) {
+  m_engine.OnForwardProgress(sender.m_instance, progress, Now());
+}
+
 void ForwardingDuty::EndSession(gateway::SessionId session, gateway::Time now) {
   m_host.Remove(session);
   m_engine.OnSessionEnd(session, now);
--- a/apps/gateway/forwarding_duty.h
+++ b/apps/gateway/forwarding_duty.h
@@ -64,6 +64,12 @@
   std::uint64_t received() const { return m_received; }
 
  private:
+  // The run of an instance that sent a message.
+  struct Sender {
+    gateway::InstanceId m_instance;
+    gateway::Incarnation m_incarnation;
+  };
+
   peers::PeerHooks MakePeerHooks();
   void OnEnvelope(const peers::Envelope& envelope);
   void OnStateEnvelope(const gateway::InstanceId& sender,
@@ -72,11 +78,18 @@
                      const std::string& reason);
   void SendOpaque(const gateway::InstanceId& instance,
                   const peers::Opaque& body);
-  void OnStatement(const gateway::ForwardOrigin& origin,
-                   const gateway::ForwardedStatement& statement);
-  void OnMessage(const gateway::InstanceId& sender,
-                 gateway::Incarnation incarnation,
-                 const gateway::ForwardMessage& message);
+  void OnHello(const gateway::InstanceId& sender, const peers::Hello& hello);
+  void OnForwardEnvelope(const Sender& sender, const std::string& payload);
+  void EndSessionsOfEarlierRuns(const Sender& sender);
+  void OnMessage(const Sender& sender,
+                 const gateway::ForwardedStatement& statement);
+  void OnMessage(const Sender& sender, const gateway::ForwardedAnswer& answer);
+  void OnMessage(const Sender& sender, const gateway::ForwardedEnd& end);
+  void OnMessage(const Sender& sender, const gateway::ForwardPing& ping);
+  void OnMessage(const Sender& sender,
+                 const gateway::ForwardProgress& progress);
+  void RefuseUnknownTransaction(const gateway::InstanceId& sender,
+                                const gateway::ForwardedStatement& statement);
   void OnLost(const peers::PeerAddress& peer);
   void EndSession(gateway::SessionId session, gateway::Time now);
   void SendBody(const peers::PeerAddress& peer, const peers::Body& body);
