gateway: instances of a grown fleet tell all that they are no heads

Cause: up to 16 registered instances report to all, each as a head. When the list grows beyond that, most of them report to the heads of their cell only. They announced the end of the role only where they had taken it in a cell, so that peers that learnt of the list at another time kept the last report as a head, and waited for the next one.

Change: an instance announces the end of the role whenever its last report said that it is a head.

--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -138,6 +138,7 @@
     }
   }
   report->m_is_head = is_head();
+  m_reported_as_head = is_head();
 }
 
 void PeerView::RecordDigests(const PeerReport& report, Time now) {
@@ -384,19 +385,21 @@
         return IsBeforeInCell(item.second.m_entry, m_own_entry) &&
                ReportsAsHead(item.second, now);
       }));
-  m_role_notices_left = std::max(m_role_notices_left - 1, 0);
   if (heads_before >= kHeads) {
     m_vacant_since.reset();
-    if (m_is_head) {
-      m_role_notices_left = kRoleNotices;
-    }
     m_is_head = false;
-    return;
+  } else {
+    m_vacant_since = m_vacant_since.value_or(now);
+    if (!m_is_head && now - *m_vacant_since >= HeadDelay()) {
+      m_is_head = true;
+      m_head_since = now;
+    }
   }
-  m_vacant_since = m_vacant_since.value_or(now);
-  if (!m_is_head && now - *m_vacant_since >= HeadDelay()) {
-    m_is_head = true;
-    m_head_since = now;
+  // An instance of a small fleet reports as a head, too.
+  if (m_reported_as_head && !is_head()) {
+    m_role_notices_left = kRoleNotices;
+  } else {
+    m_role_notices_left = std::max(m_role_notices_left - 1, 0);
   }
 }
 
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -238,6 +238,8 @@
   std::map<ZoneName, Cell> m_cells;
   bool m_is_head = false;
   Time m_head_since;
+  // Whether the last report said that this instance is a head.
+  bool m_reported_as_head = false;
   // Number of reports that still go to all peers after the end of the role.
   int m_role_notices_left = 0;
   // Time since which the cell has lacked a head that comes before this
--- a/test/gateway/peer_view_test.cc
+++ b/test/gateway/peer_view_test.cc
@@ -173,6 +173,7 @@
   CPPUNIT_TEST(ReportsGrowLinearlyWithTheCell);
   CPPUNIT_TEST(LostHeadsAreReplaced);
   CPPUNIT_TEST(FormerHeadsDoNotTakeTheOthersForLost);
+  CPPUNIT_TEST(GrownFleetsDoNotTakeTheirInstancesForLost);
   CPPUNIT_TEST(VerificationReachesOtherCells);
   CPPUNIT_TEST_SUITE_END();
 
@@ -488,6 +489,33 @@
     }
   }
 
+  // Load: instances of a small fleet, which all report to each other, become
+  // cells of a large one; some of them learn of it later than others.
+  // Guards against: as above, because no instance tells the others that it
+  // reports to the heads only from then on.
+  void GrownFleetsDoNotTakeTheirInstancesForLost() {
+    LargeFleet fleet;
+    const std::vector<InstanceEntry> first(fleet.m_entries.begin(),
+                                           fleet.m_entries.begin() + 16);
+    for (PeerView& view : fleet.m_views) {
+      view.SetInstances(first, fleet.m_now);
+    }
+    for (int round = 0; round < 40; ++round) {
+      for (std::size_t i = 0; i < fleet.m_views.size(); ++i) {
+        const bool learns_late = i % 2 == 0;
+        if (round == (learns_late ? 20 : 10)) {
+          fleet.m_views[i].SetInstances(fleet.m_entries, fleet.m_now);
+        }
+      }
+      fleet.Exchange();
+    }
+    for (const PeerView& view : fleet.m_views) {
+      for (const InstanceEntry& other : fleet.m_entries) {
+        CPPUNIT_ASSERT(!view.IsUnresponsive(other.m_id, fleet.m_now));
+      }
+    }
+  }
+
   // The first instance of the fleet follows the store. The heads of the other
   // cells learn from it how current their copies are, and their cells from
   // them.
