gateway: an announcement of a former head that was lost has an end

Cause: the end of the role is announced in three reports. Who gets none of them took the former head for lost until it became a head again, and so took its replacements over after 1.2 s and acknowledged in the store.

Change: a head that was silent for 16 s, twice the time after which the entry of a lost instance is removed, is no longer taken for lost.

--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -21,6 +21,9 @@
 // Number of reports in which a former head tells all others that it is none any
 // more. More than one, because datagrams may be lost.
 constexpr int kRoleNotices = 3;
+// Time within which the entry of an instance that is lost has been removed from
+// the store, with some margin.
+constexpr Duration kSilentHeadTime = 2 * PeerView::kExpiryTime;
 // Time within which a live peer has reported to an instance that has just
 // learnt of it or become a head, and has echoed one of its reports.
 constexpr Duration kFirstReportTime = 2 * PeerView::kReportMaxAge;
@@ -569,10 +572,13 @@
 }
 
 // Returns whether a peer that is live would have reported to this instance
-// lately. The other instances of a cell report to its heads only.
+// lately. The other instances of a cell report to its heads only. A head that
+// has been silent for kSilentHeadTime is probably none any more, and its
+// announcement of that was lost.
 bool PeerView::IsReportExpected(const Peer& peer, Time now) const {
   if (!is_head()) {
-    return peer.m_report && peer.m_report->m_is_head;
+    return peer.m_report && peer.m_report->m_is_head &&
+           now - peer.m_received < kSilentHeadTime;
   }
   const Time since =
       std::max(peer.m_known_since, m_cells.empty() ? Time() : m_head_since);
--- a/test/gateway/peer_view_test.cc
+++ b/test/gateway/peer_view_test.cc
@@ -174,6 +174,7 @@
   CPPUNIT_TEST(LostHeadsAreReplaced);
   CPPUNIT_TEST(FormerHeadsDoNotTakeTheOthersForLost);
   CPPUNIT_TEST(GrownFleetsDoNotTakeTheirInstancesForLost);
+  CPPUNIT_TEST(LostAnnouncementsOfFormerHeadsAreForgotten);
   CPPUNIT_TEST(VerificationReachesOtherCells);
   CPPUNIT_TEST_SUITE_END();
 
@@ -489,6 +490,27 @@
     }
   }
 
+  // Load: the announcement of a former head is lost.
+  // Guards against: as above, for as long as the fleet runs.
+  void LostAnnouncementsOfFormerHeadsAreForgotten() {
+    PeerView view(Entry("b"));
+    std::vector<InstanceEntry> entries;
+    for (int i = 0; i < 20; ++i) {
+      entries.push_back(Entry("i" + std::to_string(100 + i)));
+      entries.back().m_zone = ZoneName(i == 0 ? "" : "z");
+    }
+    const Time begin(100s);
+    view.SetInstances(entries, begin);
+    PeerReport report;
+    report.m_sender = entries[0].m_id;
+    report.m_incarnation = entries[0].m_incarnation;
+    report.m_sequence = 1;
+    report.m_is_head = true;
+    CPPUNIT_ASSERT(view.OnReport(report, begin));
+    CPPUNIT_ASSERT(view.IsUnresponsive(entries[0].m_id, begin + 2s));
+    CPPUNIT_ASSERT(!view.IsUnresponsive(entries[0].m_id, begin + 16s));
+  }
+
   // Load: instances of a small fleet, which all report to each other, become
   // cells of a large one; some of them learn of it later than others.
   // Guards against: as above, because no instance tells the others that it
