gateway: a taken-over coordinator may act until it knows of it

Cause: the pause between two coordinators counted from the time at which the new one read its own intent. The earlier one acts until it reads that intent, or until its last contact with the store is 2 s old.

Change: the pause counts from the end of that time: all have acknowledged, or 2 s have passed.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -18,10 +18,6 @@
 
 // Pause between two reports to the same peer.
 constexpr gateway::Duration kReportInterval = 200ms;
-// The coordinator of a replacement acts only if its replacement record was
-// verified against the store, by itself or through a peer's report, within this
-// time.
-constexpr gateway::Duration kCoordinatorContactLimit = 2s;
 
 std::int64_t ToMilliseconds(gateway::Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
@@ -382,7 +378,8 @@
   fleet.m_rank = m_peers.Rank(now);
   fleet.m_contact_recent =
       m_registrar.is_registered() &&
-      m_engine.primary_contact().IsFresh(now, kCoordinatorContactLimit);
+      m_engine.primary_contact().IsFresh(
+          now, gateway::ReplacementCoordinator::kActingContactLimit);
   fleet.m_coordinator_live =
       !m_peers.IsUnresponsive(m_coordinator.record().m_coordinator, now);
   m_coordinator.OnTick(GroupConditions(now), fleet, now);
--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -146,6 +146,7 @@
   if (was_others || record->m_coordinator != m_options.m_self) {
     m_other_coordinator_acted = now;
   }
+  m_earlier_coordinator_acts = was_others;
   m_next_try = std::max(m_next_try, now);
   m_revision = found->second.m_revision;
   CountTakeOvers(*record);
@@ -176,6 +177,21 @@
   m_hooks.m_write(record, m_revision);
 }
 
+// Notes that the earlier coordinator of this instance's intent may act: until
+// it acknowledges the new intent or its last contact, which was before that
+// intent, is too old.
+void ReplacementCoordinator::NoteEarlierCoordinator(const FleetCondition& fleet,
+                                                    Time now) {
+  const bool acknowledged =
+      fleet.m_instances_as_of >= m_intent_seen && fleet.m_all_acknowledged;
+  if (acknowledged || now - m_intent_seen > kActingContactLimit) {
+    m_earlier_coordinator_acts = false;
+  }
+  if (m_earlier_coordinator_acts) {
+    m_other_coordinator_acted = now;
+  }
+}
+
 bool ReplacementCoordinator::HasChangePausePassed(Time now) const {
   return !m_other_coordinator_acted ||
          now - *m_other_coordinator_acted > kCoordinatorChangePause;
@@ -224,6 +240,7 @@
     ConsiderTurn(groups, fleet, now);
     return;
   }
+  NoteEarlierCoordinator(fleet, now);
   for (const GroupCondition& group : groups) {
     if (group.m_group == m_record.m_intent->m_group) {
       Advance(group, fleet, now);
--- a/src/gateway/replacement_coordinator.h
+++ b/src/gateway/replacement_coordinator.h
@@ -91,7 +91,9 @@
 //
 // - If the earlier coordinator acknowledges the new intent, it abandons its
 //   promotion call first.
-// - Otherwise the new coordinator waits for m_contact_limit. The earlier
+// - Otherwise the new coordinator waits for m_contact_limit, and
+//   kCoordinatorChangePause counts from the time at which the earlier one can
+//   no longer act. The earlier
 //   coordinator's last contact with the store was before the new intent. It
 //   sends a promotion call only while its last contact is recent
 //   (m_contact_recent) and drops the call after kCallTimeout, so the call ends
@@ -138,6 +140,9 @@
   // Time within which a replacement ends, once a live instance reaches the
   // store, the other instances and the group's members. See docs/DESIGN.md.
   static constexpr Duration kReplacementBound = 20s;
+  // A coordinator acts only on the strength of a contact with the store that is
+  // younger than this. See FleetCondition::m_contact_recent.
+  static constexpr Duration kActingContactLimit = 2s;
   // Minimum time between the last action of one coordinator and the first of
   // another one. The platform's documentation requires 3 s.
   static constexpr Duration kCoordinatorChangePause = 3200ms;
@@ -231,6 +236,7 @@
   bool LeadsNewTerm(const GroupCondition& group, Time now) const;
   void Confirm(const GroupCondition& group, Time now);
   void RecordNewPrimary(Time now);
+  void NoteEarlierCoordinator(const FleetCondition& fleet, Time now);
   bool HasChangePausePassed(Time now) const;
   bool HaveOthersStoppedUse(const FleetCondition& fleet, Time now);
   void Reset();
@@ -249,6 +255,9 @@
   std::map<GroupName, CatchUpProbe> m_catch_up_probes;
   // Last time at which another instance may have promoted a member.
   std::optional<Time> m_other_coordinator_acted;
+  // Whether the coordinator from which this instance has taken the intent over
+  // may not know that yet.
+  bool m_earlier_coordinator_acts = false;
   // Time at which this instance first read the current intent.
   Time m_intent_seen;
   // Number of times this instance has seen the intent change its coordinator.
--- a/test/gateway/replacement_coordinator_test.cc
+++ b/test/gateway/replacement_coordinator_test.cc
@@ -174,6 +174,7 @@
   CPPUNIT_TEST(DoesNothingWithoutContact);
   CPPUNIT_TEST(FencingTokensGrowWithRacingCoordinators);
   CPPUNIT_TEST(PausesBetweenPromotionsOfTwoCoordinators);
+  CPPUNIT_TEST(PausesAfterACoordinatorThatDoesNotKnowThatItWasTakenOver);
   CPPUNIT_TEST(LastCoordinatorProposesFirst);
   CPPUNIT_TEST(RestoredRecordIsReplacedByASurvey);
   CPPUNIT_TEST(SurveyWaitsForTheConfigurationAndAMember);
@@ -761,6 +762,46 @@
     CPPUNIT_ASSERT(fleet.m_now - first > 3s);
   }
 
+  // Lets `name` act until it sends an order, or at most for 10 s.
+  static void RunUntilOrder(Fleet* fleet,
+                            const std::string& name,
+                            const FleetCondition& condition) {
+    const std::size_t before = fleet->m_all_orders.size();
+    for (int i = 0; i < 1000 && fleet->m_all_orders.size() == before; ++i) {
+      fleet->AdvanceTime(10ms);
+      fleet->Tick(name, FailedPrimary(*fleet), condition);
+      fleet->ApplyWrites();
+      for (const MemberId& member : {first_replica, second_replica}) {
+        fleet->At(name).OnStatus(member, StatusAt(7, MemberRole::kReplica),
+                                 fleet->m_now);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(before + 1, fleet->m_all_orders.size());
+  }
+
+  // Load: a coordinator whose intent was taken over reads that late.
+  // Guards against: two instances that promote within the pause.
+  void PausesAfterACoordinatorThatDoesNotKnowThatItWasTakenOver() {
+    Fleet fleet({"a", "b"});
+    fleet.Tick("a", FailedPrimary(fleet), LiveFleet(false));
+    fleet.ApplyWrites();
+    fleet.Watch("b");
+    fleet.AdvanceTime(ReplacementCoordinator::kTakeOverUnresponsiveAfter);
+    FleetCondition unresponsive = LiveFleet(false);
+    unresponsive.m_coordinator_live = false;
+    fleet.Tick("b", FailedPrimary(fleet), unresponsive);
+    fleet.ApplyWrites();
+    for (int i = 0; i < 180; ++i) {
+      fleet.AdvanceTime(10ms);
+      fleet.Tick("b", FailedPrimary(fleet), unresponsive);
+    }
+    RunUntilOrder(&fleet, "a", LiveFleet(true));
+    const Time first = fleet.m_now;
+    RunUntilOrder(&fleet, "b", unresponsive);
+    CPPUNIT_ASSERT(fleet.m_now - first >
+                   ReplacementCoordinator::kCoordinatorChangePause);
+  }
+
   // After a replacement, peer reports about the old primary made instances that
   // had not yet contacted the new primary replace that one as well.
   void OutdatedPeerReportsDoNotReplaceANewPrimary() {
