gateway: a restarted coordinator pauses as after another one

Cause: an instance that had taken an intent over and restarted read an intent of its own, and did not know that another instance had acted on it.

Change: an intent in the first copy after a start counts as taken over from another instance.

Evidence: PausesAfterARestartAmidAReplacement failed before.

--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -117,6 +117,7 @@
 void ReplacementCoordinator::OnEntries(const StoreObjects& objects,
                                        Revision complete,
                                        Time now) {
+  const bool is_first_copy = !m_listed;
   m_listed = true;
   if (complete.epoch() < m_epoch) {
     return;
@@ -141,8 +142,11 @@
   // instance, that instance may have promoted until now: it acted before it
   // wrote its record, or, if its intent was taken over, it may act until it
   // reads the new record, which happens at about this time.
-  const bool was_others = m_revision && m_record.m_intent &&
-                          m_record.m_coordinator != m_options.m_self;
+  // An instance that has just started does not know whose intent it was.
+  const bool was_others = is_first_copy
+                              ? record->m_intent.has_value()
+                              : m_revision && m_record.m_intent &&
+                                    m_record.m_coordinator != m_options.m_self;
   if (was_others || record->m_coordinator != m_options.m_self) {
     m_other_coordinator_acted = now;
   }
--- a/test/gateway/replacement_coordinator_test.cc
+++ b/test/gateway/replacement_coordinator_test.cc
@@ -32,7 +32,9 @@
     }
   }
 
-  void Add(const std::string& name) {
+  // Starts an instance, or starts it again. It has read that there is no
+  // record yet if `is_listed`.
+  void Add(const std::string& name, bool is_listed = true) {
     Instance& instance = m_instances[name];
     ReplacementOptions options;
     options.m_self = InstanceId(name);
@@ -58,7 +60,9 @@
     hooks.m_report = [](const std::string&, const ReplacementIntent&) {};
     instance.m_coordinator =
         std::make_unique<ReplacementCoordinator>(options, std::move(hooks));
-    instance.m_coordinator->OnEntries({}, Revision(), m_now);
+    if (is_listed) {
+      instance.m_coordinator->OnEntries({}, Revision(), m_now);
+    }
   }
 
   ReplacementCoordinator& At(const std::string& name) {
@@ -175,6 +179,7 @@
   CPPUNIT_TEST(FencingTokensGrowWithRacingCoordinators);
   CPPUNIT_TEST(PausesBetweenPromotionsOfTwoCoordinators);
   CPPUNIT_TEST(PausesAfterACoordinatorThatDoesNotKnowThatItWasTakenOver);
+  CPPUNIT_TEST(PausesAfterARestartAmidAReplacement);
   CPPUNIT_TEST(LastCoordinatorProposesFirst);
   CPPUNIT_TEST(RestoredRecordIsReplacedByASurvey);
   CPPUNIT_TEST(SurveyWaitsForTheConfigurationAndAMember);
@@ -802,6 +807,25 @@
                    ReplacementCoordinator::kCoordinatorChangePause);
   }
 
+  // Load: an instance takes an intent over and restarts.
+  // Guards against: as above; it does not know whose intent it was.
+  void PausesAfterARestartAmidAReplacement() {
+    Fleet fleet({"a", "b"});
+    Promote(&fleet, "a");
+    const Time first = fleet.m_now;
+    fleet.Watch("b");
+    fleet.AdvanceTime(ReplacementCoordinator::kTakeOverUnresponsiveAfter);
+    FleetCondition unresponsive = LiveFleet(true);
+    unresponsive.m_coordinator_live = false;
+    fleet.Tick("b", FailedPrimary(fleet), unresponsive);
+    fleet.ApplyWrites();
+    fleet.Add("b", /*is_listed=*/false);
+    fleet.Watch("b");
+    RunUntilOrder(&fleet, "b", unresponsive);
+    CPPUNIT_ASSERT(fleet.m_now - first >
+                   ReplacementCoordinator::kCoordinatorChangePause);
+  }
+
   // After a replacement, peer reports about the old primary made instances that
   // had not yet contacted the new primary replace that one as well.
   void OutdatedPeerReportsDoNotReplaceANewPrimary() {
