--- a/test/gateway/replacement_coordinator_test.cc
+++ b/test/gateway/replacement_coordinator_test.cc
@@ -32,7 +32,9 @@
     }
   }
 
-  void Add(const std::string& name) {
+  // Starts an instance, or starts it again. It has read that there is no
+  // record yet if `is_listed`.
+  void Add(const std::string& name, bool is_listed = true) {
     Instance& instance = m_instances[name];
     ReplacementOptions options;
     options.m_self = InstanceId(name);
@@ -58,7 +60,9 @@
     hooks.m_report = [](const std::string&, const ReplacementIntent&) {};
     instance.m_coordinator =
         std::make_unique<ReplacementCoordinator>(options, std::move(hooks));
-    instance.m_coordinator->OnEntries({}, Revision(), m_now);
+    if (is_listed) {
+      instance.m_coordinator->OnEntries({}, Revision(), m_now);
+    }
   }
 
   ReplacementCoordinator& At(const std::string& name) {
@@ -174,6 +178,8 @@
   CPPUNIT_TEST(DoesNothingWithoutContact);
   CPPUNIT_TEST(FencingTokensGrowWithRacingCoordinators);
   CPPUNIT_TEST(PausesBetweenPromotionsOfTwoCoordinators);
+  CPPUNIT_TEST(PausesAfterACoordinatorThatDoesNotKnowThatItWasTakenOver);
+  CPPUNIT_TEST(PausesAfterARestartAmidAReplacement);
   CPPUNIT_TEST(LastCoordinatorProposesFirst);
   CPPUNIT_TEST(RestoredRecordIsReplacedByASurvey);
   CPPUNIT_TEST(SurveyWaitsForTheConfigurationAndAMember);
@@ -761,6 +767,65 @@
     CPPUNIT_ASSERT(fleet.m_now - first > 3s);
   }
 
+  // Lets `name` act until it sends an order, or at most for 10 s.
+  static void RunUntilOrder(Fleet* fleet,
+                            const std::string& name,
+                            const FleetCondition& condition) {
+    const std::size_t before = fleet->m_all_orders.size();
+    for (int i = 0; i < 1000 && fleet->m_all_orders.size() == before; ++i) {
+      fleet->AdvanceTime(10ms);
+      fleet->Tick(name, FailedPrimary(*fleet), condition);
+      fleet->ApplyWrites();
+      for (const MemberId& member : {first_replica, second_replica}) {
+        fleet->At(name).OnStatus(member, StatusAt(7, MemberRole::kReplica),
+                                 fleet->m_now);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(before + 1, fleet->m_all_orders.size());
+  }
+
+  // Load: a coordinator whose intent was taken over reads that late.
+  // Guards against: two instances that promote within the pause.
+  void PausesAfterACoordinatorThatDoesNotKnowThatItWasTakenOver() {
+    Fleet fleet({"a", "b"});
+    fleet.Tick("a", FailedPrimary(fleet), LiveFleet(false));
+    fleet.ApplyWrites();
+    fleet.Watch("b");
+    fleet.AdvanceTime(ReplacementCoordinator::kTakeOverUnresponsiveAfter);
+    FleetCondition unresponsive = LiveFleet(false);
+    unresponsive.m_coordinator_live = false;
+    fleet.Tick("b", FailedPrimary(fleet), unresponsive);
+    fleet.ApplyWrites();
+    for (int i = 0; i < 180; ++i) {
+      fleet.AdvanceTime(10ms);
+      fleet.Tick("b", FailedPrimary(fleet), unresponsive);
+    }
+    RunUntilOrder(&fleet, "a", LiveFleet(true));
+    const Time first = fleet.m_now;
+    RunUntilOrder(&fleet, "b", unresponsive);
+    CPPUNIT_ASSERT(fleet.m_now - first >
+                   ReplacementCoordinator::kCoordinatorChangePause);
+  }
+
+  // Load: an instance takes an intent over and restarts.
+  // Guards against: as above; it does not know whose intent it was.
+  void PausesAfterARestartAmidAReplacement() {
+    Fleet fleet({"a", "b"});
+    Promote(&fleet, "a");
+    const Time first = fleet.m_now;
+    fleet.Watch("b");
+    fleet.AdvanceTime(ReplacementCoordinator::kTakeOverUnresponsiveAfter);
+    FleetCondition unresponsive = LiveFleet(true);
+    unresponsive.m_coordinator_live = false;
+    fleet.Tick("b", FailedPrimary(fleet), unresponsive);
+    fleet.ApplyWrites();
+    fleet.Add("b", /*is_listed=*/false);
+    fleet.Watch("b");
+    RunUntilOrder(&fleet, "b", unresponsive);
+    CPPUNIT_ASSERT(fleet.m_now - first >
+                   ReplacementCoordinator::kCoordinatorChangePause);
+  }
+
   // After a replacement, peer reports about the old primary made instances that
   // had not yet contacted the new primary replace that one as well.
   void OutdatedPeerReportsDoNotReplaceANewPrimary() {
