--- a/test/platform_adapter/line_reader_test.cc
+++ b/test/platform_adapter/line_reader_test.cc
@@ -18,7 +18,7 @@
   Lines m_lines;
 };
 
-const std::array<SplitCase, 11> kSplitCases = {{
+const std::array<SplitCase, 11> split_cases = {{
     {"one line", "TERM\r\n", {"TERM"}},
     {"two lines", "a\r\nb\r\n", {"a", "b"}},
     {"an empty line", "\r\nb\r\n", {"", "b"}},
@@ -49,14 +49,14 @@
  public:
   // A statement was cut at a line feed and its rest run as another one.
   void OnlyCarriageReturnLineFeedEndsALine() {
-    for (const SplitCase& test : kSplitCases) {
+    for (const SplitCase& test : split_cases) {
       CPPUNIT_ASSERT_MESSAGE(std::string(test.m_name),
                              ReadAll({test.m_bytes}) == test.m_lines);
     }
   }
 
   void LinesDoNotDependOnHowTheBytesArrive() {
-    for (const SplitCase& test : kSplitCases) {
+    for (const SplitCase& test : split_cases) {
       for (std::size_t cut = 0; cut <= test.m_bytes.size(); ++cut) {
         const Lines lines =
             ReadAll({test.m_bytes.substr(0, cut), test.m_bytes.substr(cut)});
