platform: write only lines that are read as they were written

Callers could see a READ, EXECUTE or PREPARE close to 1 MiB fail without a true answer: the gateway adds a position (AFTER) or a longer name, the member gets a line above the limit and closes the connection, and the statement is placed again, up to 24 times, each time at the cost of a connection. Nothing checked that a row, a signature, a reason or a name holds no CR LF when it was written. Callers and members cannot send one; another instance, or a name in the store, could, and would have ended an answer early or started another statement. A caller's statement that may become too long is MALFORMED when it is read and nothing of it is sent; the log names it (at most 20 a second). A batch of statements is written as a whole or not at all; a name that is no field opens no connection; both give up the connection with a WARN line that names member and connection. Ruled out: a blank or CR at the end of the last field, lone LF and CR, NUL; the table carries them byte for byte.

--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -67,9 +67,14 @@
                           const gateway::Answer& answer) {
     if (gateway::ForwardHost::Owns(id)) {
       m_forwarding.Answer(id, answer);
-    } else {
-      m_callers->Answer(id, answer);
+      return;
     }
+    if (!adapter::CanBeWritten(answer)) {
+      Log(m_logger, log4cplus::WARN_LOG_LEVEL,
+          "replaced an answer that cannot be written",
+          {{"session", static_cast<std::int64_t>(id.value())}});
+    }
+    m_callers->Answer(id, answer);
   };
   hooks.m_close_session = [this](gateway::SessionId id) {
     if (gateway::ForwardHost::Owns(id)) {
@@ -120,6 +125,9 @@
   };
   hooks.m_statement = [this](gateway::SessionId id,
                              gateway::Statement statement) {
+    if (statement.m_kind == gateway::StatementKind::kMalformed) {
+      m_statement_log.AddMalformed(statement, Now());
+    }
     m_engine.OnStatement(id, std::move(statement), Now());
   };
   hooks.m_end = [this](gateway::SessionId id) {
@@ -155,12 +163,11 @@
         {{"reason", reason}});
     m_engine.OnConnectionClosed(id, code, Now());
   };
-  hooks.m_unreadable = [this](const adapter::UnreadableAnswer& answer) {
-    Log(m_logger, log4cplus::WARN_LOG_LEVEL,
-        "gave up a member connection after an unreadable answer",
-        {{"member", answer.m_member.str()},
-         {"connection", static_cast<std::int64_t>(answer.m_connection.value())},
-         {"reason", answer.m_reason}});
+  hooks.m_given_up = [this](const adapter::GivenUpConnection& link) {
+    Log(m_logger, log4cplus::WARN_LOG_LEVEL, "gave up a member connection",
+        {{"member", link.m_member.str()},
+         {"connection", static_cast<std::int64_t>(link.m_connection.value())},
+         {"reason", link.m_reason}});
   };
   return hooks;
 }
--- a/apps/gateway/statement_log.cc
+++ b/apps/gateway/statement_log.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <string>
 #include <utility>
 
@@ -12,6 +13,11 @@
 
 using std::chrono::milliseconds;
 
+// Maximum lengths of what a log line quotes from a caller's message. The start
+// of the text contains the verb.
+constexpr std::size_t kMaxLoggedIdBytes = 64;
+constexpr std::size_t kMaxLoggedVerbBytes = 8;
+
 std::int64_t ToMilliseconds(gateway::Duration duration) {
   return std::chrono::duration_cast<milliseconds>(duration).count();
 }
@@ -99,6 +105,17 @@
       end.m_completed ? "statement completed" : "statement refused", fields);
 }
 
+void StatementLog::AddMalformed(const gateway::Statement& statement,
+                                gateway::Time now) {
+  if (!Count(kRefusalsPerSecond, &m_refusals, now)) {
+    return;
+  }
+  Log(m_logger, log4cplus::INFO_LOG_LEVEL, "refused a malformed statement",
+      {{"statement", statement.m_id.substr(0, kMaxLoggedIdBytes)},
+       {"verb", statement.m_text.substr(0, kMaxLoggedVerbBytes)},
+       {"bytes", static_cast<std::int64_t>(statement.m_text.size())}});
+}
+
 void StatementLog::AddUnexpected(const gateway::UnexpectedAnswer& answer,
                                  gateway::Time now) {
   if (!Count(kUnexpectedPerSecond, &m_unexpected, now)) {
--- a/apps/gateway/statement_log.h
+++ b/apps/gateway/statement_log.h
@@ -23,6 +23,8 @@
   explicit StatementLog(log4cplus::Logger logger);
 
   void Add(const gateway::StatementSummary& end, gateway::Time now);
+  // Logs a caller's statement that cannot be parsed or sent to a member.
+  void AddMalformed(const gateway::Statement& statement, gateway::Time now);
   void AddUnexpected(const gateway::UnexpectedAnswer& answer,
                      gateway::Time now);
 
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -322,7 +322,8 @@
       if (session->m_transaction) {
         FailTransaction(session, now);
       }
-      Reply(session, Refused{ErrorCode::kMalformed, "unknown statement"});
+      Reply(session, Refused{ErrorCode::kMalformed,
+                             "the statement cannot be parsed or is too long"});
       return;
   }
   if (session->m_transaction) {
