--- a/test/platform_adapter/carried_statements_test.cc
+++ b/test/platform_adapter/carried_statements_test.cc
@@ -24,30 +24,40 @@
   std::string m_name;
   Texts m_sent;
   Texts m_received;
+  // Whether the field may be empty.
+  bool m_may_be_empty;
   // Whether a member may receive a longer line than the caller has sent,
   // because of another name or of a position that the member must hold.
   bool m_may_grow;
 };
 
 const std::vector<Form> forms = {
-    {"a read", {"READ {}"}, {"READ {}"}, true},
-    {"a write", {"WRITE x {}"}, {"WRITE x {}"}, false},
+    {"a read", {"READ {}"}, {"READ {}"}, false, true},
+    {"a write", {"WRITE x {}"}, {"WRITE x {}"}, true, false},
     {"a transaction",
      {"BEGIN", "READ x", "WRITE x {}", "COMMIT"},
      {"BEGIN", "READ x", "WRITE x {}", "COMMIT"},
+     true,
+     false},
+    {"a session value",
+     {"SET n {}", "READ x"},
+     {"SET n {}", "READ x"},
+     true,
      false},
-    {"a session value", {"SET n {}", "READ x"}, {"SET n {}", "READ x"}, false},
     {"a shape",
      {"PREPARE s WRITE {}", "EXECUTE s x y"},
      {"PREPARE p1 WRITE {}", "EXECUTE p1 x y"},
+     false,
      true},
     {"an execution",
      {"PREPARE s WRITE q", "EXECUTE s {}"},
      {"PREPARE p1 WRITE q", "EXECUTE p1 {}"},
+     false,
      true},
     {"an execution in a transaction",
      {"PREPARE s READ q", "BEGIN", "EXECUTE s {}", "COMMIT"},
      {"PREPARE p1 READ q", "BEGIN", "EXECUTE p1 {}", "COMMIT"},
+     false,
      true}};
 
 const Texts odd_fields = {"a",
@@ -148,6 +158,8 @@
 class CarriedStatementsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CarriedStatementsTest);
   CPPUNIT_TEST(FieldsAreCarriedByteForByte);
+  CPPUNIT_TEST(EmptyFieldIsCarriedOrRefused);
+  CPPUNIT_TEST(StatementWithMissingOrExcessFieldsIsRefused);
   CPPUNIT_TEST(LongestLineIsCarriedOrRefused);
   CPPUNIT_TEST_SUITE_END();
 
@@ -160,6 +172,40 @@
     }
   }
 
+  void EmptyFieldIsCarriedOrRefused() {
+    for (const Form& form : forms) {
+      if (form.m_may_be_empty) {
+        CheckCarried(form, "");
+      } else {
+        CheckRefused(form, "");
+      }
+    }
+  }
+
+  // An EXECUTE without an item was sent with an additional blank, as was a
+  // value that a SET did not have; what stood behind the name in a RELEASE was
+  // ignored.
+  void StatementWithMissingOrExcessFieldsIsRefused() {
+    const std::vector<Texts> cases = {{"READ"},
+                                      {"WRITE"},
+                                      {"SET n"},
+                                      {"SET"},
+                                      {"SET  v"},
+                                      {"PREPARE s WRITE q", "EXECUTE s"},
+                                      {"PREPARE s WRITE q", "EXECUTE"},
+                                      {"PREPARE s WRITE q", "EXECUTE  s x"},
+                                      {"PREPARE s WRITE q", "RELEASE s x"},
+                                      {"PREPARE s WRITE q", "RELEASE s "},
+                                      {"PREPARE s WRITE"},
+                                      {"PREPARE  WRITE q"},
+                                      {"PREPARE s  WRITE q"},
+                                      {" READ x"},
+                                      {"READ\nx"}};
+    for (const Texts& texts : cases) {
+      CheckRefused(texts, texts.back());
+    }
+  }
+
   void LongestLineIsCarriedOrRefused() {
     for (const Form& form : forms) {
       for (const std::size_t less : {0, 1, 10, 100, 1000}) {
@@ -182,6 +228,26 @@
         name, Replace(form.m_received, field) == statements.Received());
   }
 
+  static void CheckRefused(const Form& form, const std::string& field) {
+    const std::string name = form.m_name + ", field '" + field + "'";
+    CheckRefused(Replace(form.m_sent, field), name);
+  }
+
+  // Checks that one of the statements is refused as malformed, and that none
+  // after that reaches the primary.
+  static void CheckRefused(const Texts& texts, const std::string& name) {
+    CarriedStatements statements;
+    for (const std::string& text : texts) {
+      const Texts received = statements.Received();
+      statements.Send(text);
+      if (statements.LastError() == gateway::ErrorCode::kMalformed) {
+        CPPUNIT_ASSERT_MESSAGE(name, received == statements.Received());
+        return;
+      }
+    }
+    CPPUNIT_FAIL(name + ": not refused");
+  }
+
   // Sends the form with its field in a line that is `less` bytes shorter than
   // the longest one. Returns whether it was carried, and fails if it was
   // neither carried nor refused.
