platform: members whose id or service is no field are not used

An entry of kind servers may come from another writer. One whose id or service was empty or held a blank or CR LF was used: the gateway sent a START of which the member read other fields (an id with CR LF would have begun another message), and statements were placed on it in vain.

--- a/test/platform_adapter/store_objects_test.cc
+++ b/test/platform_adapter/store_objects_test.cc
@@ -96,6 +96,13 @@
     json unknown_state = Object("i-7", kMember);
     unknown_state["spec"]["state"] = "resting";
     objects.push_back(unknown_state);
+    // Members are started with their id and their group as fields of a line.
+    for (const char* name : {"", " ", "i 7", "i-7\r\nQUERY 1 WRITE x y"}) {
+      objects.push_back(Object(name, kMember));
+      json object = Object("i-7", kMember);
+      object["spec"]["service"] = name;
+      objects.push_back(object);
+    }
     for (const json& object : objects) {
       const gateway::StoreObject decoded =
           DecodeObject(StoreKind::kMembers, object.dump(), kEpoch);
