platform: callers' and members' lines in files of their own

Now: wire_words (words and fields that both share), caller_lines, member_statements, member_answers, each with its test.

--- a/test/platform_adapter/carried_statements_test.cc
+++ b/test/platform_adapter/carried_statements_test.cc
@@ -6,8 +6,9 @@
 #include <string_view>
 #include <vector>
 
+#include "platform/caller_lines.h"
 #include "platform/line_reader.h"
-#include "platform/wire_lines.h"
+#include "platform/member_statements.h"
 #include "test/gateway/engine_fixture.h"
 
 namespace jasminelug::adapter {
--- a/test/platform_adapter/random_lines_test.cc
+++ b/test/platform_adapter/random_lines_test.cc
@@ -18,9 +18,11 @@
 #include <string_view>
 #include <vector>
 
+#include "platform/caller_lines.h"
 #include "platform/line_reader.h"
 #include "platform/line_writer.h"
-#include "platform/wire_lines.h"
+#include "platform/member_answers.h"
+#include "platform/member_statements.h"
 #include "test/platform_adapter/random_lines.h"
 
 namespace jasminelug::adapter {
