gateway: bounded log of member connections that are given up

A member that always answers out of order closes each connection, and each would have been a WARN line.

--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -164,10 +164,7 @@
     m_engine.OnConnectionClosed(id, code, Now());
   };
   hooks.m_given_up = [this](const adapter::GivenUpConnection& link) {
-    Log(m_logger, log4cplus::WARN_LOG_LEVEL, "gave up a member connection",
-        {{"member", link.m_member.str()},
-         {"connection", static_cast<std::int64_t>(link.m_connection.value())},
-         {"reason", link.m_reason}});
+    m_statement_log.AddGivenUp(link, Now());
   };
   return hooks;
 }
--- a/apps/gateway/statement_log.cc
+++ b/apps/gateway/statement_log.cc
@@ -137,4 +137,15 @@
       "did not use a member's unexpected answer", fields);
 }
 
+void StatementLog::AddGivenUp(const adapter::GivenUpConnection& link,
+                              gateway::Time now) {
+  if (!Count(kUnexpectedPerSecond, &m_unexpected, now)) {
+    return;
+  }
+  Log(m_logger, log4cplus::WARN_LOG_LEVEL, "gave up a member connection",
+      {{"member", link.m_member.str()},
+       {"connection", static_cast<std::int64_t>(link.m_connection.value())},
+       {"reason", link.m_reason}});
+}
+
 }  // namespace jasminelug::gateway_app
--- a/apps/gateway/statement_log.h
+++ b/apps/gateway/statement_log.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 
 #include "jasminelug/gateway.h"
+#include "platform/member_links.h"
 
 namespace jasminelug::gateway_app {
 
@@ -27,6 +28,8 @@
   void AddMalformed(const gateway::Statement& statement, gateway::Time now);
   void AddUnexpected(const gateway::UnexpectedAnswer& answer,
                      gateway::Time now);
+  // Logs a member connection that was given up. Counts as an unexpected answer.
+  void AddGivenUp(const adapter::GivenUpConnection& link, gateway::Time now);
 
  private:
   // Counts an event of a kind. Returns whether it is to be logged.
