gateway: transactions are rolled back by closing their connection only

Since a connection opens one transaction, none that was in a transaction is used again: the ROLLBACK on it, the stage that waited for its answer, and the mark for values that a rollback may have undone are not needed any more. A closed connection gives its place to queued statements at once.

--- a/src/gateway/answer_check.cc
+++ b/src/gateway/answer_check.cc
@@ -52,8 +52,6 @@
     case MemberVerb::kBegin:
     case MemberVerb::kBeginReadOnly:
       return {false, 0, TransactionState::kOpen};
-    case MemberVerb::kRollback:
-      return {false, 0, TransactionState::kNone};
     case MemberVerb::kStatus:
     case MemberVerb::kStepDown:
       return {false, 1, TransactionState::kNone};
--- a/src/gateway/connection_table.h
+++ b/src/gateway/connection_table.h
@@ -20,7 +20,6 @@
   kSetup,      // Sets the session's values and prepares its statements.
   kBegin,      // Opens the session's transaction.
   kStatement,  // The session's own statement.
-  kRollback,   // Rolls back a transaction that no session uses any more.
   kCommand,    // Is a command of the gateway itself.
 };
 
@@ -36,7 +35,7 @@
 // A connection to one member for one customer. It cannot change its customer,
 // because the member is told the customer when the connection starts.
 struct Connection {
-  enum class Stage { kOpening, kIdle, kInUse, kRollingBack };
+  enum class Stage { kOpening, kIdle, kInUse };
 
   ConnectionId m_id;
   MemberId m_member;
@@ -50,9 +49,6 @@
   // statements that are prepared on it.
   std::map<std::string, std::string> m_values;
   std::map<PreparedShape, std::string> m_prepared;
-  // Whether values were set or statements prepared inside a transaction. A
-  // rollback may have undone them, so the connection must be reset.
-  bool m_values_uncertain = false;
   bool m_in_transaction = false;
   // Whether the connection was opened to request the member's status.
   bool m_is_status_request = false;
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -332,10 +332,9 @@
                     const Answer& answer,
                     Time now);
   // Releases a connection that no session uses any more. Depending on its
-  // state, it is closed, rolled back or returned to the pool.
+  // state, it is closed or returned to the pool.
   void RecycleConnection(Connection* connection, Time now);
   void ReturnToPool(Connection* connection, Time now);
-  void RollBackConnection(Connection* connection, Time now);
   void Detach(Session* session);
   void CloseConnection(Connection* connection, Time now);
   void RemoveConnection(Connection* connection);
--- a/src/gateway/engine_answers.cc
+++ b/src/gateway/engine_answers.cc
@@ -51,12 +51,12 @@
     state->m_busy = std::max(state->m_busy - 1, 0);
   }
   connection->m_stage = Connection::Stage::kIdle;
-  connection->m_in_transaction = false;
   connection->m_session.reset();
   connection->m_last_used = now;
   const bool over_budget = !state || state->m_connections > BudgetOf(*state) ||
                            !m_members.AcceptsWork(state->m_member);
-  if (over_budget || connection->m_is_retired) {
+  // The member rolls the transaction of a closed connection back.
+  if (over_budget || connection->m_is_retired || connection->m_in_transaction) {
     CloseConnection(connection, now);
   }
   Dispatch(group, now);
@@ -66,26 +66,13 @@
   if (connection->m_stage == Connection::Stage::kOpening) {
     return;  // OnConnectionOpened() releases it.
   }
-  // The member rolls the transaction of a closed connection back.
-  if (!connection->m_sent.empty() || connection->m_is_retired) {
+  if (!connection->m_sent.empty()) {
     CloseConnection(connection, now);
     return;
   }
-  if (connection->m_in_transaction) {
-    RollBackConnection(connection, now);
-    return;
-  }
   ReturnToPool(connection, now);
 }
 
-void Engine::RollBackConnection(Connection* connection, Time now) {
-  connection->m_stage = Connection::Stage::kRollingBack;
-  connection->m_session.reset();
-  MemberStatement rollback;
-  rollback.m_verb = MemberVerb::kRollback;
-  Send(connection, {rollback}, SentPurpose::kRollback, now);
-}
-
 void Engine::NoteReachability(const Connection& connection,
                               bool reached,
                               Time now) {
@@ -243,13 +230,6 @@
         OnConnectionClosed(id, std::nullopt, now);
       }
       return;
-    case SentPurpose::kRollback:
-      if (failed || connection->m_in_transaction) {
-        CloseConnection(connection, now);
-        return;
-      }
-      ReturnToPool(connection, now);
-      return;
     case SentPurpose::kCommand:
       OnStatusAnswer(connection, answer, now);
       return;
--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -362,14 +362,12 @@
                   [&session](const auto& value) {
                     return !session.m_values.contains(value.first);
                   });
-  const bool reset = foreign_value || connection->m_values_uncertain;
-  if (reset && !connection->m_in_transaction) {
+  if (foreign_value && !connection->m_in_transaction) {
     MemberStatement statement;
     statement.m_verb = MemberVerb::kReset;
     setup.push_back(statement);
     connection->m_values.clear();
     connection->m_prepared.clear();
-    connection->m_values_uncertain = false;
   }
   for (const auto& [name, value] : session.m_values) {
     const auto held = connection->m_values.find(name);
@@ -382,7 +380,6 @@
     statement.m_argument = value;
     setup.push_back(statement);
     connection->m_values[name] = value;
-    connection->m_values_uncertain |= connection->m_in_transaction;
   }
   const Statement& statement = session.m_active->m_statement;
   if (statement.m_kind != StatementKind::kExecute) {
@@ -396,7 +393,6 @@
     prepare.m_prepared = shape;
     setup.push_back(prepare);
     connection->m_prepared[shape] = prepare.m_name;
-    connection->m_values_uncertain |= connection->m_in_transaction;
   }
   return setup;
 }
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -371,7 +371,7 @@
   Connection* connection = ConnectionOf(*session);
   Detach(session);
   if (connection) {
-    RollBackConnection(connection, now);
+    RecycleConnection(connection, now);
   }
   Reply(session, Completed{});
 }
--- a/src/gateway/statement.h
+++ b/src/gateway/statement.h
@@ -63,7 +63,6 @@
   kReset,          // Drops all values and prepared statements.
   kBegin,          // Opens a transaction.
   kBeginReadOnly,  // Opens a transaction that only reads.
-  kRollback,
   kStatus,
   kStepDown,  // Makes a primary with a term below m_term a replica.
 };
