gateway: cut long texts in the log of statements

An id, a reason or a signature may be as long as a message, and up to 42 log lines a second quoted them in full, some 40 MB a second. Change: texts in these lines are cut after 256 bytes. Before: statement_log_test failed (field statement of 1 MiB). After: test_gateway_app 7 of 7.

--- a/apps/gateway/statement_log.cc
+++ b/apps/gateway/statement_log.cc
@@ -5,18 +5,18 @@
 #include <cstddef>
 #include <string>
 #include <utility>
-
-#include "jasminelug/common.h"
+#include <variant>
 
 namespace jasminelug::gateway_app {
 namespace {
 
 using std::chrono::milliseconds;
 
-// Maximum lengths of what a log line quotes from a caller's message. The start
-// of the text contains the verb.
-constexpr std::size_t kMaxLoggedIdBytes = 64;
-constexpr std::size_t kMaxLoggedVerbBytes = 8;
+// Maximum length of a text in a log line. Callers and members choose ids,
+// reasons and signatures, which may be as long as a message.
+constexpr std::size_t kMaxLoggedBytes = 256;
+// Length of the start of a statement's text that contains its verb.
+constexpr std::size_t kVerbBytes = 8;
 
 std::int64_t ToMilliseconds(gateway::Duration duration) {
   return std::chrono::duration_cast<milliseconds>(duration).count();
@@ -55,16 +55,28 @@
 StatementLog::StatementLog(log4cplus::Logger logger)
     : m_logger(std::move(logger)) {}
 
+void StatementLog::Write(log4cplus::LogLevel level,
+                         const std::string& message,
+                         LogFields fields) {
+  for (LogField& field : fields) {
+    auto* text = std::get_if<std::string>(&field.m_value);
+    if (text && text->size() > kMaxLoggedBytes) {
+      text->resize(kMaxLoggedBytes);
+    }
+  }
+  Log(m_logger, level, message, fields);
+}
+
 void StatementLog::BeginSecond(gateway::Time now) {
   const int suppressed = std::max(m_refusals - kRefusalsPerSecond, 0) +
                          std::max(m_completed - kCompletedPerSecond, 0) +
                          std::max(m_unexpected - kUnexpectedPerSecond, 0);
   if (suppressed > 0) {
-    Log(m_logger, log4cplus::INFO_LOG_LEVEL, "statements left out of the log",
-        {{"refused", std::int64_t{m_refusals}},
-         {"completed", std::int64_t{m_completed}},
-         {"unexpected_answers", std::int64_t{m_unexpected}},
-         {"left_out", std::int64_t{suppressed}}});
+    Write(log4cplus::INFO_LOG_LEVEL, "statements left out of the log",
+          {{"refused", std::int64_t{m_refusals}},
+           {"completed", std::int64_t{m_completed}},
+           {"unexpected_answers", std::int64_t{m_unexpected}},
+           {"left_out", std::int64_t{suppressed}}});
   }
   m_second_start = now;
   m_refusals = 0;
@@ -101,8 +113,8 @@
     fields.push_back({"code", std::string(gateway::NameOf(end.m_code))});
     fields.push_back({"reason", end.m_reason});
   }
-  Log(m_logger, log4cplus::INFO_LOG_LEVEL,
-      end.m_completed ? "statement completed" : "statement refused", fields);
+  Write(log4cplus::INFO_LOG_LEVEL,
+        end.m_completed ? "statement completed" : "statement refused", fields);
 }
 
 void StatementLog::AddMalformed(const gateway::Statement& statement,
@@ -110,10 +122,10 @@
   if (!Count(kRefusalsPerSecond, &m_refusals, now)) {
     return;
   }
-  Log(m_logger, log4cplus::INFO_LOG_LEVEL, "refused a malformed statement",
-      {{"statement", statement.m_id.substr(0, kMaxLoggedIdBytes)},
-       {"verb", statement.m_text.substr(0, kMaxLoggedVerbBytes)},
-       {"bytes", static_cast<std::int64_t>(statement.m_text.size())}});
+  Write(log4cplus::INFO_LOG_LEVEL, "refused a malformed statement",
+        {{"statement", statement.m_id},
+         {"verb", statement.m_text.substr(0, kVerbBytes)},
+         {"bytes", static_cast<std::int64_t>(statement.m_text.size())}});
 }
 
 void StatementLog::AddUnexpected(const gateway::UnexpectedAnswer& answer,
@@ -133,8 +145,8 @@
   if (answer.m_error) {
     fields.push_back({"code", std::string(gateway::NameOf(*answer.m_error))});
   }
-  Log(m_logger, log4cplus::WARN_LOG_LEVEL,
-      "did not use a member's unexpected answer", fields);
+  Write(log4cplus::WARN_LOG_LEVEL, "did not use a member's unexpected answer",
+        fields);
 }
 
 void StatementLog::AddGivenUp(const adapter::GivenUpConnection& link,
@@ -142,10 +154,10 @@
   if (!Count(kUnexpectedPerSecond, &m_unexpected, now)) {
     return;
   }
-  Log(m_logger, log4cplus::WARN_LOG_LEVEL, "gave up a member connection",
-      {{"member", link.m_member.str()},
-       {"connection", static_cast<std::int64_t>(link.m_connection.value())},
-       {"reason", link.m_reason}});
+  Write(log4cplus::WARN_LOG_LEVEL, "gave up a member connection",
+        {{"member", link.m_member.str()},
+         {"connection", static_cast<std::int64_t>(link.m_connection.value())},
+         {"reason", link.m_reason}});
 }
 
 }  // namespace jasminelug::gateway_app
--- a/apps/gateway/statement_log.h
+++ b/apps/gateway/statement_log.h
@@ -4,7 +4,9 @@
 #include <log4cplus/logger.h>
 
 #include <cstdint>
+#include <string>
 
+#include "jasminelug/common.h"
 #include "jasminelug/gateway.h"
 #include "platform/member_links.h"
 
@@ -35,6 +37,10 @@
   // Counts an event of a kind. Returns whether it is to be logged.
   bool Count(int limit, int* count, gateway::Time now);
   void BeginSecond(gateway::Time now);
+  // Logs with long texts cut.
+  void Write(log4cplus::LogLevel level,
+             const std::string& message,
+             LogFields fields);
 
   log4cplus::Logger m_logger;
   gateway::Time m_second_start;
