test: the rig of answers promotes its own members

A fault of the rig, not of the gateways: when they ask for a promotion, the stand-in writes its members to the store again, and its service had the name of one of the rig's. The services have other names now, and the rig serves /promote itself: the member that is named leads the next term. A violation also prints what its member connection received and sent last, and the summary how many promotions there were and how long the rig itself paused. No check is changed.

--- a/test/answers_rig/answers_rig.py
+++ b/test/answers_rig/answers_rig.py
@@ -11,10 +11,12 @@
 import signal
 import sys
 import tempfile
+import time
 
 import callers
 import members
 import processes
+import promotion
 import record
 
 ZONES = ["zone-a", "zone-b", "zone-c"]
@@ -29,6 +31,7 @@
 MIN_CALM_STATEMENTS = 50
 # How long statements may still run after the last caller has left.
 END_PAUSE_S = 0.5
+PAUSE_PROBE_S = 0.05
 # How much of the gateways' logs is printed with a violation.
 LOG_WINDOW_S = 0.4
 MAX_LOG_LINES = 8
@@ -47,9 +50,9 @@
     max_staleness_ms: int = 1500
 
 
-ROUTES = [Route("beds", "read_your_writes", "beds-group", 60),
-          Route("ledger", "primary", "ledger-group", 60),
-          Route("passes", "bounded", "passes-group", 7)]
+ROUTES = [Route("beds", "read_your_writes", "rig-beds", 60),
+          Route("ledger", "primary", "rig-ledger", 60),
+          Route("passes", "bounded", "rig-passes", 7)]
 
 
 def configuration():
@@ -87,12 +90,14 @@
                           r.max_connections, self.record, self.troubles, seed)
             for r in ROUTES]
         self.platform = processes.Platform(options.build)
+        self.promotions = promotion.PromotionService(self.promote)
         self.gateways = [
             processes.Gateway(options.build, folder, f"gateway-{n + 1}",
-                              ZONES[n % len(ZONES)], self.platform.address)
+                              ZONES[n % len(ZONES)])
             for n in range(options.gateways)]
         self.callers = [self.make_caller(n) for n in range(options.callers)]
         self.phases = {}
+        self.longest_pause_s = 0.0
 
     def make_caller(self, number):
         # Few callers use `passes`, which has few connections.
@@ -106,19 +111,36 @@
     async def start(self):
         for group in self.groups:
             await group.start()
-        entries = {m.id: m.entry(zone) for group in self.groups
-                   for m, zone in zip(group.members, ZONES)}
+            group.on_roles = lambda group=group: self.publish_roles(group)
+        await self.promotions.start()
+        entries = {}
+        for group in self.groups:
+            entries.update(self.entries(group))
         # The members must answer while the gateways start.
         loop = asyncio.get_running_loop()
         await loop.run_in_executor(None, self.platform.configure,
                                    configuration(), entries)
         for gateway in self.gateways:
+            gateway.configure(self.platform.address, self.promotions.address)
             gateway.start()
         for gateway in self.gateways:
             await loop.run_in_executor(None, gateway.wait_ready)
 
+    @staticmethod
+    def entries(group):
+        return {m.id: m.entry(zone) for m, zone in zip(group.members, ZONES)}
+
+    def promote(self, service, member):
+        groups = [g for g in self.groups if g.service == service]
+        return bool(groups) and groups[0].promote(member)
+
+    def publish_roles(self, group):
+        asyncio.get_running_loop().run_in_executor(
+            None, self.platform.publish, self.entries(group))
+
     async def run(self):
         await self.start()
+        pauses = asyncio.create_task(self.measure_pauses())
         works = [asyncio.create_task(c.work()) for c in self.callers]
         restarts = [asyncio.create_task(g.restart_often(random.Random(
             f"{self.seed}.{g.name}"))) for g in self.gateways
@@ -133,9 +155,18 @@
         await asyncio.gather(*works)
         await asyncio.sleep(END_PAUSE_S)
         self.check_end()
+        pauses.cancel()
         for group in self.groups:
             await group.stop()
 
+    async def measure_pauses(self):
+        """Measures for how long this process itself does not run."""
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(PAUSE_PROBE_S)
+            pause_s = time.monotonic() - before - PAUSE_PROBE_S
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+
     async def end_restarts(self, restarts):
         for restart in restarts:
             restart.cancel()
@@ -195,6 +226,9 @@
         if self.options.restarts:
             print("   restarts: "
                   f"{ {g.name: g.restarts for g in self.gateways} }")
+        print("   promotions: "
+              f"{ {g.service: g.promotions for g in self.groups} }, longest "
+              f"pause of the rig itself: {self.longest_pause_s:.2f} s")
         violations = self.record.violations
         logs = {g.name: g.log_lines() for g in self.gateways}
         for violation in violations[:self.options.shown]:
@@ -214,6 +248,8 @@
         if statement:
             show(f"   sent by {statement.session}: {statement.text!r}")
             show(f"   its answers: {self.record.answers[statement.id]}")
+        for line in violation.trace:
+            show(f"   {violation.connection}: {line}")
         for name, lines in logs.items():
             about = [text for moment, text in lines
                      if self.is_about(violation, moment, text)]
--- a/test/answers_rig/members.py
+++ b/test/answers_rig/members.py
@@ -9,6 +9,8 @@
 import texts
 
 MAX_LINE_BYTES = 1 << 21
+# Time from a promotion until it takes effect.
+PROMOTION_S = 0.3
 WORK_MS = (1, 4)
 # How much later than the primary a replica has a commit.
 REPLICATION_MS = (1, 60)
@@ -75,6 +77,10 @@
         self.service, self.slots = service, slots
         self.max_connections = max_connections
         self.record, self.troubles = record, troubles
+        self.term = 1
+        self.promotions = 0
+        # Reports a change of the members' roles.
+        self.on_roles = lambda: None
         # Per commit: its writes, as (statement, item, data).
         self.log = []
         self.members = [Member(self, f"{service}-{n}", n == 0,
@@ -89,6 +95,29 @@
         for member in self.members:
             await member.stop()
 
+    def promote(self, name):
+        """Lets a member lead the next term, soon. Returns whether there is
+        such a member."""
+        found = [m for m in self.members if m.id == name]
+        if found and not found[0].leads:
+            asyncio.get_running_loop().call_later(PROMOTION_S, self.lead,
+                                                  found[0])
+        return bool(found)
+
+    def lead(self, member):
+        """Every member has received all commits, so none is lost. The primary
+        before it becomes a replica at once."""
+        if member.leads:
+            return
+        self.promotions += 1
+        self.term += 1
+        for other in self.members:
+            if other.leads:
+                other.applied = len(self.log)
+            other.leads = other is member
+        member.apply(len(self.log))
+        self.on_roles()
+
     def commit(self, writes):
         """Appends a commit. Returns its number."""
         self.log.append(writes)
@@ -218,7 +247,8 @@
         return await self.deliver(connection, b"-", self.ready(connection))
 
     def ready(self, connection):
-        return f"READY {connection.state()} 1.{self.held()}\r\n".encode()
+        return (f"READY {connection.state()} {self.group.term}."
+                f"{self.held()}\r\n").encode()
 
     async def serve_statements(self, connection):
         while True:
@@ -228,6 +258,7 @@
                                      f"a gateway sent {line!r}", b"-", self.id,
                                      connection.name):
                 return
+            self.record.trace(connection, "got", line)
             identity, _, text = rest.partition(b" ")
             outcome = await self.run(connection, identity, text)
             if not await self.deliver(connection, identity,
@@ -240,6 +271,8 @@
         is_own = identity == b"-"
         if self.troubles.lost and not is_own:
             luck = self.random.random()
+            if luck < CUT_SHARE + LOST_SHARE:
+                self.record.trace(connection, "loses", data)
             if luck < CUT_SHARE:
                 await connection.send(
                     data[:self.random.randint(0, len(data))])
@@ -251,6 +284,7 @@
             held.answers_between -= 1
             if held.answers_between < 0:
                 await self.send_held_back(connection, held)
+        self.record.trace(connection, "answers", data)
         await connection.send(data, self.piece(data))
         repeats = self.troubles.own if is_own else self.troubles.repeat
         if repeats and self.random.random() < self.troubles.repeated_share:
@@ -289,6 +323,7 @@
             await self.send_again(connection, held.data)
 
     async def send_again(self, connection, data):
+        self.record.trace(connection, "repeats", data)
         try:
             await connection.send(data, self.piece(data))
         except ConnectionError:
@@ -333,8 +368,9 @@
         verb, _, rest = text.partition(b" ")
         if verb == b"STATUS":
             role = "primary" if self.leads else "replica"
-            return (f"ROW {role} 1 1.{self.held()} 1 0 0 "
-                    f"{len(self.connections)}\r\nCOMPLETE -\r\n").encode()
+            term = self.group.term
+            return (f"ROW {role} {term} {term}.{len(self.group.log)} {term} 0 0"
+                    f" {len(self.connections)}\r\nCOMPLETE -\r\n").encode()
         if verb == b"ROLLBACK":
             connection.transaction = None
         elif connection.state() == "E":
@@ -402,6 +438,8 @@
         transaction, connection.transaction = connection.transaction, None
         if transaction is None:
             return self.error(connection, "MALFORMED")
+        if transaction.writes and not self.leads:
+            return self.error(connection, "READONLY")
         if transaction.writes:
             self.append(connection, transaction.writes)
         return self.complete(connection, statement, [])
--- a/test/answers_rig/processes.py
+++ b/test/answers_rig/processes.py
@@ -76,26 +76,36 @@
         self.call("PUT", "config/main",
                   {"meta": {"name": "main"}, "spec": configuration})
 
+    def publish(self, entries):
+        """Writes the entries of members again."""
+        for name, spec in entries.items():
+            self.call("PUT", "servers/" + name,
+                      {"meta": {"name": name}, "spec": spec})
+
 
 class Gateway:
     """A gateway process with its own settings file and log."""
 
-    def __init__(self, build, folder, name, zone, store):
-        self.name = name
+    def __init__(self, build, folder, name, zone):
+        self.name, self.zone = name, zone
         self.callers, self.status = next(PORTS), next(PORTS)
         self.settings = folder / f"{name}.json"
-        self.settings.write_text(json.dumps({
-            "instance": name, "zone": zone,
-            "callers": f"127.0.0.1:{self.callers}",
-            "status": f"127.0.0.1:{self.status}",
-            "peer_address": "127.0.0.1", "peer_ports": [next(PORTS)],
-            "store": store, "promotion": store}))
         self.command = [f"{build}/apps/gateway/jasminelug-gateway",
                         "--settings", str(self.settings)]
         self.log_path = folder / f"{name}.log"
         self.process = None
         self.restarts = 0
 
+    def configure(self, store, promotion):
+        """Writes the settings, with the addresses of the platform's
+        services."""
+        self.settings.write_text(json.dumps({
+            "instance": self.name, "zone": self.zone,
+            "callers": f"127.0.0.1:{self.callers}",
+            "status": f"127.0.0.1:{self.status}",
+            "peer_address": "127.0.0.1", "peer_ports": [next(PORTS)],
+            "store": store, "promotion": promotion}))
+
     def start(self):
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(self.command, stdout=log,
--- a/test/answers_rig/record.py
+++ b/test/answers_rig/record.py
@@ -14,6 +14,9 @@
 OWN_VERBS = {b"STATUS", b"BEGIN", b"RESET", b"SET", b"PREPARE", b"ROLLBACK",
              b"RELEASE", b"STEPDOWN"}
 
+TRACE_LINES = 24
+MAX_TRACED_BYTES = 200
+
 
 @dataclasses.dataclass(eq=False)
 class Attempt:
@@ -57,6 +60,8 @@
     member: str
     connection: str
     when: datetime.datetime
+    # What its connection received and sent last.
+    trace: list
 
 
 class Record:
@@ -78,6 +83,9 @@
         self.shapes_sent = collections.defaultdict(set)
         self.passed = collections.Counter()
         self.violations = []
+        # By connection: what it received and sent last.
+        self.traces = collections.defaultdict(
+            lambda: collections.deque(maxlen=TRACE_LINES))
 
     def check(self, rule, holds, what, statement=b"-", member="-",
               connection="-"):
@@ -87,9 +95,16 @@
             return True
         self.violations.append(Violation(
             rule, what, statement.decode(errors="replace"), str(member),
-            str(connection), datetime.datetime.now(datetime.timezone.utc)))
+            str(connection), datetime.datetime.now(datetime.timezone.utc),
+            list(self.traces.get(connection, []))))
         return False
 
+    def trace(self, connection, what, data):
+        """Notes what a member connection received or sent."""
+        now = datetime.datetime.now(datetime.timezone.utc)
+        self.traces[connection.name].append(
+            f"{now:%H:%M:%S.%f} {what} {data[:MAX_TRACED_BYTES]!r}")
+
     # Callers.
 
     def send(self, statement):
