platform: the test of the store's connections waits for the server's script

It waited for 60 ms, which a busy machine may not keep. Equally strict: the next call begins after the server has sent everything.

--- a/test/platform_adapter/http_channel_test.cc
+++ b/test/platform_adapter/http_channel_test.cc
@@ -12,6 +12,7 @@
 #include <asio/write.hpp>
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -51,6 +52,8 @@
   tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
   int connections() const { return m_connections; }
   std::size_t requests() const { return m_requests; }
+  // Returns whether everything has been sent that follows the requests so far.
+  bool is_done() const { return m_finished == m_requests; }
 
  private:
   struct Client {
@@ -98,6 +101,7 @@
   }
 
   void End(const std::shared_ptr<Client>& client, Script::End end) {
+    m_finished += 1;
     if (end == Script::End::kKeep) {
       Read(client);
       return;
@@ -112,6 +116,7 @@
   tcp::acceptor m_acceptor;
   const std::vector<Script> m_scripts;
   std::size_t m_requests = 0;
+  std::size_t m_finished = 0;
   int m_connections = 0;
 };
 
@@ -151,26 +156,30 @@
       for (const std::string& expected : row.m_results) {
         CPPUNIT_ASSERT_EQUAL_MESSAGE(row.m_name, expected,
                                      CallOn(io, &channel));
+        RunUntil(io, [&server] { return server.is_done(); });
       }
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.m_name, row.m_connections,
                                    server.connections());
     }
   }
 
-  // Returns the result of a call, after a pause in which the server sends the
-  // rest of its script.
+  static void RunUntil(asio::io_context& io,
+                       const std::function<bool()>& condition) {
+    const auto end =
+        std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!condition()) {
+      CPPUNIT_ASSERT(std::chrono::steady_clock::now() < end);
+      io.run_one_for(std::chrono::milliseconds(100));
+    }
+  }
+
   static std::string CallOn(asio::io_context& io, HttpChannel* channel) {
     std::optional<std::string> result;
     channel->Call(HttpRequest(), [&result](const HttpResult& answer) {
       result = Describe(answer);
     });
-    const auto end =
-        std::chrono::steady_clock::now() + std::chrono::seconds(10);
-    while (!result && std::chrono::steady_clock::now() < end) {
-      io.run_for(std::chrono::milliseconds(5));
-    }
-    io.run_for(std::chrono::milliseconds(60));
-    return result.value_or("none");
+    RunUntil(io, [&result] { return result.has_value(); });
+    return *result;
   }
 
   // The server sends more than one response to a request. The others are not
@@ -242,8 +251,7 @@
     channel.Call(HttpRequest(), [](const HttpResult&) {
       CPPUNIT_FAIL("the hook of an abandoned call was called");
     });
-    io.run_for(std::chrono::milliseconds(15));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server.requests());
+    RunUntil(io, [&server] { return server.requests() == 2; });
     channel.Abandon();
     CPPUNIT_ASSERT(!channel.is_calling());
     CPPUNIT_ASSERT_EQUAL(std::string("two"), CallOn(io, &channel));
