--- a/test/gossip/forward_codec_test.cc
+++ b/test/gossip/forward_codec_test.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <random>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace jasminelug::gossip {
@@ -48,6 +49,7 @@
   CPPUNIT_TEST(EncodingRoundTrips);
   CPPUNIT_TEST(RejectsCorruptedBytes);
   CPPUNIT_TEST(RejectsBytesAfterTheMessage);
+  CPPUNIT_TEST(ReadsAnswersWithoutANumber);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -87,6 +89,22 @@
       }
     }
   }
+
+  // Bytes that a version wrote that did not number statements. Instances of
+  // both versions run side by side while a fleet is restarted.
+  void ReadsAnswersWithoutANumber() {
+    const std::string bytes(
+        "\x2c\x16\xdd\xff\xff\xff\xff\xff\xff\xff\x1d\x1c\x1c\x19\x18\x01r\x18"
+        "\x03sig\x00\x00\x15\x02\x1c\x16\x02\x16\x04\x00\x00\x00",
+        34);
+    const auto read = DecodeForward(bytes);
+    CPPUNIT_ASSERT(IsOk(read));
+    const auto& answer = std::get<gateway::ForwardedAnswer>(GetValue(read));
+    CPPUNIT_ASSERT(!answer.m_number);
+    CPPUNIT_ASSERT(
+        std::holds_alternative<gateway::Completed>(answer.m_answer.m_outcome));
+    CPPUNIT_ASSERT(bytes == EncodeForward(answer));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ForwardCodecTest);
--- a/test/gossip/state_codec_test.cc
+++ b/test/gossip/state_codec_test.cc
@@ -4,6 +4,7 @@
 
 #include <random>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace jasminelug::gossip {
@@ -33,6 +34,7 @@
   CPPUNIT_TEST_SUITE(StateCodecTest);
   CPPUNIT_TEST(EncodingRoundTrips);
   CPPUNIT_TEST(RejectsCorruptedBytes);
+  CPPUNIT_TEST(ReadsUpdatesWithoutANumber);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -62,6 +64,20 @@
     CPPUNIT_ASSERT(!IsOk(DecodeState("")));
     CPPUNIT_ASSERT(!IsOk(DecodeState(std::string(100000, '\x1c'))));
   }
+
+  // Bytes that a version wrote that did not number requests. Instances of both
+  // versions run side by side while a fleet is restarted.
+  void ReadsUpdatesWithoutANumber() {
+    const std::string bytes(
+        "\x2c\x15\x08\x16\x0e\x16\x12\x19\x18\x02{}\x19\x08\x16\x18\x00\x00",
+        18);
+    const auto read = DecodeState(bytes);
+    CPPUNIT_ASSERT(IsOk(read));
+    const auto& update = std::get<gateway::StateUpdate>(GetValue(read));
+    CPPUNIT_ASSERT(!update.m_number);
+    CPPUNIT_ASSERT(gateway::Revision(7) == update.m_base);
+    CPPUNIT_ASSERT(bytes == EncodeState(update));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StateCodecTest);
