gateway: who acknowledges an unread record does not promote meanwhile

Cause: an instance that the store refuses acknowledges a newer record that its peers have read. As coordinator of the record before, it went on to promote until its last contact was 2 s old. The argument in ReplacementCoordinator relies on the opposite. Found by reading.

Change: while others have a newer record, a coordinator abandons its promotion, and neither promotes nor writes.

Evidence: DoesNothingWhileOthersHaveANewerRecord failed before (2 orders).

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -382,6 +382,7 @@
           now, gateway::ReplacementCoordinator::kActingContactLimit);
   fleet.m_coordinator_live =
       !m_peers.IsUnresponsive(m_coordinator.record().m_coordinator, now);
+  fleet.m_has_unread_record = m_peer_record.unread().has_value();
   m_coordinator.OnTick(GroupConditions(now), fleet, now);
   WatchReplacement(now);
   const bool coordinator_unresponsive =
--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -229,11 +229,13 @@
   }
   // Not only while the contact is recent: another coordinator relies on the end
   // of this call.
-  if (m_stage == Stage::kPromoting && now - m_call_sent > kCallTimeout) {
+  if (m_stage == Stage::kPromoting &&
+      (now - m_call_sent > kCallTimeout || fleet.m_has_unread_record)) {
     m_hooks.m_abandon_promotion();
     OnPromoted(PromotionResult::kUnknown, now);
   }
-  if (!m_listed || m_writing || !fleet.m_contact_recent) {
+  if (!m_listed || m_writing || !fleet.m_contact_recent ||
+      fleet.m_has_unread_record) {
     return;
   }
   if (!is_record_valid()) {
--- a/src/gateway/replacement_coordinator.h
+++ b/src/gateway/replacement_coordinator.h
@@ -40,6 +40,9 @@
   bool m_contact_recent = false;
   // Whether the coordinator of the intent is live.
   bool m_coordinator_live = false;
+  // Whether other instances have read a newer record than this one, which may
+  // then be acknowledged before it is read. See PeerReadRevisions.
+  bool m_has_unread_record = false;
 };
 
 // Identity and time limits of a coordinator.
@@ -90,7 +93,7 @@
 // Two promotions never overlap:
 //
 // - If the earlier coordinator acknowledges the new intent, it abandons its
-//   promotion call first.
+//   promotion call first, also where it only knows that others have read it.
 // - Otherwise the new coordinator waits for m_contact_limit, and
 //   kCoordinatorChangePause counts from the time at which the earlier one can
 //   no longer act. The earlier
--- a/test/gateway/replacement_coordinator_test.cc
+++ b/test/gateway/replacement_coordinator_test.cc
@@ -180,6 +180,7 @@
   CPPUNIT_TEST(PausesBetweenPromotionsOfTwoCoordinators);
   CPPUNIT_TEST(PausesAfterACoordinatorThatDoesNotKnowThatItWasTakenOver);
   CPPUNIT_TEST(PausesAfterARestartAmidAReplacement);
+  CPPUNIT_TEST(DoesNothingWhileOthersHaveANewerRecord);
   CPPUNIT_TEST(LastCoordinatorProposesFirst);
   CPPUNIT_TEST(RestoredRecordIsReplacedByASurvey);
   CPPUNIT_TEST(SurveyWaitsForTheConfigurationAndAMember);
@@ -826,6 +827,22 @@
                    ReplacementCoordinator::kCoordinatorChangePause);
   }
 
+  // Load: the store refuses a coordinator, whose peers report a newer record.
+  // It acknowledges that record although it has not read it.
+  // Guards against: as above.
+  void DoesNothingWhileOthersHaveANewerRecord() {
+    Fleet fleet({"a"});
+    Promote(&fleet, "a");
+    FleetCondition outdated = LiveFleet(true);
+    outdated.m_has_unread_record = true;
+    for (int i = 0; i < 200; ++i) {
+      fleet.AdvanceTime(10ms);
+      fleet.Tick("a", FailedPrimary(fleet), outdated);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, fleet.m_instances["a"].m_abandoned_promotions);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.m_all_orders.size());
+  }
+
   // After a replacement, peer reports about the old primary made instances that
   // had not yet contacted the new primary replace that one as well.
   void OutdatedPeerReportsDoNotReplaceANewPrimary() {
