gateway: the pause counts also while the new coordinator lacks contact

Cause: the end of the earlier coordinator's actions was noted only on ticks with a recent contact, so that the pause began too early after an outage.

Change: it is noted at the next such tick, as the latest possible time.

--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -186,14 +186,16 @@
 // intent, is too old.
 void ReplacementCoordinator::NoteEarlierCoordinator(const FleetCondition& fleet,
                                                     Time now) {
+  if (!m_earlier_coordinator_acts) {
+    return;
+  }
+  // This function may not have been called since then.
+  const Time end = m_intent_seen + kActingContactLimit;
+  m_other_coordinator_acted =
+      std::max(m_other_coordinator_acted.value_or(now), std::min(now, end));
   const bool acknowledged =
       fleet.m_instances_as_of >= m_intent_seen && fleet.m_all_acknowledged;
-  if (acknowledged || now - m_intent_seen > kActingContactLimit) {
-    m_earlier_coordinator_acts = false;
-  }
-  if (m_earlier_coordinator_acts) {
-    m_other_coordinator_acted = now;
-  }
+  m_earlier_coordinator_acts = !acknowledged && now <= end;
 }
 
 bool ReplacementCoordinator::HasChangePausePassed(Time now) const {
