gateway: a status counts from the time of its request

What callers could see: acknowledged writes lost after the primary of a group with synchronous replicas was replaced. The candidate is the replica with the longest log, or in a planned replacement one that has received all that the old primary has; both are read from statuses that may answer requests from before the old primary was unused. A member that answers late, up to 2.5 s, reports a position that it has passed since. Cause: the engine delivers each status with nothing that tells when it was requested, and the coordinator took those that came while it collected them. The same holds for the survey of a new epoch and for the confirmation that a promoted member leads. Change: the engine delivers the time at which the request was sent; a status counts only if that is not before the collection, the survey or the accepted promotion began. The probe before a planned replacement is left as it is: it only decides when to begin.

--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -236,8 +236,8 @@
 
 void FleetDuty::OnStatus(const gateway::MemberId& member,
                          const gateway::MemberStatus& status,
-                         gateway::Time now) {
-  m_coordinator.OnStatus(member, status, now);
+                         gateway::Time requested) {
+  m_coordinator.OnStatus(member, status, requested);
 }
 
 void FleetDuty::UpdatePrimaries(gateway::Time now) {
--- a/apps/gateway/fleet_duty.h
+++ b/apps/gateway/fleet_duty.h
@@ -87,10 +87,11 @@
                       gateway::Revision complete,
                       gateway::Time now);
 
-  // Called when a member has reported its status.
+  // Called when a member has reported its status to a request that was sent at
+  // `requested`.
   void OnStatus(const gateway::MemberId& member,
                 const gateway::MemberStatus& status,
-                gateway::Time now);
+                gateway::Time requested);
 
   // Decides again which primary the engine uses in each group. Called when the
   // members or the replacement record have changed, and on each tick.
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -107,8 +107,9 @@
     return adapter::ParseMemberStatus(row);
   };
   hooks.m_status = [this](const gateway::MemberId& member,
-                          const gateway::MemberStatus& status) {
-    m_fleet.OnStatus(member, status, Now());
+                          const gateway::MemberStatus& status,
+                          gateway::Time requested) {
+    m_fleet.OnStatus(member, status, requested);
   };
   hooks.m_report = [this](const gateway::StatementSummary& end) {
     (end.m_completed ? m_completed : m_refused) += 1;
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -340,7 +340,10 @@
   void RemoveConnection(Connection* connection);
   void NoteReachability(const Connection& connection, bool reached, Time now);
 
-  void OnStatusAnswer(Connection* connection, const Answer& answer, Time now);
+  void OnStatusAnswer(Connection* connection,
+                      const SentStatement& sent,
+                      const Answer& answer,
+                      Time now);
   void SendStatus(Connection* connection, Time now);
 
   // Time (engine.cc).
--- a/src/gateway/engine_answers.cc
+++ b/src/gateway/engine_answers.cc
@@ -231,7 +231,7 @@
       }
       return;
     case SentPurpose::kCommand:
-      OnStatusAnswer(connection, answer, now);
+      OnStatusAnswer(connection, sent, answer, now);
       return;
     case SentPurpose::kBegin:
     case SentPurpose::kStatement:
@@ -249,6 +249,7 @@
 }
 
 void Engine::OnStatusAnswer(Connection* connection,
+                            const SentStatement& sent,
                             const Answer& answer,
                             Time now) {
   const MemberId member = connection->m_member;
@@ -260,7 +261,7 @@
   const std::optional<MemberStatus> status =
       m_hooks.m_read_status(completed->m_rows.front());
   if (status) {
-    m_hooks.m_status(member, *status);
+    m_hooks.m_status(member, *status, sent.m_sent);
   }
 }
 
--- a/src/gateway/engine_hooks.h
+++ b/src/gateway/engine_hooks.h
@@ -82,8 +82,10 @@
   // Parses the row of a member's status; returns nullopt if it is malformed.
   std::function<std::optional<MemberStatus>(const std::string& row)>
       m_read_status;
-  // Delivers a member's status; see Engine::RequestStatus().
-  std::function<void(const MemberId&, const MemberStatus&)> m_status;
+  // Delivers a member's status and the time at which the request for it was
+  // sent; see Engine::RequestStatus().
+  std::function<void(const MemberId&, const MemberStatus&, Time requested)>
+      m_status;
   // Sends a message to another instance. The message may be lost.
   std::function<void(const InstanceId&, const ForwardMessage&)> m_forward;
   // Reports the end of a statement.
--- a/src/gateway/primary_survey.cc
+++ b/src/gateway/primary_survey.cc
@@ -15,8 +15,9 @@
 }
 
 void PrimarySurvey::OnStatus(const MemberId& member,
-                             const MemberStatus& status) {
-  if (m_began) {
+                             const MemberStatus& status,
+                             Time requested) {
+  if (m_began && requested >= *m_began) {
     m_statuses.insert_or_assign(member, status);
   }
 }
--- a/src/gateway/primary_survey.h
+++ b/src/gateway/primary_survey.h
@@ -27,7 +27,11 @@
   // Ends the survey and forgets the statuses.
   void End() { m_began.reset(); }
 
-  void OnStatus(const MemberId& member, const MemberStatus& status);
+  // Takes the status that a member reported to a request sent at `requested`,
+  // unless that was before the survey began.
+  void OnStatus(const MemberId& member,
+                const MemberStatus& status,
+                Time requested);
 
   bool is_in_progress() const { return m_began.has_value(); }
 
--- a/src/gateway/replacement_coordinator.cc
+++ b/src/gateway/replacement_coordinator.cc
@@ -531,12 +531,18 @@
 
 void ReplacementCoordinator::OnStatus(const MemberId& member,
                                       const MemberStatus& status,
-                                      Time) {
-  m_survey.OnStatus(member, status);
+                                      Time requested) {
+  m_survey.OnStatus(member, status, requested);
   for (auto& [group, probe] : m_catch_up_probes) {
     probe.OnStatus(member, status);
   }
-  if (m_stage == Stage::kCollectingStatuses || m_stage == Stage::kConfirming) {
+  // An earlier request may have been answered before the old primary was unused
+  // by all, or before the candidate was promoted.
+  const bool collected = m_stage == Stage::kCollectingStatuses &&
+                         requested >= m_status_collection_began;
+  const bool confirms =
+      m_stage == Stage::kConfirming && requested >= m_promotion_accepted;
+  if (collected || confirms) {
     m_statuses.insert_or_assign(member, status);
   }
 }
--- a/src/gateway/replacement_coordinator.h
+++ b/src/gateway/replacement_coordinator.h
@@ -164,7 +164,10 @@
   void OnEntries(const StoreObjects& objects, Revision complete, Time now);
   void OnWritten(const Result<StoreObject, StoreError>& result, Time now);
   void OnPromoted(PromotionResult result, Time now);
-  void OnStatus(const MemberId& member, const MemberStatus& status, Time now);
+  // Handles the status that a member reported to a request sent at `requested`.
+  void OnStatus(const MemberId& member,
+                const MemberStatus& status,
+                Time requested);
 
   // Evaluates all groups and advances the current replacement. Must be called
   // frequently.
--- a/test/gateway/engine_fixture.h
+++ b/test/gateway/engine_fixture.h
@@ -331,6 +331,7 @@
   std::vector<UnexpectedAnswer> m_unexpected;
   std::vector<std::pair<InstanceId, ForwardMessage>> m_forwarded;
   std::map<MemberId, MemberStatus> m_statuses;
+  std::map<MemberId, Time> m_statuses_requested;
   std::optional<Refused> m_refused;
   std::uint64_t m_sessions = 0;
   std::uint64_t m_signatures = 0;
@@ -378,9 +379,10 @@
     hooks.m_read_status = [](const std::string&) {
       return std::optional<MemberStatus>(MemberStatus{});
     };
-    hooks.m_status = [this](const MemberId& member,
-                            const MemberStatus& status) {
+    hooks.m_status = [this](const MemberId& member, const MemberStatus& status,
+                            Time requested) {
       m_statuses[member] = status;
+      m_statuses_requested[member] = requested;
     };
     hooks.m_forward = [this](const InstanceId& to,
                              const ForwardMessage& message) {
--- a/test/gateway/replaced_primary_test.cc
+++ b/test/gateway/replaced_primary_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(PrimaryIsBusyAfterItsEntryWasAwayForAWhile);
   CPPUNIT_TEST(AbandonedStatementsAreNotSentThereAgain);
   CPPUNIT_TEST(ProbeDoesNotHoldUpTheAcknowledgement);
+  CPPUNIT_TEST(StatusCarriesTheTimeOfItsRequest);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -168,6 +169,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.CountUnansweredAt("p"));
     CPPUNIT_ASSERT(fixture.m_engine.IsPrimaryIdle(EngineFixture::Group()));
   }
+
+  // The connection opens late, and the answer comes later still. What it tells
+  // may be as old as the sending of the request.
+  void StatusCarriesTheTimeOfItsRequest() {
+    EngineFixture fixture;
+    const MemberId member("r1");
+    fixture.m_engine.RequestStatus(member, fixture.m_now);
+    fixture.Advance(100ms);
+    fixture.OpenConnections();
+    const Time sent = fixture.m_now;
+    fixture.Advance(300ms);
+    fixture.AnswerAllAt("r1", 3);
+    CPPUNIT_ASSERT(fixture.m_statuses.contains(member));
+    CPPUNIT_ASSERT(sent == fixture.m_statuses_requested.at(member));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReplacedPrimaryTest);
--- a/test/gateway/replacement_coordinator_test.cc
+++ b/test/gateway/replacement_coordinator_test.cc
@@ -166,6 +166,9 @@
   CPPUNIT_TEST(TriesAnotherCandidateAfterARefusal);
   CPPUNIT_TEST(RepeatsTheSameOrderAfterALostAnswer);
   CPPUNIT_TEST(SynchronousGroupsNeedAllPositions);
+  CPPUNIT_TEST(LateStatusOfAnEarlierRequestIsNotUsed);
+  CPPUNIT_TEST(LateStatusDoesNotConfirmAPromotion);
+  CPPUNIT_TEST(LateStatusIsNotPartOfASurvey);
   CPPUNIT_TEST(DrainingReplicaWithTheLastCommitsIsPromoted);
   CPPUNIT_TEST(PlannedReplacementWaitsForAFollowingReplica);
   CPPUNIT_TEST(PlannedReplacementWaitsForTheLog);
@@ -433,6 +436,72 @@
     CPPUNIT_ASSERT(fleet.m_all_orders[0] == fleet.m_all_orders[1]);
   }
 
+  // A member answers a request that was sent before the old primary was unused.
+  // It may have received commits since.
+  void LateStatusOfAnEarlierRequestIsNotUsed() {
+    Fleet fleet({"a"});
+    GroupCondition group = FailedPrimary(fleet);
+    group.m_sync_replicas = 1;
+    fleet.Tick("a", group, LiveFleet(false));
+    fleet.ApplyWrites();
+    const Time requested = fleet.m_now;
+    fleet.AdvanceTime(20ms);
+    fleet.Tick("a", group, LiveFleet(true));
+    fleet.At("a").OnStatus(first_replica, StatusAt(7, MemberRole::kReplica),
+                           fleet.m_now);
+    fleet.At("a").OnStatus(second_replica, StatusAt(6, MemberRole::kReplica),
+                           requested);
+    fleet.AdvanceTime(20ms);
+    fleet.Tick("a", group, LiveFleet(true));
+    CPPUNIT_ASSERT(fleet.m_all_orders.empty());
+    fleet.At("a").OnStatus(second_replica, StatusAt(9, MemberRole::kReplica),
+                           fleet.m_now);
+    fleet.Tick("a", group, LiveFleet(true));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.m_all_orders.size());
+    CPPUNIT_ASSERT(second_replica == fleet.m_all_orders[0].m_candidate);
+  }
+
+  // The promoted member led an earlier term when it answered, and the promotion
+  // was lost.
+  void LateStatusDoesNotConfirmAPromotion() {
+    Fleet fleet({"a"});
+    const Time requested = fleet.m_now;
+    Promote(&fleet, "a");
+    fleet.At("a").OnPromoted(PromotionResult::kDone, fleet.m_now);
+    fleet.AdvanceTime(ReplacementCoordinator::kPromotionEffectLimit + 10ms);
+    fleet.At("a").OnStatus(second_replica, StatusAt(9, MemberRole::kPrimary),
+                           requested);
+    fleet.Tick("a", FailedPrimary(fleet), LiveFleet(true));
+    CPPUNIT_ASSERT(fleet.m_writes.empty());
+    fleet.At("a").OnStatus(second_replica, StatusAt(9, MemberRole::kPrimary),
+                           fleet.m_now);
+    fleet.Tick("a", FailedPrimary(fleet), LiveFleet(true));
+    CPPUNIT_ASSERT(!fleet.m_writes.empty());
+  }
+
+  // A member answers a request from before the epoch began.
+  void LateStatusIsNotPartOfASurvey() {
+    Fleet fleet({"a"});
+    const Time requested = fleet.m_now;
+    GroupCondition group = FailedPrimary(fleet);
+    group.m_members = {first_replica};
+    const Revision revision(StoreEpoch(1), 3);
+    fleet.m_last_revision = revision.value();
+    fleet.At("a").OnEntries({}, revision, fleet.m_now);
+    for (int i = 0; i < 10; ++i) {
+      fleet.AdvanceTime(1s);
+      fleet.Tick("a", group, LiveFleet(true));
+    }
+    fleet.At("a").OnStatus(first_replica, StatusAt(7, MemberRole::kPrimary),
+                           requested);
+    fleet.Tick("a", group, LiveFleet(true));
+    CPPUNIT_ASSERT(fleet.m_writes.empty());
+    fleet.At("a").OnStatus(first_replica, StatusAt(7, MemberRole::kPrimary),
+                           fleet.m_now);
+    fleet.Tick("a", group, LiveFleet(true));
+    CPPUNIT_ASSERT(!fleet.m_writes.empty());
+  }
+
   void SynchronousGroupsNeedAllPositions() {
     Fleet fleet({"a"});
     GroupCondition group = FailedPrimary(fleet);
