test: members of the answers rig can refuse SET and RESET

Trouble 'setup', off by default; no test in CTest uses it.

PINNED has another cause: the statement is sent together with its SET and RESET and runs at the member though one of them was refused.

--- a/test/answers_rig/answers_rig.py
+++ b/test/answers_rig/answers_rig.py
@@ -289,8 +289,9 @@
     parser.add_argument("--seconds", type=float, default=8,
                         help="how long the troubles last")
     parser.add_argument("--troubles", nargs="*", choices=names,
-                        default=[n for n in names if n != "begin"],
-                        help="default: all but begin")
+                        default=[n for n in names
+                                 if n not in ("begin", "setup")],
+                        help="default: all but begin and setup")
     parser.add_argument("--repeated-share", type=float, default=0.15)
     parser.add_argument("--refused-share", type=float, default=0.10)
     parser.add_argument("--restarts", action="store_true",
--- a/test/answers_rig/members.py
+++ b/test/answers_rig/members.py
@@ -31,14 +31,16 @@
     protocol (callers' texts as well). `repeat`: some answers to callers'
     statements come twice. `own`: so do answers to the gateways' own statements
     and to the start of a connection. `busy`: some statements are refused
-    without a run, as BUSY or LAGGING. `begin`: so is BEGIN, as BUSY. `pieces`:
-    every answer comes in two pieces (some callers' statements as well). `lost`:
-    some answers never come or end in the middle."""
+    without a run, as BUSY or LAGGING. `begin`: so is BEGIN, as BUSY. `setup`: so
+    are SET and RESET outside a transaction. `pieces`: every answer comes in two
+    pieces (some callers' statements as well). `lost`: some answers never come
+    or end in the middle."""
     text: bool = False
     repeat: bool = False
     own: bool = False
     busy: bool = False
     begin: bool = False
+    setup: bool = False
     pieces: bool = False
     lost: bool = False
     # Share of the answers that come twice, and of the refused statements.
@@ -346,6 +348,10 @@
             if (self.troubles.begin and text.startswith(b"BEGIN") and
                     self.is_refused()):
                 return self.error(connection, "BUSY")
+            if (self.troubles.setup and connection.transaction is None and
+                    text.startswith((b"SET ", b"RESET")) and
+                    self.is_refused()):
+                return self.error(connection, "BUSY")
             return self.run_own(connection, text)
         if statement is None:
             return self.error(connection, "MALFORMED")
