gateway: what a forwarded statement needs counts for its size

Seen by callers: a write whose session values or prepared statement are large was told 'in doubt' after 350 ms though it was never sent, and the holder counted as unresponsive for all callers of the instance. Cause: the limit of a forwarded statement counted its text only; the message also carries the session's values and the prepared statement.

--- a/src/gateway/engine_forwarding.cc
+++ b/src/gateway/engine_forwarding.cc
@@ -12,8 +12,9 @@
 // Time by which the holder's deadline precedes the sender's, so that the answer
 // arrives before the sender gives up.
 constexpr Duration kForwardMargin = 20ms;
-// Maximum size of a forwarded statement. The instance that received a longer
-// one runs it itself, because a message between instances holds at most 1 MiB.
+// Maximum size of a forwarded statement and of what it needs. The instance that
+// received a larger one runs it itself, because a message between instances
+// holds at most 1 MiB.
 constexpr std::size_t kMaxForwardedBytes = std::size_t{256} << 10;
 
 TransactionMode ModeOf(const std::optional<OpenTransaction>& transaction) {
@@ -24,6 +25,21 @@
                                   : TransactionMode::kReadWrite;
 }
 
+// Returns the size of the active statement, of the session's values and of the
+// prepared statement that it executes.
+std::size_t ForwardedBytesOf(const Session& session) {
+  const Statement& statement = session.m_active->m_statement;
+  std::size_t size = statement.m_text.size();
+  for (const auto& [name, value] : session.m_values) {
+    size += name.size() + value.size();
+  }
+  const auto prepared = session.m_prepared.find(statement.m_name);
+  if (prepared != session.m_prepared.end()) {
+    size += prepared->second.m_shape.size();
+  }
+  return size;
+}
+
 }  // namespace
 
 std::optional<InstanceId> Engine::ChooseHolder(const Session& session,
@@ -32,7 +48,7 @@
     return std::nullopt;
   }
   const std::optional<ActiveStatement>& active = session.m_active;
-  if (active && (active->m_statement.m_text.size() > kMaxForwardedBytes ||
+  if (active && (ForwardedBytesOf(session) > kMaxForwardedBytes ||
                  active->m_deadline - now <= kForwardMargin)) {
     return std::nullopt;
   }
