gateway: bound what is buffered for callers by back-pressure

Cause: LineChannel read on, whatever waited to be sent; a statement that the gateway answers itself is answered while it is read. Nothing counted what was held for a connection or for all. Ruled out: the limit of 64 waiting statements (only statements behind an active one wait), the customer's allowance (such statements are not operations). Change: CallerBuffers decides without I/O, from the memory and descriptors in the settings (new field limits). Reading from a caller pauses while its unsent answers exceed its part or two of its statements are unanswered, and resumes at half. Beyond a quarter of the memory the caller that holds most is closed, with BUSY unless an answer is on its way, and a log line. Lines that were complete before a pause are handed on afterwards, or refused when a stopping instance closes the session. Receive buffers of long lines are released. A failed accept is logged and repeated after 100 ms. The test platform has a second customer.

--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -129,6 +129,20 @@
     Log(m_logger, log4cplus::WARN_LOG_LEVEL, "disconnected a caller",
         {{"reason", reason}});
   };
+  hooks.m_overload = [this](const std::string& reason,
+                            const gateway::CallerLoad& load,
+                            std::size_t total_bytes) {
+    Log(m_logger, log4cplus::WARN_LOG_LEVEL, "closed the heaviest caller",
+        {{"reason", reason},
+         {"unsent_bytes", static_cast<std::int64_t>(load.m_unsent_bytes)},
+         {"received_bytes", static_cast<std::int64_t>(load.m_received_bytes)},
+         {"unanswered", static_cast<std::int64_t>(load.m_unanswered)},
+         {"total_bytes", static_cast<std::int64_t>(total_bytes)}});
+  };
+  hooks.m_accept_failed = [this](const std::string& reason) {
+    Log(m_logger, log4cplus::WARN_LOG_LEVEL, "cannot accept callers",
+        {{"reason", reason}});
+  };
   return hooks;
 }
 
@@ -447,7 +461,10 @@
   Log(m_logger, log4cplus::INFO_LOG_LEVEL, "starting",
       {{"zone", m_settings.m_zone}, {"store", m_settings.m_store}});
   m_callers = std::make_unique<adapter::CallerListener>(
-      m_io, *adapter::ParseEndpoint(m_settings.m_callers), MakeCallerHooks());
+      m_io, *adapter::ParseEndpoint(m_settings.m_callers),
+      gateway::CallerBufferLimitsFor(m_settings.m_limits.m_memory_bytes,
+                                     m_settings.m_limits.m_descriptors),
+      MakeCallerHooks());
   m_status = std::make_unique<adapter::StatusListener>(
       m_io, *adapter::ParseEndpoint(m_settings.m_status),
       adapter::StatusListener::Hooks{[this] { return IsReady(); },
--- a/apps/gateway/settings.cc
+++ b/apps/gateway/settings.cc
@@ -45,6 +45,8 @@
   }
   reader.OptionalObject<Processors>("processors", &settings->m_processors,
                                     ReadProcessors);
+  reader.OptionalObject<adapter::ProcessLimits>("limits", &settings->m_limits,
+                                                adapter::ReadProcessLimits);
   ReadAddress(reader, "store", &settings->m_store);
   ReadAddress(reader, "promotion", &settings->m_promotion);
   reader.Optional("key_withdrawal_limit_ms", &settings->m_key_withdrawal_limit);
--- a/apps/gateway/settings.h
+++ b/apps/gateway/settings.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "jasminelug/common.h"
+#include "platform/process_limits.h"
 
 namespace jasminelug::gateway_app {
 
@@ -38,6 +39,7 @@
   std::string m_peer_address;
   std::uint16_t m_peer_port = 0;
   Processors m_processors;
+  adapter::ProcessLimits m_limits;
   // Addresses of the metadata store and of the platform's promotion service.
   std::string m_store;
   std::string m_promotion;
--- a/jasminelug/gateway.h
+++ b/jasminelug/gateway.h
@@ -7,6 +7,7 @@
 
 #include "src/gateway/answer.h"
 #include "src/gateway/answer_check.h"
+#include "src/gateway/caller_buffers.h"
 #include "src/gateway/candidate_choice.h"
 #include "src/gateway/catch_up_probe.h"
 #include "src/gateway/cell_order.h"
--- a/src/common/object_reader.cc
+++ b/src/common/object_reader.cc
@@ -42,6 +42,9 @@
 }
 
 void ObjectReader::RejectUnknownFields() {
+  if (m_ignores_unknown_fields) {
+    return;
+  }
   for (const auto& field : m_object.items()) {
     if (!m_known_fields.contains(field.key())) {
       AddError(field.key(), "is not a known field");
--- a/src/common/object_reader.h
+++ b/src/common/object_reader.h
@@ -21,7 +21,8 @@
 
 // Reads the typed fields of one JSON object and collects all errors, each with
 // its full field path. After the hook has read the fields that it knows, Run
-// (and thus ReadDocument) reports every other field of the object as an error.
+// (and thus ReadDocument) reports every other field of the object as an error,
+// except after IgnoreUnknownFields().
 //
 //   Result<Listen, FieldErrors> result = ReadDocument<Listen>(
 //       text, JsonComments::kAllowed, [](ObjectReader& reader, Listen* listen)
@@ -148,6 +149,10 @@
     }
   }
 
+  // Accepts fields that the hook does not read. For objects of another system,
+  // which may add fields.
+  void IgnoreUnknownFields() { m_ignores_unknown_fields = true; }
+
   // Returns the JSON value of the field `name`, or nullptr if it is missing,
   // and marks the field as known. For fields that may have more than one JSON
   // type; the caller reports their errors by AddError.
@@ -198,6 +203,7 @@
   const std::string m_path;
   FieldErrors* m_errors;
   std::set<std::string> m_known_fields;
+  bool m_ignores_unknown_fields = false;
 };
 
 // Parses `text` as one JSON object and reads it with `hook`. Returns the value,
--- a/test/common/object_reader_test.cc
+++ b/test/common/object_reader_test.cc
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(MissingFieldsKeepDefaults);
   CPPUNIT_TEST(EachErrorNamesItsField);
   CPPUNIT_TEST(CommentsAreRefusedWhereNotAllowed);
+  CPPUNIT_TEST(UnknownFieldsAreIgnoredOnRequest);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -139,6 +140,25 @@
         "{\"name\": \"n\" /* no */}", JsonComments::kRefused, ReadSettings);
     CPPUNIT_ASSERT(!IsOk(result));
   }
+
+  // Only the object that asks for it is lenient, not those inside it.
+  void UnknownFieldsAreIgnoredOnRequest() {
+    const auto read = [](const std::string& text) {
+      return ReadDocument<Member>(text, JsonComments::kRefused,
+                                  [](ObjectReader& reader, Member* member) {
+                                    reader.IgnoreUnknownFields();
+                                    reader.Required("port", &member->m_port);
+                                    reader.OptionalObject<Member>(
+                                        "inner", member, ReadMember);
+                                  });
+    };
+    CPPUNIT_ASSERT(IsOk(read(R"({"port": 1, "other": 2})")));
+    const auto inner = read(
+        R"({"port": 1, "inner": {"address": "a", "port": 1, "other": 2}})");
+    CPPUNIT_ASSERT(!IsOk(inner));
+    CPPUNIT_ASSERT_EQUAL(std::string("inner.other"),
+                         GetError(inner).at(0).m_field);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ObjectReaderTest);
--- a/test/fake_line_platform/main.cc
+++ b/test/fake_line_platform/main.cc
@@ -105,11 +105,16 @@
                          {"priority", 1},
                          {"rate-per-s", 200},
                          {"burst", 200}};
+    const json other_tenant = {{"name", "kiosks"},
+                               {"api-keys", json::array({"key-kiosks"})},
+                               {"priority", 1},
+                               {"rate-per-s", 200},
+                               {"burst", 200}};
     m_configuration = {{"version", m_version},
                        {"routes", json::array({route})},
                        {"services", json::array({group})},
                        {"limits", {{"tx-idle-ms", 3000}}},
-                       {"tenants", json::array({tenant})}};
+                       {"tenants", json::array({tenant, other_tenant})}};
     m_store.Put("config", "main", m_configuration);
   }
 
--- a/test/gateway_app/settings_test.cc
+++ b/test/gateway_app/settings_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST_SUITE(SettingsTest);
   CPPUNIT_TEST(ReadsAllFields);
   CPPUNIT_TEST(ErrorsNameTheField);
+  CPPUNIT_TEST(LimitsOfThePlatformMayBeMissing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -41,6 +42,32 @@
                    GetValue(settings).m_shutdown_limit);
   }
 
+  // The platform may leave out a limit, and may add others.
+  void LimitsOfThePlatformMayBeMissing() {
+    struct Case {
+      std::string m_limits;
+      adapter::ProcessLimits m_expected;
+    };
+    const adapter::ProcessLimits unset;
+    const std::size_t megabyte = std::size_t{1} << 20;
+    const std::vector<Case> cases = {
+        {"{}", unset},
+        {R"({"cpu-share": 0.25, "cores": 1})", unset},
+        {R"({"memory-mb": 0, "max-fds": -1})", unset},
+        {R"({"memory-mb": null})", unset},
+        {R"({"memory-mb": 260})", {260 * megabyte, unset.m_descriptors}},
+        {R"({"memory-mb": 0.5, "max-fds": 4300, "link-mbps": 1000.0})",
+         {megabyte / 2, 4300}},
+    };
+    for (const Case& row : cases) {
+      const auto settings = ParseSettings(
+          With("\"store\"", "\"limits\": " + row.m_limits + ", \"store\""));
+      CPPUNIT_ASSERT_MESSAGE(row.m_limits, IsOk(settings));
+      CPPUNIT_ASSERT_MESSAGE(row.m_limits,
+                             row.m_expected == GetValue(settings).m_limits);
+    }
+  }
+
   void ErrorsNameTheField() {
     struct Case {
       std::string m_field;
@@ -58,6 +85,9 @@
         {"peer_ports", With("[7560, 7575]", "[70000]")},
         {"processors.share", With("0.25", "-1")},
         {"shutdown_limit_ms", With("7000", "0")},
+        {"limits", With("\"store\"", "\"limits\": 1, \"store\"")},
+        {"limits.memory-mb",
+         With("\"store\"", R"("limits": {"memory-mb": "x"}, "store")")},
         {"colour", With("\"zone\"", "\"colour\": 1, \"zone\"")},
     };
     for (const Case& row : cases) {
--- a/tools/demo_gateway.py
+++ b/tools/demo_gateway.py
@@ -60,9 +60,11 @@
 
 
 class Gateway:
-    """A gateway process with its own settings file."""
+    """A gateway process with its own settings file. `settings` adds to the
+    file, and `program` names another program."""
 
-    def __init__(self, build, folder, name, zone, store):
+    def __init__(self, build, folder, name, zone, store, settings=None,
+                 program=None):
         self.callers, self.status = free_port(), free_port()
         self.settings = folder / f"{name}.json"
         self.settings.write_text(json.dumps({
@@ -70,8 +72,8 @@
             "callers": f"127.0.0.1:{self.callers}",
             "status": f"127.0.0.1:{self.status}",
             "peer_address": "127.0.0.1", "peer_ports": [free_port()],
-            "store": store, "promotion": store}))
-        self.program = f"{build}/apps/gateway/jasminelug-gateway"
+            "store": store, "promotion": store} | (settings or {})))
+        self.program = program or f"{build}/apps/gateway/jasminelug-gateway"
         self.log = open(folder / f"{name}.log", "a", encoding="utf-8")
         self.start()
 
@@ -90,6 +92,9 @@
         except OSError:
             return 0, ""
 
+    def log_text(self):
+        return pathlib.Path(self.log.name).read_text(encoding="utf-8")
+
     def store_calls(self):
         """Returns how often this process has called the store."""
         return sum(int(line.split()[-1])
