gateway: bound the values and prepared names of sessions

Cause: a session keeps its values and prepared names without a limit, and reading its short answers is no effort. Ruled out: unread answers (the callers read them). More is refused with BUSY, which fails an open transaction, as the code promises that nothing is kept.

--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -25,6 +25,10 @@
 constexpr int kKeyContactNumerator = 9;
 constexpr int kKeyContactDenominator = 10;
 
+// Part of the memory that the sessions' values and prepared statements may
+// occupy.
+constexpr std::size_t kSessionStateMemoryDivisor = 8;
+
 gateway::EngineOptions MakeEngineOptions(const Settings& settings) {
   gateway::EngineOptions options;
   options.m_self = gateway::InstanceId(settings.m_instance);
@@ -36,6 +40,8 @@
       gateway::Duration(settings.m_shutdown_limit) / 2;
   options.m_shutdown_statement_limit =
       gateway::Duration(settings.m_shutdown_limit) - kExitReserve;
+  options.m_session_state_limit =
+      settings.m_limits.m_memory_bytes / kSessionStateMemoryDivisor;
   return options;
 }
 
--- a/jasminelug/gateway.h
+++ b/jasminelug/gateway.h
@@ -37,6 +37,7 @@
 #include "src/gateway/promotion.h"
 #include "src/gateway/replacement_coordinator.h"
 #include "src/gateway/revision.h"
+#include "src/gateway/session_state_bytes.h"
 #include "src/gateway/shutdown.h"
 #include "src/gateway/state_relay.h"
 #include "src/gateway/state_update.h"
--- a/src/gateway/engine.cc
+++ b/src/gateway/engine.cc
@@ -35,7 +35,8 @@
 Engine::Engine(EngineOptions options, EngineHooks hooks)
     : m_options(std::move(options)),
       m_hooks(std::move(hooks)),
-      m_holders(m_options.m_self) {}
+      m_holders(m_options.m_self),
+      m_session_state(m_options.m_session_state_limit) {}
 
 Session* Engine::FindSession(SessionId id) {
   const auto found = m_sessions.find(id.value());
@@ -293,6 +294,7 @@
   }
   m_session_closes_left -= may_close ? 1 : 0;
   const SessionId id = session->m_id;
+  m_session_state.Remove(id);
   m_sessions.erase(id.value());
   m_hooks.m_close_session(id);
 }
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -1,6 +1,7 @@
 #ifndef SRC_GATEWAY_ENGINE_H_
 #define SRC_GATEWAY_ENGINE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -23,6 +24,7 @@
 #include "src/gateway/member_table.h"
 #include "src/gateway/placement.h"
 #include "src/gateway/session.h"
+#include "src/gateway/session_state_bytes.h"
 #include "src/gateway/statement_queue.h"
 #include "src/gateway/store_contact.h"
 #include "src/gateway/store_object.h"
@@ -47,6 +49,9 @@
   // Time from the start of a shutdown after which every statement has been
   // answered, so that the process may exit.
   Duration m_shutdown_statement_limit = 5500ms;
+  // Maximum memory of the values and prepared statements of all sessions, in
+  // bytes.
+  std::size_t m_session_state_limit = std::size_t{20} << 20;
 };
 
 // The primary of a group, and whether this instance may use it.
@@ -204,6 +209,10 @@
   void StartStatement(Session* session, Statement statement, Time now);
   void ContinueSession(Session* session, Time now);
   void AnswerLocally(Session* session, const Statement& statement, Time now);
+  bool KeepValue(Session* session, const Statement& statement);
+  bool KeepPrepared(Session* session, const Statement& statement);
+  bool ReleasePrepared(Session* session, const std::string& name);
+  void RefuseState(Session* session, Time now);
   void BeginTransaction(Session* session, const Statement& s, Time now);
   void RollBackTransaction(Session* session, Time now);
   void SubmitToMember(Session* session, Statement statement, Time now);
@@ -367,6 +376,7 @@
   ForwardTable m_forwards;
   std::map<GroupName, Group> m_groups;
   std::unordered_map<std::uint64_t, std::unique_ptr<Session>> m_sessions;
+  SessionStateBytes m_session_state;
   std::optional<Time> m_shutdown_since;
   // Number of idle sessions that may still be closed in this tick.
   std::size_t m_session_closes_left = 0;
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -23,6 +23,12 @@
 // maximum of the budget.
 constexpr double kSpeculativeRetriesPerStatement = 0.05;
 constexpr double kMaxSpeculativeRetryBudget = 10;
+// Memory of a value or a prepared statement beside its texts.
+constexpr std::size_t kStateOverheadBytes = 128;
+
+std::size_t StateBytes(const std::string& name, const std::string& content) {
+  return name.size() + content.size() + kStateOverheadBytes;
+}
 
 }  // namespace
 
@@ -301,13 +307,19 @@
       RollBackTransaction(session, now);
       return;
     case StatementKind::kSetValue:
-      session->m_values[statement.m_name] = statement.m_argument;
+      if (!KeepValue(session, statement)) {
+        RefuseState(session, now);
+        return;
+      }
       break;
     case StatementKind::kPrepare:
-      session->m_prepared[statement.m_name] = statement.m_prepared;
+      if (!KeepPrepared(session, statement)) {
+        RefuseState(session, now);
+        return;
+      }
       break;
     case StatementKind::kRelease:
-      if (session->m_prepared.erase(statement.m_name) == 0) {
+      if (!ReleasePrepared(session, statement.m_name)) {
         Reply(session, Refused{ErrorCode::kUnknownStatement, statement.m_name});
         return;
       }
@@ -331,6 +343,62 @@
   Reply(session, Completed{});
 }
 
+// Keeps the value that a statement sets. Returns false if the session holds too
+// much.
+bool Engine::KeepValue(Session* session, const Statement& statement) {
+  const auto before = session->m_values.find(statement.m_name);
+  const std::size_t removed =
+      before == session->m_values.end()
+          ? 0
+          : StateBytes(statement.m_name, before->second);
+  if (!m_session_state.Replace(
+          session->m_id, removed,
+          StateBytes(statement.m_name, statement.m_argument))) {
+    return false;
+  }
+  session->m_values[statement.m_name] = statement.m_argument;
+  return true;
+}
+
+// Keeps the prepared statement that a statement defines. Returns false if the
+// session holds too much.
+bool Engine::KeepPrepared(Session* session, const Statement& statement) {
+  const auto before = session->m_prepared.find(statement.m_name);
+  const std::size_t removed =
+      before == session->m_prepared.end()
+          ? 0
+          : StateBytes(statement.m_name, before->second.m_shape);
+  if (!m_session_state.Replace(
+          session->m_id, removed,
+          StateBytes(statement.m_name, statement.m_prepared.m_shape))) {
+    return false;
+  }
+  session->m_prepared[statement.m_name] = statement.m_prepared;
+  return true;
+}
+
+// Returns false if there is no prepared statement of that name.
+bool Engine::ReleasePrepared(Session* session, const std::string& name) {
+  const auto found = session->m_prepared.find(name);
+  if (found == session->m_prepared.end()) {
+    return false;
+  }
+  m_session_state.Replace(session->m_id,
+                          StateBytes(name, found->second.m_shape), 0);
+  session->m_prepared.erase(found);
+  return true;
+}
+
+// Refuses a value or a prepared statement because too much is kept. The refusal
+// promises that nothing of the caller's attempt is kept, so an open transaction
+// fails.
+void Engine::RefuseState(Session* session, Time now) {
+  if (session->m_transaction) {
+    FailTransaction(session, now);
+  }
+  Reply(session, Refused{ErrorCode::kBusy, "too many session values"});
+}
+
 void Engine::BeginTransaction(Session* session,
                               const Statement& statement,
                               Time now) {
@@ -509,6 +577,7 @@
   if (connection && connection->m_sent.empty()) {
     RecycleConnection(connection, now);
   }
+  m_session_state.Remove(id);
   m_sessions.erase(id.value());
 }
 
--- a/test/process/slow_callers.py
+++ b/test/process/slow_callers.py
@@ -24,7 +24,7 @@
 
 MAX_MEMORY_SHARE = 0.7
 MAX_LOSS = 0.02
-KINDS = ("flood", "rows", "half", "silent")
+KINDS = ("flood", "rows", "half", "silent", "values")
 OTHERS = 10
 OTHERS_PAUSE_S = 0.1
 OBJECTIVE_S = 0.4
@@ -36,6 +36,7 @@
 LARGE_ITEM_BYTES = 256 * 1024
 FLOOD = b"QUERY f ROLLBACK\r\n" * 2000
 ROWS = b"QUERY r READ large\r\n" * 64
+VALUE = b"x" * (64 * 1024)
 HALF_LINE = b"QUERY h WRITE 1 " + b"x" * (900 * 1024)
 
 
@@ -45,7 +46,7 @@
     def __init__(self, port, kind):
         self.port, self.kind = port, kind
         self.socket, self.not_before, self.closed = None, 0.0, 0
-        self.read = 0
+        self.read = self.sets = 0
 
     def connect(self):
         self.socket = socket.socket()
@@ -75,11 +76,17 @@
             self.socket.close()
             self.socket, self.not_before = None, now + RECONNECT_S
 
+    def next_statements(self):
+        if self.kind == "values":
+            self.sets += 1
+            return b"QUERY s SET v%d %s\r\n" % (self.sets, VALUE)
+        return {"flood": FLOOD, "rows": ROWS}.get(self.kind, b"")
+
     def send(self):
         room = SENT_BYTES_PER_STEP
         while room > 0:
             if not self.pending:
-                self.pending = {"flood": FLOOD, "rows": ROWS}.get(self.kind, b"")
+                self.pending = self.next_statements()
             if not self.pending:
                 return
             try:
