platform: bound members' answers that are not complete

A member that sends rows without completing its answer takes the process over its memory, as the rows are kept until the answer is complete. Cause: MemberAnswerReader keeps any number of rows. Ruled out: a pause in reading, as an answer that is not read occupies the member. Change: MemberAnswerBytes bounds the sum to an eighth of the memory; beyond it the connection with the largest answer is closed, which ends its statement as a lost connection does. Tests: member_answer_bytes_test and member_answer_limit_test (new).

--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -29,6 +29,9 @@
 // occupy.
 constexpr std::size_t kSessionStateMemoryDivisor = 8;
 
+// Part of the memory that members' incomplete answers may occupy.
+constexpr std::size_t kAnswerMemoryDivisor = 8;
+
 gateway::EngineOptions MakeEngineOptions(const Settings& settings) {
   gateway::EngineOptions options;
   options.m_self = gateway::InstanceId(settings.m_instance);
@@ -56,7 +59,9 @@
       m_timer(m_io),
       m_statement_log(log4cplus::Logger::getInstance("statements")),
       m_engine(MakeEngineOptions(m_settings), MakeEngineHooks()),
-      m_members(m_io, MakeMemberHooks()),
+      m_members(m_io,
+                m_settings.m_limits.m_memory_bytes / kAnswerMemoryDivisor,
+                MakeMemberHooks()),
       m_fleet(m_io, m_settings, m_engine),
       m_forwarding(m_io, m_fleet.entry(), m_engine),
       m_state(m_io, m_settings, m_fleet.entry(), MakeStateHooks()) {
--- a/jasminelug/gateway.h
+++ b/jasminelug/gateway.h
@@ -28,6 +28,7 @@
 #include "src/gateway/ids.h"
 #include "src/gateway/instance_registrar.h"
 #include "src/gateway/member.h"
+#include "src/gateway/member_answer_bytes.h"
 #include "src/gateway/member_directory.h"
 #include "src/gateway/member_status.h"
 #include "src/gateway/peer_report.h"
