--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -25,6 +25,13 @@
 constexpr int kKeyContactNumerator = 9;
 constexpr int kKeyContactDenominator = 10;
 
+// Part of the memory that the sessions' values and prepared statements may
+// occupy.
+constexpr std::size_t kSessionStateMemoryDivisor = 8;
+
+// Part of the memory that members' incomplete answers may occupy.
+constexpr std::size_t kAnswerMemoryDivisor = 8;
+
 gateway::EngineOptions MakeEngineOptions(const Settings& settings,
                                          gateway::Incarnation incarnation) {
   gateway::EngineOptions options;
@@ -38,6 +45,8 @@
       gateway::Duration(settings.m_shutdown_limit) / 2;
   options.m_shutdown_statement_limit =
       gateway::Duration(settings.m_shutdown_limit) - kExitReserve;
+  options.m_session_state_limit =
+      settings.m_limits.m_memory_bytes / kSessionStateMemoryDivisor;
   return options;
 }
 
@@ -53,7 +62,9 @@
       m_timer(m_io),
       m_statement_log(log4cplus::Logger::getInstance("statements")),
       m_engine(MakeEngineOptions(m_settings, m_incarnation), MakeEngineHooks()),
-      m_members(m_io, MakeMemberHooks()),
+      m_members(m_io,
+                m_settings.m_limits.m_memory_bytes / kAnswerMemoryDivisor,
+                MakeMemberHooks()),
       m_fleet(m_io, m_settings, m_incarnation, m_engine),
       m_forwarding(m_io, m_fleet.entry(), m_engine),
       m_state(m_io, m_settings, m_fleet.entry(), MakeStateHooks()) {
@@ -142,6 +153,20 @@
     Log(m_logger, log4cplus::WARN_LOG_LEVEL, "disconnected a caller",
         {{"reason", reason}});
   };
+  hooks.m_overload = [this](const std::string& reason,
+                            const gateway::CallerLoad& load,
+                            std::size_t total_bytes) {
+    Log(m_logger, log4cplus::WARN_LOG_LEVEL, "closed the heaviest caller",
+        {{"reason", reason},
+         {"unsent_bytes", static_cast<std::int64_t>(load.m_unsent_bytes)},
+         {"received_bytes", static_cast<std::int64_t>(load.m_received_bytes)},
+         {"unanswered", static_cast<std::int64_t>(load.m_unanswered)},
+         {"total_bytes", static_cast<std::int64_t>(total_bytes)}});
+  };
+  hooks.m_accept_failed = [this](const std::string& reason) {
+    Log(m_logger, log4cplus::WARN_LOG_LEVEL, "cannot accept callers",
+        {{"reason", reason}});
+  };
   return hooks;
 }
 
@@ -473,7 +498,10 @@
   Log(m_logger, log4cplus::INFO_LOG_LEVEL, "starting",
       {{"zone", m_settings.m_zone}, {"store", m_settings.m_store}});
   m_callers = std::make_unique<adapter::CallerListener>(
-      m_io, *adapter::ParseEndpoint(m_settings.m_callers), MakeCallerHooks());
+      m_io, *adapter::ParseEndpoint(m_settings.m_callers),
+      gateway::CallerBufferLimitsFor(m_settings.m_limits.m_memory_bytes,
+                                     m_settings.m_limits.m_descriptors),
+      MakeCallerHooks());
   m_status = std::make_unique<adapter::StatusListener>(
       m_io, *adapter::ParseEndpoint(m_settings.m_status),
       adapter::StatusListener::Hooks{[this] { return IsReady(); },
--- a/jasminelug/gateway.h
+++ b/jasminelug/gateway.h
@@ -7,6 +7,7 @@
 
 #include "src/gateway/answer.h"
 #include "src/gateway/answer_check.h"
+#include "src/gateway/caller_buffers.h"
 #include "src/gateway/candidate_choice.h"
 #include "src/gateway/catch_up_probe.h"
 #include "src/gateway/cell_order.h"
@@ -27,6 +28,7 @@
 #include "src/gateway/ids.h"
 #include "src/gateway/instance_registrar.h"
 #include "src/gateway/member.h"
+#include "src/gateway/member_answer_bytes.h"
 #include "src/gateway/member_directory.h"
 #include "src/gateway/member_status.h"
 #include "src/gateway/peer_report.h"
@@ -37,6 +39,7 @@
 #include "src/gateway/replacement_coordinator.h"
 #include "src/gateway/replacement_watch.h"
 #include "src/gateway/revision.h"
+#include "src/gateway/session_state_bytes.h"
 #include "src/gateway/shutdown.h"
 #include "src/gateway/state_relay.h"
 #include "src/gateway/state_update.h"
--- a/test/platform_adapter/member_links_test.cc
+++ b/test/platform_adapter/member_links_test.cc
@@ -19,6 +19,7 @@
 using asio::ip::tcp;
 
 constexpr std::uint64_t kConnection = 7;
+constexpr std::size_t kAnswerLimitBytes = std::size_t{64} << 20;
 
 // What the hooks of a connection have reported.
 struct Events {
@@ -36,7 +37,7 @@
   explicit LinkFixture(const std::string& customer = "customer")
       : m_acceptor(m_io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
         m_member(m_io),
-        m_links(m_io, Hooks()) {
+        m_links(m_io, kAnswerLimitBytes, Hooks()) {
     gateway::Member member;
     member.m_id = gateway::MemberId("i-1");
     member.m_group = gateway::GroupName("g");
