--- a/src/gateway/replacement_coordinator.h
+++ b/src/gateway/replacement_coordinator.h
@@ -202,6 +202,9 @@
   std::optional<ReplacementIntent> IntentFor(const GroupName& group) const;
 
  private:
+  // Added to the contact limit for timers that fire late.
+  static constexpr Duration kContactMargin = 200ms;
+
   enum class Stage { kIdle, kCollectingStatuses, kPromoting, kConfirming };
 
   void BeginEpoch(StoreEpoch epoch, Time now);
