gateway: an instance that is asked for a copy reads its neighbours at once

Seen: CopyBootstrapTest::FirstStartOfAllTakesFewLists failed once in a few hundred runs: 7 or 8 lists of the store, the bound is 6. Cause: when a whole fleet starts for the first time, the instance that is to list first learns that it is the first only when it reads its neighbours again, up to 0.8 s after its start. The others, which know it and have asked it by then, wait a random time and list themselves. Ruled out: the test's model of requests (its answers were right). Change: an instance without a copy and without neighbours that is asked for its copy reads its neighbours at once; it makes no more reads than before. The test tells instances that they were asked; its bound stays, the five seeds that failed are played beside the random one.

--- a/apps/gateway/state_duty.cc
+++ b/apps/gateway/state_duty.cc
@@ -212,9 +212,12 @@
     m_hooks.m_send(sender, gateway::MakeStateUpdate(
                                request, copy.objects(), copy.changed(),
                                m_hooks.m_contact_age(request.m_kind, now)));
-  } else if (m_waiting.size() < kMaxWaitingRequests) {
+    return;
+  }
+  if (m_waiting.size() < kMaxWaitingRequests) {
     m_waiting.push_back({sender, request});
   }
+  m_bootstrap.OnAsked(now);
 }
 
 void StateDuty::AnswerWaiting(StoreKind kind, gateway::Time now) {
--- a/src/gateway/copy_bootstrap.cc
+++ b/src/gateway/copy_bootstrap.cc
@@ -72,6 +72,22 @@
   }
 }
 
+bool CopyBootstrap::MayReadNeighbours() const {
+  return !m_knows_neighbours && m_neighbour_reads < kNeighbourReads;
+}
+
+void CopyBootstrap::ReadNeighbours(Time now) {
+  m_neighbour_reads += 1;
+  ScheduleList(/*first=*/false, now);
+  m_hooks.m_read_neighbours();
+}
+
+void CopyBootstrap::OnAsked(Time now) {
+  if (!m_finished && MayReadNeighbours()) {
+    ReadNeighbours(now);
+  }
+}
+
 void CopyBootstrap::OnCopyHolder(const InstanceId& holder) {
   Ask(holder);
 }
@@ -80,10 +96,8 @@
   if (m_finished || now < m_list_at) {
     return;
   }
-  if (!m_knows_neighbours && m_neighbour_reads < kNeighbourReads) {
-    m_neighbour_reads += 1;
-    ScheduleList(/*first=*/false, now);
-    m_hooks.m_read_neighbours();
+  if (MayReadNeighbours()) {
+    ReadNeighbours(now);
     return;
   }
   const Duration interval = m_cell_size * FollowerElection::kCallInterval;
--- a/src/gateway/copy_bootstrap.h
+++ b/src/gateway/copy_bootstrap.h
@@ -21,7 +21,9 @@
 // cell lists the objects after kFirstListDelay; the others wait longer, for a
 // random time that grows with the size of the cell, so that few of them list.
 // While no neighbour is known, because all instances register at the same time,
-// the neighbours are read again a few times before the objects are listed.
+// the neighbours are read again a few times before the objects are listed. An
+// instance that is asked then reads them at once: it may be the first one, for
+// which the others wait.
 // While lists fail, the whole cell makes about one call per
 // FollowerElection::kCallInterval.
 class CopyBootstrap {
@@ -60,6 +62,10 @@
   // instances and contain some that have stopped.
   void OnNeighbours(const std::vector<InstanceEntry>& entries, Time now);
 
+  // Handles the request of another instance for a copy that this one does not
+  // have yet.
+  void OnAsked(Time now);
+
   // Handles the report of another instance, which shows that it has a copy.
   void OnCopyHolder(const InstanceId& holder);
 
@@ -71,6 +77,8 @@
   bool is_finished() const { return m_finished; }
 
  private:
+  bool MayReadNeighbours() const;
+  void ReadNeighbours(Time now);
   void Ask(const InstanceId& neighbour);
   void AskAtRandom(std::vector<InstanceEntry> neighbours, std::size_t count);
   void ScheduleList(bool first, Time now);
--- a/test/gateway/copy_bootstrap_test.cc
+++ b/test/gateway/copy_bootstrap_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <random>
@@ -36,6 +37,7 @@
       CopyBootstrap::Hooks hooks;
       hooks.m_ask = [this, i](const InstanceId& neighbour) {
         m_asked.push_back({i, neighbour});
+        m_requests.push_back({m_now + kRequestTime, neighbour});
       };
       hooks.m_read_neighbours = [this, i] {
         m_bootstraps[i]->OnNeighbours(m_registered, m_now);
@@ -67,6 +69,7 @@
 
   void Run(Duration duration) {
     for (const Time end = m_now + duration; m_now < end; m_now += 1ms) {
+      DeliverRequests();
       for (const Asked& asked : m_asked) {
         Answer(asked);
       }
@@ -101,6 +104,25 @@
     InstanceId m_neighbour;
   };
 
+  struct CopyRequest {
+    Time m_arrives;
+    InstanceId m_neighbour;
+  };
+
+  // Tells instances without a copy that they were asked for one.
+  void DeliverRequests() {
+    while (!m_requests.empty() && m_requests.front().m_arrives <= m_now) {
+      const InstanceId neighbour = m_requests.front().m_neighbour;
+      m_requests.pop_front();
+      for (const std::size_t i : m_started) {
+        const bool has_copy = m_copy_at[i] && m_now >= *m_copy_at[i];
+        if (m_entries[i].m_id == neighbour && !has_copy) {
+          m_bootstraps[i]->OnAsked(m_now);
+        }
+      }
+    }
+  }
+
   // An instance that was asked answers as soon as it has a copy.
   void Answer(const Asked& asked) {
     for (std::size_t i = 0; i < m_entries.size(); ++i) {
@@ -115,6 +137,7 @@
   std::set<std::size_t> m_started;
   std::vector<std::optional<Time>> m_copy_at;
   std::vector<Asked> m_asked;
+  std::deque<CopyRequest> m_requests;
 };
 
 class CopyBootstrapTest : public CppUnit::TestFixture {
@@ -156,24 +179,11 @@
   // All instances start for the first time, within 0.3 s. Each of them knows
   // only those that have registered before it, and the first knows none.
   void FirstStartOfAllTakesFewLists() {
-    const unsigned seed = std::random_device()();
-    Cell cell(58, seed);
-    std::vector<std::size_t> order;
-    for (std::size_t i = 0; i < 58; ++i) {
-      order.push_back(i);
+    // More lists than allowed were taken with the seeds that are named.
+    for (const unsigned seed : {835384983U, 830U, 1257U, 2046U, 2643U,
+                                unsigned{std::random_device()()}}) {
+      StartAllForTheFirstTime(seed);
     }
-    std::shuffle(order.begin(), order.end(), cell.m_random);
-    for (const std::size_t index : order) {
-      // A list that may be outdated lacks the entries of the last moments.
-      cell.Start(index, {});
-      cell.m_registered.push_back(cell.m_entries[index]);
-      cell.Run(5ms);
-    }
-    cell.Run(3s);
-    const std::string message = "seed " + std::to_string(seed) + ", lists " +
-                                std::to_string(cell.m_lists);
-    CPPUNIT_ASSERT_MESSAGE(message, cell.AllHaveCopies());
-    CPPUNIT_ASSERT_MESSAGE(message, cell.m_lists <= 6);
   }
 
   // The first instance of the cell, which would list first, does not come back.
@@ -214,6 +224,27 @@
     bootstrap.OnTick(Time(99s));
     CPPUNIT_ASSERT(lists <= 4);
   }
+
+ private:
+  static void StartAllForTheFirstTime(unsigned seed) {
+    Cell cell(58, seed);
+    std::vector<std::size_t> order;
+    for (std::size_t i = 0; i < 58; ++i) {
+      order.push_back(i);
+    }
+    std::shuffle(order.begin(), order.end(), cell.m_random);
+    for (const std::size_t index : order) {
+      // A list that may be outdated lacks the entries of the last moments.
+      cell.Start(index, {});
+      cell.m_registered.push_back(cell.m_entries[index]);
+      cell.Run(5ms);
+    }
+    cell.Run(3s);
+    const std::string message = "seed " + std::to_string(seed) + ", lists " +
+                                std::to_string(cell.m_lists);
+    CPPUNIT_ASSERT_MESSAGE(message, cell.AllHaveCopies());
+    CPPUNIT_ASSERT_MESSAGE(message, cell.m_lists <= 6);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CopyBootstrapTest);
