platform: a member's repeated READY to START is no answer

Seen: a member that answered START twice lost the connection, and a write in hand on it was told to be in doubt. Cause: a READY without a result was unreadable wherever it stood. Ruled out: a cut answer, which ends the connection's bytes; a READY in a transaction or after rows, which stays unreadable. Change: one READY in state I between two answers is ignored, with a log line; a second one is unreadable.

--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -193,6 +193,10 @@
         {{"reason", reason}});
     m_engine.OnConnectionClosed(id, code, Now());
   };
+  hooks.m_start_repeated = [this](gateway::ConnectionId id,
+                                  const gateway::MemberId& member) {
+    m_statement_log.AddRepeatedStart(id, member, Now());
+  };
   hooks.m_given_up = [this](const adapter::GivenUpConnection& link) {
     m_statement_log.AddGivenUp(link, Now());
   };
--- a/apps/gateway/statement_log.cc
+++ b/apps/gateway/statement_log.cc
@@ -149,6 +149,17 @@
         fields);
 }
 
+void StatementLog::AddRepeatedStart(gateway::ConnectionId connection,
+                                    const gateway::MemberId& member,
+                                    gateway::Time now) {
+  if (!Count(kUnexpectedPerSecond, &m_unexpected, now)) {
+    return;
+  }
+  Write(log4cplus::WARN_LOG_LEVEL, "ignored a member's repeated READY",
+        {{"member", member.str()},
+         {"connection", static_cast<std::int64_t>(connection.value())}});
+}
+
 void StatementLog::AddGivenUp(const adapter::GivenUpConnection& link,
                               gateway::Time now) {
   if (!Count(kUnexpectedPerSecond, &m_unexpected, now)) {
--- a/apps/gateway/statement_log.h
+++ b/apps/gateway/statement_log.h
@@ -30,6 +30,10 @@
   void AddMalformed(const gateway::Statement& statement, gateway::Time now);
   void AddUnexpected(const gateway::UnexpectedAnswer& answer,
                      gateway::Time now);
+  // Logs a repeated READY to START. Counts as an unexpected answer.
+  void AddRepeatedStart(gateway::ConnectionId connection,
+                        const gateway::MemberId& member,
+                        gateway::Time now);
   // Logs a member connection that was given up. Counts as an unexpected answer.
   void AddGivenUp(const adapter::GivenUpConnection& link, gateway::Time now);
 
