gateway: a transaction lost between two statements is aborted, not malformed

Seen: the statement after the loss of a transaction's connection, or after its time out, got MALFORMED, which promises nothing; the caller's operation failed although nothing of it was kept. Cause: a failed transaction refuses every statement as malformed; that the caller had not been told of the failure was not known. Change: the first statement after an unnoticed failure gets ABORTED, the next ones MALFORMED, as PROTOCOL asks in state E. Before: LossBetweenStatementsAbortsTheTransaction fails; after: it passes.

--- a/src/gateway/engine.cc
+++ b/src/gateway/engine.cc
@@ -358,6 +358,7 @@
   }
   if (!session->m_transaction->m_failed) {
     FailTransaction(session, now);
+    session->m_transaction->m_failed_unnoticed = true;
   } else if (session->m_is_forwarded) {
     // The sender is gone or has been told of the failure.
     session->m_transaction.reset();
--- a/src/gateway/engine_answers.cc
+++ b/src/gateway/engine_answers.cc
@@ -399,6 +399,7 @@
       OnStatementLost(session, now);
     } else if (session->m_transaction) {
       session->m_transaction->m_failed = true;
+      session->m_transaction->m_failed_unnoticed = true;
     }
   }
   Dispatch(group, now);
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -248,7 +248,11 @@
   const bool ends =
       kind == StatementKind::kCommit || kind == StatementKind::kRollback;
   if (failed && !ends) {
-    Reply(session, Refused{ErrorCode::kMalformed, "the transaction failed"});
+    const bool unnoticed =
+        std::exchange(session->m_transaction->m_failed_unnoticed, false);
+    Reply(session,
+          Refused{unnoticed ? ErrorCode::kAborted : ErrorCode::kMalformed,
+                  "the transaction failed"});
     return;
   }
   if (failed) {
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -94,6 +94,9 @@
   // Whether the transaction was rolled back or is being rolled back. The caller
   // still has to end it.
   bool m_failed = false;
+  // Whether the transaction failed between two statements, and the caller has
+  // not been told.
+  bool m_failed_unnoticed = false;
   bool m_wrote = false;
   // Whether a member has opened the transaction, or its first statement was
   // forwarded to a holder.
--- a/test/gateway/engine_sessions_test.cc
+++ b/test/gateway/engine_sessions_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(UnknownPreparedNameIsRefused);
   CPPUNIT_TEST(TransactionKeepsItsConnection);
   CPPUNIT_TEST(FailedTransactionRefusesUntilItEnds);
+  CPPUNIT_TEST(LossBetweenStatementsAbortsTheTransaction);
   CPPUNIT_TEST(CallerThatLeavesIsRolledBack);
   CPPUNIT_TEST(IdleTransactionIsEnded);
   CPPUNIT_TEST(MalformedStatementsRunNothing);
@@ -209,6 +210,36 @@
     CPPUNIT_ASSERT(connection.m_all.back().m_text != "COMMIT");
   }
 
+  // A statement of a transaction that was lost between two statements was
+  // malformed, although the caller could not know, and its operation failed.
+  void LossBetweenStatementsAbortsTheTransaction() {
+    struct Case {
+      const char* m_name;
+      bool m_idle;
+    };
+    for (const Case& row : {Case{"lost", false}, Case{"idle", true}}) {
+      EngineFixture fixture;
+      const SessionId id = fixture.Open("strict");
+      fixture.Send(id, StatementKind::kBegin, "BEGIN");
+      fixture.Write(id);
+      fixture.AnswerAllAt("p", 1);
+      if (row.m_idle) {
+        fixture.Advance(fixture.m_configuration.m_transaction_idle_limit +
+                        50ms);
+      } else {
+        fixture.LoseMember("p");
+      }
+      fixture.Write(id);
+      CPPUNIT_ASSERT_MESSAGE(row.m_name,
+                             ErrorCode::kAborted == fixture.LastError(id));
+      CPPUNIT_ASSERT_MESSAGE(row.m_name, TransactionState::kFailed ==
+                                             fixture.LastAnswer(id)->m_state);
+      fixture.Write(id);
+      CPPUNIT_ASSERT_MESSAGE(row.m_name,
+                             ErrorCode::kMalformed == fixture.LastError(id));
+    }
+  }
+
   void CallerThatLeavesIsRolledBack() {
     EngineFixture fixture;
     const SessionId id = fixture.Open("strict");
