--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -211,8 +211,11 @@
   void StartStatement(Session* session, Statement statement, Time now);
   void ContinueSession(Session* session, Time now);
   void AnswerLocally(Session* session, const Statement& statement, Time now);
-  bool KeepValue(Session* session, const Statement& statement);
-  bool KeepPrepared(Session* session, const Statement& statement);
+  template <typename Kept>
+  bool Keep(Session* session,
+            const std::string& name,
+            const Kept& kept,
+            std::map<std::string, Kept>* all);
   bool ReleasePrepared(Session* session, const std::string& name);
   void RefuseState(Session* session, Time now);
   void BeginTransaction(Session* session, const Statement& s, Time now);
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -30,6 +30,10 @@
   return name.size() + content.size() + kStateOverheadBytes;
 }
 
+std::size_t StateBytes(const std::string& name, const PreparedShape& shape) {
+  return StateBytes(name, shape.m_shape);
+}
+
 }  // namespace
 
 std::optional<Refused> Engine::OnSessionStart(SessionId id,
@@ -311,13 +315,15 @@
       RollBackTransaction(session, now);
       return;
     case StatementKind::kSetValue:
-      if (!KeepValue(session, statement)) {
+      if (!Keep(session, statement.m_name, statement.m_argument,
+                &session->m_values)) {
         RefuseState(session, now);
         return;
       }
       break;
     case StatementKind::kPrepare:
-      if (!KeepPrepared(session, statement)) {
+      if (!Keep(session, statement.m_name, statement.m_prepared,
+                &session->m_prepared)) {
         RefuseState(session, now);
         return;
       }
@@ -348,37 +354,21 @@
   Reply(session, Completed{});
 }
 
-// Keeps the value that a statement sets. Returns false if the session holds too
-// much.
-bool Engine::KeepValue(Session* session, const Statement& statement) {
-  const auto before = session->m_values.find(statement.m_name);
-  const std::size_t removed =
-      before == session->m_values.end()
-          ? 0
-          : StateBytes(statement.m_name, before->second);
-  if (!m_session_state.Replace(
-          session->m_id, removed,
-          StateBytes(statement.m_name, statement.m_argument))) {
-    return false;
-  }
-  session->m_values[statement.m_name] = statement.m_argument;
-  return true;
-}
-
-// Keeps the prepared statement that a statement defines. Returns false if the
-// session holds too much.
-bool Engine::KeepPrepared(Session* session, const Statement& statement) {
-  const auto before = session->m_prepared.find(statement.m_name);
+// Keeps the value that a statement sets, or the prepared statement that it
+// defines. Returns false if the session holds too much.
+template <typename Kept>
+bool Engine::Keep(Session* session,
+                  const std::string& name,
+                  const Kept& kept,
+                  std::map<std::string, Kept>* all) {
+  const auto before = all->find(name);
   const std::size_t removed =
-      before == session->m_prepared.end()
-          ? 0
-          : StateBytes(statement.m_name, before->second.m_shape);
-  if (!m_session_state.Replace(
-          session->m_id, removed,
-          StateBytes(statement.m_name, statement.m_prepared.m_shape))) {
+      before == all->end() ? 0 : StateBytes(name, before->second);
+  if (!m_session_state.Replace(session->m_id, removed,
+                               StateBytes(name, kept))) {
     return false;
   }
-  session->m_prepared[statement.m_name] = statement.m_prepared;
+  (*all)[name] = kept;
   return true;
 }
 
@@ -388,8 +378,7 @@
   if (found == session->m_prepared.end()) {
     return false;
   }
-  m_session_state.Replace(session->m_id,
-                          StateBytes(name, found->second.m_shape), 0);
+  m_session_state.Replace(session->m_id, StateBytes(name, found->second), 0);
   session->m_prepared.erase(found);
   return true;
 }
