gateway: a statement is sent only after the answers to its session's values

Cause: values, BEGIN and statement were sent in one write. Ruled out: PREPARE, behind which EXECUTE does not run if it was refused (each name is new on its connection); it stays in one write with EXECUTE. Change: the values are sent first, then BEGIN, then the statement, each after the answers to the step before. A read whose values are not answered is retried speculatively like one that is not answered. Price: one round trip for a session with values that the connection lacks.

--- a/src/gateway/engine.cc
+++ b/src/gateway/engine.cc
@@ -124,12 +124,11 @@
 // its status.
 void Engine::AbandonStatements(const MemberId& member, Time now) {
   for (const ConnectionId id : m_connections.AllOf(member)) {
-    const Connection* connection = m_connections.Find(id);
+    Connection* connection = m_connections.Find(id);
     const bool in_use =
         connection && connection->m_stage != Connection::Stage::kIdle;
     if (in_use && !connection->RequestsStatus()) {
-      m_hooks.m_close_connection(id);
-      OnConnectionClosed(id, std::nullopt, now);
+      LoseConnection(connection, now);
     }
   }
 }
@@ -239,9 +238,7 @@
                          !connection->m_sent.empty() &&
                          now - connection->m_last_used > kAbandonedTimeout;
   if (opening || abandoned) {
-    const ConnectionId id = connection->m_id;
-    m_hooks.m_close_connection(id);
-    OnConnectionClosed(id, std::nullopt, now);
+    LoseConnection(connection, now);
   }
 }
 
@@ -333,8 +330,9 @@
 
 bool Engine::ShouldRetrySpeculatively(const Session& session, Time now) const {
   const ActiveStatement& active = *session.m_active;
+  const bool awaits_member = active.m_sent || active.m_values_sent;
   const bool single_read =
-      active.m_sent && !active.m_writes && !session.m_transaction;
+      awaits_member && !active.m_writes && !session.m_transaction;
   if (!single_read || m_speculative_retry_budget < 1 ||
       active.m_speculative_retries >= kMaxSpeculativeRetries) {
     return false;
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -290,8 +290,10 @@
   StatementEvidence EvidenceFor(const Session& session,
                                 const Connection& connection,
                                 Time now) const;
-  std::vector<MemberStatement> SetupFor(const Session& session,
-                                        Connection* connection);
+  static std::vector<MemberStatement> TakeValuesFor(const Session& session,
+                                                    Connection* connection);
+  static std::vector<MemberStatement> TakePrepareFor(const Session& session,
+                                                     Connection* connection);
   MemberStatement MemberStatementFor(const Session& session,
                                      const Connection& connection) const;
   void Send(Connection* connection,
@@ -330,6 +332,10 @@
                  Connection* connection,
                  const Refused& refused,
                  Time now);
+  void OnSetupAnswer(Session* session,
+                     Connection* connection,
+                     bool failed,
+                     Time now);
   void OnBeginAnswer(Session* session,
                      Connection* connection,
                      const Answer& answer,
@@ -339,6 +345,7 @@
                    ErrorCode code,
                    Time now);
   void OnStatementLost(Session* session, Time now);
+  void LoseConnection(Connection* connection, Time now);
   void RecordSample(Connection* connection,
                     const SentStatement& sent,
                     const Answer& answer,
--- a/src/gateway/engine_answers.cc
+++ b/src/gateway/engine_answers.cc
@@ -162,13 +162,10 @@
                           const Answer& answer,
                           AnswerFit fit,
                           Time now) {
-  const ConnectionId id = connection->m_id;
   m_hooks.m_unexpected_answer(DescribeUnexpected(*connection, answer, fit));
-  if (fit == AnswerFit::kRepeated) {
-    return;
+  if (fit != AnswerFit::kRepeated) {
+    LoseConnection(connection, now);
   }
-  m_hooks.m_close_connection(id);
-  OnConnectionClosed(id, std::nullopt, now);
 }
 
 UnexpectedAnswer Engine::DescribeUnexpected(const Connection& connection,
@@ -216,7 +213,6 @@
                           const SentStatement& sent,
                           const Answer& answer,
                           Time now) {
-  const ConnectionId id = connection->m_id;
   NoteReachability(*connection, true, now);
   RecordSample(connection, sent, answer, now);
   connection->m_in_transaction = answer.m_state != TransactionState::kNone;
@@ -225,10 +221,7 @@
       connection->m_session ? FindSession(*connection->m_session) : nullptr;
   switch (sent.m_purpose) {
     case SentPurpose::kSetup:
-      if (failed) {
-        m_hooks.m_close_connection(id);
-        OnConnectionClosed(id, std::nullopt, now);
-      }
+      OnSetupAnswer(session, connection, failed, now);
       return;
     case SentPurpose::kCommand:
       OnStatusAnswer(connection, sent, answer, now);
@@ -248,6 +241,26 @@
   OnStatementAnswer(session, connection, sent, answer, now);
 }
 
+// Continues with the active statement once all that prepares the connection for
+// it was answered.
+void Engine::OnSetupAnswer(Session* session,
+                           Connection* connection,
+                           bool failed,
+                           Time now) {
+  if (failed) {
+    LoseConnection(connection, now);
+    return;
+  }
+  if (!connection->m_sent.empty()) {
+    return;
+  }
+  if (!session || !session->m_active) {
+    RecycleConnection(connection, now);
+    return;
+  }
+  SendStatement(session, connection, now);
+}
+
 void Engine::OnStatusAnswer(Connection* connection,
                             const SentStatement& sent,
                             const Answer& answer,
@@ -374,6 +387,13 @@
   Refuse(session, refused.m_code, refused.m_message, now);
 }
 
+// Closes a connection in use. What is in flight on it ends as if it was lost.
+void Engine::LoseConnection(Connection* connection, Time now) {
+  const ConnectionId id = connection->m_id;
+  m_hooks.m_close_connection(id);
+  OnConnectionClosed(id, std::nullopt, now);
+}
+
 void Engine::OnConnectionClosed(ConnectionId id,
                                 std::optional<ErrorCode> code,
                                 Time now) {
--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -50,6 +50,7 @@
 void Engine::PlaceAfterDelay(Session* session, Duration delay, Time now) {
   ActiveStatement& active = *session->m_active;
   active.m_sent = false;
+  active.m_values_sent = false;
   if (active.m_attempts >= kMaxAttempts || now + delay >= active.m_deadline) {
     Refuse(session, ErrorCode::kBusy, "no member could run it", now);
     return;
@@ -285,17 +286,29 @@
          m_primary_contact.IsFresh(now, m_options.m_primary_contact_limit);
 }
 
+// Sends the active statement, or first what must precede it: the session's
+// values, then the BEGIN of its transaction. Each step awaits the answers to
+// the one before, because a member that refuses a value would run the statement
+// without it.
 void Engine::SendStatement(Session* session, Connection* connection, Time now) {
   ActiveStatement& active = *session->m_active;
   if (!MaySendOn(*connection, now)) {
     OnStatementLost(session, now);
     return;
   }
+  const std::vector<MemberStatement> values =
+      TakeValuesFor(*session, connection);
+  if (!values.empty()) {
+    active.m_values_sent = true;
+    Send(connection, values, SentPurpose::kSetup, now);
+    return;
+  }
   if (session->m_transaction && !session->m_transaction->m_begun) {
     SendBegin(session, connection, now);
     return;
   }
-  std::vector<MemberStatement> statements = SetupFor(*session, connection);
+  std::vector<MemberStatement> statements =
+      TakePrepareFor(*session, connection);
   statements.push_back(MemberStatementFor(*session, *connection));
   active.m_sent = true;
   active.m_evidence = EvidenceFor(*session, *connection, now);
@@ -324,7 +337,6 @@
 }
 
 void Engine::SendBegin(Session* session, Connection* connection, Time now) {
-  std::vector<MemberStatement> statements = SetupFor(*session, connection);
   MemberStatement begin;
   begin.m_verb = session->m_transaction->m_read_only
                      ? MemberVerb::kBeginReadOnly
@@ -332,8 +344,7 @@
   if (session->m_active->m_floor) {
     begin.m_after = session->m_active->m_floor->m_position;
   }
-  statements.push_back(begin);
-  Send(connection, statements, SentPurpose::kBegin, now);
+  Send(connection, {begin}, SentPurpose::kBegin, now);
 }
 
 MemberStatement Engine::MemberStatementFor(const Session& session,
@@ -354,8 +365,10 @@
   return forward;
 }
 
-std::vector<MemberStatement> Engine::SetupFor(const Session& session,
-                                              Connection* connection) {
+// Returns the statements that give the connection the session's values, and
+// notes that it has them.
+std::vector<MemberStatement> Engine::TakeValuesFor(const Session& session,
+                                                   Connection* connection) {
   std::vector<MemberStatement> setup;
   const bool foreign_value =
       std::any_of(connection->m_values.begin(), connection->m_values.end(),
@@ -381,20 +394,28 @@
     setup.push_back(statement);
     connection->m_values[name] = value;
   }
+  return setup;
+}
+
+// Returns the statement that prepares what the active statement executes, if
+// the connection lacks it, and notes that it has it. If the member refuses it,
+// what is sent behind it does not run: each name is new on its connection.
+std::vector<MemberStatement> Engine::TakePrepareFor(const Session& session,
+                                                    Connection* connection) {
   const Statement& statement = session.m_active->m_statement;
   if (statement.m_kind != StatementKind::kExecute) {
-    return setup;
+    return {};
   }
   const PreparedShape& shape = session.m_prepared.at(statement.m_name);
-  if (!connection->m_prepared.contains(shape)) {
-    MemberStatement prepare;
-    prepare.m_verb = MemberVerb::kPrepare;
-    prepare.m_name = "p" + std::to_string(connection->m_next_prepared++);
-    prepare.m_prepared = shape;
-    setup.push_back(prepare);
-    connection->m_prepared[shape] = prepare.m_name;
-  }
-  return setup;
+  if (connection->m_prepared.contains(shape)) {
+    return {};
+  }
+  MemberStatement prepare;
+  prepare.m_verb = MemberVerb::kPrepare;
+  prepare.m_name = "p" + std::to_string(connection->m_next_prepared++);
+  prepare.m_prepared = shape;
+  connection->m_prepared[shape] = prepare.m_name;
+  return {prepare};
 }
 
 void Engine::RequestStatus(const MemberId& member, Time now) {
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -59,6 +59,8 @@
   // Whether the statement itself was sent, and not just the statements that
   // prepare the connection for it.
   bool m_sent = false;
+  // Whether the session's values were sent, which precede the statement.
+  bool m_values_sent = false;
   // When the statement was last placed.
   Time m_placed;
   // Set when the statement was last sent to a member.
