gateway: the late refusal of a value does not tell that a write did not run

The answer to one value came twice and was taken for the one to the next; the refusal of that one was taken for the write's, which ran. Cause: answers to values look alike, and an error fits every statement. Change: after values whose answers may be outstanding, an error to a write or commit is not believed until a signed answer shows that all before it was answered. The connection is closed; a single write is in doubt, a transaction aborted. Before: LateErrorOfAValueDoesNotPromiseThatAWriteDidNotRun fails; after: it passes.

--- a/src/gateway/connection_table.h
+++ b/src/gateway/connection_table.h
@@ -58,6 +58,11 @@
   // Signatures of the answers that were received, and number of all answers.
   SignatureHistory m_signatures;
   std::uint64_t m_answers = 0;
+  // Whether an answer without signature and rows was received, and whether one
+  // to a value may still be to come, because a repetition of an earlier one may
+  // have been taken for it.
+  bool m_has_plain_answer = false;
+  bool m_may_await_values = false;
   std::uint64_t m_next_prepared = 1;
 
   // Returns whether the connection is used to request the member's status.
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -299,6 +299,7 @@
   void Send(Connection* connection,
             const std::vector<MemberStatement>& statements,
             SentPurpose last_purpose,
+            const ActiveStatement* active,
             Time now);
 
   // Answers (engine_answers.cc).
--- a/src/gateway/engine_answers.cc
+++ b/src/gateway/engine_answers.cc
@@ -202,6 +202,10 @@
   const auto* completed = std::get_if<Completed>(&answer.m_outcome);
   if (completed && !completed->m_signature.empty()) {
     connection->m_signatures.Add(completed->m_signature);
+    // All that was sent before was answered, because a member answers in order.
+    connection->m_may_await_values = false;
+  } else if (completed) {
+    connection->m_has_plain_answer = true;
   }
   connection->m_is_retired |= !completed ||
                               sent.m_purpose == SentPurpose::kBegin ||
--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -14,6 +14,17 @@
 // Number of connections to each member for an instance that is shutting down.
 constexpr int kBudgetAtShutdown = 1;
 
+ExpectedAnswer ExpectedAnswerToOwn(const ActiveStatement& active,
+                                   MemberVerb verb,
+                                   const Connection& connection) {
+  const bool commits = active.m_statement.m_kind == StatementKind::kCommit;
+  ExpectedAnswer expected =
+      ExpectedAnswerTo(verb, connection.m_in_transaction, commits);
+  expected.m_own_error =
+      !connection.m_may_await_values || !(active.m_writes || commits);
+  return expected;
+}
+
 }  // namespace
 
 void Engine::PlaceOrEnqueue(Session* session, Time now) {
@@ -299,8 +310,10 @@
   const std::vector<MemberStatement> values =
       TakeValuesFor(*session, connection);
   if (!values.empty()) {
+    connection->m_may_await_values |=
+        connection->m_has_plain_answer || values.size() > 1;
     active.m_values_sent = true;
-    Send(connection, values, SentPurpose::kSetup, now);
+    Send(connection, values, SentPurpose::kSetup, nullptr, now);
     return;
   }
   if (session->m_transaction && !session->m_transaction->m_begun) {
@@ -315,7 +328,7 @@
   if (session->m_transaction && active.m_writes) {
     session->m_transaction->m_wrote = true;
   }
-  Send(connection, statements, SentPurpose::kStatement, now);
+  Send(connection, statements, SentPurpose::kStatement, &active, now);
 }
 
 StatementEvidence Engine::EvidenceFor(const Session& session,
@@ -344,7 +357,7 @@
   if (session->m_active->m_floor) {
     begin.m_after = session->m_active->m_floor->m_position;
   }
-  Send(connection, {begin}, SentPurpose::kBegin, now);
+  Send(connection, {begin}, SentPurpose::kBegin, nullptr, now);
 }
 
 MemberStatement Engine::MemberStatementFor(const Session& session,
@@ -449,29 +462,30 @@
   connection->m_is_status_request = false;
   MemberStatement status;
   status.m_verb = MemberVerb::kStatus;
-  Send(connection, {status}, SentPurpose::kCommand, now);
+  Send(connection, {status}, SentPurpose::kCommand, nullptr, now);
 }
 
+// Sends statements in one write. `active` is set if the last of them is the
+// session's own.
 void Engine::Send(Connection* connection,
                   const std::vector<MemberStatement>& statements,
                   SentPurpose last_purpose,
+                  const ActiveStatement* active,
                   Time now) {
   const Group& group = GroupOf(connection->m_group);
   SentStatement sent;
   sent.m_sent = now;
   sent.m_to_primary = group.m_primary.m_member == connection->m_member &&
                       IsPrimaryUsable(group, now);
-  const Session* session =
-      connection->m_session ? FindSession(*connection->m_session) : nullptr;
-  const bool commits =
-      session && session->m_active &&
-      session->m_active->m_statement.m_kind == StatementKind::kCommit;
   for (std::size_t i = 0; i < statements.size(); ++i) {
     const bool last = i + 1 == statements.size();
     sent.m_purpose = last ? last_purpose : SentPurpose::kSetup;
     sent.m_expected =
-        ExpectedAnswerTo(statements[i].m_verb, connection->m_in_transaction,
-                         /*ends_transaction=*/last && commits);
+        last && active
+            ? ExpectedAnswerToOwn(*active, statements[i].m_verb, *connection)
+            : ExpectedAnswerTo(statements[i].m_verb,
+                               connection->m_in_transaction,
+                               /*ends_transaction=*/false);
     connection->m_sent.push_back(sent);
   }
   connection->m_last_used = now;
--- a/test/gateway/member_values_test.cc
+++ b/test/gateway/member_values_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST_SUITE(MemberValuesTest);
   CPPUNIT_TEST(StatementAwaitsTheSessionsValues);
   CPPUNIT_TEST(StatementDoesNotRunWithoutItsValues);
+  CPPUNIT_TEST(LateErrorOfAValueDoesNotPromiseThatAWriteDidNotRun);
   CPPUNIT_TEST(ErrorIsTheStatementsOwnIfAllValuesWereAnswered);
   CPPUNIT_TEST(ReadWhoseValuesAreNotAnsweredIsRetriedSpeculatively);
   CPPUNIT_TEST(CallerThatLeavesReleasesTheConnection);
@@ -54,6 +55,36 @@
     }
   }
 
+  // The answer to the first value came twice and was taken for the one to the
+  // second. The refusal of the second was taken for the write's, which ran.
+  void LateErrorOfAValueDoesNotPromiseThatAWriteDidNotRun() {
+    struct Case {
+      const char* m_name;
+      StatementKind m_kind;
+      // What the caller is told; nullopt if the statement is run again.
+      std::optional<ErrorCode> m_expected;
+    };
+    const std::vector<Case> cases = {
+        {"write", StatementKind::kWrite, ErrorCode::kInDoubt},
+        {"read", StatementKind::kRead, std::nullopt}};
+    for (const Case& row : cases) {
+      EngineFixture fixture;
+      const SessionId id = OpenWithValues(&fixture, 2);
+      fixture.Send(id, row.m_kind, "text");
+      fixture.CompleteAt("p", kNone, 1);
+      const ConnectionId connection = fixture.m_connections.begin()->first;
+      const Answer repeated{Completed{}, kNone, LogPosition{Term(1), 1}};
+      fixture.m_engine.OnMemberAnswer(connection, repeated, fixture.m_now);
+      const Answer late{Refused{ErrorCode::kBusy, "-"}, kNone,
+                        LogPosition{Term(1), 1}};
+      fixture.m_engine.OnMemberAnswer(connection, late, fixture.m_now);
+      CPPUNIT_ASSERT_MESSAGE(row.m_name,
+                             fixture.m_connections.at(connection).m_closed);
+      CPPUNIT_ASSERT_MESSAGE(row.m_name,
+                             row.m_expected == fixture.LastError(id));
+    }
+  }
+
   void ErrorIsTheStatementsOwnIfAllValuesWereAnswered() {
     struct Case {
       const char* m_name;
