gateway: requests for a copy cause one read of the neighbours

Change: a request counts only after the first read was answered, and causes at most one read; one read is left for the time when the instance would list.

--- a/src/gateway/copy_bootstrap.cc
+++ b/src/gateway/copy_bootstrap.cc
@@ -47,6 +47,7 @@
       cell.push_back(entry);
     }
   }
+  m_has_read_neighbours = true;
   if (cell.empty()) {
     return;
   }
@@ -83,7 +84,9 @@
 }
 
 void CopyBootstrap::OnAsked(Time now) {
-  if (!m_finished && MayReadNeighbours()) {
+  const bool may_be_first =
+      m_has_read_neighbours && !m_knows_neighbours && m_neighbour_reads == 0;
+  if (!m_finished && may_be_first) {
     ReadNeighbours(now);
   }
 }
--- a/src/gateway/copy_bootstrap.h
+++ b/src/gateway/copy_bootstrap.h
@@ -63,7 +63,7 @@
   void OnNeighbours(const std::vector<InstanceEntry>& entries, Time now);
 
   // Handles the request of another instance for a copy that this one does not
-  // have yet.
+  // have yet. Such requests cause at most one read of the neighbours.
   void OnAsked(Time now);
 
   // Handles the report of another instance, which shows that it has a copy.
@@ -87,6 +87,9 @@
   const ZoneName m_zone;
   const Hooks m_hooks;
   int m_cell_size = kUnknownCellSize;
+  // Whether the first read of the neighbours was answered, and whether one has
+  // named any.
+  bool m_has_read_neighbours = false;
   bool m_knows_neighbours = false;
   int m_neighbour_reads = 0;
   Time m_list_at;
--- a/test/gateway/copy_bootstrap_test.cc
+++ b/test/gateway/copy_bootstrap_test.cc
@@ -27,6 +27,8 @@
  public:
   static constexpr Duration kRequestTime = 2ms;
   static constexpr Duration kListTime = 8ms;
+  // Number of kinds of objects, each of which is requested by itself.
+  static constexpr int kKinds = 5;
 
   Cell(std::size_t size, unsigned seed) : m_random(seed) {
     m_copy_at.resize(size);
@@ -37,10 +39,12 @@
       CopyBootstrap::Hooks hooks;
       hooks.m_ask = [this, i](const InstanceId& neighbour) {
         m_asked.push_back({i, neighbour});
-        m_requests.push_back({m_now + kRequestTime, neighbour});
+        for (int kind = 0; kind < kKinds; ++kind) {
+          m_requests.push_back({m_now + kRequestTime, neighbour});
+        }
       };
       hooks.m_read_neighbours = [this, i] {
-        m_bootstraps[i]->OnNeighbours(m_registered, m_now);
+        m_reads.push_back({m_now + kListTime, i, m_registered});
       };
       hooks.m_list = [this, i] {
         m_lists += 1;
@@ -69,6 +73,7 @@
 
   void Run(Duration duration) {
     for (const Time end = m_now + duration; m_now < end; m_now += 1ms) {
+      DeliverReads();
       DeliverRequests();
       for (const Asked& asked : m_asked) {
         Answer(asked);
@@ -109,6 +114,20 @@
     InstanceId m_neighbour;
   };
 
+  struct NeighbourRead {
+    Time m_arrives;
+    std::size_t m_reader;
+    std::vector<InstanceEntry> m_entries;
+  };
+
+  void DeliverReads() {
+    while (!m_reads.empty() && m_reads.front().m_arrives <= m_now) {
+      const NeighbourRead read = m_reads.front();
+      m_reads.pop_front();
+      m_bootstraps[read.m_reader]->OnNeighbours(read.m_entries, m_now);
+    }
+  }
+
   // Tells instances without a copy that they were asked for one.
   void DeliverRequests() {
     while (!m_requests.empty() && m_requests.front().m_arrives <= m_now) {
@@ -138,6 +157,7 @@
   std::vector<std::optional<Time>> m_copy_at;
   std::vector<Asked> m_asked;
   std::deque<CopyRequest> m_requests;
+  std::deque<NeighbourRead> m_reads;
 };
 
 class CopyBootstrapTest : public CppUnit::TestFixture {
