gateway: a barrier settles whether an error is a write's own

Now a BEGIN READ is sent behind it, whose answer no other can be taken for: if it comes next, the error was the write's own and is handled as before; if another answer comes first, the write ran, and is in doubt. In a transaction the connection is closed as before. - A transaction with several values whose first write got BUSY restarted at once, up to 24 times. The answer to BEGIN now ends the doubt of the values before it. - A refused value restarted its statement without a pause. It is now handled like a refused statement that did not run; an error that promises nothing ends the statement with BUSY. - A refused PREPARE put the write behind it in doubt, which did not run. Its own answer is now awaited. - A member that was taken out of use while values were on their way got the statement all the same. It is chosen again. - A RESET and a round trip where another idle connection has the session's values. That one is preferred. Left: with a repetition AND a refusal of a value, the statement may run without the value (PINNED); no answer of the protocol tells the two apart.

--- a/src/gateway/answer_check.cc
+++ b/src/gateway/answer_check.cc
@@ -90,8 +90,8 @@
   if (!expected) {
     return AnswerFit::kUnfitting;
   }
-  const bool fits = completed ? Matches(*completed, answer.m_state, *expected)
-                              : expected->m_own_error;
+  const bool fits =
+      !completed || Matches(*completed, answer.m_state, *expected);
   return fits ? AnswerFit::kFits : AnswerFit::kUnfitting;
 }
 
--- a/src/gateway/answer_check.h
+++ b/src/gateway/answer_check.h
@@ -23,10 +23,6 @@
   // Number of rows; unset if any number is allowed.
   std::optional<std::size_t> m_rows;
   TransactionState m_state = TransactionState::kNone;
-  // Whether an error is known to be the answer to this statement, and not to an
-  // earlier one. Matters only where the error would promise that it did not
-  // run.
-  bool m_own_error = true;
 };
 
 // Returns what a member answers to `verb`. `in_transaction` tells whether the
@@ -73,10 +69,10 @@
 // its connection. `expected` is nullopt if there is no such statement.
 // An answer without signature and rows where a signed one or none is due can
 // only repeat that to an earlier statement, because a member answers in order.
-// An error fits every statement whose errors are its own, so a connection must
-// not be used again once it has returned one: a repetition of the error could
-// not be told from an answer to the next statement. The same holds for the
-// success of a BEGIN, which fits the next BEGIN, and for a member's status.
+// An error fits every statement, so a connection must not be used again once it
+// has returned one: a repetition of the error could not be told from an answer
+// to the next statement. The same holds for the success of a BEGIN, which fits
+// the next BEGIN, and for a member's status.
 AnswerFit CheckAnswer(const Answer& answer,
                       const std::optional<ExpectedAnswer>& expected,
                       const SignatureHistory& history);
--- a/src/gateway/connection_table.cc
+++ b/src/gateway/connection_table.cc
@@ -25,16 +25,25 @@
   return found == m_connections.end() ? nullptr : found->second.get();
 }
 
-Connection* ConnectionTable::FindIdle(const MemberId& member,
-                                      const CustomerName& customer) {
+Connection* ConnectionTable::FindIdle(
+    const MemberId& member,
+    const CustomerName& customer,
+    const std::map<std::string, std::string>& values) {
   Connection* best = nullptr;
+  bool best_has_values = false;
   for (const auto& [id, connection] : m_connections) {
     if (connection->m_stage != Connection::Stage::kIdle ||
         connection->m_member != member || connection->m_customer != customer) {
       continue;
     }
-    if (!best || connection->m_last_used > best->m_last_used) {
+    const bool has_values = connection->m_values == values;
+    const bool better =
+        has_values != best_has_values
+            ? has_values
+            : !best || connection->m_last_used > best->m_last_used;
+    if (better) {
       best = connection.get();
+      best_has_values = has_values;
     }
   }
   return best;
--- a/src/gateway/connection_table.h
+++ b/src/gateway/connection_table.h
@@ -17,10 +17,12 @@
 
 // Purpose of a statement that was sent on a member connection.
 enum class SentPurpose {
-  kSetup,      // Sets the session's values and prepares its statements.
+  kValue,      // Sets or resets a value of the session.
+  kPrepare,    // Prepares what the session's statement executes.
   kBegin,      // Opens the session's transaction.
   kStatement,  // The session's own statement.
   kCommand,    // Is a command of the gateway itself.
+  kBarrier,    // Shows that all that was sent before was answered.
 };
 
 // A statement that was sent on a member connection and is not answered yet.
@@ -28,10 +30,19 @@
   SentPurpose m_purpose = SentPurpose::kStatement;
   Time m_sent;
   ExpectedAnswer m_expected{};
+  // Whether an error is known to answer this statement. An error to an earlier
+  // value must not tell that a write or commit did not run.
+  bool m_own_error = true;
   // Whether the member was the verified primary when the statement was sent.
   bool m_to_primary = false;
 };
 
+// An error that may answer an earlier statement than `m_sent`.
+struct DoubtedError {
+  SentStatement m_sent;
+  Answer m_answer;
+};
+
 // A connection to one member for one customer. It cannot change its customer,
 // because the member is told the customer when the connection starts.
 struct Connection {
@@ -58,11 +69,14 @@
   // Signatures of the answers that were received, and number of all answers.
   SignatureHistory m_signatures;
   std::uint64_t m_answers = 0;
-  // Whether an answer without signature and rows was received, and whether one
-  // to a value may still be to come, because a repetition of an earlier one may
-  // have been taken for it.
+  // Whether an answer without signature was received. It may come again.
   bool m_has_plain_answer = false;
+  // Whether the answer to a value may still be to come, because the repetition
+  // of an earlier one may have been taken for it. A single value on a
+  // connection without such answers leaves no doubt.
   bool m_may_await_values = false;
+  // Set until a barrier shows which statement the error answers.
+  std::optional<DoubtedError> m_doubted;
   std::uint64_t m_next_prepared = 1;
 
   // Returns whether the connection is used to request the member's status.
@@ -88,8 +102,11 @@
   // Removes the connection without closing it.
   void Remove(ConnectionId id) { m_connections.erase(id); }
 
-  // Returns the most recently used idle connection for `customer`, or null.
-  Connection* FindIdle(const MemberId& member, const CustomerName& customer);
+  // Returns an idle connection for `customer`, or null: one that holds `values`
+  // if there is one, and of several the most recently used.
+  Connection* FindIdle(const MemberId& member,
+                       const CustomerName& customer,
+                       const std::map<std::string, std::string>& values);
 
   // Returns the least recently used idle connection to `member`, or null.
   Connection* FindOldestIdle(const MemberId& member);
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -333,10 +333,21 @@
                  Connection* connection,
                  const Refused& refused,
                  Time now);
-  void OnSetupAnswer(Session* session,
+  void OnValueAnswer(Session* session,
                      Connection* connection,
-                     bool failed,
+                     const Answer& answer,
+                     Time now);
+  bool MayStillServe(const Session& session,
+                     const Connection& connection,
                      Time now);
+  void OnDoubtfulError(Connection* connection,
+                       const SentStatement& sent,
+                       const Answer& answer,
+                       Time now);
+  void OnBarrierAnswer(Session* session,
+                       Connection* connection,
+                       bool failed,
+                       Time now);
   void OnBeginAnswer(Session* session,
                      Connection* connection,
                      const Answer& answer,
--- a/src/gateway/engine_answers.cc
+++ b/src/gateway/engine_answers.cc
@@ -150,7 +150,12 @@
   const GroupName group = connection->m_group;
   connection->m_sent.pop_front();
   NoteAnswer(connection, sent, answer);
-  HandleAnswer(connection, sent, answer, now);
+  const bool failed = std::holds_alternative<Refused>(answer.m_outcome);
+  if (failed && !sent.m_own_error) {
+    OnDoubtfulError(connection, sent, answer, now);
+  } else {
+    HandleAnswer(connection, sent, answer, now);
+  }
   // A slot of the member is free now, even if the connection is still in use.
   Dispatch(group, now);
 }
@@ -200,12 +205,15 @@
                         const Answer& answer) {
   connection->m_answers += 1;
   const auto* completed = std::get_if<Completed>(&answer.m_outcome);
-  if (completed && !completed->m_signature.empty()) {
+  const bool is_signed = completed && !completed->m_signature.empty();
+  if (is_signed) {
     connection->m_signatures.Add(completed->m_signature);
-    // All that was sent before was answered, because a member answers in order.
+  }
+  connection->m_has_plain_answer |= completed && !is_signed;
+  // A member answers in order, and no other answer can be taken for a signed
+  // one or for that to the connection's only BEGIN.
+  if (is_signed || (completed && sent.m_purpose == SentPurpose::kBegin)) {
     connection->m_may_await_values = false;
-  } else if (completed) {
-    connection->m_has_plain_answer = true;
   }
   connection->m_is_retired |= !completed ||
                               sent.m_purpose == SentPurpose::kBegin ||
@@ -224,8 +232,17 @@
   Session* session =
       connection->m_session ? FindSession(*connection->m_session) : nullptr;
   switch (sent.m_purpose) {
-    case SentPurpose::kSetup:
-      OnSetupAnswer(session, connection, failed, now);
+    case SentPurpose::kValue:
+      OnValueAnswer(session, connection, answer, now);
+      return;
+    case SentPurpose::kPrepare:
+      // What is sent behind a refused PREPARE does not run, and says so.
+      if (failed && connection->m_in_transaction) {
+        LoseConnection(connection, now);
+      }
+      return;
+    case SentPurpose::kBarrier:
+      OnBarrierAnswer(session, connection, failed, now);
       return;
     case SentPurpose::kCommand:
       OnStatusAnswer(connection, sent, answer, now);
@@ -245,24 +262,91 @@
   OnStatementAnswer(session, connection, sent, answer, now);
 }
 
-// Continues with the active statement once all that prepares the connection for
-// it was answered.
-void Engine::OnSetupAnswer(Session* session,
+// Continues with the active statement once all its session's values were
+// answered.
+void Engine::OnValueAnswer(Session* session,
                            Connection* connection,
-                           bool failed,
+                           const Answer& answer,
                            Time now) {
-  if (failed) {
-    LoseConnection(connection, now);
+  const bool active = session && session->m_active;
+  if (const auto* refused = std::get_if<Refused>(&answer.m_outcome)) {
+    if (!active) {
+      LoseConnection(connection, now);
+      return;
+    }
+    connection->m_is_retired = true;
+    if (!RetryNotRun(session, connection, refused->m_code, now)) {
+      Refuse(session, ErrorCode::kBusy,
+             "the member refused a value: " + refused->m_message, now);
+    }
     return;
   }
   if (!connection->m_sent.empty()) {
     return;
   }
+  if (!active) {
+    RecycleConnection(connection, now);
+    return;
+  }
+  if (MayStillServe(*session, *connection, now)) {
+    SendStatement(session, connection, now);
+    return;
+  }
+  Detach(session);
+  RecycleConnection(connection, now);
+  PlaceAfterDelay(session, Duration::zero(), now);
+}
+
+// Returns whether the member may still run the session's operation. It may have
+// been taken out of use before the operation's first statement was sent.
+bool Engine::MayStillServe(const Session& session,
+                           const Connection& connection,
+                           Time now) {
+  if (session.m_transaction && session.m_transaction->m_begun) {
+    return true;
+  }
+  const MemberState* state = m_members.Find(connection.m_member);
+  const ActiveStatement& active = *session.m_active;
+  return state &&
+         MayServe(session, *state, active.m_needs_primary, active.m_floor, now);
+}
+
+// Finds out whether an error answers the statement in hand or a value that was
+// sent before: sends a statement whose answer no other can be taken for. If
+// another answer comes first, that is the statement's own, and it was run.
+void Engine::OnDoubtfulError(Connection* connection,
+                             const SentStatement& sent,
+                             const Answer& answer,
+                             Time now) {
+  if (connection->m_in_transaction) {
+    m_hooks.m_unexpected_answer(
+        DescribeUnexpected(*connection, answer, AnswerFit::kUnfitting));
+    LoseConnection(connection, now);
+    return;
+  }
+  connection->m_doubted = DoubtedError{sent, answer};
+  MemberStatement begin;
+  begin.m_verb = MemberVerb::kBeginReadOnly;
+  Send(connection, {begin}, SentPurpose::kBarrier, nullptr, now);
+}
+
+void Engine::OnBarrierAnswer(Session* session,
+                             Connection* connection,
+                             bool failed,
+                             Time now) {
+  const DoubtedError doubted =
+      *std::exchange(connection->m_doubted, std::nullopt);
+  if (failed) {
+    m_hooks.m_unexpected_answer(DescribeUnexpected(
+        *connection, doubted.m_answer, AnswerFit::kUnfitting));
+    LoseConnection(connection, now);
+    return;
+  }
   if (!session || !session->m_active) {
     RecycleConnection(connection, now);
     return;
   }
-  SendStatement(session, connection, now);
+  OnStatementAnswer(session, connection, doubted.m_sent, doubted.m_answer, now);
 }
 
 void Engine::OnStatusAnswer(Connection* connection,
--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -14,15 +14,18 @@
 // Number of connections to each member for an instance that is shutting down.
 constexpr int kBudgetAtShutdown = 1;
 
-ExpectedAnswer ExpectedAnswerToOwn(const ActiveStatement& active,
-                                   MemberVerb verb,
-                                   const Connection& connection) {
-  const bool commits = active.m_statement.m_kind == StatementKind::kCommit;
-  ExpectedAnswer expected =
-      ExpectedAnswerTo(verb, connection.m_in_transaction, commits);
-  expected.m_own_error =
-      !connection.m_may_await_values || !(active.m_writes || commits);
-  return expected;
+bool IsCommit(const ActiveStatement& active) {
+  return active.m_statement.m_kind == StatementKind::kCommit;
+}
+
+// Returns the purpose of a statement that is sent in one write with others, of
+// which the last has `last_purpose`.
+SentPurpose PurposeOf(MemberVerb verb, SentPurpose last_purpose, bool last) {
+  if (last) {
+    return last_purpose;
+  }
+  return verb == MemberVerb::kPrepare ? SentPurpose::kPrepare
+                                      : SentPurpose::kValue;
 }
 
 }  // namespace
@@ -147,7 +150,8 @@
   option.m_slots = member.m_slots;
   option.m_same_zone = member.m_zone == m_options.m_zone;
   option.m_is_replica = !is_primary;
-  if (m_connections.FindIdle(member.m_id, session.m_customer)) {
+  if (m_connections.FindIdle(member.m_id, session.m_customer,
+                             session.m_values)) {
     option.m_source = ConnectionSource::kIdle;
     return option;
   }
@@ -264,8 +268,8 @@
   }
   MemberState* state = m_members.Find(option.m_member);
   if (option.m_source == ConnectionSource::kIdle) {
-    Connection* connection =
-        m_connections.FindIdle(option.m_member, session->m_customer);
+    Connection* connection = m_connections.FindIdle(
+        option.m_member, session->m_customer, session->m_values);
     connection->m_stage = Connection::Stage::kInUse;
     connection->m_session = session->m_id;
     session->m_connection = connection->m_id;
@@ -313,7 +317,7 @@
     connection->m_may_await_values |=
         connection->m_has_plain_answer || values.size() > 1;
     active.m_values_sent = true;
-    Send(connection, values, SentPurpose::kSetup, nullptr, now);
+    Send(connection, values, SentPurpose::kValue, nullptr, now);
     return;
   }
   if (session->m_transaction && !session->m_transaction->m_begun) {
@@ -350,6 +354,8 @@
 }
 
 void Engine::SendBegin(Session* session, Connection* connection, Time now) {
+  std::vector<MemberStatement> statements =
+      TakePrepareFor(*session, connection);
   MemberStatement begin;
   begin.m_verb = session->m_transaction->m_read_only
                      ? MemberVerb::kBeginReadOnly
@@ -357,7 +363,8 @@
   if (session->m_active->m_floor) {
     begin.m_after = session->m_active->m_floor->m_position;
   }
-  Send(connection, {begin}, SentPurpose::kBegin, nullptr, now);
+  statements.push_back(begin);
+  Send(connection, statements, SentPurpose::kBegin, nullptr, now);
 }
 
 MemberStatement Engine::MemberStatementFor(const Session& session,
@@ -479,13 +486,12 @@
                       IsPrimaryUsable(group, now);
   for (std::size_t i = 0; i < statements.size(); ++i) {
     const bool last = i + 1 == statements.size();
-    sent.m_purpose = last ? last_purpose : SentPurpose::kSetup;
-    sent.m_expected =
-        last && active
-            ? ExpectedAnswerToOwn(*active, statements[i].m_verb, *connection)
-            : ExpectedAnswerTo(statements[i].m_verb,
-                               connection->m_in_transaction,
-                               /*ends_transaction=*/false);
+    sent.m_purpose = PurposeOf(statements[i].m_verb, last_purpose, last);
+    const bool commits = last && active && IsCommit(*active);
+    sent.m_expected = ExpectedAnswerTo(statements[i].m_verb,
+                                       connection->m_in_transaction, commits);
+    const bool changes_data = commits || (last && active && active->m_writes);
+    sent.m_own_error = !(connection->m_may_await_values && changes_data);
     connection->m_sent.push_back(sent);
   }
   connection->m_last_used = now;
