gateway: PREPARE is sent before the BEGIN of its transaction again

Seen on: CarriedStatementsTest::FieldsAreCarriedByteForByte and LongestLineIsCarriedOrRefused fail (form "an execution in a transaction": the member receives BEGIN, PREPARE, EXECUTE). Cause: since the statement is sent only after the answer to BEGIN, what it executes was prepared with it, inside the transaction. A repeated answer to BEGIN could then not be told from the answer to PREPARE, because both leave a transaction open, and a refused PREPARE fails the transaction. Change: PREPARE goes in one write with BEGIN, before it. If it is refused, the connection is lost before a statement was sent.

--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -357,7 +357,12 @@
   if (session->m_active->m_floor) {
     begin.m_after = session->m_active->m_floor->m_position;
   }
-  Send(connection, {begin}, SentPurpose::kBegin, nullptr, now);
+  // The answer to PREPARE can be told from that to BEGIN, because only the
+  // latter leaves a transaction open.
+  std::vector<MemberStatement> statements =
+      TakePrepareFor(*session, connection);
+  statements.push_back(begin);
+  Send(connection, statements, SentPurpose::kBegin, nullptr, now);
 }
 
 MemberStatement Engine::MemberStatementFor(const Session& session,
