gateway: log when the process was held up

Three gateway processes of two independent rigs wrote no line from 23:14:34.61 to 23:14:39.63 and then went on at the same moment. Ruled out for the engine: a path without a time limit (StatementDeadlinesTest). What is left: a process that gets no processor, or that is blocked in the system, for example while it writes its log. The logs could not tell. Clocks in log fields are converted by one function instead of two.

--- a/apps/gateway/clock.cc
+++ b/apps/gateway/clock.cc
@@ -6,13 +6,24 @@
 
 namespace jasminelug::gateway_app {
 
-gateway::Time Now() {
+namespace {
+
+gateway::Duration Read(clockid_t clock) {
   timespec time{};
-  clock_gettime(CLOCK_BOOTTIME, &time);
-  const auto since_boot = std::chrono::seconds(time.tv_sec) +
-                          std::chrono::nanoseconds(time.tv_nsec);
-  return gateway::Time(
-      std::chrono::duration_cast<gateway::Duration>(since_boot));
+  clock_gettime(clock, &time);
+  const auto read = std::chrono::seconds(time.tv_sec) +
+                    std::chrono::nanoseconds(time.tv_nsec);
+  return std::chrono::duration_cast<gateway::Duration>(read);
+}
+
+}  // namespace
+
+gateway::Time Now() {
+  return gateway::Time(Read(CLOCK_BOOTTIME));
+}
+
+gateway::Duration ProcessorTime() {
+  return Read(CLOCK_PROCESS_CPUTIME_ID);
 }
 
 gateway::Incarnation NewIncarnation() {
@@ -22,4 +33,9 @@
   return gateway::Incarnation(static_cast<std::uint64_t>(since_epoch.count()));
 }
 
+std::int64_t ToMilliseconds(gateway::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 }  // namespace jasminelug::gateway_app
--- a/apps/gateway/fleet_duty.cc
+++ b/apps/gateway/fleet_duty.cc
@@ -1,7 +1,6 @@
 #include "apps/gateway/fleet_duty.h"
 
 #include <algorithm>
-#include <chrono>
 #include <cstdint>
 #include <map>
 #include <utility>
@@ -19,11 +18,6 @@
 // Pause between two reports to the same peer.
 constexpr gateway::Duration kReportInterval = 200ms;
 
-std::int64_t ToMilliseconds(gateway::Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 gateway::InstanceEntry MakeEntry(const Settings& settings,
                                  gateway::Incarnation incarnation) {
   gateway::InstanceEntry entry;
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -385,8 +385,20 @@
   });
 }
 
+// Logs a late tick, because statements may have exceeded their time limits.
+void GatewayProcess::ReportLateTick(gateway::Time now) {
+  const std::optional<gateway::LateTick> late =
+      m_tick_watch.NoteTick(now, ProcessorTime());
+  if (late) {
+    Log(m_logger, log4cplus::WARN_LOG_LEVEL, "was held up",
+        {{"delay_ms", ToMilliseconds(late->m_delay)},
+         {"processor_ms", ToMilliseconds(late->m_processor_time)}});
+  }
+}
+
 void GatewayProcess::OnTick() {
   const gateway::Time now = Now();
+  ReportLateTick(now);
   m_state.OnTick(m_fleet.Candidate(now), now);
   if (m_directory.OnTick(now)) {
     m_engine.SetMembers(m_directory.Members(), now);
--- a/apps/gateway/gateway_process.h
+++ b/apps/gateway/gateway_process.h
@@ -62,6 +62,7 @@
   void ApplyEvacuations(gateway::Time now);
   void ScheduleTick();
   void OnTick();
+  void ReportLateTick(gateway::Time now);
   void AwaitSignal();
   void OnSignal(int signal);
   void BeginShutdown();
@@ -76,6 +77,7 @@
   asio::io_context m_io;
   asio::signal_set m_signals;
   asio::steady_timer m_timer;
+  gateway::TickWatch m_tick_watch{gateway::Engine::kTickInterval};
   StatementLog m_statement_log;
   gateway::Engine m_engine;
   gateway::MemberDirectory m_directory;
--- a/apps/gateway/statement_log.cc
+++ b/apps/gateway/statement_log.cc
@@ -7,21 +7,17 @@
 #include <utility>
 #include <variant>
 
+#include "apps/gateway/clock.h"
+
 namespace jasminelug::gateway_app {
 namespace {
 
-using std::chrono::milliseconds;
-
 // Maximum length of a text in a log line. Callers and members choose ids,
 // reasons and signatures, which may be as long as a message.
 constexpr std::size_t kMaxLoggedBytes = 256;
 // Length of the start of a statement's text that contains its verb.
 constexpr std::size_t kVerbBytes = 8;
 
-std::int64_t ToMilliseconds(gateway::Duration duration) {
-  return std::chrono::duration_cast<milliseconds>(duration).count();
-}
-
 std::string ToText(const std::optional<gateway::LogPosition>& position) {
   if (!position) {
     return "";
--- a/jasminelug/gateway.h
+++ b/jasminelug/gateway.h
@@ -47,5 +47,6 @@
 #include "src/gateway/store_contact.h"
 #include "src/gateway/store_follower.h"
 #include "src/gateway/store_object.h"
+#include "src/gateway/tick_watch.h"
 
 #endif  // JASMINELUG_GATEWAY_H_
