gateway: a forwarded statement that no member could receive is malformed

Seen in review: what another instance forwards was not checked. A statement, a value, a prepared statement or a customer that cannot be written as a line ended the connection to the member; the caller of a write was told that its outcome is unknown, and an empty id made the statement look like one of the gateway's own. Cause: only callers' lines were checked, in the codec of callers' lines. The wiring in ForwardingDuty has no test of its own.

--- a/apps/gateway/forwarding_duty.cc
+++ b/apps/gateway/forwarding_duty.cc
@@ -1,10 +1,12 @@
 #include "apps/gateway/forwarding_duty.h"
 
+#include <optional>
 #include <stdexcept>
 #include <utility>
 
 #include "apps/gateway/clock.h"
 #include "jasminelug/gossip.h"
+#include "platform/statement_check.h"
 
 namespace jasminelug::gateway_app {
 namespace {
@@ -223,9 +225,30 @@
         {{"peer", sender.m_instance.str()}});
     return;
   }
+  const std::optional<adapter::UnwritableLine> unwritable =
+      adapter::FindUnwritable(statement);
+  if (unwritable) {
+    RefuseUnwritable(sender.m_instance, *session, statement,
+                     unwritable->m_reason);
+    return;
+  }
   m_engine.OnForwardedStatement(*session, statement, now);
 }
 
+// Has the engine refuse a statement that no member could receive as it was
+// sent.
+void ForwardingDuty::RefuseUnwritable(
+    const gateway::InstanceId& sender,
+    gateway::SessionId session,
+    const gateway::ForwardedStatement& statement,
+    const std::string& reason) {
+  Log(m_logger, log4cplus::WARN_LOG_LEVEL, "refused an unwritable statement",
+      {{"peer", sender.str()}, {"reason", reason}});
+  gateway::ForwardedStatement malformed = statement;
+  malformed.m_statement.m_kind = gateway::StatementKind::kMalformed;
+  m_engine.OnForwardedStatement(session, malformed, Now());
+}
+
 // Refuses a statement of a transaction that was lost in a restart of this
 // instance, or was ended after being idle for too long. In both cases the
 // member has rolled it back.
--- a/apps/gateway/forwarding_duty.h
+++ b/apps/gateway/forwarding_duty.h
@@ -90,6 +90,10 @@
                  const gateway::ForwardProgress& progress);
   void RefuseUnknownTransaction(const gateway::InstanceId& sender,
                                 const gateway::ForwardedStatement& statement);
+  void RefuseUnwritable(const gateway::InstanceId& sender,
+                        gateway::SessionId session,
+                        const gateway::ForwardedStatement& statement,
+                        const std::string& reason);
   void OnLost(const peers::PeerAddress& peer);
   void EndSession(gateway::SessionId session, gateway::Time now);
   void SendBody(const peers::PeerAddress& peer, const peers::Body& body);
