--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -354,6 +354,8 @@
 }
 
 void Engine::SendBegin(Session* session, Connection* connection, Time now) {
+  // The answer to PREPARE can be told from that to BEGIN, because only the
+  // latter leaves a transaction open.
   std::vector<MemberStatement> statements =
       TakePrepareFor(*session, connection);
   MemberStatement begin;
