gateway: callers that send statements ahead take turns

Cause: LineChannel handed on all received lines, about 200 in a buffer of 4 KB, before another connection had its turn. The back-pressure pauses a caller while its answers are unread, but a refusal is short and at once sent, so that the callers were read without a pause. A turn of the event loop took 85 to 230 ms, also for the answers of members, and the members seemed to be slow.

Evidence: in each second 254,000 to 345,000 statements were refused and, after the first, none completed, while the gateway used a whole processor and the stand-ins for members were idle. The request of /metrics took 85 to 229 ms.

Ruled out: the budget of buffers (27 MB of 160 at the peak, no caller closed for memory); slots of members that are held by unread answers (an answer is taken from the member at once); the processor time of the stand-ins.

--- a/test/platform_adapter/caller_listener_test.cc
+++ b/test/platform_adapter/caller_listener_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(LineFeedInsideAFieldDoesNotEndAStatement);
   CPPUNIT_TEST(ReadingPausesWhileAnswersAreNotRead);
   CPPUNIT_TEST(ReadingPausesWhileStatementsAreUnanswered);
+  CPPUNIT_TEST(CallersThatSendAheadTakeTurns);
   CPPUNIT_TEST(ResetIsNoticedWhileReadingIsPaused);
   CPPUNIT_TEST(StatementsHeldAtACloseAreRefused);
   CPPUNIT_TEST(HeaviestCallerIsClosed);
@@ -168,6 +169,34 @@
     RunUntil(&io, [&server] { return server.m_ended == 1; });
   }
 
+  // Load: callers send statements without a pause, which are answered at once.
+  // Guards against: others wait for all that one of them has sent.
+  void CallersThatSendAheadTakeTurns() {
+    constexpr std::size_t kStatements = 100;
+    asio::io_context io;
+    Server server(&io, kLimits);
+    server.m_answers_at_once = true;
+    tcp::socket first = server.Connect();
+    tcp::socket second = server.Connect();
+    for (const auto& [caller, text] :
+         {std::pair(&first, "READ 1"), std::pair(&second, "READ 2")}) {
+      std::string sent = "START beds key\r\n";
+      for (std::size_t i = 0; i < kStatements; ++i) {
+        sent += "QUERY q " + std::string(text) + "\r\n";
+      }
+      asio::write(*caller, asio::buffer(sent));
+    }
+    RunUntil(&io, [&server] {
+      return server.m_statements.size() == 2 * kStatements;
+    });
+    std::size_t turns = 0;
+    for (std::size_t i = 1; i < server.m_statements.size(); ++i) {
+      turns +=
+          server.m_statements[i].m_text != server.m_statements[i - 1].m_text;
+    }
+    CPPUNIT_ASSERT(turns >= kStatements);
+  }
+
   void ResetIsNoticedWhileReadingIsPaused() {
     asio::io_context io;
     Server server(&io, kLimits);
