--- a/test/platform_adapter/member_links_test.cc
+++ b/test/platform_adapter/member_links_test.cc
@@ -69,6 +69,17 @@
     }
   }
 
+  // Runs until an answer was received. Returns the number of steps.
+  int StepsUntilAnswer() {
+    int steps = 0;
+    while (m_events.m_answers.empty()) {
+      steps += 1;
+      m_io.run_one_for(std::chrono::seconds(20));
+      CPPUNIT_ASSERT(steps < 1000);
+    }
+    return steps;
+  }
+
   void Send(const std::vector<gateway::MemberStatement>& statements) {
     m_links.Send(gateway::ConnectionId(kConnection), statements);
   }
@@ -125,11 +136,24 @@
   CPPUNIT_TEST(UnreadableAnswerClosesTheConnection);
   CPPUNIT_TEST(RepeatedStartLeavesTheConnectionOpen);
   CPPUNIT_TEST(LostConnectionIsNotGivenUp);
+  CPPUNIT_TEST(LongAnswerIsReadInFewSteps);
   CPPUNIT_TEST(UnwritableStatementIsNotSentInPart);
   CPPUNIT_TEST(UnwritableNameIsNotSent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against: an answer waits for the turns of all callers after each few
+  // kilobytes, so that its member seems to be slow.
+  void LongAnswerIsReadInFewSteps() {
+    constexpr std::size_t kRowBytes = std::size_t{32} << 10;
+    LinkFixture link;
+    link.Reply("READY I 3.1\r\n");
+    link.RunUntil([&link] { return link.events().m_opened; });
+    link.Reply("ROW " + std::string(kRowBytes, 'x') +
+               "\r\nCOMPLETE s\r\nREADY I 3.1\r\n");
+    CPPUNIT_ASSERT(link.StepsUntilAnswer() <= 4);
+  }
+
   void OnlyReadyOpensAConnection() {
     struct Case {
       std::string m_reply;
