--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -417,7 +417,8 @@
 
 // Returns the statement that prepares what the active statement executes, if
 // the connection lacks it, and notes that it has it. If the member refuses it,
-// what is sent behind it does not run: each name is new on its connection.
+// the active statement does not run, even if it is sent behind it: each name is
+// new on its connection.
 std::vector<MemberStatement> Engine::TakePrepareFor(const Session& session,
                                                     Connection* connection) {
   const Statement& statement = session.m_active->m_statement;
