gateway: a lost watch of the entries is noticed by the record's revision

What callers see: an instance whose entry was removed goes on without knowing it for up to 28.7 s. Nobody reports to it, it takes all others for lost, removes their entries, and a promotion need not wait for it.

Cause: the watch of the entries waits for 28 s. If it or its answer is lost, the instance still verifies the replacement record, and so keeps its contact, but not its registration.

Evidence: replacement model, FleetsOfSeveralCells.

Where the copy of the record shows a revision that the copy of the entries has lacked for 2 s, an instance that follows the store verifies its entries (CopyLag). Instances that do not follow make no call, so calls do not grow with the fleet.

The model carries out the decision as StateDuty does; its checks, bounds and waits are unchanged.

Calls to the store were not measured.

--- a/apps/gateway/state_duty.cc
+++ b/apps/gateway/state_duty.cc
@@ -340,6 +340,19 @@
   m_relay.Update(kind, LinkOf(kind).follower().complete(), now);
 }
 
+// Verifies the copy of the instances' entries, which is not watched closely.
+void StateDuty::VerifyEntries(gateway::Time now) {
+  const gateway::StoreFollower& entries =
+      LinkOf(StoreKind::kInstances).follower();
+  const gateway::StoreFollower& record =
+      LinkOf(StoreKind::kReplacements).follower();
+  const bool overdue =
+      m_entries_lag.TakeOverdue(entries.complete(), record.complete(), now);
+  if (overdue && entries.is_following()) {
+    Refresh(StoreKind::kInstances, now);
+  }
+}
+
 void StateDuty::OnTick(const gateway::FollowerCandidate& self,
                        gateway::Time now) {
   for (const auto& [kind, link] : m_links) {
@@ -361,6 +374,7 @@
       Refresh(kind, now);
     }
   }
+  VerifyEntries(now);
 }
 
 std::vector<gateway::CopyRevision> StateDuty::Copies() const {
--- a/apps/gateway/state_duty.h
+++ b/apps/gateway/state_duty.h
@@ -120,6 +120,7 @@
   void OnVerified(gateway::StoreKind kind, gateway::Time sent);
   void AnswerWaiting(gateway::StoreKind kind, gateway::Time now);
   void UpdateFollowing(gateway::Time now);
+  void VerifyEntries(gateway::Time now);
   void UpdateRelay(gateway::StoreKind kind, gateway::Time now);
   void RefreshLostLinks(gateway::Time now);
 
@@ -157,6 +158,7 @@
   bool m_has_neighbours = false;
   gateway::StateRelay m_relay;
   gateway::FollowerElection m_follower;
+  gateway::CopyLag m_entries_lag;
   gateway::CopyBootstrap m_bootstrap;
   std::map<std::pair<gateway::InstanceId, gateway::StoreKind>, PendingRequests>
       m_requested;
--- a/jasminelug/gateway.h
+++ b/jasminelug/gateway.h
@@ -14,6 +14,7 @@
 #include "src/gateway/configuration.h"
 #include "src/gateway/connection_holders.h"
 #include "src/gateway/copy_bootstrap.h"
+#include "src/gateway/copy_lag.h"
 #include "src/gateway/customer_limiter.h"
 #include "src/gateway/engine.h"
 #include "src/gateway/engine_hooks.h"
--- a/test/gateway/replacement_model.h
+++ b/test/gateway/replacement_model.h
@@ -34,8 +34,8 @@
 //
 // The instances decide with the gateway's own code: ReplacementCoordinator,
 // PeerView, DecidePrimary(), PeerReadRevisions, InstanceRegistrar,
-// StoreFollower, StateRelay, FollowerElection, StoreContact. The model only
-// carries out what they decide, as FleetDuty and StateDuty do. The
+// StoreFollower, StateRelay, FollowerElection, CopyLag, StoreContact. The model
+// only carries out what they decide, as FleetDuty and StateDuty do. The
 // configuration is left out: the replacement record is the kind that is
 // verified.
 //
@@ -291,6 +291,7 @@
     std::map<StoreKind, Copy> m_copies;
     std::unique_ptr<StateRelay> m_relay;
     std::unique_ptr<FollowerElection> m_election;
+    CopyLag m_entries_lag;
     std::map<std::pair<InstanceId, StoreKind>, Time> m_requested;
     // The call of each client that is in progress, and whether it was
     // abandoned.
@@ -976,6 +977,19 @@
         Refresh(self, kind);
       }
     }
+    VerifyEntries(self);
+  }
+
+  void VerifyEntries(Instance* self) {
+    const StoreFollower& entries =
+        *self->m_copies[StoreKind::kInstances].m_follower;
+    const StoreFollower& record =
+        *self->m_copies[StoreKind::kReplacements].m_follower;
+    const bool overdue = self->m_entries_lag.TakeOverdue(
+        entries.complete(), record.complete(), m_now);
+    if (overdue && entries.is_following()) {
+      Refresh(self, StoreKind::kInstances);
+    }
   }
 
   void Tick(std::size_t at) {
