gateway: a watch that began before a restore proves nothing

What callers see: a copy that lacks changes for good, at a revision at which others have them. In the entries, that is an instance whose reports are ignored, that is taken for lost, and that a promotion does not wait for.

Cause: a copy of the restored store is adopted from a peer while a watch from the earlier epoch is in progress. Its answer has the epoch of the copy, so it was taken for changes since the copy: the copy was set to the revision of the answer, without the changes between the two.

Change: the epoch of an answer is compared with that in which the watch began; the objects are then listed again.

StoreFollowerTest::WatchFromAnEarlierEpochProvesNothing failed before (complete() is the revision of the answer) and passes after.

--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -188,7 +188,10 @@
     RejectOlderEpoch(now);
     return;
   }
-  if (changes.m_revision.epoch() > m_revision.epoch()) {
+  // Compared with the epoch in which the watch began, not with that of the
+  // copy: a copy of the later epoch that was adopted during the call lacks the
+  // changes that were made after it, and the answer does not contain them.
+  if (changes.m_revision.epoch() > m_watched_from.epoch()) {
     Start(now);
     return;
   }
--- a/test/gateway/store_follower_test.cc
+++ b/test/gateway/store_follower_test.cc
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(ListAcrossARestoreIsBegunAgain);
   CPPUNIT_TEST(AnswerFromBeforeTheRestoreProvesNothing);
   CPPUNIT_TEST(AnswerToAnEarlierWatchProvesNothing);
+  CPPUNIT_TEST(WatchFromAnEarlierEpochProvesNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -264,6 +265,27 @@
     CPPUNIT_ASSERT_EQUAL(before + 1, harness.m_watches.size());
     CPPUNIT_ASSERT(harness.m_watches.back().m_wait <= 1ms);
   }
+
+  // A copy of the restored store is adopted during a watch that began before
+  // the restore. The watch returns with a later revision of the restored store,
+  // and without the changes that were made after the adopted copy.
+  void WatchFromAnEarlierEpochProvesNothing() {
+    const StoreEpoch restored(1);
+    Harness harness;
+    List(&harness);
+    harness.m_follower.Adopt({{"b", Zone("b", 5)}}, Revision(restored, 6));
+    harness.m_verified.reset();
+    harness.m_follower.OnChanges(StoreChanges{{}, Revision(restored, 8)},
+                                 Time(2s));
+    CPPUNIT_ASSERT(Revision(restored, 6) == harness.m_follower.complete());
+    CPPUNIT_ASSERT(!harness.m_verified);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.m_lists.size());
+    harness.m_follower.OnPage(
+        StorePage{{Zone("b", 5), Zone("c", 7)}, false, Revision(restored, 8)},
+        Time(3s));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.m_count);
+    CPPUNIT_ASSERT(Revision(restored, 8) == harness.m_watches.back().m_since);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreFollowerTest);
