gateway: a coordinator takes the role of a head while its intent runs

Cause: reports, and with them acknowledgements, reach heads only. A coordinator that is no head listed 11 to 24 instances as missing although all had acknowledged, and waited for the contact limit. Change: UpdateRole() makes the coordinator of the intent in the record a head, regardless of its position. Before: CoordinatorReceivesTheAcknowledgementsOfAllCells fails with the argument ignored; after: it passes.

--- a/apps/gateway/fleet_duty_reports.cc
+++ b/apps/gateway/fleet_duty_reports.cc
@@ -55,7 +55,7 @@
 
 void FleetDuty::SendReports(gateway::Time now) {
   m_last_report = now;
-  m_peers.UpdateRole(now);
+  m_peers.UpdateRole(m_coordinator.IsOwnIntent(), now);
   gateway::PeerReport report = MakeReport(now);
   const bool acknowledges = report.m_acknowledged != m_reported_revision;
   if (acknowledges) {
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -285,7 +285,7 @@
   return delay + std::chrono::duration_cast<Duration>(spread * random);
 }
 
-void PeerView::UpdateRole(Time now) {
+void PeerView::UpdateRole(bool is_coordinator, Time now) {
   const auto heads_before = static_cast<int>(
       std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& item) {
         return IsBeforeInCell(item.second.m_entry, m_own_entry) &&
@@ -293,13 +293,15 @@
       }));
   if (heads_before >= kHeads) {
     m_vacant_since.reset();
-    m_is_head = false;
   } else {
     m_vacant_since = m_vacant_since.value_or(now);
-    if (!m_is_head && now - *m_vacant_since >= HeadDelay()) {
-      m_is_head = true;
-      m_head_since = now;
-    }
+  }
+  const bool takes_vacant_role =
+      m_vacant_since && (m_is_head || now - *m_vacant_since >= HeadDelay());
+  const bool was_head = m_is_head;
+  m_is_head = is_coordinator || takes_vacant_role;
+  if (m_is_head && !was_head) {
+    m_head_since = now;
   }
   // An instance of a small fleet reports as a head, too.
   if (m_reported_as_head && !is_head()) {
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -135,11 +135,13 @@
   bool IsUnresponsive(const InstanceId& id, Time now) const;
 
   // Decides whether this instance is a head. Must be called before each report.
+  // The coordinator of a replacement is one regardless of its position: it
+  // needs the acknowledgements of all instances, and only heads receive them.
   //
   // Under the loss of all heads, the other instances do not hear from each
   // other; each of them takes the role after a delay that grows with its
   // position, and tells all others at once.
-  void UpdateRole(Time now);
+  void UpdateRole(bool is_coordinator, Time now);
   bool is_head() const { return m_cells.empty() || m_is_head; }
 
   // Returns the instances of this cell that receive this instance's reports.
--- a/src/gateway/replacement_coordinator.h
+++ b/src/gateway/replacement_coordinator.h
@@ -194,6 +194,9 @@
   // restored.
   bool is_record_valid() const;
 
+  // Returns whether this instance coordinates the replacement in the record.
+  bool IsOwnIntent() const;
+
   // Returns the primary of the group in the record, or nullopt if the record
   // has none.
   std::optional<MemberId> PrimaryOf(const GroupName& group) const;
@@ -212,7 +215,6 @@
                       const FleetCondition& fleet,
                       Time now);
   void WriteSurvey(const std::vector<GroupCondition>& groups, Time now);
-  bool IsOwnIntent() const;
   static bool HasFailed(const ReplacementOptions& options,
                         const GroupCondition& group,
                         Time now);
--- a/test/gateway/peer_view_test.cc
+++ b/test/gateway/peer_view_test.cc
@@ -102,7 +102,7 @@
   void Exchange() {
     std::vector<PeerReport> reports = m_reports;
     for (std::size_t i = 0; i < m_views.size(); ++i) {
-      m_views[i].UpdateRole(m_now);
+      m_views[i].UpdateRole(m_coordinators.contains(i), m_now);
       m_views[i].FillHeader(&reports[i], m_now);
     }
     const Time sent = m_now;
@@ -153,6 +153,8 @@
   std::vector<PeerReport> m_reports;
   // Indexes of the instances that neither send nor receive.
   std::set<std::size_t> m_lost;
+  // Indexes of the instances that coordinate a replacement.
+  std::set<std::size_t> m_coordinators;
   CustomerHolders m_holders = {{test_customer, {}}};
   int m_messages = 0;
 };
@@ -169,6 +171,7 @@
   CPPUNIT_TEST(ExpiredPeersAreListed);
   CPPUNIT_TEST(CellsShareDemandOfTheWholeFleet);
   CPPUNIT_TEST(CellAcknowledgesWhatAllItsInstancesDo);
+  CPPUNIT_TEST(CoordinatorReceivesTheAcknowledgementsOfAllCells);
   CPPUNIT_TEST(DigestThatLacksAnInstanceDoesNotCount);
   CPPUNIT_TEST(OvertakenDigestDoesNotReplaceANewerOne);
   CPPUNIT_TEST(ReportsGrowLinearlyWithTheCell);
@@ -402,6 +405,31 @@
     CPPUNIT_ASSERT(fleet.m_views[0].AllAcknowledged(Revision(7), fleet.m_now));
   }
 
+  // Load: an instance that is no head writes the intent of a replacement.
+  // Guards against: a coordinator to which nobody reports, and which therefore
+  // waits for the contact limit though all instances have acknowledged.
+  void CoordinatorReceivesTheAcknowledgementsOfAllCells() {
+    LargeFleet fleet;
+    const std::size_t coordinator = 18;
+    const auto exchange = [&fleet] {
+      for (int i = 0; i < 6; ++i) {
+        fleet.Exchange();
+      }
+    };
+    exchange();
+    CPPUNIT_ASSERT(!fleet.m_views[coordinator].is_head());
+    fleet.m_coordinators = {coordinator};
+    for (PeerReport& report : fleet.m_reports) {
+      report.m_acknowledged = Revision(7);
+    }
+    exchange();
+    CPPUNIT_ASSERT(
+        fleet.m_views[coordinator].AllAcknowledged(Revision(7), fleet.m_now));
+    fleet.m_coordinators.clear();
+    exchange();
+    CPPUNIT_ASSERT(!fleet.m_views[coordinator].is_head());
+  }
+
   // An instance registers, and the head of its cell does not know of it yet.
   // Its digest must not count as the acknowledgement of that instance.
   void DigestThatLacksAnInstanceDoesNotCount() {
--- a/test/gateway/replacement_model.h
+++ b/test/gateway/replacement_model.h
@@ -878,7 +878,7 @@
   void SendReports(Instance* self) {
     PeerView& peers = *self->m_peers;
     self->m_last_report = m_now;
-    peers.UpdateRole(m_now);
+    peers.UpdateRole(self->m_coordinator->IsOwnIntent(), m_now);
     PeerReport report = MakeReport(self);
     const bool acknowledges = report.m_acknowledged != self->m_reported;
     self->m_reported = report.m_acknowledged;
