replacement model: refuse an update of an earlier run

Cause: a restarted instance adopted an update that answered a request of its earlier run. StateDuty::OnUpdate() refuses it; the model did not, so the model reported a live instance as lost. Ruled out: the program itself, whose refusal the model now has. Before: seed 11440 fails, "i05 takes i11 for lost, as a head".

--- a/test/gateway/replacement_model.h
+++ b/test/gateway/replacement_model.h
@@ -719,10 +719,13 @@
     if (requested == self->m_requested.end()) {
       return;
     }
+    StoreFollower& copy = *self->m_copies[update.m_kind].m_follower;
+    if (!copy.is_listed() && update.m_base != Revision()) {
+      return;  // It answers a request of an earlier run of this instance.
+    }
     const Time sent = requested->second;
     self->m_requested.erase(requested);
     self->m_relay->TakeRequest(sender, update.m_kind);
-    StoreFollower& copy = *self->m_copies[update.m_kind].m_follower;
     if (copy.is_listed() && copy.changed() != update.m_base) {
       return;
     }
--- a/test/gateway/replacement_model_test.cc
+++ b/test/gateway/replacement_model_test.cc
@@ -260,6 +260,7 @@
   CPPUNIT_TEST(SmallFleets);
   CPPUNIT_TEST(FleetsThatDoNotHearEachOther);
   CPPUNIT_TEST(FleetsOfSeveralCells);
+  CPPUNIT_TEST(SeedsThatFailedBefore);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -278,12 +279,14 @@
     });
   }
 
-  void FleetsOfSeveralCells() {
-    Explore(10, [](unsigned, ReplacementModelOptions* options) {
-      options->m_size = 18;
-      options->m_zones = 3;
-      return FaultyFleet::Remains();
-    });
+  void FleetsOfSeveralCells() { Explore(10, SeveralCells); }
+
+  // 11440: a restarted instance received an update that answered a request of
+  // its earlier run.
+  void SeedsThatFailedBefore() {
+    for (const unsigned seed : {11440U}) {
+      CPPUNIT_ASSERT_EQUAL(std::string(), Play(seed, SeveralCells).m_failure);
+    }
   }
 
  private:
@@ -291,6 +294,33 @@
       std::function<FaultyFleet::Remains(unsigned seed,
                                          ReplacementModelOptions* options)>;
 
+  struct PlayResult {
+    std::string m_failure;
+    int m_promotions = 0;
+    Duration m_longest{0};
+  };
+
+  static FaultyFleet::Remains SeveralCells(unsigned,
+                                           ReplacementModelOptions* options) {
+    options->m_size = 18;
+    options->m_zones = 3;
+    return {};
+  }
+
+  static PlayResult Play(unsigned seed, const Setting& setting) {
+    ReplacementModelOptions options;
+    options.m_seed = seed;
+    options.m_sync_replicas = seed % 4 == 0 ? 1 : 0;
+    options.m_trace = std::getenv("JASMINELUG_MODEL_TRACE") != nullptr;
+    const FaultyFleet::Remains remains = setting(seed, &options);
+    FaultyFleet fleet(options, remains);
+    PlayResult result;
+    result.m_failure = fleet.Run();
+    result.m_promotions = fleet.promotions();
+    result.m_longest = fleet.longest();
+    return result;
+  }
+
   static void Explore(unsigned seeds, const Setting& setting) {
     const unsigned first = NumberFrom("JASMINELUG_MODEL_FIRST_SEED", 1);
     const unsigned count = NumberFrom("JASMINELUG_MODEL_SEEDS", seeds);
@@ -298,17 +328,11 @@
     int promotions = 0;
     Duration longest{0};
     for (unsigned seed = first; seed < first + count; ++seed) {
-      ReplacementModelOptions options;
-      options.m_seed = seed;
-      options.m_sync_replicas = seed % 4 == 0 ? 1 : 0;
-      options.m_trace = std::getenv("JASMINELUG_MODEL_TRACE") != nullptr;
-      const FaultyFleet::Remains remains = setting(seed, &options);
-      FaultyFleet fleet(options, remains);
-      const std::string failure = fleet.Run();
-      promotions += fleet.promotions();
-      longest = std::max(longest, fleet.longest());
-      if (!failure.empty()) {
-        failures += "\nseed " + std::to_string(seed) + ": " + failure;
+      const PlayResult result = Play(seed, setting);
+      promotions += result.m_promotions;
+      longest = std::max(longest, result.m_longest);
+      if (!result.m_failure.empty()) {
+        failures += "\nseed " + std::to_string(seed) + ": " + result.m_failure;
       }
     }
     std::cerr << count << " seeds, " << promotions
