admission: a statement that would be the only one may always run

Cause: the turnaround is estimated from answers only. Change: a statement is admitted if none is in flight and none waits. Before: EngineMembersTest::SlowFirstAnswerDoesNotEndAdmission fails on its first operation after the slow answer.

--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -40,7 +40,8 @@
 }
 
 bool MayWait(const QueueLoad& load, Duration limit) {
-  return ExpectedAnswerTime(load) <= limit;
+  const bool is_probe = load.m_waiting == 0 && load.m_busy == 0;
+  return is_probe || ExpectedAnswerTime(load) <= limit;
 }
 
 }  // namespace jasminelug::gateway
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -64,6 +64,10 @@
 // statement that cannot be answered in time is therefore refused at once, while
 // its caller can still use another instance, and the queue never holds more
 // than can be answered within the objective.
+//
+// A statement that would be the only one may always run, because the turnaround
+// is estimated from answers: without it, an estimate that a few slow answers
+// raised above the limit would never be corrected.
 bool MayWait(const QueueLoad& load, Duration limit);
 
 }  // namespace jasminelug::gateway
--- a/test/gateway/engine_members_test.cc
+++ b/test/gateway/engine_members_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(WithdrawnPrimaryLosesItsConnections);
   CPPUNIT_TEST(PrimaryIsNotUsedWithoutRecentContact);
   CPPUNIT_TEST(DrainingAndEvacuatedMembersTakeNoWork);
+  CPPUNIT_TEST(SlowFirstAnswerDoesNotEndAdmission);
   CPPUNIT_TEST(BurstIsRefusedBeyondTheObjective);
   CPPUNIT_TEST(OverdueStatementIsNotRun);
   CPPUNIT_TEST(OneLostAnswerDoesNotMarkThePrimaryAsFailing);
@@ -272,6 +273,24 @@
     }
   }
 
+  // The only answer so far took longer than the objective, because a machine
+  // was held up. The instance must not refuse all further operations for that.
+  void SlowFirstAnswerDoesNotEndAdmission() {
+    EngineFixture fixture;
+    const SessionId id = fixture.Open("strict");
+    fixture.Read(id);
+    fixture.OpenConnections();
+    fixture.Advance(900ms);
+    fixture.AnswerAllAt("p", 1);
+    for (int i = 0; i < 10; ++i) {
+      fixture.Advance(20ms);
+      fixture.Read(id);
+      fixture.Advance(20ms);
+      fixture.AnswerAllAt("p", 1);
+      CPPUNIT_ASSERT(fixture.Succeeded(id));
+    }
+  }
+
   // A burst brings ten times the statements that the members can run at a time.
   void BurstIsRefusedBeyondTheObjective() {
     EngineFixture fixture;
