member table: an estimate without answers is halved, then replaced

Cause: a member that was slow received no more statements while others were free, so nothing corrected its smoothed turnaround; a recovered member stayed unused. Seen by RegionRoutingTest, where reads never returned to their region. Ruled out: a faster smoothing, which does not help without any answer. Change: the estimate is halved after each 2 s without an update, and the first answer after that replaces it. Before: EngineMembersTest::SlowMemberIsTriedAgain fails (no read at the member in 26 s). After: it passes, 245 of 245.

--- a/src/gateway/engine_answers.cc
+++ b/src/gateway/engine_answers.cc
@@ -394,7 +394,7 @@
     return;
   }
   const Duration turnaround = now - sent.m_sent;
-  m_members.NoteAnswer(connection->m_member, turnaround);
+  m_members.NoteAnswer(connection->m_member, turnaround, now);
   OnCompleted(session, connection, answer, now);
 }
 
--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -145,7 +145,7 @@
   }
   PlacementOption option;
   option.m_member = member.m_id;
-  option.m_turnaround = state->m_turnaround;
+  option.m_turnaround = state->ExpectedTurnaround(now);
   option.m_busy = in_flight;
   option.m_slots = member.m_slots;
   option.m_same_zone = member.m_zone == m_options.m_zone;
--- a/src/gateway/member_table.cc
+++ b/src/gateway/member_table.cc
@@ -13,11 +13,23 @@
 constexpr Duration kBusyPause = 30ms;
 // Time for which an observed lag is assumed to persist.
 constexpr Duration kLagValidity = 1500ms;
+// Turnaround down to which an unconfirmed estimate is halved.
+constexpr Duration kUsualTurnaround = 25ms;
 // Divisor of the weight that a new answer has in the smoothed turnaround.
 constexpr int kSmoothingDivisor = 8;
 
 }  // namespace
 
+Duration MemberState::ExpectedTurnaround(Time now) const {
+  Duration expected = m_turnaround;
+  Time since = m_measured + kTurnaroundHalfLife;
+  while (since <= now && expected > kUsualTurnaround) {
+    expected = std::max<Duration>(expected / 2, kUsualTurnaround);
+    since += kTurnaroundHalfLife;
+  }
+  return expected;
+}
+
 std::vector<MemberId> MemberTable::SetMembers(
     const std::vector<Member>& members) {
   std::map<MemberId, MemberState> table;
@@ -125,13 +137,27 @@
   state->m_lag_seen = now;
 }
 
-void MemberTable::NoteAnswer(const MemberId& id, Duration turnaround) {
+void MemberTable::NoteAnswer(const MemberId& id,
+                             Duration turnaround,
+                             Time now) {
+  MemberState* state = Find(id);
+  if (state) {
+    state->m_failures = 0;
+    NoteTurnaround(id, turnaround, now);
+  }
+}
+
+void MemberTable::NoteTurnaround(const MemberId& id,
+                                 Duration turnaround,
+                                 Time now) {
   MemberState* state = Find(id);
   if (!state) {
     return;
   }
-  state->m_failures = 0;
-  if (state->m_turnaround == Duration::zero()) {
+  const bool known = state->m_turnaround != Duration::zero() &&
+                     now - state->m_measured < MemberState::kTurnaroundHalfLife;
+  state->m_measured = now;
+  if (!known) {
     state->m_turnaround = turnaround;
     return;
   }
--- a/src/gateway/member_table.h
+++ b/src/gateway/member_table.h
@@ -22,6 +22,8 @@
   int m_failures = 0;
   // Smoothed time between sending a statement and receiving its answer.
   Duration m_turnaround{0};
+  // When m_turnaround was last updated.
+  Time m_measured;
   // Largest age of a position that the replica recently reported as missing.
   // See NoteLagging().
   Duration m_lag{0};
@@ -34,6 +36,13 @@
   Time m_last_contact;
   // Last time the member was probed because an answer from it was overdue.
   Time m_probed;
+
+  // Returns the turnaround that is expected of the member at `now`. A member
+  // that was slow receives few statements, or none while others are free, so
+  // nothing shows that it has recovered. Its estimate is therefore halved after
+  // each kTurnaroundHalfLife without an update, until it is tried again.
+  Duration ExpectedTurnaround(Time now) const;
+  static constexpr Duration kTurnaroundHalfLife = 2s;
 };
 
 // Holds the announced members of all groups, with the load and the lag that
@@ -77,7 +86,12 @@
   void NoteLagging(const MemberId& id, Duration age, Time now);
 
   // Records an answer that arrived `turnaround` after its statement was sent.
-  void NoteAnswer(const MemberId& id, Duration turnaround);
+  void NoteAnswer(const MemberId& id, Duration turnaround, Time now);
+
+  // Records that a statement took `turnaround`, or at least that time if it was
+  // given up. An estimate that was not updated for kTurnaroundHalfLife is
+  // replaced, a later one smoothed.
+  void NoteTurnaround(const MemberId& id, Duration turnaround, Time now);
 
   // Returns whether the member probably lacks a log position that is `age` old.
   bool LikelyLacksPosition(const MemberState& state,
--- a/test/gateway/engine_members_test.cc
+++ b/test/gateway/engine_members_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(WithdrawnPrimaryLosesItsConnections);
   CPPUNIT_TEST(PrimaryIsNotUsedWithoutRecentContact);
   CPPUNIT_TEST(DrainingAndEvacuatedMembersTakeNoWork);
+  CPPUNIT_TEST(SlowMemberIsTriedAgain);
   CPPUNIT_TEST(SlowFirstAnswerDoesNotEndAdmission);
   CPPUNIT_TEST(BurstIsRefusedBeyondTheObjective);
   CPPUNIT_TEST(OverdueStatementIsNotRun);
@@ -273,6 +274,34 @@
     }
   }
 
+  // A replica is slow for a while, so that the other members run all reads. It
+  // must be tried again.
+  void SlowMemberIsTriedAgain() {
+    EngineFixture fixture;
+    const auto read = [&fixture](Duration r1_time) {
+      RecordPrimaryPosition(&fixture, 7);
+      for (int i = 0; i < 3; ++i) {
+        fixture.Read(fixture.Open("bounded"));
+      }
+      const std::size_t at_r1 = fixture.CountUnansweredAt("r1");
+      fixture.Advance(20ms);
+      fixture.AnswerAllAt("r2", 7);
+      fixture.AnswerAllAt("p", 7);
+      fixture.Advance(r1_time);
+      fixture.AnswerAllAt("r1", 7);
+      return at_r1;
+    };
+    for (int i = 0; i < 30; ++i) {
+      read(700ms);
+    }
+    std::size_t at_r1 = 0;
+    for (int i = 0; i < 200; ++i) {
+      at_r1 = read(10ms);
+      fixture.Advance(100ms);
+    }
+    CPPUNIT_ASSERT(at_r1 > 0);
+  }
+
   // The only answer so far took longer than the objective, because a machine
   // was held up. The instance must not refuse all further operations for that.
   void SlowFirstAnswerDoesNotEndAdmission() {
