gateway: operations and reports stay in their region unless leaving pays

Cause: nothing knew what a region is. Half of the operations were forwarded to a holder in the other region, and each head reported to two heads of every cell there, 5 times a second. Change: regions come from the settings. Each region has holders of a group; a member's connections and slots are mostly for those of its region. An operation goes to the region that runs it: that of the primary, or the caller's own. SpillControl decides which reads leave the region, and how many. Heads of two regions exchange digests in pairs, except during a replacement. If all holders of a group are lost, instances without connections forward to those that have a reserve. Ruled out: a holder for each customer in one region only (half of the operations cross then); dropping the second head of a cell (its digests are what remains if the first one is lost).

--- a/apps/gateway/fleet_duty_reports.cc
+++ b/apps/gateway/fleet_duty_reports.cc
@@ -80,13 +80,15 @@
                                    const gateway::FleetShares& shares,
                                    bool acknowledges,
                                    gateway::Time now) {
-  const bool digest_due = now - m_last_digest >= kDigestInterval;
-  if (digest_due || acknowledges) {
+  gateway::DigestRound round;
+  round.m_has_digest = acknowledges || now - m_last_digest >= kDigestInterval;
+  round.m_is_replacing = m_coordinator.record().m_intent.has_value();
+  if (round.m_has_digest) {
     m_last_digest = now;
     own->m_cells = {m_peers.Digest(*own, now)};
   }
   for (const gateway::InstanceEntry& peer :
-       m_peers.DigestReceivers(kDigestReceivers, now)) {
+       m_peers.DigestReceivers(kDigestReceivers, round, now)) {
     Queue(peer, m_peers.ReportFor(peer, *own, shares, now));
   }
 }
--- a/apps/gateway/gateway_process.cc
+++ b/apps/gateway/gateway_process.cc
@@ -38,6 +38,7 @@
   options.m_self = gateway::InstanceId(settings.m_instance);
   options.m_incarnation = incarnation;
   options.m_zone = gateway::ZoneName(settings.m_zone);
+  options.m_regions = settings.m_regions;
   options.m_key_contact_limit =
       gateway::Duration(settings.m_key_withdrawal_limit) *
       kKeyContactNumerator / kKeyContactDenominator;
@@ -126,6 +127,9 @@
     (end.m_completed ? m_completed : m_refused) += 1;
     m_statement_log.Add(end, Now());
   };
+  hooks.m_spill_changed =
+      [this](const gateway::GroupName& group, const gateway::SpillInput& input,
+             bool begins) { LogSpill(group, input, begins); };
   hooks.m_unexpected_answer = [this](const gateway::UnexpectedAnswer& answer) {
     m_unexpected_answers += 1;
     m_statement_log.AddUnexpected(answer, Now());
@@ -478,6 +482,49 @@
   m_fleet.BeginShutdown(now);
 }
 
+void GatewayProcess::LogSpill(const gateway::GroupName& group,
+                              const gateway::SpillInput& input,
+                              bool begins) const {
+  const auto milliseconds = [](const std::optional<gateway::Duration>& time) {
+    return time ? ToMilliseconds(*time) : -1;
+  };
+  Log(m_logger, log4cplus::INFO_LOG_LEVEL,
+      begins ? "statements begin to leave the region"
+             : "statements no longer leave the region",
+      {{"group", group.str()},
+       {"near_ms", milliseconds(input.m_near)},
+       {"far_ms", milliseconds(input.m_far)},
+       {"objective_ms", ToMilliseconds(input.m_objective)}});
+}
+
+// Returns the metrics of the decisions about regions; empty if there is only
+// one.
+std::string GatewayProcess::RegionMetrics() const {
+  const gateway::Configuration* configuration = m_engine.configuration();
+  if (!configuration || !m_engine.options().m_regions.are_several()) {
+    return {};
+  }
+  std::string text;
+  const auto add = [&text](const std::string& name, const std::string& labels,
+                           std::uint64_t value) {
+    text += name + "{" + labels + "} " + std::to_string(value) + "\n";
+  };
+  for (const auto& [group, limits] : configuration->m_groups) {
+    const gateway::SpillControl* spill = m_engine.SpillOf(group);
+    if (!spill) {
+      continue;
+    }
+    const std::string label = "group=\"" + group.str() + "\"";
+    add("jasminelug_region_spill_percent", label,
+        static_cast<std::uint64_t>(spill->percent()));
+    add("jasminelug_statements_left_region_total", label + ",reason=\"load\"",
+        spill->left());
+    add("jasminelug_statements_left_region_total", label + ",reason=\"lack\"",
+        spill->left_for_lack());
+  }
+  return text;
+}
+
 std::string GatewayProcess::Metrics() const {
   std::string text;
   text += "jasminelug_statements_completed_total " +
@@ -507,6 +554,7 @@
           "\n";
   text += "jasminelug_replacement_overdue ";
   text += replacement.IsOverdue(now) ? "1\n" : "0\n";
+  text += RegionMetrics();
   return text;
 }
 
--- a/apps/gateway/gateway_process.h
+++ b/apps/gateway/gateway_process.h
@@ -69,6 +69,10 @@
   void ContinueShutdown(gateway::Time now);
   bool IsReady() const;
   std::string Metrics() const;
+  std::string RegionMetrics() const;
+  void LogSpill(const gateway::GroupName& group,
+                const gateway::SpillInput& input,
+                bool begins) const;
 
   const Settings m_settings;
   const ReloadHook m_reload;
--- a/apps/gateway/settings.cc
+++ b/apps/gateway/settings.cc
@@ -2,6 +2,8 @@
 
 #include <fstream>
 #include <iterator>
+#include <map>
+#include <utility>
 
 #include "platform/endpoint.h"
 
@@ -25,10 +27,32 @@
   reader.Check(processors->m_cores > 0, "cores", "must be positive");
 }
 
+// Reads the region of each availability zone.
+void ReadZones(ObjectReader& reader, Settings* settings) {
+  const nlohmann::json* zones = reader.Find("zones");
+  if (!zones) {
+    return;
+  }
+  if (!zones->is_object()) {
+    reader.AddError("zones", "must be an object");
+    return;
+  }
+  std::map<gateway::ZoneName, gateway::RegionName> regions;
+  for (const auto& [zone, region] : zones->items()) {
+    if (region.is_string() && !region.get<std::string>().empty()) {
+      regions.emplace(zone, region.get<std::string>());
+    } else {
+      reader.AddError("zones." + zone, "must be the name of a region");
+    }
+  }
+  settings->m_regions = gateway::Regions(std::move(regions));
+}
+
 void ReadSettings(ObjectReader& reader, Settings* settings) {
   reader.Required("instance", &settings->m_instance);
   reader.Check(!settings->m_instance.empty(), "instance", "must not be empty");
   reader.Required("zone", &settings->m_zone);
+  ReadZones(reader, settings);
   ReadAddress(reader, "callers", &settings->m_callers);
   ReadAddress(reader, "status", &settings->m_status);
   reader.Required("peer_address", &settings->m_peer_address);
--- a/apps/gateway/settings.h
+++ b/apps/gateway/settings.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "jasminelug/common.h"
+#include "jasminelug/gateway.h"
 #include "platform/process_limits.h"
 
 namespace jasminelug::gateway_app {
@@ -28,6 +29,7 @@
 
   std::string m_instance;
   std::string m_zone;
+  gateway::Regions m_regions;
   // Address on which the instance accepts callers.
   std::string m_callers;
   // Address on which the instance serves the platform's readiness probe and the
--- a/jasminelug/gateway.h
+++ b/jasminelug/gateway.h
@@ -28,6 +28,8 @@
 #include "src/gateway/group_condition.h"
 #include "src/gateway/ids.h"
 #include "src/gateway/instance_registrar.h"
+#include "src/gateway/locality/regions.h"
+#include "src/gateway/locality/spill_control.h"
 #include "src/gateway/member.h"
 #include "src/gateway/member_answer_bytes.h"
 #include "src/gateway/member_directory.h"
--- a/src/gateway/connection_holders.cc
+++ b/src/gateway/connection_holders.cc
@@ -32,6 +32,9 @@
 // Number of statements that each holder may always have in flight to a member,
 // because the load of the holders is not equal.
 constexpr int kMinInFlight = 2;
+// Divisor of an even part of a member's connections that yields the part of a
+// holder in another region.
+constexpr int kFarBudgetDivisor = 3;
 // An instance is large if it has at least this fraction of the processors of
 // the largest instance.
 constexpr double kLargeInstanceRatio = 0.5;
@@ -68,7 +71,8 @@
   Group& group = m_groups[name];
   group.m_connections = connections;
   group.m_holders = ChooseHolders(ranked, connections);
-  group.m_budget = ChooseBudget(ranked, group.m_holders, connections);
+  group.m_reserves = ChooseReserves(ranked, group.m_holders, connections);
+  group.m_budget = ChooseBudget(group);
 }
 
 double ConnectionHolders::ComputeMinPreferredProcessors() const {
@@ -116,39 +120,67 @@
   const std::size_t count =
       std::min({wanted, ranked.size(),
                 static_cast<std::size_t>(HolderConnections(connections))});
+  std::map<RegionName, std::vector<InstanceId>> by_region;
+  for (const InstanceId& id : ranked) {
+    by_region[RegionOf(id)].push_back(id);
+  }
+  for (auto& [region, ids] : by_region) {
+    ids = SpreadOverZones(ids, std::min(count, ids.size()));
+  }
+  // Takes one instance of each region, then a second one of each, and so on.
   std::vector<InstanceId> holders;
-  while (holders.size() < count) {
+  for (std::size_t i = 0; holders.size() < count; ++i) {
+    for (const auto& [region, ids] : by_region) {
+      if (i < ids.size() && holders.size() < count) {
+        holders.push_back(ids[i]);
+      }
+    }
+  }
+  return holders;
+}
+
+std::vector<InstanceId> ConnectionHolders::SpreadOverZones(
+    const std::vector<InstanceId>& ranked,
+    std::size_t count) const {
+  std::vector<InstanceId> chosen;
+  while (chosen.size() < count) {
     // Takes one instance of each availability zone, then a second one of each,
     // and so on.
     std::set<ZoneName> used;
     for (const InstanceId& id : ranked) {
-      if (!Contains(holders, id) && holders.size() < count &&
+      if (!Contains(chosen, id) && chosen.size() < count &&
           used.insert(m_instances.at(id).m_zone).second) {
-        holders.push_back(id);
+        chosen.push_back(id);
       }
     }
   }
-  return holders;
+  return chosen;
 }
 
-int ConnectionHolders::ChooseBudget(const std::vector<InstanceId>& ranked,
-                                    const std::vector<InstanceId>& holders,
-                                    int connections) const {
-  const int count = std::max(static_cast<int>(holders.size()), 1);
-  if (holders.empty() || Contains(holders, m_self)) {
-    return std::max(HolderConnections(connections) / count, 1);
-  }
+std::vector<InstanceId> ConnectionHolders::ChooseReserves(
+    const std::vector<InstanceId>& ranked,
+    const std::vector<InstanceId>& holders,
+    int connections) {
+  std::vector<InstanceId> reserves;
   int left = connections - HolderConnections(connections);
   for (const InstanceId& id : ranked) {
-    if (Contains(holders, id)) {
-      continue;
+    if (left < kReserveConnections) {
+      break;
     }
-    if (id == m_self) {
-      return std::clamp(left, 0, kReserveConnections);
+    if (!Contains(holders, id)) {
+      reserves.push_back(id);
+      left -= kReserveConnections;
     }
-    left -= kReserveConnections;
   }
-  return 0;
+  return reserves;
+}
+
+int ConnectionHolders::ChooseBudget(const Group& group) const {
+  const int count = std::max(static_cast<int>(group.m_holders.size()), 1);
+  if (group.m_holders.empty() || Contains(group.m_holders, m_self)) {
+    return std::max(HolderConnections(group.m_connections) / count, 1);
+  }
+  return Contains(group.m_reserves, m_self) ? kReserveConnections : 0;
 }
 
 const std::vector<InstanceId>& ConnectionHolders::HoldersOf(
@@ -158,11 +190,57 @@
   return found == m_groups.end() ? none : found->second.m_holders;
 }
 
-std::size_t ConnectionHolders::FirstHolderIndex(const GroupName& group,
-                                                const CustomerName& customer,
-                                                std::size_t holders) {
+RegionName ConnectionHolders::RegionOf(const InstanceId& instance) const {
+  if (!m_regions.are_several()) {
+    return {};
+  }
+  const auto found = m_instances.find(instance);
+  return found == m_instances.end() ? RegionName()
+                                    : m_regions.RegionOf(found->second.m_zone);
+}
+
+int ConnectionHolders::CountNearHolders(const Group& group,
+                                        const ZoneName& zone) const {
+  const bool all_hold = group.m_holders.size() == m_instances.size();
+  if (!m_regions.are_several() || all_hold) {
+    return 0;
+  }
+  const RegionName region = m_regions.RegionOf(zone);
+  return static_cast<int>(std::count_if(
+      group.m_holders.begin(), group.m_holders.end(),
+      [&](const InstanceId& id) { return RegionOf(id) == region; }));
+}
+
+std::vector<const InstanceId*> ConnectionHolders::OrderFor(
+    const GroupName& name,
+    const CustomerName& customer,
+    const RegionName& region) const {
+  std::vector<const InstanceId*> order;
+  for (const InstanceId& holder : HoldersOf(name)) {
+    order.push_back(&holder);
+  }
+  const auto far = std::stable_partition(
+      order.begin(), order.end(),
+      [&](const InstanceId* id) { return RegionOf(*id) == region; });
+  if (m_regions.are_several()) {
+    const auto is_before = [&customer](const InstanceId* a,
+                                       const InstanceId* b) {
+      return core::RendezvousWeight(*a, customer.str()) >
+             core::RendezvousWeight(*b, customer.str());
+    };
+    std::sort(order.begin(), far, is_before);
+    std::sort(far, order.end(), is_before);
+    return order;
+  }
   const InstanceId key(customer.str());
-  return core::RendezvousWeight(key, group.str()) % holders;
+  const std::uint64_t weight = core::RendezvousWeight(key, name.str());
+  if (!order.empty()) {
+    std::rotate(
+        order.begin(),
+        order.begin() + static_cast<std::ptrdiff_t>(weight % order.size()),
+        order.end());
+  }
+  return order;
 }
 
 std::set<InstanceId> ConnectionHolders::HoldersFor(
@@ -173,7 +251,13 @@
     if (holders.empty() || holders.size() == m_instances.size()) {
       return {};
     }
-    all.insert(holders[FirstHolderIndex(name, customer, holders.size())]);
+    std::set<RegionName> regions;
+    for (const InstanceId& holder : holders) {
+      regions.insert(RegionOf(holder));
+    }
+    for (const RegionName& region : regions) {
+      all.insert(*OrderFor(name, customer, region).front());
+    }
   }
   return all;
 }
@@ -181,6 +265,7 @@
 std::optional<InstanceId> ConnectionHolders::Choose(
     const GroupName& group,
     const CustomerName& customer,
+    const RegionName& region,
     const IsUsable& is_usable) const {
   const std::vector<InstanceId>& holders = HoldersOf(group);
   if (holders.empty()) {
@@ -190,18 +275,49 @@
   if (all_hold && is_usable(m_self)) {
     return std::nullopt;
   }
-  const std::size_t first = FirstHolderIndex(group, customer, holders.size());
-  for (std::size_t i = 0; i < holders.size(); ++i) {
-    const InstanceId& holder = holders[(first + i) % holders.size()];
-    if (is_usable(holder)) {
-      return holder == m_self ? std::nullopt : std::optional(holder);
+  for (const InstanceId* holder : OrderFor(group, customer, region)) {
+    if (is_usable(*holder)) {
+      return *holder == m_self ? std::nullopt : std::optional(*holder);
+    }
+  }
+  return BudgetFor(group) == 0 ? ChooseReserve(group, customer, is_usable)
+                               : std::nullopt;
+}
+
+std::optional<InstanceId> ConnectionHolders::ChooseReserve(
+    const GroupName& name,
+    const CustomerName& customer,
+    const IsUsable& is_usable) const {
+  const std::vector<InstanceId>& reserves = m_groups.at(name).m_reserves;
+  if (reserves.empty()) {
+    return std::nullopt;
+  }
+  const std::size_t first =
+      core::RendezvousWeight(InstanceId(customer.str()), name.str()) %
+      reserves.size();
+  for (std::size_t i = 0; i < reserves.size(); ++i) {
+    const InstanceId& reserve = reserves[(first + i) % reserves.size()];
+    if (is_usable(reserve)) {
+      return reserve;
     }
   }
   return std::nullopt;
 }
 
-int ConnectionHolders::InFlightFor(const GroupName& group, int slots) const {
-  const int holders = std::max(static_cast<int>(HoldersOf(group).size()), 1);
+int ConnectionHolders::InFlightFor(const GroupName& name,
+                                   int slots,
+                                   const ZoneName& zone) const {
+  const auto found = m_groups.find(name);
+  if (found == m_groups.end()) {
+    return std::max(slots + kQueuedAtMember, kMinInFlight);
+  }
+  const Group& group = found->second;
+  const int near = CountNearHolders(group, zone);
+  if (near > 0 && own_region() != m_regions.RegionOf(zone)) {
+    return kMinInFlight;
+  }
+  const int all = std::max(static_cast<int>(group.m_holders.size()), 1);
+  const int holders = near > 0 ? near : all;
   const int part = (slots + kQueuedAtMember + holders - 1) / holders;
   return std::max(part, kMinInFlight);
 }
@@ -211,4 +327,24 @@
   return found == m_groups.end() ? kReserveConnections : found->second.m_budget;
 }
 
+int ConnectionHolders::BudgetFor(const GroupName& name,
+                                 const ZoneName& zone) const {
+  const auto found = m_groups.find(name);
+  if (found == m_groups.end() || !Contains(found->second.m_holders, m_self)) {
+    return BudgetFor(name);
+  }
+  const Group& group = found->second;
+  const int near = CountNearHolders(group, zone);
+  if (near == 0) {
+    return group.m_budget;
+  }
+  const int far_budget = std::max(group.m_budget / kFarBudgetDivisor, 1);
+  if (own_region() != m_regions.RegionOf(zone)) {
+    return far_budget;
+  }
+  const int far = static_cast<int>(group.m_holders.size()) - near;
+  const int left = HolderConnections(group.m_connections) - far * far_budget;
+  return std::max(left / near, 1);
+}
+
 }  // namespace jasminelug::gateway
--- a/src/gateway/engine.cc
+++ b/src/gateway/engine.cc
@@ -35,7 +35,7 @@
 Engine::Engine(EngineOptions options, EngineHooks hooks)
     : m_options(std::move(options)),
       m_hooks(std::move(hooks)),
-      m_holders(m_options.m_self),
+      m_holders(m_options.m_self, m_options.m_regions),
       m_forwards(m_options.m_self, m_options.m_incarnation),
       m_session_state(m_options.m_session_state_limit) {}
 
@@ -266,6 +266,9 @@
   for (auto& [name, group] : m_groups) {
     AbandonUnverifiedPrimary(group, now);
     ProbeUnresponsivePrimary(group, now);
+    const int percent_before = group.m_spill.percent();
+    group.m_spill.OnTick(now);
+    ReportSpill(name, group.m_spill, percent_before);
     Dispatch(name, now);
   }
 }
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -21,6 +21,8 @@
 #include "src/gateway/forward_table.h"
 #include "src/gateway/forwarding.h"
 #include "src/gateway/freshness_floor.h"
+#include "src/gateway/locality/regions.h"
+#include "src/gateway/locality/spill_control.h"
 #include "src/gateway/member_table.h"
 #include "src/gateway/placement.h"
 #include "src/gateway/session.h"
@@ -39,6 +41,7 @@
   // The run of this instance.
   Incarnation m_incarnation;
   ZoneName m_zone;
+  Regions m_regions{};
   // Maximum time since the last contact that verified the keys. After a longer
   // time, requests with a key are refused, because the key may have been
   // withdrawn.
@@ -191,6 +194,9 @@
   bool IsPrimaryResponsive(const GroupName& group, Time now) const;
   // Returns the primary that was set last, usable or not.
   std::optional<MemberId> PrimaryOf(const GroupName& group) const;
+  // Returns which statements of the group leave the region; null if the group
+  // is unknown.
+  const SpillControl* SpillOf(const GroupName& group) const;
   // Requests the status of a member. Calls EngineHooks::m_status if a
   // connection is available and the member answers.
   void RequestStatus(const MemberId& member, Time now);
@@ -205,6 +211,7 @@
     PlacementIntervalEstimator m_placement_interval;
     PlacementIntervalEstimator m_primary_placement_interval;
     std::optional<Time> m_primary_failing_since;
+    SpillControl m_spill;
   };
 
   // Sessions (engine_sessions.cc).
@@ -248,6 +255,7 @@
   // (engine_forwarding.cc).
   std::optional<InstanceId> ChooseHolder(const Session& session,
                                          Time now) const;
+  RegionName RegionFor(const Session& session) const;
   void StartAttempt(Session* session, Time now);
   void SendForward(Session* session, Time now);
   void ForwardTo(Session* session, const InstanceId& holder, Time now);
@@ -263,6 +271,18 @@
   void PlaceAfterDelay(Session* session, Duration delay, Time now);
   void Dispatch(const GroupName& group, Time now);
   bool TryPlace(Session* session, Time now);
+  std::optional<PlacementOption> ChooseOption(Session* session, Time now);
+  std::optional<PlacementOption> ChooseRegion(
+      Session* session,
+      const std::vector<PlacementOption>& options,
+      Time now);
+  void ReportSpill(const GroupName& group,
+                   const SpillControl& spill,
+                   int percent_before) const;
+  std::optional<Duration> NearTimeOf(const Session& session,
+                                     const std::optional<PlacementOption>& near,
+                                     Time now) const;
+  bool IsNear(const Member& member) const;
   std::vector<PlacementOption> OptionsFor(Session* session, Time now);
   std::optional<PlacementOption> OptionAt(const Session& session,
                                           MemberState* state,
@@ -281,8 +301,11 @@
                 bool needs_primary,
                 const std::optional<FreshnessSample>& floor,
                 Time now) const;
+  // The members whose load is counted.
+  enum class LoadScope { kAllRegions, kOwnRegion };
   QueueLoad QueueLoadFor(const Session& session,
                          const QueuedStatement& queued,
+                         LoadScope scope,
                          Time now) const;
   void Place(Session* session, const PlacementOption& option, Time now);
   void SendStatement(Session* session, Connection* connection, Time now);
--- a/src/gateway/engine_dispatch.cc
+++ b/src/gateway/engine_dispatch.cc
@@ -2,6 +2,7 @@
 // connection for a statement, and sends what must precede it.
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "src/gateway/engine.h"
@@ -58,7 +59,8 @@
 }
 
 int Engine::InFlightLimit(const MemberState& state) const {
-  return m_holders.InFlightFor(state.m_member.m_group, state.m_member.m_slots);
+  const Member& member = state.m_member;
+  return m_holders.InFlightFor(member.m_group, member.m_slots, member.m_zone);
 }
 
 void Engine::PlaceAfterDelay(Session* session, Duration delay, Time now) {
@@ -114,7 +116,8 @@
 }
 
 int Engine::BudgetOf(const MemberState& state) const {
-  const int budget = m_holders.BudgetFor(state.m_member.m_group);
+  const int budget =
+      m_holders.BudgetFor(state.m_member.m_group, state.m_member.m_zone);
   // The instances that continue to run need the other connections.
   return m_shutdown_since ? std::min(budget, kBudgetAtShutdown) : budget;
 }
@@ -149,6 +152,7 @@
   option.m_busy = in_flight;
   option.m_slots = member.m_slots;
   option.m_same_zone = member.m_zone == m_options.m_zone;
+  option.m_same_region = IsNear(member);
   option.m_is_replica = !is_primary;
   if (m_connections.FindIdle(member.m_id, session.m_customer,
                              session.m_values)) {
@@ -208,6 +212,7 @@
 
 QueueLoad Engine::QueueLoadFor(const Session& session,
                                const QueuedStatement& queued,
+                               LoadScope scope,
                                Time now) const {
   QueueLoad load;
   const Group* group = FindGroup(session.m_route.m_group);
@@ -221,7 +226,9 @@
   Duration turnaround{0};
   for (const MemberState* state :
        m_members.MembersOf(session.m_route.m_group)) {
-    if (!MayServe(session, *state, needs_primary, floor, now)) {
+    const bool in_scope =
+        scope == LoadScope::kAllRegions || IsNear(state->m_member);
+    if (!in_scope || !MayServe(session, *state, needs_primary, floor, now)) {
       continue;
     }
     replica_serves |= group->m_primary.m_member != state->m_member.m_id;
@@ -244,12 +251,100 @@
   return load;
 }
 
+bool Engine::IsNear(const Member& member) const {
+  return m_options.m_regions.AreTogether(member.m_zone, m_options.m_zone);
+}
+
+std::optional<PlacementOption> Engine::ChooseOption(Session* session,
+                                                    Time now) {
+  const std::vector<PlacementOption> options = OptionsFor(session, now);
+  const bool has_choice =
+      m_options.m_regions.are_several() && !session->m_active->m_needs_primary;
+  return has_choice ? ChooseRegion(session, options, now)
+                    : ChoosePlacement(options);
+}
+
+// Chooses between the best member of the own region and the best one elsewhere.
+// Returns nullopt if the statement waits.
+std::optional<PlacementOption> Engine::ChooseRegion(
+    Session* session,
+    const std::vector<PlacementOption>& options,
+    Time now) {
+  const auto best_where = [&options](bool same_region) {
+    std::vector<PlacementOption> part;
+    std::copy_if(options.begin(), options.end(), std::back_inserter(part),
+                 [same_region](const PlacementOption& option) {
+                   return option.m_same_region == same_region;
+                 });
+    return ChoosePlacement(part);
+  };
+  const std::optional<PlacementOption> near = best_where(true);
+  const std::optional<PlacementOption> far = best_where(false);
+  ActiveStatement& active = *session->m_active;
+  SpillInput input;
+  input.m_near = NearTimeOf(*session, near, now);
+  input.m_near_is_free = near.has_value();
+  if (far) {
+    input.m_far = ExpectedTime(*far);
+  }
+  input.m_objective = session->m_route.m_objective;
+  input.m_time_left = active.m_objective_at - now;
+  input.m_has_turn =
+      now - active.m_region_chosen >= SpillControl::kStepInterval;
+  if (input.m_has_turn) {
+    active.m_region_chosen = now;
+  }
+  SpillControl& spill = GroupOf(session->m_route.m_group).m_spill;
+  const int percent_before = spill.percent();
+  const SpillChoice choice = spill.Choose(input, now);
+  ReportSpill(session->m_route.m_group, spill, percent_before);
+  switch (choice) {
+    case SpillChoice::kNear:
+      return near;
+    case SpillChoice::kFar:
+      return far;
+    case SpillChoice::kWait:
+      return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+// Reports that the part of the statements that may leave the region has become
+// positive, or zero.
+void Engine::ReportSpill(const GroupName& group,
+                         const SpillControl& spill,
+                         int percent_before) const {
+  const bool begins = spill.percent() > 0;
+  if (begins != (percent_before > 0)) {
+    m_hooks.m_spill_changed(group, spill.last_input(), begins);
+  }
+}
+
+// Returns when the own region is expected to answer; nullopt if no member there
+// can serve the statement. `near` is the best member there that is free.
+std::optional<Duration> Engine::NearTimeOf(
+    const Session& session,
+    const std::optional<PlacementOption>& near,
+    Time now) const {
+  if (near) {
+    return ExpectedTime(*near);
+  }
+  const QueueLoad load = QueueLoadFor(session, QueuedStatementOf(session),
+                                      LoadScope::kOwnRegion, now);
+  return load.m_connections > 0 ? std::optional(ExpectedAnswerTime(load))
+                                : std::nullopt;
+}
+
+const SpillControl* Engine::SpillOf(const GroupName& name) const {
+  const Group* group = FindGroup(name);
+  return group ? &group->m_spill : nullptr;
+}
+
 bool Engine::TryPlace(Session* session, Time now) {
   if (session->m_active->m_not_before > now) {
     return false;
   }
-  const std::optional<PlacementOption> option =
-      ChoosePlacement(OptionsFor(session, now));
+  const std::optional<PlacementOption> option = ChooseOption(session, now);
   if (!option) {
     return false;
   }
--- a/src/gateway/engine_hooks.h
+++ b/src/gateway/engine_hooks.h
@@ -12,6 +12,7 @@
 #include "src/gateway/answer_check.h"
 #include "src/gateway/forwarding.h"
 #include "src/gateway/ids.h"
+#include "src/gateway/locality/spill_control.h"
 #include "src/gateway/member.h"
 #include "src/gateway/member_status.h"
 #include "src/gateway/session.h"
@@ -90,6 +91,10 @@
   std::function<void(const InstanceId&, const ForwardMessage&)> m_forward;
   // Reports the end of a statement.
   std::function<void(const StatementSummary&)> m_report;
+  // Reports that statements of the group begin to leave the region because of
+  // load, or that they no longer do, and what this was decided from.
+  std::function<void(const GroupName&, const SpillInput&, bool begins)>
+      m_spill_changed;
   // Reports an answer that was not used.
   std::function<void(const UnexpectedAnswer&)> m_unexpected_answer;
 };
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -143,7 +143,8 @@
   const Duration objective = session.m_route.m_objective;
   const QueuedStatement queued{session.m_route.m_priority, now + objective,
                                session.m_id, NeedsPrimary(session, now)};
-  if (!MayWait(QueueLoadFor(session, queued, now), objective)) {
+  if (!MayWait(QueueLoadFor(session, queued, LoadScope::kAllRegions, now),
+               objective)) {
     return Refused{ErrorCode::kBusy, "members are at capacity"};
   }
   return std::nullopt;
@@ -160,7 +161,8 @@
   }
   const Time limit = session.m_active->m_objective_at +
                      session.m_route.m_objective / kLatenessDivisor;
-  if (!MayWait(QueueLoadFor(session, QueuedStatementOf(session), now),
+  if (!MayWait(QueueLoadFor(session, QueuedStatementOf(session),
+                            LoadScope::kAllRegions, now),
                limit - now)) {
     return Refused{ErrorCode::kBusy, "members are at capacity, after a wait"};
   }
--- a/src/gateway/ids.h
+++ b/src/gateway/ids.h
@@ -27,6 +27,10 @@
 // hold several databases.
 using GroupName = core::Name<struct GroupTag>;
 
+// Name of a region, which consists of availability zones that are close to each
+// other.
+using RegionName = core::Name<struct RegionTag>;
+
 // Number of a caller's connection. The listener assigns it and does not reuse
 // it.
 using SessionId = core::Number<struct SessionTag>;
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -40,11 +40,12 @@
 constexpr Duration kMaxUncertainty = 300ms;
 }  // namespace
 
-PeerView::PeerView(InstanceEntry self)
+PeerView::PeerView(InstanceEntry self, Regions regions)
     : m_own_entry(std::move(self)),
       m_self(m_own_entry.m_id),
       m_incarnation(m_own_entry.m_incarnation),
-      m_zone(m_own_entry.m_zone) {}
+      m_zone(m_own_entry.m_zone),
+      m_regions(std::move(regions)) {}
 
 void PeerView::SetInstances(const std::vector<InstanceEntry>& entries,
                             Time now) {
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -10,6 +10,7 @@
 
 #include "src/gateway/fleet_shares.h"
 #include "src/gateway/ids.h"
+#include "src/gateway/locality/regions.h"
 #include "src/gateway/peer_report.h"
 #include "src/gateway/store_object.h"
 
@@ -26,6 +27,17 @@
   LogPosition m_position;
 };
 
+// What a head sends to the other cells in one round of reports.
+struct DigestRound {
+  friend bool operator==(const DigestRound&, const DigestRound&) = default;
+
+  // Whether the reports contain the digest of the cell.
+  bool m_has_digest = true;
+  // Whether a replacement is in progress. It waits for acknowledgements, and
+  // any head may be its coordinator.
+  bool m_is_replacing = false;
+};
+
 // Holds the reports of the other instances, with an upper bound of their age.
 //
 // In a fleet of up to kMaxSingleCellInstances instances, all instances report
@@ -58,7 +70,7 @@
   // Maximum number of instances that all report to each other, without cells.
   static constexpr std::size_t kMaxSingleCellInstances = 16;
 
-  explicit PeerView(InstanceEntry self);
+  explicit PeerView(InstanceEntry self, Regions regions = {});
 
   // Sets the registered instances. The list may contain this instance.
   void SetInstances(const std::vector<InstanceEntry>& entries, Time now);
@@ -166,7 +178,16 @@
   // Returns the receivers of the digest in the other cells: the heads from
   // which reports arrive, or else the first `count` instances of the cell and
   // another one that differs between successive calls.
-  std::vector<InstanceEntry> DigestReceivers(std::size_t count, Time now);
+  //
+  // Except during a replacement, only one head of each cell in another region
+  // is a receiver, and only of reports that contain the digest. Each head of
+  // this cell chooses a different one by its position: the heads of two cells
+  // form pairs, so that the link between the regions carries few reports. The
+  // loss of a head leaves its partner without digests of that cell for about a
+  // second, until the cells have new heads.
+  std::vector<InstanceEntry> DigestReceivers(std::size_t count,
+                                             const DigestRound& round,
+                                             Time now);
 
   int instance_count() const { return m_instance_count; }
   // Number of registered instances of this cell, including this one.
@@ -234,6 +255,7 @@
   const InstanceId m_self;
   const Incarnation m_incarnation;
   const ZoneName m_zone;
+  const Regions m_regions;
   std::map<InstanceId, Peer> m_peers;
   // Heads of other cells that have sent reports.
   std::map<InstanceId, Peer> m_heads;
--- a/src/gateway/peer_view_reports.cc
+++ b/src/gateway/peer_view_reports.cc
@@ -143,9 +143,16 @@
 }
 
 std::vector<InstanceEntry> PeerView::DigestReceivers(std::size_t count,
+                                                     const DigestRound& round,
                                                      Time now) {
+  const auto position = static_cast<std::size_t>(Rank(now));
   std::vector<InstanceEntry> receivers;
   for (const auto& [zone, cell] : m_cells) {
+    const bool condensed =
+        !round.m_is_replacing && !m_regions.AreTogether(zone, m_zone);
+    if (condensed && !round.m_has_digest) {
+      continue;
+    }
     std::vector<InstanceEntry> heads = HeadsOf(zone, now);
     if (heads.empty()) {
       const std::size_t first = std::min(count, cell.m_entries.size());
@@ -153,6 +160,8 @@
                    cell.m_entries.begin() + static_cast<std::ptrdiff_t>(first));
       heads.push_back(
           cell.m_entries[(first + m_next_receiver) % cell.m_entries.size()]);
+    } else if (condensed) {
+      heads = {heads[position % heads.size()]};
     }
     receivers.insert(receivers.end(), heads.begin(), heads.end());
   }
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -13,6 +13,8 @@
 // Added for reads on the primary, because only its slots can run writes.
 constexpr Duration kPrimaryReadPenalty = 30ms;
 
+}  // namespace
+
 Duration ExpectedTime(const PlacementOption& option) {
   Duration turnaround = option.m_turnaround;
   if (turnaround == Duration::zero()) {
@@ -32,8 +34,6 @@
   return time;
 }
 
-}  // namespace
-
 std::optional<PlacementOption> ChoosePlacement(
     const std::vector<PlacementOption>& options) {
   const auto best =
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -29,11 +29,16 @@
   int m_busy = 0;
   int m_slots = 1;
   bool m_same_zone = false;
+  bool m_same_region = true;
   // Whether the member is a replica. Reads that a replica can run are kept off
   // the primary, because only the primary can run writes.
   bool m_is_replica = true;
 };
 
+// Returns the expected time to an answer. Includes a penalty for reads on the
+// primary.
+Duration ExpectedTime(const PlacementOption& option);
+
 // Returns the option with the shortest expected time to an answer; nullopt if
 // there are no options.
 //
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -75,6 +75,8 @@
   // Log position that the replica must hold, if the statement runs on a
   // replica.
   std::optional<FreshnessSample> m_floor;
+  // When SpillControl last considered the statement with a turn.
+  Time m_region_chosen{};
   // The holder to which the statement was last forwarded, and all to which it
   // was forwarded.
   InstanceId m_holder;
--- a/test/gateway/connection_holders_test.cc
+++ b/test/gateway/connection_holders_test.cc
@@ -3,8 +3,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <iterator>
+#include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jasminelug/gateway.h"
@@ -40,6 +43,33 @@
   return holders;
 }
 
+// Returns regions of `zones` zones, of which the first `east` are in one region
+// and the others in another.
+Regions MakeRegions(int zones, int east) {
+  std::map<ZoneName, RegionName> regions;
+  for (int i = 0; i < zones; ++i) {
+    regions.emplace("z" + std::to_string(i), i < east ? "east" : "west");
+  }
+  return Regions(std::move(regions));
+}
+
+ConnectionHolders ViewOf(const InstanceEntry& self,
+                         const std::vector<InstanceEntry>& fleet,
+                         int connections,
+                         const Regions& regions) {
+  ConnectionHolders holders(self.m_id, regions);
+  holders.SetInstances(fleet, self.m_zone);
+  holders.SetConnections(test_group, connections);
+  return holders;
+}
+
+const InstanceEntry& EntryOf(const std::vector<InstanceEntry>& fleet,
+                             const InstanceId& id) {
+  return *std::find_if(
+      fleet.begin(), fleet.end(),
+      [&id](const InstanceEntry& entry) { return entry.m_id == id; });
+}
+
 bool AcceptAll(const InstanceId&) {
   return true;
 }
@@ -54,6 +84,10 @@
   CPPUNIT_TEST(LostHolderIsReplacedByTheNext);
   CPPUNIT_TEST(CustomersKeepTheirHolderWhenOthersChange);
   CPPUNIT_TEST(StatementsInFlightFollowTheSlots);
+  CPPUNIT_TEST(LossOfAllHoldersLeavesTheReserves);
+  CPPUNIT_TEST(HoldersLieInAllRegions);
+  CPPUNIT_TEST(OperationsRunInTheirRegion);
+  CPPUNIT_TEST(MembersServeTheHoldersOfTheirRegion);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -194,11 +228,118 @@
       const std::vector<InstanceEntry> fleet = MakeFleet(row.m_instances, 4);
       const ConnectionHolders view = ViewOf(fleet[0], fleet, row.m_connections);
       const int holders = static_cast<int>(view.HoldersOf(test_group).size());
-      const int total = holders * view.InFlightFor(test_group, row.m_slots);
+      const int total =
+          holders * view.InFlightFor(test_group, row.m_slots, fleet[0].m_zone);
       CPPUNIT_ASSERT(total >= row.m_slots);
       CPPUNIT_ASSERT(total <= row.m_slots + 2 + holders);
     }
   }
+
+  // All holders of a group are killed at once, in a fleet in which not every
+  // instance can have a connection to it. The others must still run its
+  // operations, within the connections that each member accepts.
+  void LossOfAllHoldersLeavesTheReserves() {
+    constexpr int kConnections = 56;
+    const std::vector<InstanceEntry> fleet = MakeFleet(85, 3);
+    std::set<InstanceId> used;
+    for (const InstanceEntry& self : fleet) {
+      const ConnectionHolders view = ViewOf(self, fleet, kConnections);
+      const auto& holders = view.HoldersOf(test_group);
+      const auto is_usable = [&](const InstanceId& id) {
+        return std::find(holders.begin(), holders.end(), id) == holders.end();
+      };
+      const CustomerName customer("c" + self.m_id.str());
+      const auto reserve = view.Choose(test_group, customer, is_usable);
+      CPPUNIT_ASSERT(reserve || view.BudgetFor(test_group) > 0);
+      if (reserve) {
+        CPPUNIT_ASSERT(ViewOf(EntryOf(fleet, *reserve), fleet, kConnections)
+                           .BudgetFor(test_group) > 0);
+        used.insert(*reserve);
+      }
+    }
+    CPPUNIT_ASSERT(used.size() > 1);
+  }
+
+  // Holders must be left when a region is lost, also if it has most of the
+  // zones.
+  void HoldersLieInAllRegions() {
+    for (const int east : {1, 3, 5}) {
+      const std::vector<InstanceEntry> fleet = MakeFleet(60, 6);
+      const Regions regions = MakeRegions(6, east);
+      const ConnectionHolders view = ViewOf(fleet[0], fleet, 75, regions);
+      int in_east = 0;
+      for (const InstanceEntry& entry : fleet) {
+        const auto& holders = view.HoldersOf(test_group);
+        const bool holds = std::find(holders.begin(), holders.end(),
+                                     entry.m_id) != holders.end();
+        const bool is_east =
+            regions.RegionOf(entry.m_zone) == RegionName("east");
+        in_east += holds && is_east ? 1 : 0;
+      }
+      CPPUNIT_ASSERT_EQUAL(2, in_east);
+    }
+  }
+
+  // An operation must not cross to another region while a holder of its own one
+  // is usable.
+  void OperationsRunInTheirRegion() {
+    const std::vector<InstanceEntry> fleet = MakeFleet(60, 6);
+    const Regions regions = MakeRegions(6, 3);
+    const ConnectionHolders view = ViewOf(fleet[0], fleet, 75, regions);
+    const auto region_of = [&](const InstanceId& id) {
+      return regions.RegionOf(EntryOf(fleet, id).m_zone);
+    };
+    for (int i = 0; i < 20; ++i) {
+      const CustomerName customer("c" + std::to_string(i));
+      for (const RegionName& region :
+           {RegionName("east"), RegionName("west")}) {
+        std::set<InstanceId> lost = {fleet[0].m_id};
+        const auto is_usable = [&lost](const InstanceId& id) {
+          return !lost.contains(id);
+        };
+        const auto first = view.Choose(test_group, customer, region, is_usable);
+        CPPUNIT_ASSERT(first && region_of(*first) == region);
+        CPPUNIT_ASSERT(view.HoldersFor(customer).contains(*first));
+        // If the holders of the region are lost, others take over.
+        const auto& holders = view.HoldersOf(test_group);
+        std::copy_if(
+            holders.begin(), holders.end(), std::inserter(lost, lost.end()),
+            [&](const InstanceId& id) { return region_of(id) == region; });
+        const auto other = view.Choose(test_group, customer, region, is_usable);
+        CPPUNIT_ASSERT(other && region_of(*other) != region);
+      }
+    }
+  }
+
+  // The holders of a member's region must have most of its connections and
+  // slots, and all holders together no more connections than it accepts.
+  void MembersServeTheHoldersOfTheirRegion() {
+    constexpr int kConnections = 75;
+    constexpr int kSlots = 6;
+    const std::vector<InstanceEntry> fleet = MakeFleet(60, 6);
+    const Regions regions = MakeRegions(6, 3);
+    for (const ZoneName& member_zone : {ZoneName("z0"), ZoneName("z5")}) {
+      int near = 0;
+      int all = 0;
+      int near_in_flight = 0;
+      for (const InstanceEntry& self : fleet) {
+        const ConnectionHolders view =
+            ViewOf(self, fleet, kConnections, regions);
+        const int budget = view.BudgetFor(test_group, member_zone);
+        const auto& holders = view.HoldersOf(test_group);
+        const bool holds = std::find(holders.begin(), holders.end(),
+                                     self.m_id) != holders.end();
+        all += budget;
+        if (holds && regions.AreTogether(self.m_zone, member_zone)) {
+          near += budget;
+          near_in_flight += view.InFlightFor(test_group, kSlots, member_zone);
+        }
+      }
+      CPPUNIT_ASSERT(all <= kConnections);
+      CPPUNIT_ASSERT(near * 2 > kConnections);
+      CPPUNIT_ASSERT(near_in_flight >= kSlots);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionHoldersTest);
--- a/test/gateway/engine_fixture.h
+++ b/test/gateway/engine_fixture.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jasminelug/gateway.h"
@@ -30,8 +31,8 @@
  public:
   static constexpr Duration kStep = 10ms;
 
-  explicit EngineFixture(const std::string& self = "self")
-      : m_engine(Options(self), Hooks()) {
+  explicit EngineFixture(const std::string& self = "self", Regions regions = {})
+      : m_engine(Options(self, std::move(regions)), Hooks()) {
     m_configuration = MakeConfiguration();
     RecordContact();
     Configure();
@@ -329,6 +330,8 @@
   std::vector<SessionId> m_closed_sessions;
   std::vector<StatementSummary> m_ends;
   std::vector<UnexpectedAnswer> m_unexpected;
+  // Whether each report of EngineHooks::m_spill_changed was a beginning.
+  std::vector<bool> m_spill_changes;
   std::vector<std::pair<InstanceId, ForwardMessage>> m_forwarded;
   std::map<MemberId, MemberStatus> m_statuses;
   std::map<MemberId, Time> m_statuses_requested;
@@ -344,11 +347,12 @@
     return Incarnation(++runs);
   }
 
-  static EngineOptions Options(const std::string& self) {
+  static EngineOptions Options(const std::string& self, Regions regions) {
     EngineOptions options;
     options.m_self = InstanceId(self);
     options.m_incarnation = NextIncarnation();
     options.m_zone = ZoneName("zone-p");
+    options.m_regions = std::move(regions);
     return options;
   }
 
@@ -391,6 +395,10 @@
     hooks.m_report = [this](const StatementSummary& end) {
       m_ends.push_back(end);
     };
+    hooks.m_spill_changed = [this](const GroupName&, const SpillInput&,
+                                   bool begins) {
+      m_spill_changes.push_back(begins);
+    };
     hooks.m_unexpected_answer = [this](const UnexpectedAnswer& answer) {
       m_unexpected.push_back(answer);
     };
--- a/test/gateway/peer_view_test.cc
+++ b/test/gateway/peer_view_test.cc
@@ -84,14 +84,14 @@
   static constexpr int kZones = 3;
   static constexpr int kInZone = 8;
 
-  explicit LargeFleet(int in_zone = kInZone) {
+  explicit LargeFleet(int in_zone = kInZone, const Regions& regions = {}) {
     for (int i = 0; i < kZones * in_zone; ++i) {
       InstanceEntry entry = Entry("i" + std::to_string(100 + i));
       entry.m_zone = ZoneName("z" + std::to_string(i % kZones));
       m_entries.push_back(entry);
     }
     for (const InstanceEntry& entry : m_entries) {
-      m_views.emplace_back(entry);
+      m_views.emplace_back(entry, regions);
       m_views.back().SetInstances(m_entries, m_now);
       m_reports.emplace_back();
     }
@@ -127,7 +127,7 @@
         continue;
       }
       reports[i].m_cells = {view.Digest(reports[i], sent)};
-      for (const InstanceEntry& peer : view.DigestReceivers(2, sent)) {
+      for (const InstanceEntry& peer : view.DigestReceivers(2, {}, sent)) {
         messages.push_back(
             {peer, view.ReportFor(peer, reports[i], shares, sent)});
       }
@@ -172,6 +172,7 @@
   CPPUNIT_TEST(CellsShareDemandOfTheWholeFleet);
   CPPUNIT_TEST(CellAcknowledgesWhatAllItsInstancesDo);
   CPPUNIT_TEST(CoordinatorReceivesTheAcknowledgementsOfAllCells);
+  CPPUNIT_TEST(HeadsOfTwoRegionsFormPairs);
   CPPUNIT_TEST(DigestThatLacksAnInstanceDoesNotCount);
   CPPUNIT_TEST(OvertakenDigestDoesNotReplaceANewerOne);
   CPPUNIT_TEST(ReportsGrowLinearlyWithTheCell);
@@ -430,6 +431,66 @@
     CPPUNIT_ASSERT(!fleet.m_views[coordinator].is_head());
   }
 
+  // Zone z2 is in another region. Its heads and those of the other zones must
+  // receive each digest once, and still learn all acknowledgements after a head
+  // was lost.
+  void HeadsOfTwoRegionsFormPairs() {
+    const Regions regions({{ZoneName("z0"), RegionName("east")},
+                           {ZoneName("z1"), RegionName("east")},
+                           {ZoneName("z2"), RegionName("west")}});
+    LargeFleet fleet(LargeFleet::kInZone, regions);
+    for (PeerReport& report : fleet.m_reports) {
+      report.m_acknowledged = Revision(7);
+    }
+    const auto exchange = [&fleet](int rounds) {
+      for (int i = 0; i < rounds; ++i) {
+        fleet.Exchange();
+      }
+    };
+    const auto count_receivers_elsewhere = [&] {
+      int count = 0;
+      for (std::size_t i = 0; i < fleet.m_views.size(); ++i) {
+        PeerView& view = fleet.m_views[i];
+        if (!view.is_head() || fleet.m_lost.contains(i)) {
+          continue;
+        }
+        for (const InstanceEntry& peer :
+             view.DigestReceivers(2, {}, fleet.m_now)) {
+          const bool near =
+              regions.AreTogether(peer.m_zone, fleet.m_entries[i].m_zone);
+          count += near ? 0 : 1;
+        }
+      }
+      return count;
+    };
+    exchange(10);
+    // Two heads in each of two zones, with a receiver each, and back.
+    CPPUNIT_ASSERT_EQUAL(8, count_receivers_elsewhere());
+    const auto all_heads_know = [&fleet] {
+      for (std::size_t i = 0; i < fleet.m_views.size(); ++i) {
+        const PeerView& view = fleet.m_views[i];
+        if (!fleet.m_lost.contains(i) && view.is_head() &&
+            !view.AllAcknowledged(Revision(7), fleet.m_now)) {
+          return false;
+        }
+      }
+      return true;
+    };
+    CPPUNIT_ASSERT(all_heads_know());
+    fleet.m_lost = {2};
+    CPPUNIT_ASSERT(fleet.m_views[2].is_head());
+    exchange(12);
+    CPPUNIT_ASSERT(all_heads_know());
+    CPPUNIT_ASSERT_EQUAL(8, count_receivers_elsewhere());
+    DigestRound round;
+    round.m_has_digest = false;
+    CPPUNIT_ASSERT(
+        fleet.m_views[0].DigestReceivers(2, round, fleet.m_now).size() <= 2);
+    round.m_is_replacing = true;
+    CPPUNIT_ASSERT(
+        fleet.m_views[0].DigestReceivers(2, round, fleet.m_now).size() > 2);
+  }
+
   // An instance registers, and the head of its cell does not know of it yet.
   // Its digest must not count as the acknowledgement of that instance.
   void DigestThatLacksAnInstanceDoesNotCount() {
--- a/test/gateway/replacement_model.h
+++ b/test/gateway/replacement_model.h
@@ -23,6 +23,7 @@
 struct ReplacementModelOptions {
   std::size_t m_size = 3;
   std::size_t m_zones = 1;
+  Regions m_regions{};
   int m_sync_replicas = 0;
   unsigned m_seed = 1;
   // Prints the events of the run.
@@ -101,7 +102,8 @@
     self.m_contact.CountFrom(std::nullopt);
     self.m_registrar = std::make_unique<InstanceRegistrar>(
         self.m_entry, RegistrarHooks(&self));
-    self.m_peers = std::make_unique<PeerView>(self.m_entry);
+    self.m_peers =
+        std::make_unique<PeerView>(self.m_entry, m_options.m_regions);
     self.m_coordinator = std::make_unique<ReplacementCoordinator>(
         ReplacementOptions{self.m_entry.m_id}, CoordinatorHooks(&self));
     ConnectCopies(&self);
@@ -894,12 +896,16 @@
     if (!peers.has_other_cells() || !peers.is_head()) {
       return;
     }
-    if (acknowledges || m_now - self->m_last_digest >= kDigestInterval) {
+    DigestRound round;
+    round.m_has_digest =
+        acknowledges || m_now - self->m_last_digest >= kDigestInterval;
+    round.m_is_replacing = self->m_coordinator->record().m_intent.has_value();
+    if (round.m_has_digest) {
       self->m_last_digest = m_now;
       report.m_cells = {peers.Digest(report, m_now)};
     }
     for (const InstanceEntry& peer :
-         peers.DigestReceivers(kDigestReceivers, m_now)) {
+         peers.DigestReceivers(kDigestReceivers, round, m_now)) {
       SendReport(*self, peer, peers.ReportFor(peer, report, shares, m_now));
     }
   }
--- a/test/gateway/replacement_model_test.cc
+++ b/test/gateway/replacement_model_test.cc
@@ -260,6 +260,7 @@
   CPPUNIT_TEST(SmallFleets);
   CPPUNIT_TEST(FleetsThatDoNotHearEachOther);
   CPPUNIT_TEST(FleetsOfSeveralCells);
+  CPPUNIT_TEST(FleetsOfSeveralRegions);
   CPPUNIT_TEST(SeedsThatFailedBefore);
   CPPUNIT_TEST_SUITE_END();
 
@@ -281,6 +282,16 @@
 
   void FleetsOfSeveralCells() { Explore(10, SeveralCells); }
 
+  // Few reports cross the link between the regions.
+  void FleetsOfSeveralRegions() {
+    Explore(10, [](unsigned seed, ReplacementModelOptions* options) {
+      options->m_regions = Regions({{ZoneName("zone0"), RegionName("east")},
+                                    {ZoneName("zone1"), RegionName("east")},
+                                    {ZoneName("zone2"), RegionName("west")}});
+      return SeveralCells(seed, options);
+    });
+  }
+
   // 11440: a restarted instance received an update that answered a request of
   // its earlier run.
   void SeedsThatFailedBefore() {
