--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -255,7 +255,6 @@
   // (engine_forwarding.cc).
   std::optional<InstanceId> ChooseHolder(const Session& session,
                                          Time now) const;
-  RegionName RegionFor(const Session& session) const;
   void StartAttempt(Session* session, Time now);
   void SendForward(Session* session, Time now);
   void ForwardTo(Session* session, const InstanceId& holder, Time now);
@@ -265,12 +264,8 @@
   void PingUnresponsiveHolders(Time now);
   static bool MayRestart(const Session& session);
 
-  // Placement (engine_dispatch.cc).
-  void PlaceOrEnqueue(Session* session, Time now);
-  void RemoveFromQueue(Session* session);
-  void PlaceAfterDelay(Session* session, Duration delay, Time now);
-  void Dispatch(const GroupName& group, Time now);
-  bool TryPlace(Session* session, Time now);
+  // Regions (engine_regions.cc).
+  RegionName RegionFor(const Session& session) const;
   std::optional<PlacementOption> ChooseOption(Session* session, Time now);
   std::optional<PlacementOption> ChooseRegion(
       Session* session,
@@ -283,6 +278,13 @@
                                      const std::optional<PlacementOption>& near,
                                      Time now) const;
   bool IsNear(const Member& member) const;
+
+  // Placement (engine_dispatch.cc).
+  void PlaceOrEnqueue(Session* session, Time now);
+  void RemoveFromQueue(Session* session);
+  void PlaceAfterDelay(Session* session, Duration delay, Time now);
+  void Dispatch(const GroupName& group, Time now);
+  bool TryPlace(Session* session, Time now);
   std::vector<PlacementOption> OptionsFor(Session* session, Time now);
   std::optional<PlacementOption> OptionAt(const Session& session,
                                           MemberState* state,
@@ -291,7 +293,6 @@
   std::optional<FreshnessSample> FreshnessFloorOf(const Session& session,
                                                   Time now) const;
   bool IsPrimaryUsable(const Group& group, Time now) const;
-  bool MaySendOn(const Connection& connection, Time now) const;
   int BudgetOf(const MemberState& state) const;
   void DropExcessIdleConnections(Time now);
   int InFlightLimit(const MemberState& state) const;
@@ -308,6 +309,9 @@
                          LoadScope scope,
                          Time now) const;
   void Place(Session* session, const PlacementOption& option, Time now);
+
+  // Sending (engine_sending.cc).
+  bool MaySendOn(const Connection& connection, Time now) const;
   void SendStatement(Session* session, Connection* connection, Time now);
   void SendBegin(Session* session, Connection* connection, Time now);
   StatementEvidence EvidenceFor(const Session& session,
@@ -324,6 +328,7 @@
             SentPurpose last_purpose,
             const ActiveStatement* active,
             Time now);
+  void SendStatus(Connection* connection, Time now);
 
   // Answers (engine_answers.cc).
   void RejectAnswer(Connection* connection,
@@ -398,7 +403,6 @@
                       const SentStatement& sent,
                       const Answer& answer,
                       Time now);
-  void SendStatus(Connection* connection, Time now);
 
   // Time (engine.cc).
   void EndOverdue(Session* session, Time now);
--- a/src/gateway/engine_forwarding.cc
+++ b/src/gateway/engine_forwarding.cc
@@ -67,38 +67,6 @@
                           RegionFor(session), is_usable);
 }
 
-// Returns the region in which the session's operation should run: that of the
-// primary if only the primary can run it, so that it crosses to another region
-// once; otherwise the own one, or if no member there accepts work, one where a
-// member does.
-RegionName Engine::RegionFor(const Session& session) const {
-  const Regions& regions = m_options.m_regions;
-  if (!regions.are_several()) {
-    return {};
-  }
-  const bool reads_only =
-      session.m_transaction && session.m_transaction->m_read_only;
-  const bool needs_primary =
-      session.m_active
-          ? session.m_active->m_needs_primary
-          : session.m_route.m_consistency == Consistency::kPrimary ||
-                !reads_only;
-  const GroupName& group = session.m_route.m_group;
-  const std::optional<MemberId> primary = PrimaryOf(group);
-  RegionName region = regions.RegionOf(m_options.m_zone);
-  bool found = false;
-  for (const MemberState* state : m_members.MembersOf(group)) {
-    const Member& member = state->m_member;
-    const bool is_target =
-        needs_primary ? member.m_id == primary : m_members.AcceptsWork(member);
-    if (is_target && (!found || IsNear(member))) {
-      found = true;
-      region = regions.RegionOf(member.m_zone);
-    }
-  }
-  return region;
-}
-
 // Starts the active statement, or restarts it after a lost attempt: forwards it
 // to a holder or, if there is none to use, admits and places it here.
 void Engine::StartAttempt(Session* session, Time now) {
--- a/test/gateway_app/settings_test.cc
+++ b/test/gateway_app/settings_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(ReadsAllFields);
   CPPUNIT_TEST(ErrorsNameTheField);
   CPPUNIT_TEST(LimitsOfThePlatformMayBeMissing);
+  CPPUNIT_TEST(ZonesNameTheirRegions);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -68,6 +69,25 @@
     }
   }
 
+  // The platform names the region of each zone, or none.
+  void ZonesNameTheirRegions() {
+    struct Case {
+      std::string m_zones;
+      bool m_several;
+    };
+    const std::vector<Case> cases = {
+        {"{}", false},
+        {R"({"arima": "trinidad", "chaguanas": "trinidad"})", false},
+        {R"({"arima": "trinidad", "scarborough": "tobago"})", true}};
+    for (const Case& row : cases) {
+      const auto settings = ParseSettings(
+          With("\"store\"", "\"zones\": " + row.m_zones + ", \"store\""));
+      CPPUNIT_ASSERT_MESSAGE(row.m_zones, IsOk(settings));
+      CPPUNIT_ASSERT_EQUAL(row.m_several,
+                           GetValue(settings).m_regions.are_several());
+    }
+  }
+
   void ErrorsNameTheField() {
     struct Case {
       std::string m_field;
@@ -88,6 +108,10 @@
         {"limits", With("\"store\"", "\"limits\": 1, \"store\"")},
         {"limits.memory-mb",
          With("\"store\"", R"("limits": {"memory-mb": "x"}, "store")")},
+        {"zones", With("\"store\"", R"("zones": ["arima"], "store")")},
+        {"zones.arima", With("\"store\"", R"("zones": {"arima": 1}, "store")")},
+        {"zones.arima",
+         With("\"store\"", R"("zones": {"arima": ""}, "store")")},
         {"colour", With("\"zone\"", "\"colour\": 1, \"zone\"")},
     };
     for (const Case& row : cases) {
