--- a/src/gateway/engine_regions.cc
+++ b/src/gateway/engine_regions.cc
@@ -67,8 +67,8 @@
                  });
     return ChoosePlacement(part);
   };
-  const std::optional<PlacementOption> near = best_where(true);
-  const std::optional<PlacementOption> far = best_where(false);
+  std::optional<PlacementOption> near = best_where(true);
+  std::optional<PlacementOption> far = best_where(false);
   ActiveStatement& active = *session->m_active;
   SpillInput input;
   input.m_near = NearTimeOf(*session, near, now);
