member table: an attempt that is given up does not raise the estimate

Cause: where answers are lost, each attempt that was given up counted as an answer after at least 150 ms. Estimates rose, and operations were refused that the members could have served. Change: such an attempt only confirms the estimate, so that a member that hangs is not tried again soon.

--- a/src/gateway/engine.cc
+++ b/src/gateway/engine.cc
@@ -324,7 +324,7 @@
     return;
   }
   // The first attempt continues, but its answer is discarded.
-  m_members.NoteTurnaround(active.m_member, now - active.m_placed, now);
+  m_members.NoteGivenUp(active.m_member, now);
   m_speculative_retry_budget -= 1;
   active.m_speculative_retries += 1;
   active.m_excluded_replicas.insert(active.m_member);
--- a/src/gateway/member_table.cc
+++ b/src/gateway/member_table.cc
@@ -137,23 +137,21 @@
   state->m_lag_seen = now;
 }
 
-void MemberTable::NoteAnswer(const MemberId& id,
-                             Duration turnaround,
-                             Time now) {
+void MemberTable::NoteGivenUp(const MemberId& id, Time now) {
   MemberState* state = Find(id);
   if (state) {
-    state->m_failures = 0;
-    NoteTurnaround(id, turnaround, now);
+    state->m_measured = now;
   }
 }
 
-void MemberTable::NoteTurnaround(const MemberId& id,
-                                 Duration turnaround,
-                                 Time now) {
+void MemberTable::NoteAnswer(const MemberId& id,
+                             Duration turnaround,
+                             Time now) {
   MemberState* state = Find(id);
   if (!state) {
     return;
   }
+  state->m_failures = 0;
   const bool known = state->m_turnaround != Duration::zero() &&
                      now - state->m_measured < MemberState::kTurnaroundHalfLife;
   state->m_measured = now;
--- a/src/gateway/member_table.h
+++ b/src/gateway/member_table.h
@@ -22,7 +22,7 @@
   int m_failures = 0;
   // Smoothed time between sending a statement and receiving its answer.
   Duration m_turnaround{0};
-  // When m_turnaround was last updated.
+  // When m_turnaround was last updated or confirmed.
   Time m_measured;
   // Largest age of a position that the replica recently reported as missing.
   // See NoteLagging().
@@ -40,7 +40,7 @@
   // Returns the turnaround that is expected of the member at `now`. A member
   // that was slow receives few statements, or none while others are free, so
   // nothing shows that it has recovered. Its estimate is therefore halved after
-  // each kTurnaroundHalfLife without an update, until it is tried again.
+  // each kTurnaroundHalfLife without confirmation, until it is tried again.
   Duration ExpectedTurnaround(Time now) const;
   static constexpr Duration kTurnaroundHalfLife = 2s;
 };
@@ -86,12 +86,14 @@
   void NoteLagging(const MemberId& id, Duration age, Time now);
 
   // Records an answer that arrived `turnaround` after its statement was sent.
+  // An estimate that was not confirmed for kTurnaroundHalfLife is replaced, a
+  // newer one smoothed.
   void NoteAnswer(const MemberId& id, Duration turnaround, Time now);
 
-  // Records that a statement took `turnaround`, or at least that time if it was
-  // given up. An estimate that was not updated for kTurnaroundHalfLife is
-  // replaced, a later one smoothed.
-  void NoteTurnaround(const MemberId& id, Duration turnaround, Time now);
+  // Records that an attempt was given up because no answer came. The member is
+  // not tried again soon: its estimate counts as confirmed. It is not raised,
+  // because the answer may have been lost.
+  void NoteGivenUp(const MemberId& id, Time now);
 
   // Returns whether the member probably lacks a log position that is `age` old.
   bool LikelyLacksPosition(const MemberState& state,
--- a/test/gateway/engine_members_test.cc
+++ b/test/gateway/engine_members_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(PrimaryIsNotUsedWithoutRecentContact);
   CPPUNIT_TEST(DrainingAndEvacuatedMembersTakeNoWork);
   CPPUNIT_TEST(SlowMemberIsTriedAgain);
+  CPPUNIT_TEST(LostAnswerDoesNotRaiseTheEstimate);
   CPPUNIT_TEST(SlowFirstAnswerDoesNotEndAdmission);
   CPPUNIT_TEST(BurstIsRefusedBeyondTheObjective);
   CPPUNIT_TEST(OverdueStatementIsNotRun);
@@ -302,6 +303,28 @@
     CPPUNIT_ASSERT(at_r1 > 0);
   }
 
+  // A replica loses some of its answers. Its estimate must not rise for that,
+  // or it would be avoided, and operations refused.
+  void LostAnswerDoesNotRaiseTheEstimate() {
+    MemberTable table;
+    const MemberId id("r1");
+    Member member;
+    member.m_id = id;
+    table.SetMembers({member});
+    const Time now(100s);
+    table.NoteAnswer(id, 30ms, now);
+    table.NoteGivenUp(id, now + 1s);
+    CPPUNIT_ASSERT(Duration(30ms) ==
+                   table.Find(id)->ExpectedTurnaround(now + 1s));
+    // A slow member that was tried and did not answer is left alone again.
+    table.NoteAnswer(id, 700ms, now + 10s);
+    table.NoteGivenUp(id, now + 13s);
+    CPPUNIT_ASSERT(Duration(700ms) ==
+                   table.Find(id)->ExpectedTurnaround(now + 14s));
+    CPPUNIT_ASSERT(Duration(350ms) ==
+                   table.Find(id)->ExpectedTurnaround(now + 16s));
+  }
+
   // The only answer so far took longer than the objective, because a machine
   // was held up. The instance must not refuse all further operations for that.
   void SlowFirstAnswerDoesNotEndAdmission() {
