gateway: the rule for what needs the primary stands once

RegionFor() repeated the part of NeedsPrimary() that goes by the kind of the statement; both call NeedsPrimaryByKind() now. With one region, the budget for a member is looked up once for each placement again, as before regions.

--- a/src/gateway/connection_holders.cc
+++ b/src/gateway/connection_holders.cc
@@ -329,6 +329,9 @@
 
 int ConnectionHolders::BudgetFor(const GroupName& name,
                                  const ZoneName& zone) const {
+  if (!m_regions.are_several()) {
+    return BudgetFor(name);
+  }
   const auto found = m_groups.find(name);
   if (found == m_groups.end() || !Contains(found->second.m_holders, m_self)) {
     return BudgetFor(name);
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -416,6 +416,7 @@
   bool ShouldRetrySpeculatively(const Session& session, Time now) const;
   std::optional<Refused> CheckPrimary(const Session& session, Time now) const;
   bool NeedsPrimary(const Session& session, Time now) const;
+  static bool NeedsPrimaryByKind(const Session& session);
 
   Session* FindSession(SessionId id);
   // Returns the connection that the session uses, or null.
--- a/src/gateway/engine_regions.cc
+++ b/src/gateway/engine_regions.cc
@@ -17,13 +17,7 @@
   if (!regions.are_several()) {
     return {};
   }
-  const bool reads_only =
-      session.m_transaction && session.m_transaction->m_read_only;
-  const bool needs_primary =
-      session.m_active
-          ? session.m_active->m_needs_primary
-          : session.m_route.m_consistency == Consistency::kPrimary ||
-                !reads_only;
+  const bool needs_primary = NeedsPrimaryByKind(session);
   const GroupName& group = session.m_route.m_group;
   const std::optional<MemberId> primary = PrimaryOf(group);
   RegionName region = regions.RegionOf(m_options.m_zone);
--- a/src/gateway/engine_sessions.cc
+++ b/src/gateway/engine_sessions.cc
@@ -202,13 +202,18 @@
 }
 
 bool Engine::NeedsPrimary(const Session& session, Time now) const {
+  return NeedsPrimaryByKind(session) || !FreshnessFloorOf(session, now);
+}
+
+// Returns whether only the primary may run the session's statement or
+// transaction, regardless of which positions are known.
+bool Engine::NeedsPrimaryByKind(const Session& session) {
   if (session.m_active) {
-    return session.m_active->m_needs_primary || !FreshnessFloorOf(session, now);
+    return session.m_active->m_needs_primary;
   }
   const bool reads_only =
       session.m_transaction && session.m_transaction->m_read_only;
-  return session.m_route.m_consistency == Consistency::kPrimary ||
-         !reads_only || !FreshnessFloorOf(session, now);
+  return session.m_route.m_consistency == Consistency::kPrimary || !reads_only;
 }
 
 TransactionState Engine::StateOf(const Session& session) const {
