--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -245,8 +245,10 @@
 
     async def promote(self, body):
         chosen = [m for m in self.members if m.id == body.get("id")]
-        if not chosen or chosen[0] is self.primary:
+        if not chosen:
             return 409, {}
+        if chosen[0] is self.primary:
+            return 200, {}
         asyncio.create_task(self.take_over(chosen[0]))
         return 200, {}
 
